Lay down the interfaces: base, platform, control types, runtime

Cause: the parts can only grow side by side once the vocabulary, the error table and the seams to the platform and the runtime stand.

--- /dev/null
+++ b/include/figmill/runtime.h
@@ -0,0 +1,392 @@
+#pragma once
+
+// The shell around the decisions: event loops, HTTP, JSON-RPC, datagrams, the
+// platform's clients, metrics, traces, logs and the supervisor tree. Asio,
+// RESTinio, curl and jsonrpccpp stay behind this header.
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <initializer_list>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "figmill/base.h"
+#include "figmill/platform.h"
+
+namespace figmill {
+
+// --- Event loop ----------------------------------------------------------------
+
+namespace detail {
+struct LoopCore;
+struct TimerCore;
+}  // namespace detail
+
+// Cancels its timer when destroyed or reset.
+class Timer {
+ public:
+  Timer() = default;
+  explicit Timer(std::shared_ptr<detail::TimerCore> core) : core_(std::move(core)) {}
+  Timer(Timer&&) noexcept = default;
+  Timer& operator=(Timer&& other) noexcept;
+  ~Timer() { Reset(); }
+  void Reset();
+
+ private:
+  std::shared_ptr<detail::TimerCore> core_;
+};
+
+// One thread's event loop. Only Post and Stop may be called from other threads.
+class Loop {
+ public:
+  Loop();
+  ~Loop();
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  void Run();  // until Stop
+  void Stop();
+  void Post(std::function<void()> task);
+  [[nodiscard]] Timer After(Duration delay, std::function<void()> task);
+  // Repeats until the timer is destroyed; never overlaps itself.
+  [[nodiscard]] Timer Every(Duration period, std::function<void()> task);
+  // Runs `task` on this loop for SIGTERM and SIGINT.
+  void OnTerminate(std::function<void()> task);
+
+  [[nodiscard]] static Time Now();
+  [[nodiscard]] static WallTime WallNow();
+  [[nodiscard]] detail::LoopCore& core() { return *core_; }
+
+ private:
+  std::unique_ptr<detail::LoopCore> core_;
+};
+
+// A random source seeded from the operating system, for one thread.
+[[nodiscard]] RandomBits SystemRandom();
+
+// --- HTTP server -----------------------------------------------------------------
+
+struct Header {
+  std::string name;
+  std::string value;
+};
+
+struct HttpRequest {
+  std::string method;
+  std::string path;   // without the query, still percent-encoded
+  std::string query;  // without '?'
+  std::vector<Header> headers;
+  std::string body;
+
+  // First header of this name, whatever its case; empty when absent.
+  [[nodiscard]] std::string_view HeaderOr(std::string_view name,
+                                          std::string_view fallback = {}) const;
+  // Decoded value of a query parameter.
+  [[nodiscard]] std::optional<std::string> QueryValue(std::string_view name) const;
+};
+
+struct HttpResponse {
+  int status = 200;
+  std::string content_type = "application/json";
+  std::vector<Header> headers;
+  std::string body;
+};
+
+// The answer to one request; used on the server's loop only. Either Send once,
+// or Begin, any number of Writes, then End.
+class HttpReply {
+ public:
+  virtual ~HttpReply() = default;
+  virtual void Send(HttpResponse response) = 0;
+  virtual void Begin(HttpResponse head) = 0;  // its body, if any, is the first chunk
+  virtual void Write(std::string bytes) = 0;
+  virtual void End() = 0;
+  // Called once when the peer goes away before the answer is complete.
+  virtual void OnClosed(std::function<void()> closed) = 0;
+};
+using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpReply>)>;
+
+inline constexpr std::size_t kMaxBodyBytes = 8U << 20;  // a caller's body
+
+class HttpServer {
+ public:
+  // Listens at once; port 0 takes a free one. Errors: kInternal, with the cause.
+  static Result<std::unique_ptr<HttpServer>> Listen(Loop& loop, const Address& at,
+                                                    HttpHandler handler);
+  virtual ~HttpServer() = default;
+  [[nodiscard]] virtual Address address() const = 0;
+  // No new connections; the ones that are open finish their requests.
+  virtual void StopAccepting() = 0;
+};
+
+// application/problem+json with kind, detail, ran, and Retry-After.
+[[nodiscard]] HttpResponse ProblemOf(const Error& error);
+// Reads a problem document back; other bodies give kBackendFailed with `status`.
+[[nodiscard]] Error ErrorFromProblem(int status, std::string_view body);
+
+// --- HTTP client -----------------------------------------------------------------
+
+struct HttpCall {
+  std::string method = "GET";
+  Address to;
+  std::string target = "/";
+  std::vector<Header> headers;
+  std::string body;
+  Duration connect_timeout{1'000'000};
+  Duration total_timeout{0};  // 0: none
+  Duration idle_timeout{0};   // longest silence, in whole seconds; 0: none
+  // A pooled connection that the peer has just closed makes the client send
+  // again on a fresh one. A request that may not be repeated must not take that
+  // risk: it gets a connection of its own.
+  bool fresh_connection = false;
+};
+
+struct HttpHead {
+  int status = 0;
+  std::vector<Header> headers;
+};
+struct HttpBytes {
+  std::string_view bytes;  // valid during the call
+};
+// The answer ended by HTTP's own rules (length or last chunk).
+struct HttpEnd {};
+// It did not. `sent` is false only when no connection was made, so that the
+// peer can't have seen the request.
+struct HttpFailure {
+  bool sent = true;
+  bool timed_out = false;
+  std::string why;
+};
+using HttpEvent = std::variant<HttpHead, HttpBytes, HttpEnd, HttpFailure>;
+
+// Calls run on the loop that it was made with.
+class HttpClient {
+ public:
+  explicit HttpClient(Loop& loop);
+  ~HttpClient();
+  // Events come on the loop, the last is HttpEnd or HttpFailure; none comes
+  // after the returned function was called.
+  CancelCall Start(HttpCall call, std::function<void(HttpEvent)> on_event);
+  // The whole answer at once; any status is a value. Errors: kBackendFailed with
+  // `ran` no (never sent) or unknown.
+  CancelCall Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// --- JSON-RPC ----------------------------------------------------------------------
+
+// Control orders between figmill's processes. Parameters and results are JSON
+// objects as text; each side parses them into its own aggregates.
+class RpcServer {
+ public:
+  using Method = std::function<Result<std::string>(std::string_view params)>;
+  RpcServer();
+  ~RpcServer();
+  void Bind(std::string name, Method method);
+  // The body of a JSON-RPC request to the body of its answer.
+  [[nodiscard]] std::string Handle(std::string_view body);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl_;
+};
+
+// POST /rpc at `to`. Errors: those of the method; kBackendFailed when not
+// reached, with `ran` as for HttpClient::Fetch.
+void CallRpc(HttpClient& client, const Address& to, std::string_view method,
+             std::string params, Duration timeout, std::function<void(Result<std::string>)> done);
+
+// --- Datagrams ---------------------------------------------------------------------
+
+inline constexpr std::size_t kMaxDatagramBytes = 1400;
+
+class UdpSocket {
+ public:
+  using Handler = std::function<void(std::string_view bytes, const Address& from)>;
+  static Result<std::unique_ptr<UdpSocket>> Bind(Loop& loop, const Address& at, Handler handler);
+  virtual ~UdpSocket() = default;
+  virtual void Send(std::string bytes, const Address& to) = 0;  // may be lost
+  [[nodiscard]] virtual Address address() const = 0;
+};
+
+// --- The platform over HTTP ----------------------------------------------------------
+
+// Clients of the platform's services (docs/PLATFORM.md has the calls).
+class HttpPlatform final : public TableStore, public ObjectStore, public HostList,
+                           public WeightStore {
+ public:
+  HttpPlatform(HttpClient& client, Address platform, Duration timeout);
+  void Commit(Transaction transaction, std::function<void(TransactionOutcome)> done) override;
+  void Read(std::string key, std::function<void(Result<std::optional<Row>>)> done) override;
+  void Scan(RowRange range, std::function<void(Result<std::vector<Row>>)> done) override;
+  void Put(std::string key, std::string bytes, std::function<void(Result<Ok>)> done) override;
+  void Get(std::string key, std::function<void(Result<std::string>)> done) override;
+  void Delete(std::string key, std::function<void(Result<Ok>)> done) override;
+  void List(std::function<void(Result<std::vector<ListedHost>>)> done) override;
+  void Reserve(std::string object, std::uint64_t bytes,
+               std::function<void(Result<Duration>)> done) override;
+
+ private:
+  HttpClient& client_;
+  Address platform_;
+  Duration timeout_;
+};
+
+// --- Metrics -------------------------------------------------------------------------
+
+class Counter {
+ public:
+  void Add(std::uint64_t n = 1) { value_.fetch_add(n, std::memory_order_relaxed); }
+  [[nodiscard]] std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<std::uint64_t> value_{0};
+};
+
+class Gauge {
+ public:
+  void Set(double value) { value_.store(value, std::memory_order_relaxed); }
+  [[nodiscard]] double value() const { return value_.load(std::memory_order_relaxed); }
+
+ private:
+  std::atomic<double> value_{0};
+};
+
+// Quantiles of a stream in constant memory (Boost.Accumulators, P-square).
+class Distribution {
+ public:
+  Distribution();
+  ~Distribution();
+  void Add(double value);
+  struct Summary {
+    std::uint64_t count = 0;
+    double sum = 0, p50 = 0, p95 = 0, p99 = 0;
+  };
+  [[nodiscard]] Summary summary() const;
+
+ private:
+  struct Core;
+  std::unique_ptr<Core> core_;
+};
+
+// All metrics of a process. A name is Prometheus style with its unit, such as
+// figmill_online_first_token_seconds; labels are part of the identity. The
+// references stay valid as long as the registry.
+class Metrics {
+ public:
+  Counter& counter(std::string_view name, std::string_view help, std::string_view labels = {});
+  Gauge& gauge(std::string_view name, std::string_view help, std::string_view labels = {});
+  Distribution& distribution(std::string_view name, std::string_view help,
+                             std::string_view labels = {});
+  [[nodiscard]] std::string PrometheusText() const;
+
+ private:
+  template <typename M>
+  struct Family {
+    std::string help;
+    std::map<std::string, std::unique_ptr<M>, std::less<>> by_labels;
+  };
+  mutable std::mutex mutex_;
+  std::map<std::string, Family<Counter>, std::less<>> counters_;
+  std::map<std::string, Family<Gauge>, std::less<>> gauges_;
+  std::map<std::string, Family<Distribution>, std::less<>> distributions_;
+};
+
+// --- Traces --------------------------------------------------------------------------
+
+// W3C trace context.
+struct TraceContext {
+  std::string trace_id;  // 32 hexadecimal digits
+  std::string span_id;   // 16
+  bool sampled = true;
+};
+[[nodiscard]] std::optional<TraceContext> ParseTraceparent(std::string_view header);
+[[nodiscard]] std::string ToTraceparent(const TraceContext& context);
+
+struct SpanAttribute {
+  std::string name;
+  std::string value;
+};
+struct Span {
+  TraceContext context;
+  std::string parent_span_id;
+  std::string name;
+  WallTime start;
+  WallTime end;
+  std::vector<SpanAttribute> attributes;
+  bool failed = false;
+};
+
+// Collects spans and sends them in batches as OTLP/JSON, off the hot path: a
+// full buffer drops spans and counts them, it never holds traffic up.
+class Tracer {
+ public:
+  // Without an endpoint spans still get contexts, for logs and next hops.
+  Tracer(Loop& loop, HttpClient& client, std::optional<Address> endpoint, std::string service,
+         Metrics& metrics);
+  ~Tracer();
+  [[nodiscard]] Span Start(std::string name, const std::optional<TraceContext>& parent);
+  void Finish(Span span);  // any thread
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+// --- Logs ----------------------------------------------------------------------------
+
+struct LogField {
+  std::string_view key;
+  std::string value;
+};
+enum class LogLevel : std::uint8_t { kInfo, kWarning, kError };
+
+// One glog line an event: event=NAME key=value ..., values quoted where needed.
+void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
+void StartLogging(const char* program);
+
+// --- Supervisor tree -----------------------------------------------------------------
+
+// Starts its children in order and restarts one that fails, at most
+// `max_restarts` times in `window`; then it fails itself, and its parent
+// decides. The root's failure ends the process with the cause logged.
+struct RestartPolicy {
+  int max_restarts = 5;
+  Duration window{60'000'000};
+};
+
+class Child {
+ public:
+  virtual ~Child() = default;
+  // Calls `failed` at most once, later, on the loop, if it can't go on.
+  virtual Result<Ok> Start(std::function<void(Error)> failed) = 0;
+  virtual void Stop() = 0;
+};
+
+class Supervisor final : public Child {
+ public:
+  using Factory = std::function<std::unique_ptr<Child>()>;
+  Supervisor(Loop& loop, std::string name, RestartPolicy policy = {});
+  ~Supervisor() override;
+  void Add(std::string name, Factory factory);
+  Result<Ok> Start(std::function<void(Error)> failed) override;
+  void Stop() override;  // children in reverse order
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace figmill
