Add the thin path: entry to agent to backend server and back as frames

Cause: the parts need working ground to grow on. Change: figmilld entry and agent, dispatch headers, frames with a whole-answer marker and a length; agents are found through the host list for now.

--- a/include/figmill/base.h
+++ b/include/figmill/base.h
@@ -63,6 +63,9 @@
 // Distinguishes a process from the earlier ones in its slot; rises only.
 using Incarnation = std::uint64_t;
 
+// Online work is answered while a caller waits; batch work fills what is left.
+enum class WorkClass : std::uint8_t { kOnline, kBatch };
+
 // Whether the work of a refused or failed request was started. `kNo` is a
 // promise: it is said only when no backend server can have begun the work.
 enum class Ran : std::uint8_t { kNo, kYes, kUnknown };
--- /dev/null
+++ b/src/figmilld/members.h
@@ -0,0 +1,29 @@
+#pragma once
+
+// Finds agents through the platform's host list and asks each what it is.
+
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "figmill/control.h"
+#include "figmill/runtime.h"
+
+namespace figmill {
+
+class Members {
+ public:
+  Members(Loop& loop, HttpClient& client, HostList& hosts);
+  [[nodiscard]] const std::vector<Member>& agents() const { return agents_; }
+
+ private:
+  void Refresh();
+  void Ask(const ListedHost& host);
+
+  HttpClient& client_;
+  HostList& hosts_;
+  std::vector<Member> agents_;
+  Timer timer_;
+};
+
+}  // namespace figmill
