Add the gate: admission, yielding and truth beside one backend server

Cause: a model engine knows no priorities and runs what it is sent, so one place that sees all of its work has to keep online before batch and know what ran. Change: library gate (include/figmill/gate.h): dispatch table with tombstones bounded in number and age, an online and a batch queue, a limit sized by the measured token gap, batch stopped in the step in which online arrives.

--- /dev/null
+++ b/src/gate/gate.cc
@@ -0,0 +1,84 @@
+#include "figmill/gate.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gate/gate_impl.h"
+
+namespace figmill {
+namespace {
+
+// Whose time is held to the target: the gap between two tokens of a model
+// engine, the whole call of a plain service.
+Duration TargetGap(const GateConfig& config) {
+  return config.token_streams ? config.target.token_gap : config.target.first_token;
+}
+
+detail::YieldConfig YieldOf(const GateConfig& config) {
+  return {config.batch_harm, TargetGap(config), config.max_running};
+}
+
+}  // namespace
+
+Gate::Impl::Impl(const GateConfig& config)
+    : config_(config),
+      table_(static_cast<std::size_t>(config.max_records), config.remember),
+      limit_(TargetGap(config), config.max_running),
+      yield_(YieldOf(config)) {}
+
+std::vector<GateAction> Gate::Impl::Step(Time now, const GateEvent& event) {
+  now_ = now;
+  actions_.clear();
+  std::visit([this](const auto& e) { On(e); }, event);
+  return std::exchange(actions_, {});
+}
+
+void Gate::Impl::SetTarget(const LatencyTarget& target) {
+  config_.target = target;
+  limit_.SetTarget(TargetGap(config_));
+  yield_.SetTargetGap(TargetGap(config_));
+}
+
+GateCounts Gate::Impl::counts() const {
+  GateCounts counts;
+  counts.online_running = online_running_;
+  counts.online_queued = online_queue_.size();
+  counts.batch_running = batch_running_;
+  counts.batch_queued = batch_queue_.fresh();
+  counts.batch_paused = batch_queue_.paused();
+  counts.online_limit = limit_.limit();
+  counts.batch_limit = yield_.Limit(model_, OnlineWanted(), now_);
+  const int waiting = counts.batch_queued + counts.batch_paused;
+  counts.room = leaving_ ? 0 : std::max(0, config_.ready_batch - waiting);
+  counts.stops = stops_;
+  counts.reruns = reruns_;
+  counts.token_gap =
+      Duration(static_cast<std::int64_t>(model_.Predict(online_running_ + batch_running_)));
+  return counts;
+}
+
+Gate::Gate(const GateConfig& config) : impl_(std::make_unique<Impl>(config)) {}
+Gate::~Gate() = default;
+Gate::Gate(Gate&&) noexcept = default;
+Gate& Gate::operator=(Gate&&) noexcept = default;
+
+std::vector<GateAction> Gate::Step(Time now, const GateEvent& event) {
+  return impl_->Step(now, event);
+}
+void Gate::SetTarget(const LatencyTarget& target) {
+  impl_->SetTarget(target);
+}
+GateCounts Gate::counts() const {
+  return impl_->counts();
+}
+
+void AgentClock::Heard(Time agent_time, Time now) {
+  ahead_ = agent_time - now;
+}
+
+std::optional<Time> AgentClock::Stamp(Time now) const {
+  if (!ahead_) return std::nullopt;
+  return now + *ahead_;
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gate/gate_orders.cc
@@ -0,0 +1,110 @@
+// Orders about work: revoke, cancel, supersede, leave.
+
+#include <algorithm>
+
+#include "gate/gate_impl.h"
+
+namespace figmill {
+
+RequestState Gate::Impl::StateOf(const RequestId& request) const {
+  const auto found = streams_.find(request);
+  if (found != streams_.end()) {
+    return found->second.ran ? RequestState::kRunning : RequestState::kNeverStarted;
+  }
+  return table_.Find(request) == detail::Fate::kFinished ? RequestState::kFinished
+                                                         : RequestState::kNeverStarted;
+}
+
+bool Gate::Impl::AnswerForgotten(const RequestId& request, std::optional<Time> stamp) {
+  if (table_.Find(request) || !table_.MayBeForgotten(stamp.value_or(Time::min()))) return false;
+  Emit(OrderAnswer{request,
+                   Error{ErrorKind::kOutcomeUnknown,
+                         "the request may be older than this agent remembers", Ran::kUnknown}});
+  return true;
+}
+
+// "Never started" is a promise, kept by a tombstone; where the table may have
+// forgotten the id, no promise is given.
+void Gate::Impl::On(const Revoke& event) {
+  if (event.incarnation != config_.incarnation) {
+    Emit(OrderAnswer{event.request,
+                     Error{ErrorKind::kStaleOrders, "meant for another incarnation of this agent",
+                           Ran::kUnknown}});
+    return;
+  }
+  if (AnswerForgotten(event.request, event.stamp)) return;
+  const RequestState state = StateOf(event.request);
+  if (state == RequestState::kNeverStarted) {
+    End(event.request, Error{ErrorKind::kCancelled, "the request was revoked"});
+    table_.Close(event.request, detail::Fate::kNeverStarted, now_);
+  }
+  Emit(OrderAnswer{event.request, state});
+  Schedule();
+}
+
+void Gate::Impl::On(const Cancel& event) {
+  if (AnswerForgotten(event.request, std::nullopt)) return;
+  const RequestState state = StateOf(event.request);
+  Stop(event.request, Error{ErrorKind::kCancelled, "the request was cancelled"});
+  table_.Close(event.request, detail::Fate::kNeverStarted, now_);
+  Emit(OrderAnswer{event.request, state});
+  Schedule();
+}
+
+void Gate::Impl::On(const Supersede& event) {
+  NoteNewEpoch(event.job, event.epoch);
+  Schedule();
+}
+
+// The former holder's items: what waits is dropped, what runs is stopped unless
+// it may not be repeated; that one the new holder can take up by its id.
+void Gate::Impl::NoteNewEpoch(const JobId& job, Epoch epoch) {
+  JobEpoch& known = epochs_[job];
+  known.seen = now_;
+  if (epoch <= known.epoch) return;
+  known.epoch = epoch;
+  const auto superseded = Select([&](const Stream& s) {
+    return s.dispatch.work_class == WorkClass::kBatch && s.dispatch.job == job &&
+           s.dispatch.epoch < epoch && (s.dispatch.repeatable || !s.ran);
+  });
+  for (const RequestId& request : superseded) {
+    Stop(request, Error{ErrorKind::kFenced, "a newer holder works the job"});
+  }
+}
+
+void Gate::Impl::On(const OwnerHeard& event) {
+  owners_[event.owner] = now_;
+}
+
+bool Gate::Impl::IsHeard(const NodeId& owner) const {
+  const auto heard = owners_.find(owner);
+  return heard != owners_.end() && now_ < heard->second + config_.owner_silence;
+}
+
+// Both tables would otherwise grow by every job that ever ran. Forgetting an
+// epoch is harmless: what commits is decided by the table service, not here.
+void Gate::Impl::ForgetOldOwners() {
+  constexpr Duration kEvery{1'000'000};
+  if (now_ < forgot_owners_ + kEvery) return;
+  forgot_owners_ = now_;
+  const Time since = now_ - config_.remember;
+  std::erase_if(epochs_, [&](const auto& entry) { return entry.second.seen < since; });
+  std::erase_if(owners_, [&](const auto& entry) { return entry.second < since; });
+}
+
+// What runs goes on to its end; what waits is better off elsewhere at once.
+void Gate::Impl::On(const LeavingChanged& event) {
+  leaving_ = event.leaving;
+  if (!leaving_) return;
+  for (const RequestId& request :
+       Select([](const Stream& s) { return s.phase != Phase::kRunning; })) {
+    End(request, Error{ErrorKind::kLeaving, "this backend server is leaving"});
+  }
+}
+
+void Gate::Impl::On(const LoadReported& event) {
+  yield_.Report(event.load, batch_running_, now_);
+  Schedule();
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gate/online_queue.cc
@@ -0,0 +1,36 @@
+#include "gate/online_queue.h"
+
+#include <algorithm>
+
+namespace figmill::detail {
+
+bool OnlineQueue::Remove(const RequestId& request) {
+  const auto found =
+      std::find_if(waiting_.begin(), waiting_.end(),
+                   [&](const WaitingOnline& waiting) { return waiting.request == request; });
+  if (found == waiting_.end()) return false;
+  waiting_.erase(found);
+  return true;
+}
+
+std::vector<RequestId> OnlineQueue::TakeHopeless(Time now) {
+  std::vector<RequestId> hopeless;
+  std::erase_if(waiting_, [&](const WaitingOnline& waiting) {
+    if (now + waiting.service <= waiting.deadline) return false;
+    hopeless.push_back(waiting.request);
+    return true;
+  });
+  return hopeless;
+}
+
+RequestId OnlineQueue::Pop() {
+  RequestId request = std::move(waiting_.front().request);
+  waiting_.pop_front();
+  return request;
+}
+
+Duration PredictedWait(int ahead, int limit, Duration service_time) {
+  return service_time * (ahead + 1) / std::max(limit, 1);
+}
+
+}  // namespace figmill::detail
