--- a/include/figmill/gate.h
+++ b/include/figmill/gate.h
@@ -15,8 +15,6 @@
 
 namespace figmill {
 
-enum class WorkClass : std::uint8_t { kOnline, kBatch };
-
 // One arrival of a dispatch, named by the shell, never 0. A request id that
 // arrives twice is two arrivals, and each gets its own answer.
 using Arrival = std::uint64_t;
