--- a/src/figmilld/main.cc
+++ b/src/figmilld/main.cc
@@ -1,7 +1,25 @@
+#include <iostream>
+
 #include "figmilld/process.h"
 
-int main(int argc, char** argv) {
-  const figmill::Settings settings = figmill::ParseSettings(argc, argv);
+namespace {
+
+int Run(const figmill::Settings& settings) {
+  figmill::StartLogging("figmilld", settings.common.log_level);
   return settings.role == figmill::Role::kEntry ? figmill::RunEntry(settings)
                                                 : figmill::RunAgent(settings);
 }
+
+int Leave(const figmill::EarlyExit& exit) {
+  (exit.code == 0 ? std::cout : std::cerr) << exit.text;
+  return exit.code;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  return std::visit(
+      figmill::Overloaded{[](const figmill::Settings& settings) { return Run(settings); },
+                          [](const figmill::EarlyExit& exit) { return Leave(exit); }},
+      figmill::ParseSettings(argc, argv));
+}
--- a/src/figmilld/settings.cc
+++ b/src/figmilld/settings.cc
@@ -1,79 +1,224 @@
 #include "figmilld/settings.h"
 
 #include <CLI/CLI.hpp>
-#include <cstdlib>
-#include <iostream>
+#include <charconv>
+#include <sstream>
 
 namespace figmill {
 namespace {
 
 constexpr int kBadSettings = 2;
+constexpr Duration kMillisecond{1'000};
 
-void AddAddress(CLI::App& app, const std::string& flag, const std::string& variable, Address& into,
-                const std::string& help) {
-  app.add_option_function<std::string>(
-         flag,
-         [&into, flag](const std::string& text) {
-           const Result<Address> address = ParseAddress(text);
-           if (!IsOk(address)) throw CLI::ValidationError(flag, ErrorOf(address).detail);
-           into = ValueOf(address);
-         },
-         help + " [" + ToString(into) + "]")
-      ->envname(variable)
-      ->type_name("IP:PORT");
+// How one setting is named and shown.
+struct Setting {
+  std::string flag;
+  std::string variable;
+  std::string help;
+};
+
+[[noreturn]] void Refuse(const Setting& setting, std::string_view value, std::string_view allowed) {
+  throw CLI::ValidationError(
+      setting.flag + " (" + setting.variable + ")",
+      "'" + std::string(value) + "' is not allowed; allowed: " + std::string(allowed));
+}
+
+template <typename Read>
+CLI::Option* Add(CLI::App& app, const Setting& setting, std::string_view form, Read read) {
+  return app.add_option_function<std::string>(setting.flag, read, setting.help)
+      ->envname(setting.variable)
+      ->type_name(std::string(form));
+}
+
+enum class Port : std::uint8_t { kAny, kFixed };  // kAny: 0 takes a free one
+
+Address ReadAddress(const Setting& setting, const std::string& text, Port port) {
+  const Result<Address> address = ParseAddress(text);
+  if (!IsOk(address) || (port == Port::kFixed && ValueOf(address).port == 0)) {
+    Refuse(setting, text,
+           port == Port::kAny ? "an IPv4 number and a port of 0 (a free one) to 65535, such as "
+                                "127.0.0.1:8080"
+                              : "an IPv4 number and a port of 1 to 65535, such as 127.0.0.1:8080");
+  }
+  return ValueOf(address);
 }
 
-void AddId(CLI::App& app, const std::string& flag, const std::string& variable, std::string& into,
-           const std::string& help) {
-  app.add_option_function<std::string>(
-         flag,
-         [&into, flag](const std::string& text) {
-           const Result<std::string> id = ParseId(text, flag);
-           if (!IsOk(id)) throw CLI::ValidationError(flag, ErrorOf(id).detail);
-           into = ValueOf(id);
-         },
-         help)
-      ->envname(variable)
-      ->type_name("ID");
+CLI::Option* AddAddress(CLI::App& app, const Setting& setting, Address& into, Port port) {
+  const auto read = [&into, setting, port](const std::string& text) {
+    into = ReadAddress(setting, text, port);
+  };
+  return Add(app, setting, "IP:PORT", read)->default_str(ToString(into));
 }
 
-void AddCommon(CLI::App& app, CommonSettings& common) {
-  AddId(app, "--node", "FIGMILL_NODE", common.node.value, "name of this process's slot");
-  app.get_option("--node")->required();
-  AddAddress(app, "--http", "FIGMILL_HTTP", common.http, "where HTTP is served");
-  AddAddress(app, "--gossip", "FIGMILL_GOSSIP", common.gossip, "where datagrams are read");
-  AddAddress(app, "--platform", "FIGMILL_PLATFORM", common.platform, "the platform's services");
-  AddId(app, "--data-centre", "FIGMILL_DATA_CENTRE", common.data_centre.value,
-        "data centre of this host");
+CLI::Option* AddId(CLI::App& app, const Setting& setting, std::string& into) {
+  const auto read = [&into, setting](const std::string& text) {
+    const Result<std::string> id = ParseId(text, setting.flag);
+    if (!IsOk(id)) Refuse(setting, text, "1 to 128 characters out of letters, digits and . _ : -");
+    into = ValueOf(id);
+  };
+  return Add(app, setting, "ID", read)->default_str(into);
 }
 
-void AddAgent(CLI::App& app, AgentSettings& agent) {
-  AddAddress(app, "--backend", "FIGMILL_BACKEND", agent.backend, "the backend server beside it");
-  app.add_option("--backend-kind", agent.backend_kind, "what the backend server is [model]")
-      ->transform(CLI::CheckedTransformer(std::map<std::string, BackendKind>{
-          {"model", BackendKind::kModel}, {"plain", BackendKind::kPlain}}))
-      ->envname("FIGMILL_BACKEND_KIND");
-  AddId(app, "--service", "FIGMILL_SERVICE", agent.service.value,
-        "service of a plain backend server");
+struct MillisecondRange {
+  std::int64_t least;
+  std::int64_t most;
+};
+
+CLI::Option* AddMilliseconds(CLI::App& app, const Setting& setting, MillisecondRange range,
+                             Duration& into) {
+  const std::string allowed = std::to_string(range.least) + " to " + std::to_string(range.most);
+  const auto read = [&into, setting, range, allowed](const std::string& text) {
+    std::int64_t value = 0;
+    const char* const last = text.data() + text.size();
+    const auto [end, failure] = std::from_chars(text.data(), last, value);
+    if (failure != std::errc{} || end != last || value < range.least || value > range.most) {
+      Refuse(setting, text, "a whole number of milliseconds, " + allowed);
+    }
+    into = value * kMillisecond;
+  };
+  return Add(app, setting, "MS", read)
+      ->default_str(std::to_string(into / kMillisecond))
+      ->description(setting.help + ", milliseconds, " + allowed);
+}
+
+template <typename Value>
+struct Choice {
+  std::string_view name;
+  Value value;
+};
+
+template <typename Value>
+CLI::Option* AddChoice(CLI::App& app, const Setting& setting, std::vector<Choice<Value>> choices,
+                       Value& into) {
+  std::string names;
+  std::string standing;
+  for (const Choice<Value>& choice : choices) {
+    names.append(names.empty() ? "" : "|").append(choice.name);
+    if (choice.value == into) standing = choice.name;
+  }
+  const auto read = [&into, setting, choices, names](const std::string& text) {
+    for (const Choice<Value>& choice : choices) {
+      if (choice.name != text) continue;
+      into = choice.value;
+      return;
+    }
+    Refuse(setting, text, names);
+  };
+  return Add(app, setting, names, read)->default_str(standing);
+}
+
+void AddIdentity(CLI::App& app, CommonSettings& common) {
+  const char* const group = "Identity";
+  AddId(app, {"--node", "FIGMILL_NODE", "name of this process's slot, kept over restarts"},
+        common.node.value)
+      ->required()
+      ->group(group);
+  AddId(app, {"--data-centre", "FIGMILL_DATA_CENTRE", "data centre of this host"},
+        common.data_centre.value)
+      ->group(group);
+}
+
+void AddAddresses(CLI::App& app, CommonSettings& common) {
+  const char* const group = "Addresses";
+  AddAddress(app, {"--http", "FIGMILL_HTTP", "where HTTP is served"}, common.http, Port::kAny)
+      ->group(group);
+  AddAddress(app, {"--gossip", "FIGMILL_GOSSIP", "where membership datagrams are read"},
+             common.gossip, Port::kAny)
+      ->group(group);
+  AddAddress(app, {"--platform", "FIGMILL_PLATFORM", "the platform's services"}, common.platform,
+             Port::kFixed)
+      ->group(group);
+}
+
+void AddTimes(CLI::App& app, CommonSettings& common) {
+  const char* const group = "Times";
+  AddMilliseconds(app,
+                  {"--store-timeout-ms", "FIGMILL_STORE_TIMEOUT_MS",
+                   "longest wait for an answer of the platform"},
+                  {50, 60'000}, common.store_timeout)
+      ->group(group);
+  AddMilliseconds(app,
+                  {"--shutdown-grace-ms", "FIGMILL_SHUTDOWN_GRACE_MS",
+                   "longest wait for open requests in a graceful shutdown"},
+                  {0, 600'000}, common.shutdown_grace)
+      ->group(group);
+}
+
+void AddObservation(CLI::App& app, CommonSettings& common) {
+  const char* const group = "Observation";
+  const Setting endpoint{"--trace-endpoint", "FIGMILL_TRACE_ENDPOINT",
+                         "OTLP/HTTP collector that gets the spans"};
+  const auto read = [&common, endpoint](const std::string& text) {
+    common.trace_endpoint = ReadAddress(endpoint, text, Port::kFixed);
+  };
+  Add(app, endpoint, "IP:PORT", read)->default_str("off")->group(group);
+  AddChoice<LogLevel>(
+      app, {"--log-level", "FIGMILL_LOG_LEVEL", "lines under this are left out"},
+      {{"info", LogLevel::kInfo}, {"warning", LogLevel::kWarning}, {"error", LogLevel::kError}},
+      common.log_level)
+      ->group(group);
+}
+
+void AddBackend(CLI::App& app, AgentSettings& agent) {
+  const char* const group = "Backend server";
+  AddAddress(app, {"--backend", "FIGMILL_BACKEND", "the backend server beside this process"},
+             agent.backend, Port::kFixed)
+      ->group(group);
+  AddChoice<BackendKind>(
+      app, {"--backend-kind", "FIGMILL_BACKEND_KIND", "a model engine or a plain service"},
+      {{"model", BackendKind::kModel}, {"plain", BackendKind::kPlain}}, agent.backend_kind)
+      ->group(group);
+  AddId(app, {"--service", "FIGMILL_SERVICE", "service of a plain backend server, required there"},
+        agent.service.value)
+      ->group(group);
+}
+
+// What no setting can tell alone.
+void CheckTogether(const AgentSettings& agent) {
+  const Setting service{"--service", "FIGMILL_SERVICE", ""};
+  const bool plain = agent.backend_kind == BackendKind::kPlain;
+  if (plain && agent.service.empty()) {
+    Refuse(service, "", "with --backend-kind plain, the name of its service");
+  }
+  if (!plain && !agent.service.empty()) {
+    Refuse(service, agent.service.value,
+           "nothing with --backend-kind model, whose services come from the configuration");
+  }
+}
+
+EarlyExit ExitOf(const CLI::App& app, const CLI::ParseError& failure) {
+  std::ostringstream text;
+  const int code = app.exit(failure, text, text);
+  return EarlyExit{code == 0 ? 0 : kBadSettings, text.str()};
 }
 
 }  // namespace
 
-Settings ParseSettings(int argc, char** argv) {
+std::variant<Settings, EarlyExit> ParseSettings(int argc, char** argv) {
   Settings settings;
+  bool check_only = false;
   CLI::App app("figmilld: serves online and batch inference on one fleet", "figmilld");
   app.require_subcommand(1);
   CLI::App* entry = app.add_subcommand("entry", "takes callers' requests and owns batch jobs");
   CLI::App* agent = app.add_subcommand("agent", "runs beside one backend server");
-  AddCommon(*entry, settings.common);
-  AddCommon(*agent, settings.common);
-  AddAgent(*agent, settings.agent);
+  for (CLI::App* role : {entry, agent}) {
+    AddIdentity(*role, settings.common);
+    AddAddresses(*role, settings.common);
+    AddTimes(*role, settings.common);
+    AddObservation(*role, settings.common);
+    role->add_flag("--check-settings", check_only, "checks the settings and exits");
+    // Without a callback of its own CLI11 also reads the variables of the role
+    // that wasn't asked for, and an entry would stumble over an agent's setting.
+    role->parse_complete_callback([] {});
+  }
+  AddBackend(*agent, settings.agent);
   try {
     app.parse(argc, argv);
+    if (agent->parsed()) CheckTogether(settings.agent);
   } catch (const CLI::ParseError& failure) {
-    const int code = app.exit(failure);
-    std::exit(code == 0 ? 0 : kBadSettings);
+    return ExitOf(app, failure);
   }
+  if (check_only) return EarlyExit{0, "the settings are valid\n"};
   settings.role = agent->parsed() ? Role::kAgent : Role::kEntry;
   return settings;
 }
--- a/src/figmilld/settings.h
+++ b/src/figmilld/settings.h
@@ -4,9 +4,11 @@
 
 #include <optional>
 #include <string>
+#include <variant>
 
 #include "figmill/base.h"
 #include "figmill/control.h"
+#include "figmill/runtime.h"
 
 namespace figmill {
 
@@ -18,6 +20,10 @@
   Address gossip{"127.0.0.1", 8081};
   Address platform{"127.0.0.1", 9000};
   DataCentre data_centre{"local"};
+  Duration store_timeout{2'000'000};
+  Duration shutdown_grace{30'000'000};
+  std::optional<Address> trace_endpoint;
+  LogLevel log_level = LogLevel::kInfo;
 };
 
 struct AgentSettings {
@@ -32,8 +38,15 @@
   AgentSettings agent;
 };
 
-// Reads the command line and the environment. On --help or a mistake it prints
-// and exits (0 or 2), as CLI11 does.
-[[nodiscard]] Settings ParseSettings(int argc, char** argv);
+// The process ends before it starts: help, a check that passed (code 0, for
+// standard output) or a mistake (code 2, for standard error).
+struct EarlyExit {
+  int code = 0;
+  std::string text;
+};
+
+// Reads the command line and the environment; a flag goes before its variable.
+// A mistake's text names the setting, the value and what is allowed.
+[[nodiscard]] std::variant<Settings, EarlyExit> ParseSettings(int argc, char** argv);
 
 }  // namespace figmill
