--- /dev/null
+++ b/src/control/entry_json.cc
@@ -0,0 +1,264 @@
+#include <array>
+
+#include "control/config_json.h"
+
+namespace figmill {
+namespace detail {
+namespace {
+
+std::vector<VersionedName> ReadVersioned(ObjectReader& object, std::string_view name) {
+  std::vector<VersionedName> out;
+  object.Array(name, [&](const Json& element, const std::string& where) {
+    Id<struct NameTag> id;
+    Id<struct VersionTag> version;
+    ObjectReader reader(element, where, object.reading());
+    reader.Allow({"name", "version"});
+    reader.NeedId("name", id);
+    reader.NeedId("version", version);
+    out.push_back({id.value, version.value});
+  });
+  return out;
+}
+
+Json WriteVersioned(const std::vector<VersionedName>& names) {
+  Json out = Json::array();
+  for (const VersionedName& each : names) {
+    out.push_back({{"name", each.name}, {"version", each.version}});
+  }
+  return out;
+}
+
+// One kind of entry: its name on the wire, its one field, how that is read.
+struct EntryForm {
+  std::string_view order;
+  std::string_view field;
+  ControlEntry (*read)(const Json&, const std::string&, Reading&);
+};
+
+template <typename Tag>
+Id<Tag> ReadId(const Json& json, const std::string& where, Reading& reading) {
+  if (!json.is_string()) {
+    reading.Fail(where + " must be a string");
+    return {};
+  }
+  const Result<std::string> id = ParseId(json.get_ref<const std::string&>(), where);
+  if (IsOk(id)) return {ValueOf(id)};
+  reading.Fail(ErrorOf(id).detail);
+  return {};
+}
+
+template <typename Entry, auto kRead>
+ControlEntry ReadAs(const Json& json, const std::string& where, Reading& reading) {
+  return Entry{kRead(json, where, reading)};
+}
+
+constexpr std::array kForms = {
+    EntryForm{"put-service", "service", ReadAs<PutService, ReadService>},
+    EntryForm{"remove-service", "name", ReadAs<RemoveService, ReadId<struct ServiceTag>>},
+    EntryForm{"put-limit", "limit", ReadAs<PutLimit, ReadLimit>},
+    EntryForm{"put-backend", "backend", ReadAs<PutBackend, ReadBackend>},
+    EntryForm{"remove-backend", "agent", ReadAs<RemoveBackend, ReadId<struct NodeTag>>},
+    EntryForm{"drain", "node", ReadAs<Drain, ReadId<struct NodeTag>>},
+    EntryForm{"undrain", "node", ReadAs<Undrain, ReadId<struct NodeTag>>},
+    EntryForm{"cancel-job", "job", ReadAs<CancelJob, ReadId<struct JobTag>>},
+    EntryForm{"replace-config", "config", ReadAs<ReplaceConfig, ReadConfig>},
+};
+// Place has two fields.
+constexpr std::string_view kPlace = "place";
+
+ControlEntry ReadPlace(ObjectReader& object) {
+  Place place;
+  object.Allow({"order", "agent", "placement"});
+  object.NeedId("agent", place.agent);
+  if (const Json* placement = object.Need("placement")) {
+    place.placement = ReadPlacement(*placement, object.Path("placement"), object.reading());
+  }
+  return place;
+}
+
+}  // namespace
+
+Placement ReadPlacement(const Json& json, const std::string& where, Reading& reading) {
+  Placement placement;
+  ObjectReader object(json, where, reading);
+  object.Allow({"models", "adapters", "role"});
+  placement.models = ReadVersioned(object, "models");
+  placement.adapters = ReadVersioned(object, "adapters");
+  object.Text("role", placement.role);
+  return placement;
+}
+
+Json WritePlacement(const Placement& placement) {
+  return {{"models", WriteVersioned(placement.models)},
+          {"adapters", WriteVersioned(placement.adapters)},
+          {"role", placement.role}};
+}
+
+ControlEntry ReadEntry(const Json& json, const std::string& where, Reading& reading) {
+  ObjectReader object(json, where, reading);
+  std::string order;
+  object.NeedText("order", order);
+  if (order == kPlace) return ReadPlace(object);
+  for (const EntryForm& form : kForms) {
+    if (form.order != order) continue;
+    object.Allow({"order", form.field});
+    const Json* field = object.Need(form.field);
+    if (field == nullptr) return {};
+    return form.read(*field, object.Path(form.field), reading);
+  }
+  reading.Fail(where + ": '" + order + "' is no order");
+  return {};
+}
+
+Json WriteEntry(const ControlEntry& entry) {
+  return std::visit(
+      Overloaded{[](const PutService& e) -> Json {
+                   return {{"order", "put-service"}, {"service", WriteService(e.service)}};
+                 },
+                 [](const RemoveService& e) -> Json {
+                   return {{"order", "remove-service"}, {"name", e.service.value}};
+                 },
+                 [](const PutLimit& e) -> Json {
+                   return {{"order", "put-limit"}, {"limit", WriteLimit(e.limit)}};
+                 },
+                 [](const PutBackend& e) -> Json {
+                   return {{"order", "put-backend"}, {"backend", WriteBackend(e.backend)}};
+                 },
+                 [](const RemoveBackend& e) -> Json {
+                   return {{"order", "remove-backend"}, {"agent", e.agent.value}};
+                 },
+                 [](const Drain& e) -> Json {
+                   return {{"order", "drain"}, {"node", e.node.value}};
+                 },
+                 [](const Undrain& e) -> Json {
+                   return {{"order", "undrain"}, {"node", e.node.value}};
+                 },
+                 [](const CancelJob& e) -> Json {
+                   return {{"order", "cancel-job"}, {"job", e.job.value}};
+                 },
+                 [](const Place& e) -> Json {
+                   return {{"order", "place"},
+                           {"agent", e.agent.value},
+                           {"placement", WritePlacement(e.placement)}};
+                 },
+                 [](const ReplaceConfig& e) -> Json {
+                   return {{"order", "replace-config"}, {"config", WriteConfig(e.config)}};
+                 }},
+      entry);
+}
+
+}  // namespace detail
+
+using detail::Json;
+using detail::ObjectReader;
+using detail::Reading;
+
+Result<ControlEntry> ParseControlEntry(std::string_view json) {
+  return detail::ParseDocument<ControlEntry>(
+      json, "the order",
+      [](const Json& document, Reading& r) { return detail::ReadEntry(document, "order", r); });
+}
+
+std::string ToJson(const ControlEntry& entry) {
+  return detail::WriteEntry(entry).dump();
+}
+
+Result<LogRecord> ParseLogRecord(std::string_view json) {
+  return detail::ParseDocument<LogRecord>(json, "the record", [](const Json& document, Reading& r) {
+    LogRecord record;
+    ObjectReader object(document, "record", r);
+    object.Allow({"sequence", "token", "author", "entry"});
+    object.NeedNatural("sequence", record.sequence);
+    object.NeedText("token", record.token.value);
+    object.NeedText("author", record.author);
+    if (const Json* entry = object.Need("entry")) {
+      record.entry = detail::ReadEntry(*entry, "record.entry", r);
+    }
+    return record;
+  });
+}
+
+std::string ToJson(const LogRecord& record) {
+  return Json{{"sequence", record.sequence},
+              {"token", record.token.value},
+              {"author", record.author},
+              {"entry", detail::WriteEntry(record.entry)}}
+      .dump();
+}
+
+std::string Describe(const ControlEntry& entry) {
+  return std::visit(
+      Overloaded{
+          [](const PutService& e) { return "put service " + e.service.name.value; },
+          [](const RemoveService& e) { return "remove service " + e.service.value; },
+          [](const PutLimit& e) { return "put limit of team " + e.limit.team.value; },
+          [](const PutBackend& e) { return "put backend server of " + e.backend.agent.value; },
+          [](const RemoveBackend& e) { return "remove backend server of " + e.agent.value; },
+          [](const Drain& e) { return "drain " + e.node.value; },
+          [](const Undrain& e) { return "undrain " + e.node.value; },
+          [](const CancelJob& e) { return "cancel job " + e.job.value; },
+          [](const Place& e) { return "place on " + e.agent.value; },
+          [](const ReplaceConfig&) { return std::string("replace the configuration"); }},
+      entry);
+}
+
+namespace {
+
+enum class SubjectKind : std::uint8_t { kService, kLimit, kBackend, kDrain, kJob, kPlace, kConfig };
+struct Subject {
+  SubjectKind kind;
+  std::string_view id;
+};
+
+Subject SubjectOf(const ControlEntry& entry) {
+  using enum SubjectKind;
+  return std::visit(Overloaded{[](const PutService& e) {
+                                 return Subject{kService, e.service.name.value};
+                               },
+                               [](const RemoveService& e) {
+                                 return Subject{kService, e.service.value};
+                               },
+                               [](const PutLimit& e) {
+                                 return Subject{kLimit, e.limit.team.value};
+                               },
+                               [](const PutBackend& e) {
+                                 return Subject{kBackend, e.backend.agent.value};
+                               },
+                               [](const RemoveBackend& e) {
+                                 return Subject{kBackend, e.agent.value};
+                               },
+                               [](const Drain& e) {
+                                 return Subject{kDrain, e.node.value};
+                               },
+                               [](const Undrain& e) {
+                                 return Subject{kDrain, e.node.value};
+                               },
+                               [](const CancelJob& e) {
+                                 return Subject{kJob, e.job.value};
+                               },
+                               [](const Place& e) {
+                                 return Subject{kPlace, e.agent.value};
+                               },
+                               [](const ReplaceConfig&) {
+                                 return Subject{kConfig, {}};
+                               }},
+                    entry);
+}
+
+bool PartOfConfig(SubjectKind kind) {
+  return kind == SubjectKind::kService || kind == SubjectKind::kLimit ||
+         kind == SubjectKind::kBackend || kind == SubjectKind::kConfig;
+}
+
+}  // namespace
+
+bool Clash(const ControlEntry& one, const ControlEntry& other) {
+  const Subject a = SubjectOf(one);
+  const Subject b = SubjectOf(other);
+  if (a.kind == SubjectKind::kConfig || b.kind == SubjectKind::kConfig) {
+    return PartOfConfig(a.kind) && PartOfConfig(b.kind);
+  }
+  return a.kind == b.kind && a.id == b.id;
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/control/fold.cc
@@ -0,0 +1,227 @@
+#include <algorithm>
+#include <cassert>
+#include <cstdio>
+
+#include "control/config_json.h"
+
+namespace figmill {
+namespace {
+
+// Of one entry's JSON; the largest, a whole configuration at the two-year size,
+// is about a third of it.
+constexpr std::size_t kMaxEntryBytes = 1U << 20;
+constexpr std::size_t kMaxPlacedNames = 256;
+
+Error Bad(std::string detail) {
+  return Error{ErrorKind::kBadRequest, std::move(detail)};
+}
+Error Missing(std::string detail) {
+  return Error{ErrorKind::kNotFound, std::move(detail)};
+}
+
+void MarkDrained(Fold& fold) {
+  for (auto& [agent, backend] : fold.config.backends) {
+    backend.drained = fold.drained.contains(agent);
+  }
+}
+
+void ForgetOldCancellations(Fold& fold) {
+  while (fold.cancelled_jobs.size() > kMaxCancelledJobs) {
+    const auto oldest =
+        std::min_element(fold.cancelled_jobs.begin(), fold.cancelled_jobs.end(),
+                         [](const auto& a, const auto& b) { return a.second < b.second; });
+    fold.cancelled_jobs.erase(oldest);
+  }
+}
+
+// Changes `config` as the entry says; entries that aren't about it do nothing.
+void Edit(Config& config, const ControlEntry& entry) {
+  std::visit(Overloaded{[&](const PutService& e) { config.services[e.service.name] = e.service; },
+                        [&](const RemoveService& e) { config.services.erase(e.service); },
+                        [&](const PutLimit& e) { config.limits[e.limit.team] = e.limit; },
+                        [&](const PutBackend& e) { config.backends[e.backend.agent] = e.backend; },
+                        [&](const RemoveBackend& e) { config.backends.erase(e.agent); },
+                        [&](const ReplaceConfig& e) { config = e.config; }, [](const auto&) {}},
+             entry);
+}
+
+Result<Ok> CheckNames(std::span<const VersionedName> names, std::string_view what) {
+  if (names.size() > kMaxPlacedNames) return Bad("too many " + std::string(what));
+  std::set<VersionedName> seen;
+  for (const VersionedName& each : names) {
+    const Result<std::string> name = ParseId(each.name, what);
+    if (!IsOk(name)) return ErrorOf(name);
+    const Result<std::string> version = ParseId(each.version, "a version");
+    if (!IsOk(version)) return ErrorOf(version);
+    if (!seen.insert(each).second) {
+      return Bad(std::string(what) + " " + each.name + " " + each.version + " is named twice");
+    }
+  }
+  return Ok{};
+}
+
+Result<Ok> CheckPlace(const Fold& fold, const Place& place) {
+  if (!fold.config.backends.contains(place.agent)) {
+    return Missing("no backend server is configured for agent " + place.agent.value);
+  }
+  if (!place.placement.role.empty()) {
+    const Result<std::string> role = ParseId(place.placement.role, "a role");
+    if (!IsOk(role)) return ErrorOf(role);
+  }
+  const Result<Ok> models = CheckNames(place.placement.models, "a model");
+  if (!IsOk(models)) return models;
+  return CheckNames(place.placement.adapters, "an adapter");
+}
+
+Result<Ok> CheckNode(const NodeId& node) {
+  const Result<std::string> id = ParseId(node.value, "a node's id");
+  if (!IsOk(id)) return ErrorOf(id);
+  return Ok{};
+}
+
+// What must be there before the entry makes sense.
+Result<Ok> CheckSubject(const Fold& fold, const ControlEntry& entry) {
+  return std::visit(
+      Overloaded{[&](const RemoveService& e) -> Result<Ok> {
+                   if (fold.config.services.contains(e.service)) return Ok{};
+                   return Missing("there is no service " + e.service.value);
+                 },
+                 [&](const RemoveBackend& e) -> Result<Ok> {
+                   if (fold.config.backends.contains(e.agent)) return Ok{};
+                   return Missing("no backend server is configured for agent " + e.agent.value);
+                 },
+                 [&](const Drain& e) -> Result<Ok> {
+                   if (fold.drained.size() >= kMaxDrainedNodes && !fold.drained.contains(e.node)) {
+                     return Error{ErrorKind::kTooLarge,
+                                  "too many nodes are drained; undrain those that are gone"};
+                   }
+                   return CheckNode(e.node);
+                 },
+                 [&](const Undrain& e) -> Result<Ok> { return CheckNode(e.node); },
+                 [&](const CancelJob& e) -> Result<Ok> {
+                   const Result<std::string> id = ParseId(e.job.value, "a job's id");
+                   if (!IsOk(id)) return ErrorOf(id);
+                   return Ok{};
+                 },
+                 [&](const Place& e) { return CheckPlace(fold, e); },
+                 [](const auto&) -> Result<Ok> { return Ok{}; }},
+      entry);
+}
+
+}  // namespace
+
+std::string LogKey(Sequence sequence) {
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "log/%012llu", static_cast<unsigned long long>(sequence));
+  return text.data();
+}
+
+Result<Ok> Check(const Fold& fold, const ControlEntry& entry) {
+  if (ToJson(entry).size() > kMaxEntryBytes) {
+    return Error{ErrorKind::kTooLarge,
+                 "an order has at most " + std::to_string(kMaxEntryBytes) + " bytes"};
+  }
+  const Result<Ok> subject = CheckSubject(fold, entry);
+  if (!IsOk(subject)) return subject;
+  Config config = fold.config;
+  Edit(config, entry);
+  return Validate(config);
+}
+
+void Apply(Fold& fold, const LogRecord& record) {
+  assert(record.sequence == fold.sequence + 1);
+  fold.sequence = record.sequence;
+  fold.author = record.author;
+  fold.change = Describe(record.entry);
+  Edit(fold.config, record.entry);
+  std::visit(Overloaded{[&](const Drain& e) { fold.drained.insert(e.node); },
+                        [&](const Undrain& e) { fold.drained.erase(e.node); },
+                        [&](const CancelJob& e) { fold.cancelled_jobs[e.job] = record.sequence; },
+                        [&](const Place& e) {
+                          fold.placements[e.agent] = {e.placement, record.sequence};
+                        },
+                        [](const auto&) {}},
+             record.entry);
+  // A placement without its backend server has nobody to carry it out.
+  std::erase_if(fold.placements,
+                [&](const auto& each) { return !fold.config.backends.contains(each.first); });
+  ForgetOldCancellations(fold);
+  MarkDrained(fold);
+}
+
+std::string ToJson(const Fold& fold) {
+  detail::Json drained = detail::Json::array();
+  for (const NodeId& node : fold.drained) drained.push_back(node.value);
+  detail::Json cancelled = detail::Json::array();
+  for (const auto& [job, sequence] : fold.cancelled_jobs) {
+    cancelled.push_back({{"job", job.value}, {"sequence", sequence}});
+  }
+  detail::Json placements = detail::Json::array();
+  for (const auto& [agent, order] : fold.placements) {
+    placements.push_back({{"agent", agent.value},
+                          {"placement", detail::WritePlacement(order.placement)},
+                          {"sequence", order.sequence}});
+  }
+  return detail::Json{{"sequence", fold.sequence},
+                      {"author", fold.author},
+                      {"change", fold.change},
+                      {"config", detail::WriteConfig(fold.config)},
+                      {"drained", std::move(drained)},
+                      {"cancelled_jobs", std::move(cancelled)},
+                      {"placements", std::move(placements)}}
+      .dump();
+}
+
+Result<Fold> ParseFold(std::string_view json) {
+  using detail::Json;
+  using detail::ObjectReader;
+  using detail::Reading;
+  return detail::ParseDocument<Fold>(json, "the fold", [](const Json& document, Reading& r) {
+    Fold fold;
+    ObjectReader object(document, "fold", r);
+    object.Allow(
+        {"sequence", "author", "change", "config", "drained", "cancelled_jobs", "placements"});
+    object.NeedNatural("sequence", fold.sequence);
+    object.Text("author", fold.author);
+    object.Text("change", fold.change);
+    if (const Json* config = object.Need("config")) {
+      fold.config = detail::ReadConfig(*config, "fold.config", r);
+    }
+    std::vector<NodeId> drained;
+    object.Ids("drained", drained);
+    fold.drained.insert(drained.begin(), drained.end());
+    object.Array("cancelled_jobs", [&](const Json& element, const std::string& where) {
+      JobId job;
+      ObjectReader reader(element, where, r);
+      reader.NeedId("job", job);
+      reader.NeedNatural("sequence", fold.cancelled_jobs[job]);
+    });
+    object.Array("placements", [&](const Json& element, const std::string& where) {
+      NodeId agent;
+      Fold::PlacementOrder order;
+      ObjectReader reader(element, where, r);
+      reader.NeedId("agent", agent);
+      reader.NeedNatural("sequence", order.sequence);
+      if (const Json* placement = reader.Need("placement")) {
+        order.placement = detail::ReadPlacement(*placement, where + ".placement", r);
+      }
+      fold.placements[agent] = std::move(order);
+    });
+    MarkDrained(fold);
+    return fold;
+  });
+}
+
+Snapshot MakeSnapshot(std::shared_ptr<const Fold> fold, std::vector<Member> members) {
+  for (Member& member : members) {
+    if (fold->drained.contains(member.node)) member.leaving = true;
+  }
+  Snapshot snapshot;
+  snapshot.sequence = fold->sequence;
+  snapshot.config = std::shared_ptr<const Config>(fold, &fold->config);
+  snapshot.members = std::move(members);
+  snapshot.fold = std::move(fold);
+  return snapshot;
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/control/json.h
@@ -0,0 +1,172 @@
+#pragma once
+
+// Reading of JSON documents that refuses what it doesn't know. Private to the
+// control library.
+
+#include <cmath>
+#include <initializer_list>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "figmill/base.h"
+
+namespace figmill::detail {
+
+using Json = nlohmann::json;
+
+// Collects the first error, so that a parser reads as a list of fields.
+class Reading {
+ public:
+  void Fail(std::string detail) {
+    if (!error_) error_ = Error{ErrorKind::kBadRequest, std::move(detail)};
+  }
+  [[nodiscard]] bool ok() const { return !error_; }
+  [[nodiscard]] const Error& error() const { return *error_; }
+
+ private:
+  std::optional<Error> error_;
+};
+
+// One JSON object, and where it stands in the document for error messages.
+class ObjectReader {
+ public:
+  ObjectReader(const Json& json, std::string where, Reading& reading)
+      : json_(json), where_(std::move(where)), reading_(reading) {
+    if (!json_.is_object()) reading_.Fail(where_ + " must be an object");
+  }
+
+  // Refuses fields that are not among these, by name.
+  void Allow(std::initializer_list<std::string_view> names) {
+    if (!json_.is_object()) return;
+    for (const auto& [key, value] : json_.items()) {
+      bool known = false;
+      for (const std::string_view name : names) known = known || key == name;
+      if (!known) reading_.Fail(where_ + " has no field '" + key + "'");
+    }
+  }
+
+  [[nodiscard]] const Json* Find(std::string_view name) const {
+    if (!json_.is_object()) return nullptr;
+    const auto found = json_.find(name);
+    return found == json_.end() ? nullptr : &*found;
+  }
+  [[nodiscard]] const Json* Need(std::string_view name) {
+    const Json* found = Find(name);
+    if (found == nullptr) reading_.Fail(where_ + " needs a field '" + std::string(name) + "'");
+    return found;
+  }
+
+  void Text(std::string_view name, std::string& out) {
+    if (const Json* found = Find(name)) {
+      if (!found->is_string()) return Wrong(name, "a string");
+      out = found->get<std::string>();
+    }
+  }
+  void NeedText(std::string_view name, std::string& out) {
+    if (Need(name) != nullptr) Text(name, out);
+  }
+  template <typename Tag>
+  void NeedId(std::string_view name, Id<Tag>& out) {
+    NeedText(name, out.value);
+    if (!reading_.ok()) return;
+    const Result<std::string> id = ParseId(out.value, Path(name));
+    if (!IsOk(id)) reading_.Fail(ErrorOf(id).detail);
+  }
+  void Bool(std::string_view name, bool& out) {
+    if (const Json* found = Find(name)) {
+      if (!found->is_boolean()) return Wrong(name, "true or false");
+      out = found->get<bool>();
+    }
+  }
+  void Number(std::string_view name, double& out) {
+    if (const Json* found = Find(name)) {
+      if (!found->is_number()) return Wrong(name, "a number");
+      out = found->get<double>();
+    }
+  }
+  template <typename N>
+  void Natural(std::string_view name, N& out) {
+    if (const Json* found = Find(name)) {
+      if (!found->is_number_unsigned() ||
+          found->get<std::uint64_t>() > std::numeric_limits<N>::max()) {
+        return Wrong(name, "a whole number in range");
+      }
+      out = found->get<N>();
+    }
+  }
+  template <typename N>
+  void NeedNatural(std::string_view name, N& out) {
+    if (Need(name) != nullptr) Natural(name, out);
+  }
+  // Milliseconds, whole or not.
+  void Milliseconds(std::string_view name, Duration& out) {
+    constexpr double kMost = 1e12;  // 31 years; keeps the conversion defined
+    double value = static_cast<double>(out.count()) / 1000.0;
+    Number(name, value);
+    if (!(value >= 0 && value <= kMost)) return Wrong(name, "a time in milliseconds");
+    out = Duration(std::llround(value * 1000.0));
+  }
+  // Calls `each(element, where)` for the elements of an array.
+  template <typename Each>
+  void Array(std::string_view name, Each each) {
+    const Json* found = Find(name);
+    if (found == nullptr) return;
+    if (!found->is_array()) return Wrong(name, "an array");
+    std::size_t index = 0;
+    for (const Json& element : *found) {
+      each(element, Path(name) + "[" + std::to_string(index++) + "]");
+    }
+  }
+  template <typename Tag>
+  void Ids(std::string_view name, std::vector<Id<Tag>>& out) {
+    Array(name, [&](const Json& element, const std::string& where) {
+      if (!element.is_string()) return reading_.Fail(where + " must be a string");
+      const Result<std::string> id = ParseId(element.get_ref<const std::string&>(), where);
+      if (!IsOk(id)) return reading_.Fail(ErrorOf(id).detail);
+      out.push_back(Id<Tag>{ValueOf(id)});
+    });
+  }
+
+  [[nodiscard]] std::string Path(std::string_view name) const {
+    return where_ + "." + std::string(name);
+  }
+  [[nodiscard]] Reading& reading() { return reading_; }
+
+ private:
+  void Wrong(std::string_view name, std::string_view expected) {
+    reading_.Fail(Path(name) + " must be " + std::string(expected));
+  }
+
+  const Json& json_;
+  std::string where_;
+  Reading& reading_;
+};
+
+// Parses `text` and hands the document to `read(json, reading)`.
+template <typename T, typename Read>
+[[nodiscard]] Result<T> ParseDocument(std::string_view text, std::string_view what, Read read) {
+  const Json json = Json::parse(text, nullptr, false);
+  if (json.is_discarded()) {
+    return Error{ErrorKind::kBadRequest, std::string(what) + " is not JSON"};
+  }
+  Reading reading;
+  T value = read(json, reading);
+  if (!reading.ok()) return reading.error();
+  return value;
+}
+
+template <typename Tag>
+[[nodiscard]] Json IdsToJson(const std::vector<Id<Tag>>& ids) {
+  Json out = Json::array();
+  for (const Id<Tag>& id : ids) out.push_back(id.value);
+  return out;
+}
+[[nodiscard]] inline double ToMilliseconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000.0;
+}
+
+}  // namespace figmill::detail
--- /dev/null
+++ b/src/control/log_reader.cc
@@ -0,0 +1,184 @@
+#include <algorithm>
+#include <utility>
+
+#include "control/json.h"
+#include "control/log_rows.h"
+#include "figmill/control.h"
+
+namespace figmill {
+namespace {
+
+// What a node keeps to hand on to peers.
+constexpr std::size_t kWindowEntries = 512;
+constexpr std::size_t kWindowBytes = 4U << 20;
+constexpr std::uint32_t kRowsPerScan = 256;
+
+Result<std::vector<LogRecord>> ParseRows(std::span<const Row> rows) {
+  std::vector<LogRecord> records;
+  for (const Row& row : rows) {
+    Result<LogRecord> record = ParseLogRecord(row.value);
+    if (!IsOk(record)) return Error{ErrorOf(record).kind, row.key + ": " + ErrorOf(record).detail};
+    if (LogKey(ValueOf(record).sequence) != row.key) {
+      return Error{ErrorKind::kInternal, row.key + " holds another row's entry"};
+    }
+    records.push_back(std::move(ValueOf(record)));
+  }
+  return records;
+}
+
+}  // namespace
+
+LogReader::LogReader() : fold_(std::make_shared<const Fold>()) {}
+
+std::vector<LogAction> LogReader::Poll() {
+  if (reading_store_) return {};
+  return Scan();
+}
+
+std::vector<LogAction> LogReader::Scan() {
+  reading_store_ = true;
+  const std::string after = head() == 0 ? std::string{} : LogKey(head());
+  return {ScanRows{RowRange{std::string(detail::kLogPrefix), after, kRowsPerScan}}};
+}
+
+std::vector<LogAction> LogReader::Hint(const NodeId& peer, Sequence sequence) {
+  wanted_ = std::max(wanted_, sequence);
+  if (sequence <= head() || fetching_from_) return {};
+  fetching_from_ = peer;
+  return {FetchEntries{peer, head()}};
+}
+
+std::vector<LogAction> LogReader::On(LogEvent event) {
+  return std::visit(Overloaded{[&](RowsScanned& e) { return OnRows(std::move(e.rows)); },
+                               [&](RowWasRead& e) { return OnSnapshotRow(std::move(e.row)); },
+                               [&](ObjectWasRead& e) { return OnFoldBytes(std::move(e.bytes)); },
+                               [&](EntriesFetched& e) { return OnEntries(std::move(e.records)); },
+                               [&](FoldFetched& e) { return OnFold(std::move(e.fold)); },
+                               [](auto&) { return std::vector<LogAction>{}; }},
+                    event);
+}
+
+std::vector<LogAction> LogReader::OnRows(Result<std::vector<Row>> rows) {
+  reading_store_ = false;
+  if (!IsOk(rows) || ValueOf(rows).empty()) return {};
+  const Result<std::vector<LogRecord>> records = ParseRows(ValueOf(rows));
+  if (!IsOk(records)) return {LogStuck{head() + 1, ErrorOf(records).detail}};
+  const std::vector<LogRecord>& found = ValueOf(records);
+  if (found.front().sequence > head() + 1) {
+    // The rows in between were compacted: a snapshot covers them.
+    reading_store_ = true;
+    return {ReadRow{std::string(detail::kSnapshotKey)}};
+  }
+  std::vector<LogAction> actions;
+  if (Offer(found)) actions.emplace_back(PublishFold{});
+  if (found.size() == kRowsPerScan) {
+    for (LogAction& action : Scan()) actions.push_back(std::move(action));
+  }
+  return actions;
+}
+
+std::vector<LogAction> LogReader::OnSnapshotRow(Result<std::optional<Row>> row) {
+  reading_store_ = false;
+  if (!IsOk(row) || !ValueOf(row)) return {};
+  const Result<detail::SnapshotRow> snapshot = detail::ParseSnapshotRow(ValueOf(row)->value);
+  if (!IsOk(snapshot)) return {LogStuck{head() + 1, ErrorOf(snapshot).detail}};
+  if (ValueOf(snapshot).sequence <= head()) return {};
+  reading_store_ = true;
+  return {GetObject{detail::FoldKey(ValueOf(snapshot).sequence)}};
+}
+
+std::vector<LogAction> LogReader::OnFoldBytes(Result<std::string> bytes) {
+  reading_store_ = false;
+  if (!IsOk(bytes)) return {};  // the next poll starts over
+  Result<Fold> fold = ParseFold(ValueOf(bytes));
+  if (!IsOk(fold)) return {LogStuck{head() + 1, ErrorOf(fold).detail}};
+  std::vector<LogAction> actions;
+  if (Offer(std::move(ValueOf(fold)))) actions.emplace_back(PublishFold{});
+  for (LogAction& action : Scan()) actions.push_back(std::move(action));
+  return actions;
+}
+
+std::vector<LogAction> LogReader::OnEntries(Result<std::vector<LogRecord>> records) {
+  if (!IsOk(records)) {
+    if (ErrorOf(records).kind == ErrorKind::kNotFound && fetching_from_) {
+      return {FetchFold{*fetching_from_}};
+    }
+    fetching_from_.reset();
+    wanted_ = head();  // the next datagram with a higher sequence tries again
+    return {};
+  }
+  std::vector<LogAction> actions;
+  const bool moved = Offer(ValueOf(records));
+  if (moved) actions.emplace_back(PublishFold{});
+  if (!moved) wanted_ = head();
+  for (LogAction& action : NextFetch()) actions.push_back(std::move(action));
+  return actions;
+}
+
+std::vector<LogAction> LogReader::OnFold(Result<Fold> fold) {
+  std::vector<LogAction> actions;
+  const bool moved = IsOk(fold) && Offer(std::move(ValueOf(fold)));
+  if (moved) actions.emplace_back(PublishFold{});
+  if (!moved) wanted_ = head();
+  for (LogAction& action : NextFetch()) actions.push_back(std::move(action));
+  return actions;
+}
+
+// Goes on with the same peer if it was seen on more than is here now.
+std::vector<LogAction> LogReader::NextFetch() {
+  const std::optional<NodeId> peer = std::exchange(fetching_from_, std::nullopt);
+  if (!peer || wanted_ <= head()) return {};
+  fetching_from_ = peer;
+  return {FetchEntries{*peer, head()}};
+}
+
+bool LogReader::Offer(std::span<const LogRecord> records) {
+  std::shared_ptr<Fold> next;
+  for (const LogRecord& record : records) {
+    const Sequence head = next ? next->sequence : fold_->sequence;
+    if (record.sequence <= head) continue;
+    if (record.sequence != head + 1) break;
+    if (!next) next = std::make_shared<Fold>(*fold_);
+    Apply(*next, record);
+    Keep(record);
+  }
+  if (!next) return false;
+  fold_ = std::move(next);
+  return true;
+}
+
+bool LogReader::Offer(Fold fold) {
+  if (fold.sequence <= head()) return false;
+  window_.clear();  // it no longer joins on to the head
+  window_bytes_ = 0;
+  fold_ = std::make_shared<const Fold>(std::move(fold));
+  return true;
+}
+
+void LogReader::Keep(const LogRecord& record) {
+  const std::size_t bytes = ToJson(record).size();
+  window_.push_back({record, bytes});
+  window_bytes_ += bytes;
+  while (window_.size() > kWindowEntries || window_bytes_ > kWindowBytes) {
+    window_bytes_ -= window_.front().bytes;
+    window_.pop_front();
+  }
+}
+
+std::optional<std::vector<LogRecord>> LogReader::EntriesAfter(Sequence after,
+                                                              std::size_t max_bytes) const {
+  std::vector<LogRecord> records;
+  if (after >= head()) return records;
+  if (window_.empty() || window_.front().record.sequence > after + 1) return std::nullopt;
+  std::size_t bytes = 0;
+  const std::size_t skip = after + 1 - window_.front().record.sequence;
+  for (auto kept = window_.begin() + static_cast<std::ptrdiff_t>(skip); kept != window_.end();
+       ++kept) {
+    bytes += kept->bytes;
+    if (!records.empty() && bytes > max_bytes) break;
+    records.push_back(kept->record);
+  }
+  return records;
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/control/log_rows.cc
@@ -0,0 +1,32 @@
+#include "control/log_rows.h"
+
+#include "control/json.h"
+
+namespace figmill::detail {
+
+Result<SnapshotRow> ParseSnapshotRow(std::string_view json) {
+  return ParseDocument<SnapshotRow>(json, "the snapshot row", [](const Json& document, Reading& r) {
+    SnapshotRow row;
+    ObjectReader object(document, "snapshot", r);
+    object.Allow({"token", "sequence", "previous", "deleted"});
+    object.NeedText("token", row.token.value);
+    object.NeedNatural("sequence", row.sequence);
+    object.NeedNatural("previous", row.previous);
+    object.NeedNatural("deleted", row.deleted);
+    return row;
+  });
+}
+
+std::string ToJson(const SnapshotRow& row) {
+  return Json{{"token", row.token.value},
+              {"sequence", row.sequence},
+              {"previous", row.previous},
+              {"deleted", row.deleted}}
+      .dump();
+}
+
+std::string FoldKey(Sequence sequence) {
+  return "fold/" + std::to_string(sequence);
+}
+
+}  // namespace figmill::detail
--- /dev/null
+++ b/src/control/log_rows.h
@@ -0,0 +1,26 @@
+#pragma once
+
+// Keys and rows of the control log in the store. Private to the control library.
+
+#include <string>
+#include <string_view>
+
+#include "figmill/control.h"
+
+namespace figmill::detail {
+
+inline constexpr std::string_view kLogPrefix = "log/";
+inline constexpr std::string_view kSnapshotKey = "log-snapshot";
+
+// The row that commits a snapshot of the fold.
+struct SnapshotRow {
+  Token token;
+  Sequence sequence = 0;
+  Sequence previous = 0;  // the snapshot before; its object is still there for slow readers
+  Sequence deleted = 0;   // rows up to here may be gone
+};
+[[nodiscard]] Result<SnapshotRow> ParseSnapshotRow(std::string_view json);
+[[nodiscard]] std::string ToJson(const SnapshotRow& row);
+[[nodiscard]] std::string FoldKey(Sequence sequence);
+
+}  // namespace figmill::detail
--- /dev/null
+++ b/test/control-lease-test.cc
@@ -0,0 +1,194 @@
+#include <doctest/doctest.h>
+
+#include <deque>
+
+#include "figmill/control.h"
+#include "test/control-fakes.h"
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+using fake::Fault;
+using fake::Store;
+
+namespace {
+
+constexpr Duration kTerm{6'000'000};
+constexpr Duration kTick{100'000};
+
+Time At(double seconds) {
+  return Time(Duration(static_cast<Duration::rep>(seconds * 1e6)));
+}
+
+LeaseSettings Settings(std::string holder, Incarnation incarnation = 1) {
+  return {"batch", {std::move(holder)}, incarnation, kTerm};
+}
+
+// One candidate: watches until it holds, then holds until it loses.
+struct Candidate {
+  Candidate(Store& its_store, std::string name, std::uint64_t seed)
+      : store(its_store), settings(Settings(std::move(name))), seed_(seed), watcher(Watcher()) {}
+  LeaseWatcher Watcher() { return LeaseWatcher(settings, fake::Random(++seed_)); }
+
+  // Calls are answered at once, unless `held_back` keeps a commit's answer.
+  void Do(Time now, std::vector<LeaseAction> actions) {
+    for (LeaseAction& action : actions) {
+      std::visit(
+          Overloaded{[&](ReadRow& e) { Feed(now, RowWasRead{store.Read(e.key)}); },
+                     [&](CommitRows& e) { Feed(now, CommitEnded{store.Commit(e.transaction)}); },
+                     [&](LeaseTaken& e) {
+                       holder.emplace(settings, e.grant, fake::Random(++seed_));
+                       epochs.push_back(e.grant.epoch);
+                     },
+                     [&](LeaseLost&) { lost = true; }},
+          action);
+    }
+    if (std::exchange(lost, false)) {
+      holder.reset();
+      watcher = Watcher();
+      ++losses;
+    }
+  }
+  void Feed(Time now, LeaseEvent event) {
+    if (holder) return Do(now, holder->On(now, std::move(event)));
+    Do(now, watcher.On(now, std::move(event)));
+  }
+  void Tick(Time now) { Do(now, holder ? holder->Tick(now) : watcher.Tick(now)); }
+  [[nodiscard]] bool MayAct(Time now) const { return holder && holder->MayAct(now); }
+
+  Store& store;
+  LeaseSettings settings;
+  std::uint64_t seed_;
+  LeaseWatcher watcher;
+  std::optional<LeaseHolder> holder;
+  std::vector<Epoch> epochs;
+  bool lost = false;
+  int losses = 0;
+};
+
+LeaseRow Current(const Store& store) {
+  return ValueOf(ParseLeaseRow(store.rows.at("lease/batch").value));
+}
+
+}  // namespace
+
+TEST_CASE("one candidate gets a free lease and keeps it") {
+  Store store;
+  Candidate a(store, "a", 10);
+  Candidate b(store, "b", 20);
+  for (Time now = At(0); now < At(60); now += kTick) {
+    a.Tick(now);
+    b.Tick(now);
+    CHECK(a.MayAct(now));
+    CHECK_FALSE(b.MayAct(now));
+  }
+  CHECK(Current(store).epoch == 1);
+  CHECK(Current(store).renewals > 30);
+}
+
+TEST_CASE("a paused holder that wakes may not act, and its successor's epoch is higher") {
+  // Symptom: two owners work the same chunk.
+  // Events: the holder is paused for two terms; another takes over; the first wakes in the middle
+  // of its work, its own time having gone on.
+  // Cause: holding is judged by what the holder remembers, not by when it last renewed.
+  Store store;
+  Candidate a(store, "a", 10);
+  Candidate b(store, "b", 20);
+  a.Tick(At(0));
+  for (Time now = At(0.05); now < At(13); now += kTick) {
+    b.Tick(now);
+    CHECK_FALSE((a.MayAct(now) && b.MayAct(now)));
+  }
+  CHECK(b.MayAct(At(13)));
+  CHECK(b.epochs == std::vector<Epoch>{2});
+  CHECK_FALSE(a.MayAct(At(13)));
+  a.Tick(At(13));  // tries to renew, finds out
+  CHECK(a.losses == 1);
+  CHECK(Current(store).holder == NodeId{"b"});
+}
+
+TEST_CASE("never two at once, whichever of them sleeps and whichever answers are lost") {
+  // Random pauses and lost, late and refused commits on three candidates, for an hour.
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    CAPTURE(seed);
+    Store store;
+    std::deque<Candidate> all;
+    for (std::uint64_t i = 0; i < 3; ++i) {
+      all.emplace_back(store, std::string(1, static_cast<char>('a' + i)), (seed * 10 + i) << 32U);
+    }
+    RandomBits random = fake::Random(seed);
+    std::array<Time, 3> asleep_until{};
+    int acting_steps = 0;
+    Epoch highest = 0;
+    for (Time now = At(0); now < At(3600); now += kTick) {
+      if (random() % 50 == 0) asleep_until[random() % 3] = now + Duration(random() % 15'000'000);
+      if (random() % 10 == 0) {
+        store.next = static_cast<Fault>(random() % 5);
+        store.down = random() % 40 == 0;
+      }
+      if (random() % 5 == 0) store.Land();
+      int acting = 0;
+      for (std::size_t i = 0; i < 3; ++i) {
+        if (now >= asleep_until[i]) all[i].Tick(now);
+        if (all[i].MayAct(now)) {
+          ++acting;
+          CHECK(all[i].holder->epoch() >= highest);
+          highest = std::max(highest, all[i].holder->epoch());
+        }
+      }
+      REQUIRE(acting <= 1);
+      acting_steps += acting;
+    }
+    CHECK(acting_steps > 10'000);  // of 36,000: the lease also makes progress
+    CHECK(highest > 1);
+  }
+}
+
+TEST_CASE("a renewal whose answer was lost counts from when it was sent") {
+  // Events: a renewal lands, its answer is lost, the row can be read later only.
+  Store store;
+  Candidate a(store, "a", 10);
+  a.Tick(At(0));
+  store.next = Fault::kAnswerLost;
+  a.Tick(At(2));  // lands; read back at once
+  CHECK(a.MayAct(At(5.9)));
+  CHECK_FALSE(a.MayAct(At(6.1)));
+  CHECK(a.losses == 0);
+
+  // One that never lands doesn't count, however often the row is read.
+  store.next = Fault::kRequestLost;
+  a.Tick(At(4));
+  CHECK_FALSE(a.MayAct(At(6.1)));
+  a.Tick(At(5.6));
+  CHECK(a.MayAct(At(9.5)));
+}
+
+TEST_CASE("a lost answer to a take-over is settled by its token") {
+  Store store;
+  Candidate a(store, "a", 10);
+  store.next = Fault::kAnswerLost;
+  a.Tick(At(0));
+  CHECK(a.MayAct(At(1)));
+  CHECK(a.epochs == std::vector<Epoch>{1});
+}
+
+TEST_CASE("a released lease is taken at once, under a higher epoch") {
+  Store store;
+  Candidate a(store, "a", 10);
+  Candidate b(store, "b", 20);
+  a.Tick(At(0));
+  b.Tick(At(0.1));
+  a.Do(At(1), a.holder->Release(At(1)));
+  CHECK_FALSE(a.MayAct(At(1)));
+  b.Tick(At(1.1));
+  CHECK(b.MayAct(At(1.2)));
+  CHECK(b.epochs == std::vector<Epoch>{2});
+}
+
+TEST_CASE("a lease row that can't be read is left alone") {
+  // Taking it over would start the epoch anew, and old holders' writes would pass.
+  Store store;
+  store.rows["lease/batch"] = Row{"lease/batch", "{\"holder\":", 7};
+  Candidate a(store, "a", 10);
+  for (Time now = At(0); now < At(30); now += kTick) a.Tick(now);
+  CHECK(a.epochs.empty());
+  CHECK(store.rows.at("lease/batch").version == 7);
+}
--- /dev/null
+++ b/test/control-log-test.cc
@@ -0,0 +1,372 @@
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <memory>
+
+#include "figmill/control.h"
+#include "test/control-fakes.h"
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+using fake::Fault;
+using fake::Store;
+
+namespace {
+
+// A node's log machines on a store; calls are answered one at a time by Step.
+struct Node {
+  explicit Node(Store& its_store, std::uint64_t seed = 1)
+      : store(its_store),
+        writer(reader, fake::Random(seed)),
+        compactor(reader, fake::Random(~seed)) {}
+
+  template <typename Machine>
+  void Do(Machine& machine, std::vector<LogAction> actions) {
+    for (LogAction& action : actions) {
+      std::visit(Overloaded{[&](PublishFold&) { published.push_back(reader.head()); },
+                            [&](LogStuck& stuck) { FAIL(stuck.why); },
+                            [&](DeleteObject& e) { store.objects.erase(e.key); },
+                            [&](AnswerAppend& e) {
+                              answers[e.append] = e.outcome;
+                              if (IsOk(e.outcome)) Do(compactor, compactor.Consider());
+                            },
+                            [&](auto& call) {
+                              calls.push_back([this, &machine, call] {
+                                Do(machine, machine.On(Answer(call)));
+                              });
+                            }},
+                 action);
+    }
+  }
+  LogEvent Answer(const ScanRows& e) { return RowsScanned{store.Scan(e.range)}; }
+  LogEvent Answer(const ReadRow& e) { return RowWasRead{store.Read(e.key)}; }
+  LogEvent Answer(const CommitRows& e) { return CommitEnded{store.Commit(e.transaction)}; }
+  LogEvent Answer(const PutObject& e) {
+    store.objects[e.key] = e.bytes;
+    return ObjectWasPut{Ok{}};
+  }
+  LogEvent Answer(const GetObject& e) { return ObjectWasRead{store.objects.at(e.key)}; }
+  LogEvent Answer(const FetchEntries& e) {
+    if (peer == nullptr) return EntriesFetched{Error{ErrorKind::kBackendFailed, "gone"}};
+    auto entries = peer->reader.EntriesAfter(e.after, 2000);
+    if (!entries) return EntriesFetched{Error{ErrorKind::kNotFound, "too far back"}};
+    return EntriesFetched{*entries};
+  }
+  LogEvent Answer(const FetchFold&) { return FoldFetched{ParseFold(ToJson(*peer->reader.fold()))}; }
+
+  // Carries out the oldest call; false if there is none.
+  bool Step() {
+    if (calls.empty()) return false;
+    const auto call = std::move(calls.front());
+    calls.pop_front();
+    call();
+    return true;
+  }
+  void Settle() {
+    while (Step()) {
+    }
+  }
+  std::uint64_t Append(ControlEntry entry, std::string author = "ana",
+                       std::optional<Sequence> if_version = {}) {
+    Do(writer, writer.Append(++last, std::move(entry), std::move(author), if_version));
+    return last;
+  }
+  Result<Sequence> AppendNow(ControlEntry entry, std::string author = "ana",
+                             std::optional<Sequence> if_version = {}) {
+    const std::uint64_t id = Append(std::move(entry), std::move(author), if_version);
+    Settle();
+    return answers.at(id);
+  }
+  void Poll() {
+    Do(reader, reader.Poll());
+    Settle();
+  }
+
+  Store& store;
+  Node* peer = nullptr;
+  LogReader reader;
+  LogWriter writer;
+  LogCompactor compactor;
+  std::deque<std::function<void()>> calls;
+  std::map<std::uint64_t, Result<Sequence>> answers;
+  std::vector<Sequence> published;
+  std::uint64_t last = 0;
+};
+
+PutService Service(std::string name, Duration deadline = Duration(60'000'000)) {
+  ServiceConfig service;
+  service.name = {std::move(name)};
+  service.default_deadline = deadline;
+  return {service};
+}
+
+ErrorKind KindOf(const Result<Sequence>& result) {
+  REQUIRE_FALSE(IsOk(result));
+  return ErrorOf(result).kind;
+}
+
+}  // namespace
+
+TEST_CASE("unknown fields are refused by name, and a bad configuration as a whole") {
+  const auto detail = [](std::string_view json) {
+    const Result<Config> config = ParseConfig(json);
+    return IsOk(config) ? std::string() : ErrorOf(config).detail;
+  };
+  CHECK(detail(R"({"services":[{"name":"a","repeatabel":false}]})").find("'repeatabel'") !=
+        std::string::npos);
+  CHECK(detail(R"({"backends":[{"agent":"n1","serves":["a"]}]})").find("'a'") != std::string::npos);
+  CHECK(detail(R"({"limits":[{"team":"t","requests_per_second":-1}]})").find("team t") !=
+        std::string::npos);
+  CHECK(detail(R"({"services":[{"name":"a"},{"name":"a"}]})").find("repeats 'a'") !=
+        std::string::npos);
+  CHECK(detail(R"({"backends":[{"agent":"n1","serves":[],"drained":true}]})").find("'drained'") !=
+        std::string::npos);
+  CHECK(detail("{").find("not JSON") != std::string::npos);
+  CHECK(detail(R"({"services":[{"name":"a"}],"backends":[{"agent":"n1","serves":["a"]}]})") == "");
+  const auto order = ParseControlEntry(R"({"order":"drain","node":"n1","now":true})");
+  REQUIRE_FALSE(IsOk(order));
+  CHECK(ErrorOf(order).detail.find("'now'") != std::string::npos);
+}
+
+TEST_CASE("every order survives its own JSON, and folds are equal byte for byte") {
+  Config config;
+  config.services[{"s"}] = Service("s").service;
+  config.services[{"s"}].routes = {{"/hazards", false}};
+  config.limits[{"t"}] = TeamLimit{{"t"}, 2.5, 1000, 3};
+  config.backends[{"n1"}] = BackendConfig{{"n1"}, {{"s"}}, false};
+  const std::vector<ControlEntry> entries = {Service("a"),
+                                             PutLimit{{{"t"}, 1}},
+                                             RemoveService{{"a"}},
+                                             ReplaceConfig{config},
+                                             PutBackend{{{"n2"}, {{"s"}}}},
+                                             Drain{{"n1"}},
+                                             Drain{{"n2"}},
+                                             Undrain{{"n2"}},
+                                             CancelJob{{"j"}},
+                                             Place{{"n1"}, {{{"m", "3"}}, {{"x", "1"}}, "decode"}},
+                                             RemoveBackend{{"n2"}}};
+  Fold direct;
+  Fold through_json;
+  for (const ControlEntry& entry : entries) {
+    const LogRecord record{direct.sequence + 1, {"t"}, "ana", entry};
+    REQUIRE(IsOk(Check(direct, entry)));
+    Apply(direct, record);
+    const Result<LogRecord> parsed = ParseLogRecord(ToJson(record));
+    REQUIRE(IsOk(parsed));
+    Apply(through_json, ValueOf(parsed));
+  }
+  CHECK(ToJson(direct) == ToJson(through_json));
+  const Result<Fold> fold = ParseFold(ToJson(direct));
+  REQUIRE(IsOk(fold));
+  CHECK(ToJson(ValueOf(fold)) == ToJson(direct));
+  CHECK(ValueOf(fold).config.backends.at({"n1"}).drained);
+  CHECK(ValueOf(fold).placements.at({"n1"}).sequence == 10);
+}
+
+TEST_CASE("an applied file keeps drains, and cancellations don't grow for ever") {
+  Fold fold;
+  const auto apply = [&](ControlEntry entry) {
+    Apply(fold, LogRecord{fold.sequence + 1, {"t"}, "ana", std::move(entry)});
+  };
+  apply(Drain{{"n1"}});
+  Config config;
+  config.backends[{"n1"}] = BackendConfig{{"n1"}, {}};
+  apply(ReplaceConfig{config});
+  CHECK(fold.config.backends.at({"n1"}).drained);
+  for (std::size_t i = 0; i < kMaxCancelledJobs + 10; ++i) {
+    apply(CancelJob{{"job-" + std::to_string(i)}});
+  }
+  CHECK(fold.cancelled_jobs.size() == kMaxCancelledJobs);
+  CHECK_FALSE(fold.cancelled_jobs.contains({"job-9"}));
+  CHECK(fold.cancelled_jobs.contains({"job-10"}));
+}
+
+TEST_CASE("an operator whose answer was lost still learns the truth") {
+  // Symptom: an operator is told "store unavailable, not run", yet the change is in force.
+  // Events: the commit takes effect, its answer is lost, the store stays down for a while.
+  // Cause: a lost answer taken for a failed write.
+  Store store;
+  Node node(store);
+  for (const Fault fault : {Fault::kAnswerLost, Fault::kRequestLost, Fault::kRequestLate}) {
+    CAPTURE(static_cast<int>(fault));
+    const Sequence before = node.reader.head();
+    const std::uint64_t id = node.Append(Service("s" + std::to_string(before)));
+    REQUIRE(node.Step());  // catches up
+    store.next = fault;
+    REQUIRE(node.Step());  // commits
+    store.down = true;
+    node.Settle();
+    node.Do(node.writer, node.writer.Tick());
+    node.Settle();
+    CHECK_FALSE(node.answers.contains(id));  // unknown, so nothing is said
+    store.down = false;
+    node.Do(node.writer, node.writer.Tick());
+    node.Settle();
+    store.Land();
+    REQUIRE(node.answers.contains(id));
+    REQUIRE(IsOk(node.answers.at(id)));
+    CHECK(ValueOf(node.answers.at(id)) == before + 1);
+    CHECK(store.rows.size() == before + 1);  // once
+  }
+}
+
+TEST_CASE(
+    "a write that lands late, after another operator won its place, is not said to have won") {
+  // Events: Ana's commit is delayed on its way, Ben's takes the same sequence, then Ana's arrives.
+  // Cause: two commits for one row; only the row's token tells whose it is.
+  Store store;
+  Node ana(store, 1);
+  Node ben(store, 2);
+  const std::uint64_t id = ana.Append(Service("s", Duration(1'000'000)), "ana");
+  ana.Step();
+  store.next = Fault::kRequestLate;
+  ana.Step();
+  CHECK(IsOk(ben.AppendNow(Service("s", Duration(2'000'000)), "ben")));
+  store.Land();
+  ana.Settle();
+  REQUIRE(KindOf(ana.answers.at(id)) == ErrorKind::kConflict);
+  CHECK(ErrorOf(ana.answers.at(id)).detail == "'put service s' by ben won at sequence 1");
+  CHECK(store.rows.size() == 1);
+}
+
+TEST_CASE("racing operators: orders on one subject have one winner, others all pass") {
+  // Four operators on four nodes interleave their steps in a random but repeatable order.
+  Store store;
+  std::vector<std::unique_ptr<Node>> nodes;
+  for (std::uint64_t i = 0; i < 4; ++i) nodes.push_back(std::make_unique<Node>(store, i + 1));
+  RandomBits random = fake::Random(7);
+  std::size_t accepted = 0;
+  std::size_t refused = 0;
+  for (int round = 0; round < 13; ++round) {
+    std::vector<std::uint64_t> ids;
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      const bool shared = round % 2 == 0;  // all on one service, or each on its own
+      const std::string name = shared ? "shared" : "own-" + std::to_string(i);
+      ids.push_back(nodes[i]->Append(Service(name), "op" + std::to_string(i)));
+    }
+    for (bool busy = true; busy;) {
+      busy = false;
+      for (std::size_t k = 0; k < 8; ++k) {
+        busy = nodes[random() % nodes.size()]->Step() || busy;
+      }
+      for (auto& node : nodes) busy = busy || !node->calls.empty();
+    }
+    for (std::size_t i = 0; i < nodes.size(); ++i) {
+      const Result<Sequence>& answer = nodes[i]->answers.at(ids[i]);
+      if (IsOk(answer)) {
+        ++accepted;
+        const Result<LogRecord> row = ParseLogRecord(store.rows.at(LogKey(ValueOf(answer))).value);
+        CHECK(ValueOf(row).author == "op" + std::to_string(i));
+      } else {
+        ++refused;
+        CHECK(KindOf(answer) == ErrorKind::kConflict);
+        CHECK(ErrorOf(answer).detail.find("won at sequence") != std::string::npos);
+        CHECK(round % 2 == 0);
+      }
+    }
+  }
+  CHECK(accepted + refused == 52);
+  CHECK(refused > 0);
+  CHECK(store.rows.size() == accepted);
+  for (auto& node : nodes) {
+    node->Poll();
+    CHECK(ToJson(*node->reader.fold()) == ToJson(*nodes[0]->reader.fold()));
+    CHECK(std::is_sorted(node->published.begin(), node->published.end()));
+  }
+}
+
+TEST_CASE("`if version` refuses when the log has moved, and says by whom") {
+  Store store;
+  Node ana(store, 1);
+  Node ben(store, 2);
+  CHECK(IsOk(ana.AppendNow(Service("a"), "ana", 0)));
+  const Result<Sequence> late = ben.AppendNow(Service("b"), "ben", 0);
+  CHECK(KindOf(late) == ErrorKind::kStaleVersion);
+  CHECK(ErrorOf(late).detail.find("'put service a' by ana") != std::string::npos);
+  CHECK(IsOk(ben.AppendNow(Service("b"), "ben", 1)));
+}
+
+TEST_CASE("an order that another's entry made invalid is refused with the winner's name") {
+  // Events: Ben removes the service while Ana's backend server for it is on its way.
+  Store store;
+  Node ana(store, 1);
+  Node ben(store, 2);
+  REQUIRE(IsOk(ben.AppendNow(Service("s"), "ben")));
+  const std::uint64_t id = ana.Append(PutBackend{{{"n1"}, {{"s"}}}});
+  ana.Step();
+  REQUIRE(IsOk(ben.AppendNow(RemoveService{{"s"}}, "ben")));
+  ana.Settle();
+  CHECK(KindOf(ana.answers.at(id)) == ErrorKind::kConflict);
+  CHECK(ErrorOf(ana.answers.at(id)).detail.find("by ben won at sequence 2; now") !=
+        std::string::npos);
+}
+
+TEST_CASE("the store being down refuses an order as not run, and nothing changes") {
+  Store store;
+  Node node(store);
+  store.down = true;
+  const Result<Sequence> refused = node.AppendNow(Service("s"));
+  CHECK(KindOf(refused) == ErrorKind::kStoreUnavailable);
+  CHECK(ErrorOf(refused).ran == Ran::kNo);
+  store.down = false;
+  CHECK(store.rows.empty());
+  CHECK(IsOk(node.AppendNow(Service("s"))));
+}
+
+TEST_CASE("compaction loses nobody, and a writer that slept through it can't write into the past") {
+  // Symptom: an operator is told "accepted at 3", and the change is nowhere.
+  // Events: a node sleeps at 2; others append and compact far beyond; it wakes and appends at 3,
+  // whose row is absent again.
+  // Cause: an absent row alone doesn't prove that the place in the log is free.
+  Store store;
+  Node sleeper(store, 1);
+  REQUIRE(IsOk(sleeper.AppendNow(Service("a"))));
+  REQUIRE(IsOk(sleeper.AppendNow(Service("b"))));
+  const std::uint64_t id = sleeper.Append(Service("c"));
+  sleeper.Step();  // has read the head, about to commit at 3
+
+  Node busy(store, 2);
+  const Sequence many = kEntriesPerSnapshot + kEntriesKept + 300;
+  for (Sequence i = 3; i <= many; ++i) {
+    REQUIRE(IsOk(busy.AppendNow(PutLimit{{{"t"}, static_cast<double>(i)}}, "ben")));
+  }
+  CHECK_FALSE(store.rows.contains(LogKey(3)));
+  CHECK(store.rows.contains(LogKey(many)));
+  CHECK(store.rows.size() <= kEntriesPerSnapshot + kEntriesKept + 1);
+  CHECK(store.objects.size() <= 2);
+
+  sleeper.Settle();
+  REQUIRE(KindOf(sleeper.answers.at(id)) == ErrorKind::kStaleOrders);
+  CHECK_FALSE(store.rows.contains(LogKey(3)));
+  sleeper.Poll();
+  CHECK(IsOk(sleeper.AppendNow(Service("c"))));
+
+  Node fresh(store, 3);
+  fresh.Poll();
+  busy.Poll();
+  CHECK(ToJson(*fresh.reader.fold()) == ToJson(*busy.reader.fold()));
+  CHECK(ToJson(*sleeper.reader.fold()) == ToJson(*busy.reader.fold()));
+}
+
+TEST_CASE("a node that starts while the store is down takes the fold from a peer") {
+  Store store;
+  Node old(store, 1);
+  for (int i = 0; i < 700; ++i) {
+    REQUIRE(IsOk(old.AppendNow(PutLimit{{{"t" + std::to_string(i % 5)}, 1.0 + i}})));
+  }
+  store.down = true;
+  Node fresh(store, 2);
+  fresh.peer = &old;
+  fresh.Poll();
+  CHECK(fresh.reader.head() == 0);
+  fresh.Do(fresh.reader, fresh.reader.Hint({"old"}, old.reader.head()));
+  fresh.Settle();
+  CHECK(ToJson(*fresh.reader.fold()) == ToJson(*old.reader.fold()));
+
+  // A peer that lags, or an older fold, takes nothing back.
+  Node lagging(store, 3);
+  fresh.peer = &lagging;
+  fresh.Do(fresh.reader, fresh.reader.Hint({"lagging"}, old.reader.head() + 5));
+  fresh.Settle();
+  CHECK_FALSE(fresh.reader.Offer(*lagging.reader.fold()));
+  CHECK(fresh.reader.head() == old.reader.head());
+}
