--- a/standin/engine.cc
+++ b/standin/engine.cc
@@ -10,6 +10,7 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t kMaxPublishedEvents = 10'000;
+constexpr double kPerRandomStep = 1.0 / 18446744073709551616.0;  // 2^-64
 constexpr std::string_view kStreams = "/engine/streams/";
 constexpr std::string_view kKv = "/engine/kv/";
 
@@ -51,7 +52,12 @@
 
 std::vector<std::string> Versioned(const std::map<std::string, std::string>& names) {
   std::vector<std::string> result;
-  for (const auto& [name, version] : names) result.push_back(name + "@" + version);
+  result.reserve(names.size());
+  for (const auto& [name, version] : names) {
+    std::string& text = result.emplace_back(name);
+    text += '@';
+    text += version;
+  }
   return result;
 }
 
@@ -232,10 +238,9 @@
 }
 
 void Engine::PublishCacheEvents() {
-  constexpr double kRandomRange = 1.0 / 18446744073709551616.0;  // 2^-64
   for (const CacheEvent& event : streams_.model().TakeCacheEvents()) {
     ++last_cache_event_;
-    const double draw = static_cast<double>(random_()) * kRandomRange;
+    const double draw = static_cast<double>(random_()) * kPerRandomStep;
     if (faults_.drop_cache_events || draw < settings_.cache_event_loss) continue;
     cache_events_.push_back({last_cache_event_, event});
     if (cache_events_.size() > kMaxPublishedEvents) cache_events_.pop_front();
--- a/standin/text.cc
+++ b/standin/text.cc
@@ -8,6 +8,8 @@
 
 constexpr std::uint64_t kFnvBasis = 14695981039346656037ULL;
 constexpr std::uint64_t kFnvPrime = 1099511628211ULL;
+constexpr std::string_view kConsonants = "bdfghjklmnprstvz";
+constexpr std::string_view kVowels = "aeio";
 constexpr std::string_view kSpace = " \t\r\n";
 
 std::uint64_t ContinueFnv1a(std::uint64_t hash, std::string_view bytes) {
@@ -37,8 +39,6 @@
 }
 
 std::string AnswerWord(std::uint64_t prompt_hash, std::uint64_t index) {
-  constexpr std::string_view kConsonants = "bdfghjklmnprstvz";
-  constexpr std::string_view kVowels = "aeio";
   const std::uint64_t bits = SplitMix64(prompt_hash + index);
   const std::array<char, 4> letters = {kConsonants[bits & 15U], kVowels[(bits >> 4U) & 3U],
                                        kConsonants[(bits >> 6U) & 15U],
