Give the operators' language a namespace of its own

Cause: statements and the log entries that they become share names such as Drain and CancelJob. Change: include/figmill/query.h declares in figmill::query. Measured: query tests pass.

--- a/include/figmill/query.h
+++ b/include/figmill/query.h
@@ -2,7 +2,8 @@
 
 // The operators' language: statements as text to a typed tree, questions
 // answered by typed tables that are filtered here, and the record of refusals.
-// No I/O: whoever answers implements Operations.
+// No I/O: whoever answers implements Operations. A namespace of its own, as
+// statements and the log entries that they become share names.
 
 #include <array>
 #include <cstdint>
@@ -18,7 +19,7 @@
 #include "figmill/base.h"
 #include "figmill/control.h"
 
-namespace figmill {
+namespace figmill::query {
 
 // --- Typed tables --------------------------------------------------------------
 
@@ -286,4 +287,4 @@
   std::array<std::uint64_t, kErrorKindCount> recorded_{};
 };
 
-}  // namespace figmill
+}  // namespace figmill::query
--- a/src/query/builder.cc
+++ b/src/query/builder.cc
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-namespace figmill::detail {
+namespace figmill::query::detail {
 namespace {
 
 template <typename Rule>
@@ -212,4 +212,4 @@
   return {Find<grammar::Adapter>(node) != nullptr, text.substr(0, at), text.substr(at + 1)};
 }
 
-}  // namespace figmill::detail
+}  // namespace figmill::query::detail
--- a/src/query/builder.h
+++ b/src/query/builder.h
@@ -12,7 +12,7 @@
 #include "figmill/query.h"
 #include "query/grammar.h"
 
-namespace figmill::detail {
+namespace figmill::query::detail {
 
 using Node = pegtl::parse_tree::node;
 
@@ -51,4 +51,4 @@
 // Unquotes where it is quoted.
 [[nodiscard]] std::string TextOf(const Node& node);
 
-}  // namespace figmill::detail
+}  // namespace figmill::query::detail
--- a/src/query/execute.cc
+++ b/src/query/execute.cc
@@ -2,7 +2,7 @@
 
 #include "figmill/query.h"
 
-namespace figmill {
+namespace figmill::query {
 namespace {
 
 using Done = std::function<void(Result<QueryAnswer>)>;
@@ -57,4 +57,4 @@
   std::visit(Executor(operations, std::move(done)), std::get<Statement>(parsed));
 }
 
-}  // namespace figmill
+}  // namespace figmill::query
--- a/src/query/grammar.h
+++ b/src/query/grammar.h
@@ -7,7 +7,7 @@
 
 #include "query/tokens.h"
 
-namespace figmill::detail::grammar {
+namespace figmill::query::detail::grammar {
 
 template <FixedText kText>
 using Key = pegtl::seq<Keyword<kText>, Blank>;
@@ -126,4 +126,4 @@
                    SetBackend, RemoveBackend, Drain, Undrain, CancelJob, Load, Unload, SetRole,
                    Order, Await, Help>> {};
 
-}  // namespace figmill::detail::grammar
+}  // namespace figmill::query::detail::grammar
--- a/src/query/json.cc
+++ b/src/query/json.cc
@@ -5,7 +5,7 @@
 
 #include "figmill/query.h"
 
-namespace figmill {
+namespace figmill::query {
 namespace {
 
 using Json = nlohmann::ordered_json;
@@ -160,4 +160,4 @@
   }
 }
 
-}  // namespace figmill
+}  // namespace figmill::query
--- a/src/query/moment.cc
+++ b/src/query/moment.cc
@@ -3,7 +3,7 @@
 
 #include "figmill/query.h"
 
-namespace figmill {
+namespace figmill::query {
 namespace {
 
 using std::chrono::days;
@@ -79,4 +79,4 @@
          milliseconds(millisecond);
 }
 
-}  // namespace figmill
+}  // namespace figmill::query
--- a/src/query/parse.cc
+++ b/src/query/parse.cc
@@ -2,7 +2,7 @@
 
 #include "query/builder.h"
 
-namespace figmill {
+namespace figmill::query {
 namespace detail {
 namespace {
 
@@ -122,4 +122,4 @@
   return words;
 }
 
-}  // namespace figmill
+}  // namespace figmill::query
--- a/src/query/refusal_log.cc
+++ b/src/query/refusal_log.cc
@@ -2,7 +2,7 @@
 
 #include "figmill/query.h"
 
-namespace figmill {
+namespace figmill::query {
 namespace {
 
 // Causes come from many places; a long one must not cost the room of others.
@@ -54,4 +54,4 @@
   return recorded_[static_cast<std::size_t>(kind)];
 }
 
-}  // namespace figmill
+}  // namespace figmill::query
--- a/src/query/schema.cc
+++ b/src/query/schema.cc
@@ -3,7 +3,7 @@
 
 #include "figmill/query.h"
 
-namespace figmill {
+namespace figmill::query {
 namespace {
 
 const std::array kJobColumns = {
@@ -128,4 +128,4 @@
   return kHelp;
 }
 
-}  // namespace figmill
+}  // namespace figmill::query
--- a/src/query/select.cc
+++ b/src/query/select.cc
@@ -2,7 +2,7 @@
 
 #include "figmill/query.h"
 
-namespace figmill {
+namespace figmill::query {
 namespace {
 
 bool Holds(Comparison comparison, const Cell& left, const Cell& right) {
@@ -56,4 +56,4 @@
   return table;
 }
 
-}  // namespace figmill
+}  // namespace figmill::query
--- a/src/query/text.cc
+++ b/src/query/text.cc
@@ -4,7 +4,7 @@
 
 #include "figmill/query.h"
 
-namespace figmill {
+namespace figmill::query {
 namespace {
 
 constexpr std::size_t kGap = 2;  // blanks between columns
@@ -116,4 +116,4 @@
                     answer);
 }
 
-}  // namespace figmill
+}  // namespace figmill::query
--- a/src/query/tokens.h
+++ b/src/query/tokens.h
@@ -11,7 +11,7 @@
 #include <tao/pegtl.hpp>
 #include <vector>
 
-namespace figmill::detail {
+namespace figmill::query::detail {
 
 namespace pegtl = tao::pegtl;
 
@@ -144,4 +144,4 @@
   }
 };
 
-}  // namespace figmill::detail
+}  // namespace figmill::query::detail
--- a/src/query/values.cc
+++ b/src/query/values.cc
@@ -4,7 +4,7 @@
 
 #include "query/builder.h"
 
-namespace figmill::detail {
+namespace figmill::query::detail {
 namespace {
 
 // Longer spans are typing errors; the bound keeps microseconds within range.
@@ -117,4 +117,4 @@
   return {};
 }
 
-}  // namespace figmill::detail
+}  // namespace figmill::query::detail
--- a/test/query-answer-test.cc
+++ b/test/query-answer-test.cc
@@ -5,7 +5,8 @@
 
 #include "figmill/query.h"
 
-using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+using namespace figmill;         // NOLINT(google-build-using-namespace): tests read better
+using namespace figmill::query;  // NOLINT(google-build-using-namespace)
 using trompeloeil::_;
 
 namespace {
@@ -69,7 +70,7 @@
   MockOperations operations;
   {
     REQUIRE_CALL(operations, Carry(_, _))
-        .WITH(std::get<Drain>(_1.command).node.value == "agent-3" && _1.if_version == 812)
+        .WITH(std::get<query::Drain>(_1.command).node.value == "agent-3" && _1.if_version == 812)
         .SIDE_EFFECT(_2(Sequence{813}));
     const auto answer = Run("drain agent-3 if version 812", operations);
     CHECK(std::get<Accepted>(ValueOf(answer)).sequence == 813);
--- a/test/query-language-test.cc
+++ b/test/query-language-test.cc
@@ -6,7 +6,8 @@
 
 #include "figmill/query.h"
 
-using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+using namespace figmill;         // NOLINT(google-build-using-namespace): tests read better
+using namespace figmill::query;  // NOLINT(google-build-using-namespace)
 
 namespace {
 
