--- a/include/figmill/online.h
+++ b/include/figmill/online.h
@@ -411,9 +411,9 @@
 // - a request that is given up gets its answer at once.
 class RequestRun {
  public:
-  // An answer that is no event stream is held until it is whole, up to this, so
-  // that a break never shows.
-  static constexpr std::size_t kHoldBytes = std::size_t{4} << 20;
+  // An answer that is no event stream is held until it is whole, so that a break
+  // never shows; a larger one than this fails as kTooLarge.
+  static constexpr std::size_t kHoldBytes = std::size_t{8} << 20;
   // Silence after which the agent is asked whether the work still runs.
   static constexpr Duration kHeadPatience{3'000'000};
   static constexpr Duration kStreamPatience{2'000'000};
@@ -487,7 +487,6 @@
   void Arm(Time at);
   [[nodiscard]] bool IsCurrent(CallNumber call);
   [[nodiscard]] bool CallOpen() const;
-  [[nodiscard]] bool CanResume() const;
 
   RequestPlan plan_;
   const RequestRoutes& routes_;
--- a/src/figmilld/agent_gate.cc
+++ b/src/figmilld/agent_gate.cc
@@ -9,6 +9,7 @@
 struct Relay {
   std::shared_ptr<HttpReply> reply;
   Incarnation incarnation = 0;
+  RequestId request;
   std::uint64_t bytes = 0;
   bool begun = false;
 };
@@ -17,6 +18,8 @@
   FrameHead frame;
   frame.status = head.status;
   frame.incarnation = relay.incarnation;
+  frame.request = relay.request;
+  frame.clock = Loop::Now();
   for (const Header& header : head.headers) {
     if (header.name == "Content-Type" || header.name == "content-type") {
       frame.content_type = header.value;
@@ -73,7 +76,7 @@
                   {"X-Repeatable", dispatch.repeatable ? "true" : "false"}};
   call.body = std::move(request.body);
   call.fresh_connection = !dispatch.repeatable;
-  auto relay = std::make_shared<Relay>(Relay{reply, incarnation_});
+  auto relay = std::make_shared<Relay>(Relay{reply, incarnation_, dispatch.request});
   const CancelCall cancel = client_.Start(std::move(call), [relay](HttpEvent event) {
     std::visit(Overloaded{
                    [&](const HttpHead& head) { TellHead(*relay, head); },
--- a/src/online/request_answer.cc
+++ b/src/online/request_answer.cc
@@ -16,6 +16,15 @@
   return Error{ErrorKind::kBrokenAnswer, std::move(detail)};
 }
 
+// What must come again in a new run: the token. Ids, times and usage differ from
+// run to run.
+std::string_view TokenPart(std::string_view event) {
+  const std::size_t from = event.find("\"choices\":");
+  const std::size_t to = event.rfind(']');
+  if (from == std::string_view::npos || to == std::string_view::npos || to < from) return event;
+  return event.substr(from, to - from);
+}
+
 bool IsEventStream(std::string_view content_type) {
   return content_type.starts_with("text/event-stream");
 }
@@ -51,9 +60,9 @@
   attempt_.resumes_in_row = 0;
   attempt_.said_finished = 0;
   Deliver(data.bytes);
-  if (differs_) {
-    CancelStarted();
-    return GiveUp(BrokenAnswer("the stream broke, and a new run answered differently"));
+  if (differs_) return GiveUp(BrokenAnswer("the stream broke, and a new run answered differently"));
+  if (!event_stream_ && held_.size() > kHoldBytes) {
+    return GiveUp(Error{ErrorKind::kTooLarge, "the answer is too large to be passed on whole"});
   }
   Listen(kStreamPatience, now);
 }
@@ -79,9 +88,7 @@
   if (event_stream_) {
     return cutter_.Feed(bytes, [this](std::string_view event) { DeliverEvent(event); });
   }
-  if (head_sent_) return Send(std::string(bytes));
   held_.append(bytes);
-  if (held_.size() > kHoldBytes) Send(std::exchange(held_, {}));
 }
 
 void RequestRun::DeliverEvent(std::string_view event) {
@@ -91,15 +98,16 @@
     held_.append(event);
     return;
   }
+  const std::string_view token = TokenPart(event);
   if (replay_left_ > 0) {
     held_.clear();
-    replay_hash_ = XXH3_64bits_withSeed(event.data(), event.size(), replay_hash_);
+    replay_hash_ = XXH3_64bits_withSeed(token.data(), token.size(), replay_hash_);
     if (--replay_left_ == 0 && replay_hash_ != sent_hash_) differs_ = true;
     return;
   }
   if (differs_) return;
   ++tokens_sent_;
-  sent_hash_ = XXH3_64bits_withSeed(event.data(), event.size(), sent_hash_);
+  sent_hash_ = XXH3_64bits_withSeed(token.data(), token.size(), sent_hash_);
   Send(std::exchange(held_, {}) + std::string(event));
 }
 
--- a/src/online/request_errors.cc
+++ b/src/online/request_errors.cc
@@ -9,7 +9,6 @@
     case ErrorKind::kNoBackend:
     case ErrorKind::kLeaving:
     case ErrorKind::kStaleOrders:
-    case ErrorKind::kStoreUnavailable:
     case ErrorKind::kBackendFailed:
     case ErrorKind::kBrokenAnswer:
     case ErrorKind::kOutcomeUnknown:
--- a/src/online/request_run.cc
+++ b/src/online/request_run.cc
@@ -77,7 +77,7 @@
     if (!detail::MayGoElsewhere(error.kind)) return GiveUp(error);
     CloseCall(AttemptEnd::kFailed, error);
     DropUnsent();
-    return CanResume() ? ResumeSoon(now) : CantResume(now);
+    return plan_.can_resume ? ResumeSoon(now) : CantResume(now);
   }
   attempt_.ran = Ran::kNo;
   if (!detail::MayGoElsewhere(error.kind)) return GiveUp(error);
@@ -109,7 +109,7 @@
   CloseCall(AttemptEnd::kFailed, why);
   DropUnsent();
   if (attempt_.ran != Ran::kYes) return AskWhetherStarted(now);
-  return CanResume() ? ResumeSoon(now) : CantResume(now);
+  return plan_.can_resume ? ResumeSoon(now) : CantResume(now);
 }
 
 // A request may have reached the agent though the call broke before any answer:
@@ -148,7 +148,7 @@
     case event::RevokeState::kRunning:
     case event::RevokeState::kFinished:
       attempt_.ran = Ran::kYes;
-      return CanResume() ? ResumeSoon(now) : CantResume(now);
+      return plan_.can_resume ? ResumeSoon(now) : CantResume(now);
     case event::RevokeState::kNoAnswer:
       // What may not be repeated is asked for again when the timer fires.
       if (plan_.repeatable) AskedInVain(now);
@@ -187,7 +187,7 @@
 // still hold the stream; else it stays unknown.
 void RequestRun::AskedInVain(Time now) {
   const std::optional<Pick> found = routes_.find(attempt_.to.node);
-  if (CanResume() && found && found->incarnation != attempt_.to.incarnation &&
+  if (plan_.can_resume && found && found->incarnation != attempt_.to.incarnation &&
       !attempt_.new_incarnation_tried) {
     attempt_.new_incarnation_tried = true;
     return Resume(now);
@@ -216,8 +216,7 @@
 // the caller has of a stream must then come again, event for event, or the
 // answer is given up as broken.
 void RequestRun::CantResume(Time now) {
-  const bool can_replay = !head_sent_ || event_stream_;
-  if (plan_.repeatable && can_replay) {
+  if (plan_.repeatable) {
     CancelStarted();
     return TryElsewhere(now);
   }
@@ -242,10 +241,7 @@
 
 void RequestRun::OnTimer(Time now) {
   armed_at_.reset();
-  if (now >= plan_.deadline) {
-    if (plan_.repeatable) CancelStarted();
-    return GiveUp(detail::DeadlinePassed());
-  }
+  if (now >= plan_.deadline) return GiveUp(detail::DeadlinePassed());
   if (now < wake_at_) return Arm(wake_at_);
   switch (phase_) {
     case Phase::kWaiting:
@@ -287,6 +283,7 @@
     const auto spread = static_cast<std::uint64_t>(std::max<std::int64_t>(1, least.count()));
     error.retry_after = least + Duration(static_cast<std::int64_t>(random_() % spread));
   }
+  if (plan_.repeatable) CancelStarted();
   const bool refused = error.ran == Ran::kNo;
   CloseCall(refused ? AttemptEnd::kRefused : AttemptEnd::kAbandoned, error);
   phase_ = Phase::kDone;
@@ -319,8 +316,5 @@
   return phase_ == Phase::kWaiting || phase_ == Phase::kStreaming;
 }
 
-bool RequestRun::CanResume() const {
-  return plan_.can_resume && (!head_sent_ || event_stream_);
-}
 
 }  // namespace figmill
--- a/src/online/router.cc
+++ b/src/online/router.cc
@@ -241,7 +241,12 @@
     case AttemptEnd::kRefused: {
       constexpr Duration kShortest{100'000};
       constexpr Duration kLongest{1'000'000};
-      const Duration busy = error && error->retry_after ? *error->retry_after : kShortest;
+      // Other refusals are about the request.
+      const bool about_agent =
+          error && (error->kind == ErrorKind::kOverloaded || error->kind == ErrorKind::kLeaving ||
+                    error->kind == ErrorKind::kStaleOrders);
+      if (!about_agent) break;
+      const Duration busy = error->retry_after.value_or(kShortest);
       agent.busy_until = now + std::clamp(busy, kShortest, kLongest);
       break;
     }
