--- a/src/figmilld/agent.cc
+++ b/src/figmilld/agent.cc
@@ -50,9 +50,7 @@
 
   void Status(HttpReply& reply) const {
     const nlohmann::json status = {{"node", settings_.common.node.value},
-                                   {"incarnation", incarnation_},
-                                   {"serves", settings_.agent.service.value},
-                                   {"clock", Loop::Now().time_since_epoch().count()}};
+                                   {"incarnation", incarnation_}};
     reply.Send({200, "application/json", {}, status.dump()});
   }
 
--- a/src/figmilld/agent_gate.cc
+++ b/src/figmilld/agent_gate.cc
@@ -9,7 +9,6 @@
 struct Relay {
   std::shared_ptr<HttpReply> reply;
   Incarnation incarnation = 0;
-  RequestId request;
   std::uint64_t bytes = 0;
   bool begun = false;
 };
@@ -18,8 +17,6 @@
   FrameHead frame;
   frame.status = head.status;
   frame.incarnation = relay.incarnation;
-  frame.request = relay.request;
-  frame.clock = Loop::Now();
   for (const Header& header : head.headers) {
     if (header.name == "Content-Type" || header.name == "content-type") {
       frame.content_type = header.value;
@@ -76,7 +73,7 @@
                   {"X-Repeatable", dispatch.repeatable ? "true" : "false"}};
   call.body = std::move(request.body);
   call.fresh_connection = !dispatch.repeatable;
-  auto relay = std::make_shared<Relay>(Relay{reply, incarnation_, dispatch.request});
+  auto relay = std::make_shared<Relay>(Relay{reply, incarnation_});
   const CancelCall cancel = client_.Start(std::move(call), [relay](HttpEvent event) {
     std::visit(Overloaded{
                    [&](const HttpHead& head) { TellHead(*relay, head); },
--- a/src/figmilld/dispatch.cc
+++ b/src/figmilld/dispatch.cc
@@ -27,12 +27,6 @@
   return value.empty() || ReadNumber(value, into);
 }
 
-template <typename Number>
-bool ReadHeader(const HttpRequest& request, std::string_view name, std::optional<Number>& into) {
-  const std::string_view value = request.HeaderOr(name);
-  return value.empty() || ReadNumber(value, into.emplace());
-}
-
 Result<Ok> ReadNumbers(const HttpRequest& request, DispatchHeaders& dispatch) {
   std::uint64_t milliseconds = 60'000;
   const auto bad = [&](std::string_view name) { return BadHeader(name, request.HeaderOr(name)); };
@@ -44,9 +38,6 @@
   if (!ReadHeader(request, "Figmill-Resume-From", dispatch.resume_from)) {
     return bad("Figmill-Resume-From");
   }
-  std::optional<Duration::rep> stamp;
-  if (!ReadHeader(request, "Figmill-Stamp", stamp)) return bad("Figmill-Stamp");
-  if (stamp) dispatch.stamp = Time(Duration(*stamp));
   if (!ReadHeader(request, "Figmill-Orders", dispatch.orders)) return bad("Figmill-Orders");
   if (!ReadHeader(request, "Figmill-Epoch", dispatch.epoch)) return bad("Figmill-Epoch");
   dispatch.time_left = std::chrono::milliseconds(milliseconds);
@@ -127,15 +118,9 @@
       {"Figmill-Repeatable", dispatch.repeatable ? "true" : "false"},
       {"Figmill-Deadline-Ms", std::to_string(std::max<std::int64_t>(0, milliseconds))},
       {"Figmill-Tokens", std::to_string(dispatch.tokens)},
+      {"Figmill-Resume-From", std::to_string(dispatch.resume_from)},
       {"Figmill-Orders", std::to_string(dispatch.orders)},
   };
-  if (dispatch.resume_from) {
-    headers.push_back({"Figmill-Resume-From", std::to_string(*dispatch.resume_from)});
-  }
-  if (dispatch.stamp) {
-    const auto micros = dispatch.stamp->time_since_epoch().count();
-    headers.push_back({"Figmill-Stamp", std::to_string(micros)});
-  }
   if (!dispatch.item.empty()) headers.push_back({"Figmill-Item", dispatch.item.value});
   if (!dispatch.traceparent.empty()) headers.push_back({"traceparent", dispatch.traceparent});
   if (dispatch.work == WorkClass::kBatch) {
--- a/src/figmilld/dispatch.h
+++ b/src/figmilld/dispatch.h
@@ -5,7 +5,6 @@
 
 #include <cstdint>
 #include <functional>
-#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -29,10 +28,7 @@
   bool repeatable = true;
   Duration time_left{60'000'000};
   std::uint64_t tokens = 0;       // at most, in the answer; 0 when unknown
-  // Set: go on with this request's stream after so many tokens; never run it anew.
-  std::optional<std::uint64_t> resume_from;
-  // The agent's clock as the sender last heard it; bounds a late copy's age.
-  std::optional<Time> stamp;
+  std::uint64_t resume_from = 0;  // tokens that the sender holds already
   Sequence orders = 0;
   NodeId owner;     // batch only
   Epoch epoch = 0;  // batch only
--- a/src/figmilld/frames.cc
+++ b/src/figmilld/frames.cc
@@ -46,8 +46,6 @@
   head.online_running = body.at("online_running").get<std::uint32_t>();
   head.batch_running = body.at("batch_running").get<std::uint32_t>();
   head.room = body.at("room").get<std::uint32_t>();
-  head.request.value = body.at("request").get<std::string>();
-  head.clock = Time(Duration(body.at("clock").get<Duration::rep>()));
   return Frame{head};
 }
 
@@ -85,9 +83,7 @@
           {"orders", head.orders},
           {"online_running", head.online_running},
           {"batch_running", head.batch_running},
-          {"room", head.room},
-          {"request", head.request.value},
-          {"clock", head.clock.time_since_epoch().count()}};
+          {"room", head.room}};
 }
 
 json ToJson(const FrameEnd& end) {
--- a/src/figmilld/frames.h
+++ b/src/figmilld/frames.h
@@ -25,8 +25,6 @@
   std::uint32_t online_running = 0;
   std::uint32_t batch_running = 0;
   std::uint32_t room = 0;  // further batch items the agent would queue
-  RequestId request;       // whose answer this is
-  Time clock{};            // the agent's
 };
 struct FrameData {
   std::string bytes;
