--- a/include/figmill/gate.h
+++ b/include/figmill/gate.h
@@ -33,8 +33,8 @@
   // Set: take up the stream of this request id after so many tokens; it is
   // never started anew.
   std::optional<std::uint64_t> resume_from;
-  // This agent's clock as the sender last heard it: how old a copy of the
-  // dispatch is at most. Clocks of two hosts are never compared.
+  // This agent's clock as the sender heard it before it sent: no copy of the
+  // dispatch is older. Clocks of two hosts are never compared.
   std::optional<Time> stamp;
   NodeId owner;  // batch: holder of the job's lease
   JobId job;
@@ -70,8 +70,9 @@
 struct PeerGone {
   Arrival arrival = 0;
 };
-// Asks for a promise that the request never starts here. `stamp` is that of the
-// dispatch: without it, or with one too old, the promise may have to be refused.
+// Asks for a promise that the request never starts here. `stamp` is a time, on
+// this agent's clock, before the dispatch was sent: without it, or with one too
+// old, the promise may have to be refused.
 struct Revoke {
   RequestId request;
   Incarnation incarnation = 0;
@@ -119,21 +120,29 @@
   Arrival adopted = 0;
 };
 // Stop the stream at the backend server; no event of it counts until
-// BackendStopped.
+// BackendStopped. `keep`: it will be taken up again, so keep what it takes.
 struct CancelBackend {
   RequestId request;
+  bool keep = false;
 };
-// Final answer to an arrival whose answer is not coming; `error.ran` is true.
+// The request is over, without a whole answer; `error.ran` is true. `arrival` is
+// 0 when nobody waits for it.
 struct Refuse {
   Arrival arrival = 0;
   RequestId request;
   Error error;
 };
-// The arrival has its whole answer.
+// The request is over and its answer is whole; `arrival` as above.
 struct Finish {
   Arrival arrival = 0;
   RequestId request;
 };
+// Final answer to an arrival; the request itself goes on without it.
+struct Detach {
+  Arrival arrival = 0;
+  RequestId request;
+  Error error;
+};
 // The answer to Revoke or Cancel.
 struct OrderAnswer {
   RequestId request;
@@ -141,7 +150,7 @@
 };
 
 using GateAction =
-    std::variant<StartBackend, ResumeBackend, CancelBackend, Refuse, Finish, OrderAnswer>;
+    std::variant<StartBackend, ResumeBackend, CancelBackend, Refuse, Finish, Detach, OrderAnswer>;
 
 // --- The gate ------------------------------------------------------------------------
 
@@ -159,6 +168,7 @@
   Duration remember{120'000'000};
   Duration owner_silence{10'000'000};  // a lease's term
   Duration keep_for_resume{10'000'000};
+  Duration batch_patience{60'000'000};  // longest wait of a batch item in one go
 };
 
 struct GateCounts {
@@ -193,15 +203,4 @@
   std::unique_ptr<Impl> impl_;
 };
 
-// What a sender knows of an agent's clock, of one incarnation. Its stamps don't
-// run ahead of that clock: the agent read its time before the sender heard it.
-class AgentClock {
- public:
-  void Heard(Time agent_time, Time now);
-  [[nodiscard]] std::optional<Time> Stamp(Time now) const;
-
- private:
-  std::optional<Duration> ahead_;
-};
-
 }  // namespace figmill
--- a/src/gate/admission_limit.cc
+++ b/src/gate/admission_limit.cc
@@ -1,45 +1,36 @@
 #include "gate/admission_limit.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace figmill::detail {
 namespace {
 
-constexpr Duration kWindow{250'000};
-constexpr double kFirstLimit = 32;
+constexpr double kFirstLimit = 32;  // until more has been seen to run
+// The line is trusted up to so many times the concurrency that was measured. A
+// fit to a quiet engine has hardly a slope and would let a burst in at once.
+constexpr double kReach = 2;
+constexpr double kPeakDecay = 0.9999;  // per gap
+constexpr double kQuantile = 0.95;
+constexpr double kQuantileStep = 0.0005;  // of the predicted gap, per gap
 
 }  // namespace
 
 AdmissionLimit::AdmissionLimit(Duration target_gap, int max_running)
-    : target_gap_(target_gap),
-      max_running_(max_running),
-      limit_(std::min<double>(kFirstLimit, max_running)) {}
-
-void AdmissionLimit::AddGap(Duration gap, int running, Time now) {
-  if (!window_start_) window_start_ = now;
-  gap_sum_ += static_cast<double>(gap.count());
-  running_sum_ += running;
-  ++samples_;
-  if (now >= *window_start_ + kWindow) CloseWindow(now);
-}
-
-void AdmissionLimit::CloseWindow(Time now) {
-  const double gap = gap_sum_ / samples_;
-  const double running = running_sum_ / samples_;
-  const double ratio = static_cast<double>(target_gap_.count()) / std::max(gap, 1.0);
-  if (ratio < 1) {
-    limit_ = running * ratio;
-  } else if (running >= 0.8 * limit_) {
-    limit_ = std::max(limit_, std::min(running * ratio, limit_ * 1.25));
-  }
-  limit_ = std::clamp<double>(limit_, 1, max_running_);
-  window_start_ = now;
-  gap_sum_ = running_sum_ = 0;
-  samples_ = 0;
+    : target_gap_(target_gap), max_running_(max_running) {}
+
+void AdmissionLimit::AddGap(Duration gap, int running) {
+  model_.Add(running, gap);
+  peak_ = std::max<double>(running, peak_ * kPeakDecay);
+  const double line = model_.Predict(running);
+  const bool above = static_cast<double>(gap.count()) - line > spread_us_;
+  spread_us_ += kQuantileStep * line * (above ? kQuantile : kQuantile - 1);
 }
 
 int AdmissionLimit::limit() const {
-  return static_cast<int>(limit_);
+  const double fitted = model_.RunningAt(static_cast<double>(target_gap_.count()) - spread_us_);
+  const double trusted = std::max(kFirstLimit, kReach * peak_);
+  return static_cast<int>(std::clamp<double>(std::min(fitted, trusted), 1, max_running_));
 }
 
 }  // namespace figmill::detail
--- a/src/gate/gate.cc
+++ b/src/gate/gate.cc
@@ -15,7 +15,7 @@
 }
 
 detail::YieldConfig YieldOf(const GateConfig& config) {
-  return {config.batch_harm, TargetGap(config), config.max_running};
+  return {config.batch_harm, TargetGap(config), config.token_streams};
 }
 
 }  // namespace
@@ -24,6 +24,7 @@
     : config_(config),
       table_(static_cast<std::size_t>(config.max_records), config.remember),
       limit_(TargetGap(config), config.max_running),
+      places_(config.max_running),
       yield_(YieldOf(config)) {}
 
 std::vector<GateAction> Gate::Impl::Step(Time now, const GateEvent& event) {
@@ -46,8 +47,8 @@
   counts.batch_running = batch_running_;
   counts.batch_queued = batch_queue_.fresh();
   counts.batch_paused = batch_queue_.paused();
-  counts.online_limit = limit_.limit();
-  counts.batch_limit = yield_.Limit(model_, OnlineWanted(), now_);
+  counts.online_limit = OnlineLimit();
+  counts.batch_limit = yield_.Limit(model_, OnlineWanted(), places_.count(), now_);
   const int waiting = counts.batch_queued + counts.batch_paused;
   counts.room = leaving_ ? 0 : std::max(0, config_.ready_batch - waiting);
   counts.stops = stops_;
@@ -72,13 +73,4 @@
   return impl_->counts();
 }
 
-void AgentClock::Heard(Time agent_time, Time now) {
-  ahead_ = agent_time - now;
-}
-
-std::optional<Time> AgentClock::Stamp(Time now) const {
-  if (!ahead_) return std::nullopt;
-  return now + *ahead_;
-}
-
 }  // namespace figmill
--- a/src/gate/gate_arrivals.cc
+++ b/src/gate/gate_arrivals.cc
@@ -79,14 +79,16 @@
     if (batch_queue_.fresh() < 2 * config_.ready_batch) return std::nullopt;
     return Overloaded("the batch queue is full");
   }
-  const bool at_once = online_queue_.empty() && online_running_ < limit_.limit();
+  const bool at_once = online_queue_.empty() && online_running_ < OnlineLimit();
   if (at_once) return std::nullopt;
   if (online_queue_.size() >= config_.max_online_queue) {
     return Overloaded("the online queue is full");
   }
+  // Half the target is left for the prompt and for what the prediction misses.
   const Duration wait = ExpectedWait();
-  if (wait > config_.target.first_token)
-    return Overloaded("the wait passes the first-token target");
+  if (wait > config_.target.first_token / 2) {
+    return Overloaded("the wait would pass the first-token target");
+  }
   if (wait + ExpectedService(dispatch) > dispatch.time_left) {
     return Overloaded("the wait passes the deadline");
   }
@@ -102,7 +104,7 @@
 void Gate::Impl::Enqueue(Arrival arrival, const Dispatch& dispatch) {
   table_.Open(dispatch.request);
   Stream stream{dispatch, arrival};
-  stream.arrived = now_;
+  stream.waits_since = now_;
   stream.deadline = now_ + dispatch.time_left;
   arrivals_[arrival] = dispatch.request;
   streams_.insert_or_assign(dispatch.request, std::move(stream));
@@ -121,12 +123,11 @@
   if (stream == nullptr) {
     table_.Open(dispatch.request);
     Stream fresh{dispatch};
-    fresh.arrived = now_;
     fresh.ran = true;
     stream = &streams_.insert_or_assign(dispatch.request, std::move(fresh)).first->second;
   } else if (stream->arrival != 0) {
     arrivals_.erase(stream->arrival);
-    Emit(Refuse{stream->arrival, dispatch.request,
+    Emit(Detach{stream->arrival, dispatch.request,
                 Error{ErrorKind::kFenced, "another sender has taken the stream up",
                       stream->ran ? Ran::kYes : Ran::kUnknown}});
   }
--- a/src/gate/gate_ends.cc
+++ b/src/gate/gate_ends.cc
@@ -46,7 +46,7 @@
   const Duration gap = (now_ - stream->last_token) / event.tokens;
   const bool prompt_read = reading_ > 0 || last_reading_ >= stream->last_token;
   if (!prompt_read) model_.Add(running, gap);
-  if (online) limit_.AddGap(gap, online_running_, now_);
+  if (online) limit_.AddGap(gap, running);
   stream->last_token = now_;
 }
 
@@ -56,8 +56,9 @@
   const Duration whole = now_ - stream->started;
   const bool online = stream->dispatch.work_class == WorkClass::kOnline;
   if (!config_.token_streams) {
-    model_.Add(online_running_ + batch_running_, whole);
-    if (online) limit_.AddGap(whole, online_running_, now_);
+    const int running = online_running_ + batch_running_;
+    model_.Add(running, whole);
+    if (online) limit_.AddGap(whole, running);
   }
   if (online && !stream->adopted) {
     estimate_.AddEnded(whole, stream->tokens, stream->dispatch.tokens);
@@ -142,15 +143,13 @@
   online_queue_.Remove(id);
   batch_queue_.Remove(id);
   table_.Close(id, stream.ran ? detail::Fate::kFinished : detail::Fate::kNeverStarted, now_);
-  if (stream.arrival != 0) {
-    arrivals_.erase(stream.arrival);
-    if (error) {
-      if (!stream.ran) error->ran = Ran::kNo;
-      if (stream.ran && error->ran == Ran::kNo) error->ran = Ran::kYes;
-      Emit(Refuse{stream.arrival, id, *std::move(error)});
-    } else {
-      Emit(Finish{stream.arrival, id});
-    }
+  arrivals_.erase(stream.arrival);
+  if (error) {
+    if (!stream.ran) error->ran = Ran::kNo;
+    if (stream.ran && error->ran == Ran::kNo) error->ran = Ran::kYes;
+    Emit(Refuse{stream.arrival, id, *std::move(error)});
+  } else {
+    Emit(Finish{stream.arrival, id});
   }
   streams_.erase(found);
 }
@@ -191,11 +190,22 @@
   });
   for (const RequestId& request : silent) {
     Stream& stream = *Find(request);
-    Emit(Refuse{stream.arrival, request,
-                Error{ErrorKind::kCancelled, "the job's owner is silent",
-                      stream.ran ? Ran::kYes : Ran::kNo}});
+    if (stream.phase != Phase::kRunning) {
+      End(request, Error{ErrorKind::kCancelled, "the job's owner is silent"});
+      continue;
+    }
+    Emit(Detach{stream.arrival, request,
+                Error{ErrorKind::kCancelled, "the job's owner is silent", Ran::kYes}});
     DropPeer(stream);
   }
+  // What goes wrong without it: online never pauses here, and an item waits for
+  // hours though other agents have room. Its owner sends it elsewhere.
+  for (const RequestId& request : Select([&](const Stream& s) {
+         return s.dispatch.work_class == WorkClass::kBatch && s.phase != Phase::kRunning &&
+                now_ >= s.waits_since + config_.batch_patience;
+       })) {
+    End(request, Overloaded("online has left no room for batch"));
+  }
   for (const RequestId& request :
        Select([&](const Stream& s) { return s.give_up && now_ >= *s.give_up; })) {
     Stop(request, Error{ErrorKind::kCancelled, "nobody took the stream up"});
--- a/src/gate/gate_impl.h
+++ b/src/gate/gate_impl.h
@@ -10,6 +10,7 @@
 #include "gate/admission_limit.h"
 #include "gate/batch_queue.h"
 #include "gate/dispatch_table.h"
+#include "gate/engine_places.h"
 #include "gate/online_queue.h"
 #include "gate/service_estimate.h"
 #include "gate/step_model.h"
@@ -34,7 +35,8 @@
     Phase phase = Phase::kQueued;
     bool ran = false;      // the backend server may have seen it
     bool reading = false;  // started or resumed, no token since
-    Time arrived, deadline, started, last_token;
+    Time deadline, started, last_token;
+    Time waits_since;  // queued or paused
     std::uint64_t tokens = 0;
     int starts = 0;        // StartBackend so far
     bool adopted = false;  // taken up for a sender that knew of it
@@ -75,6 +77,7 @@
   void Start(Stream& stream);
   void Pause(Stream& stream);
   [[nodiscard]] bool MayStop(const Stream& stream) const;
+  [[nodiscard]] int OnlineLimit() const;
   [[nodiscard]] int OnlineWanted() const;
   [[nodiscard]] Duration ExpectedService(const Dispatch& dispatch) const;
   [[nodiscard]] Duration ExpectedWait() const;
@@ -106,6 +109,7 @@
   detail::DispatchTable table_;
   detail::StepModel model_;
   detail::AdmissionLimit limit_;
+  detail::EnginePlaces places_;
   detail::YieldPolicy yield_;
   detail::ServiceEstimate estimate_;
   detail::OnlineQueue online_queue_;
--- a/src/gate/gate_orders.cc
+++ b/src/gate/gate_orders.cc
@@ -103,7 +103,8 @@
 }
 
 void Gate::Impl::On(const LoadReported& event) {
-  yield_.Report(event.load, batch_running_, now_);
+  yield_.Report(event.load, now_);
+  places_.Report(event.load, online_running_ + batch_running_, now_);
   Schedule();
 }
 
--- a/src/gate/gate_schedule.cc
+++ b/src/gate/gate_schedule.cc
@@ -22,8 +22,12 @@
 // Online that runs or could run now. What waits beyond the limit needs no more
 // room than the limit has.
 int Gate::Impl::OnlineWanted() const {
-  return std::min(online_running_ + online_queue_.size(),
-                  std::max(online_running_, limit_.limit()));
+  return std::min(online_running_ + online_queue_.size(), std::max(online_running_, OnlineLimit()));
+}
+
+// Where the engine queues, more online would wait in there, unseen.
+int Gate::Impl::OnlineLimit() const {
+  return std::min(limit_.limit(), places_.count());
 }
 
 bool Gate::Impl::MayStop(const Stream& stream) const {
@@ -39,7 +43,7 @@
   const bool arrived = online > online_before_;
   online_before_ = online;
   if (online == 0 || batch_running_ == 0) return;
-  const int limit = yield_.Limit(model_, online, now_);
+  const int limit = yield_.Limit(model_, online, places_.count(), now_);
   if (batch_running_ <= (arrived ? limit : limit + limit / 4 + 1)) return;
   std::vector<Stream*> candidates;
   for (auto& [id, stream] : streams_) {
@@ -56,10 +60,11 @@
 }
 
 void Gate::Impl::Pause(Stream& stream) {
-  Emit(CancelBackend{stream.dispatch.request});
+  Emit(CancelBackend{stream.dispatch.request, true});
   LeaveRunning(stream);
   stream.phase = Phase::kPaused;
   stream.stop_asked = now_;
+  stream.waits_since = now_;
   ++stops_;
   batch_queue_.PushPaused(
       {stream.dispatch.request, stream.tokens + stream.dispatch.prompt_tokens, false});
@@ -69,14 +74,16 @@
   for (const RequestId& request : online_queue_.TakeHopeless(now_)) {
     End(request, Overloaded("the wait would pass the deadline"));
   }
-  while (!online_queue_.empty() && online_running_ < limit_.limit()) {
+  while (!online_queue_.empty() && online_running_ < OnlineLimit()) {
     Start(*Find(online_queue_.Pop()));
   }
 }
 
 void Gate::Impl::StartBatch() {
   if (!online_queue_.empty()) return;
-  int may_start = yield_.MayStart(model_, OnlineWanted(), batch_running_, batch_reading_, now_);
+  const int online = OnlineWanted();
+  const int room = yield_.Limit(model_, online, places_.count(), now_) - batch_running_;
+  int may_start = yield_.MayStart(model_, {online, batch_running_, batch_reading_}, room, now_);
   for (; may_start > 0; --may_start) {
     const auto next = batch_queue_.Pop(unstoppable_ < kMaxUnstoppable);
     if (!next) return;
@@ -113,17 +120,17 @@
 void Gate::Impl::EnterRunning(Stream& stream) {
   stream.phase = Phase::kRunning;
   stream.ran = true;
-  stream.reading = true;
+  stream.reading = config_.token_streams;
   stream.started = now_;
   stream.last_token = now_;
   stream.stop_asked.reset();
-  ++reading_;
+  if (stream.reading) ++reading_;
   if (stream.dispatch.work_class == WorkClass::kOnline) {
     ++online_running_;
     return;
   }
   ++batch_running_;
-  ++batch_reading_;
+  if (stream.reading) ++batch_reading_;
   if (!stream.dispatch.repeatable) ++unstoppable_;
 }
 
@@ -150,8 +157,10 @@
   return estimate_.Expect(dispatch.tokens, model_.Predict(std::max(1, online_running_)));
 }
 
+// A limit that has just fallen lets nobody in until enough have ended.
 Duration Gate::Impl::ExpectedWait() const {
-  return detail::PredictedWait(online_queue_.size(), limit_.limit(), estimate_.whole());
+  const int over = std::max(0, online_running_ - OnlineLimit());
+  return detail::PredictedWait(online_queue_.size() + over, OnlineLimit(), estimate_.whole());
 }
 
 }  // namespace figmill
--- a/src/gate/yield_policy.cc
+++ b/src/gate/yield_policy.cc
@@ -20,24 +20,19 @@
 
 }  // namespace
 
-void YieldPolicy::Report(const EngineLoad& load, int batch_running, Time now) {
+void YieldPolicy::Report(const EngineLoad& load, Time now) {
   load_ = load;
   reported_at_ = now;
-  if (load.waiting > 0) {
-    batch_cap_ = std::max(1, batch_running - static_cast<int>(load.waiting));
-  } else if (batch_cap_) {
-    ++*batch_cap_;
-  }
 }
 
 bool YieldPolicy::MemoryShort(Time now) const {
   return reported_at_ && now - *reported_at_ <= kReportLife && load_.kv_used >= kMemoryHigh;
 }
 
-int YieldPolicy::Limit(const StepModel& model, int online, Time now) const {
-  const auto target = static_cast<double>(config_.target_gap.count());
-  const double into_target = model.RunningAt(target) - online;
-  double limit = std::min<double>(into_target, config_.max_running - online);
+int YieldPolicy::Limit(const StepModel& model, int online, int places, Time now) const {
+  const double into_target =
+      model.RunningAt(static_cast<double>(config_.target_gap.count())) - online;
+  double limit = std::min<double>(into_target, places - online);
   if (online > 0) {
     const double unnoticed = config_.harm * model.Predict(online) / model.slope_us();
     limit = MemoryShort(now) ? 0 : std::min(limit, unnoticed);
@@ -45,7 +40,6 @@
     // One stream always may run alone, or a slow engine would never be used.
     limit = std::max(limit, 1.0);
   }
-  if (batch_cap_) limit = std::min<double>(limit, *batch_cap_);
   return std::max(0, static_cast<int>(std::floor(limit)));
 }
 
@@ -59,13 +53,13 @@
   }
 }
 
-int YieldPolicy::MayStart(const StepModel& model, int online, int running, int reading,
-                          Time now) const {
+int YieldPolicy::MayStart(const StepModel& model, const YieldLoad& load, int room, Time now) const {
   if (MemoryShort(now)) return 0;
-  const int room = Limit(model, online, now) - running;
-  if (online == 0) return std::min(room, static_cast<int>(window_) - reading);
-  const Duration spacing{std::llround(kStepsPerStart * model.Predict(online + running))};
-  if (reading > 0 || (last_start_ && now < *last_start_ + spacing)) return 0;
+  if (!config_.reads_prompts) return room;
+  if (load.online == 0) return std::min(room, static_cast<int>(window_) - load.batch_reading);
+  const Duration spacing{
+      std::llround(kStepsPerStart * model.Predict(load.online + load.batch_running))};
+  if (load.batch_reading > 0 || (last_start_ && now < *last_start_ + spacing)) return 0;
   return std::min(room, 1);
 }
 
