--- a/test/standin-engine-test.cc
+++ b/test/standin-engine-test.cc
@@ -157,14 +157,14 @@
   const EngineCosts costs;
   EngineModel model(costs);
   Time now{};
-  constexpr std::uint64_t runs = 960;
-  constexpr std::uint64_t answer = 64;
-  for (RunId run = 0; run < runs; ++run) {
-    REQUIRE(IsOk(model.Submit(now, Spec(run, Words(100, "r" + std::to_string(run)), answer))));
+  constexpr std::uint64_t kRuns = 960;
+  constexpr std::uint64_t kAnswer = 64;
+  for (RunId run = 0; run < kRuns; ++run) {
+    REQUIRE(IsOk(model.Submit(now, Spec(run, Words(100, "r" + std::to_string(run)), kAnswer))));
   }
   Drain(model, now);
   const double seconds = static_cast<double>(now.time_since_epoch().count()) / 1e6;
-  const double share = runs * answer / seconds / TokensPerSecondBound(costs, 100, answer);
+  const double share = kRuns * kAnswer / seconds / TokensPerSecondBound(costs, 100, kAnswer);
   CHECK(share <= 1.0);
   CHECK(share >= 0.95);
 }
