--- a/include/figmill/gate.h
+++ b/include/figmill/gate.h
@@ -86,8 +86,9 @@
   JobId job;
   Epoch epoch = 0;
 };
-// Any sign of life of a batch owner other than a dispatch.
-struct OwnerHeard {
+// Membership has lost a batch owner: its host may be gone without a word, and
+// then its connections still look open.
+struct OwnerSilent {
   NodeId owner;
 };
 struct LeavingChanged {
@@ -101,7 +102,7 @@
 
 using GateEvent =
     std::variant<Arrived, BackendTokens, BackendEnded, BackendFailed, BackendStopped, PeerGone,
-                 Revoke, Cancel, Supersede, OwnerHeard, LeavingChanged, LoadReported, Tick>;
+                 Revoke, Cancel, Supersede, OwnerSilent, LeavingChanged, LoadReported, Tick>;
 
 // --- Actions -------------------------------------------------------------------------
 
@@ -166,7 +167,6 @@
   double batch_harm = 0.04;  // share by which batch may stretch online's token gap
   int max_records = 32'768;  // finished and revoked ids remembered
   Duration remember{120'000'000};
-  Duration owner_silence{10'000'000};  // a lease's term
   Duration keep_for_resume{10'000'000};
   Duration batch_patience{60'000'000};  // longest wait of a batch item in one go
 };
--- a/include/figmill/platform.h
+++ b/include/figmill/platform.h
@@ -136,6 +136,7 @@
   std::string content_type;
   std::string body;
   std::vector<std::pair<std::string, std::string>> headers;
+  bool repeatable = true;  // otherwise the port never sends it a second time itself
 };
 
 struct AnswerHead {
--- /dev/null
+++ b/src/figmilld/agent_answer.cc
@@ -0,0 +1,36 @@
+#include "figmilld/agent_answer.h"
+
+namespace figmill {
+
+bool AgentAnswer::Begin(const FrameHead& head) {
+  if (std::exchange(begun_, true)) return status_ == head.status;
+  status_ = head.status;
+  reply_->Begin({200, std::string(kFramesType), {}, Encode(head)});
+  return true;
+}
+
+void AgentAnswer::Data(std::string bytes) {
+  if (bytes.empty()) return;
+  bytes_ += bytes.size();
+  reply_->Write(Encode(FrameData{std::move(bytes)}));
+}
+
+void AgentAnswer::KeepAlive() {
+  if (begun_) reply_->Write(Encode(FrameData{}));
+}
+
+void AgentAnswer::End(std::uint64_t tokens, std::uint64_t cached_tokens) {
+  reply_->Write(Encode(FrameEnd{bytes_, tokens, cached_tokens}));
+  reply_->End();
+}
+
+void AgentAnswer::Fail(const Error& error) {
+  if (!begun_) {
+    reply_->Send(ProblemOf(error));
+    return;
+  }
+  reply_->Write(Encode(FrameFailure{error}));
+  reply_->End();
+}
+
+}  // namespace figmill
--- a/src/figmilld/dispatch.cc
+++ b/src/figmilld/dispatch.cc
@@ -2,12 +2,14 @@
 
 #include <charconv>
 #include <memory>
+#include <nlohmann/json.hpp>
 
 namespace figmill {
 namespace {
 
 // Longer than any silence of an engine that still works on the answer.
 constexpr Duration kLongestSilence{120'000'000};
+constexpr Duration kStatusTimeout{1'000'000};
 
 template <typename Number>
 bool ReadNumber(std::string_view text, Number& into) {
@@ -27,6 +29,12 @@
   return value.empty() || ReadNumber(value, into);
 }
 
+bool ReadOptional(const HttpRequest& request, std::string_view name,
+                  std::optional<std::uint64_t>& into) {
+  if (request.HeaderOr(name).empty()) return true;
+  return ReadHeader(request, name, into.emplace());
+}
+
 Result<Ok> ReadNumbers(const HttpRequest& request, DispatchHeaders& dispatch) {
   std::uint64_t milliseconds = 60'000;
   const auto bad = [&](std::string_view name) { return BadHeader(name, request.HeaderOr(name)); };
@@ -35,9 +43,10 @@
   }
   if (!ReadHeader(request, "Figmill-Deadline-Ms", milliseconds)) return bad("Figmill-Deadline-Ms");
   if (!ReadHeader(request, "Figmill-Tokens", dispatch.tokens)) return bad("Figmill-Tokens");
-  if (!ReadHeader(request, "Figmill-Resume-From", dispatch.resume_from)) {
+  if (!ReadOptional(request, "Figmill-Resume-From", dispatch.resume_from)) {
     return bad("Figmill-Resume-From");
   }
+  if (!ReadOptional(request, "Figmill-Stamp", dispatch.stamp)) return bad("Figmill-Stamp");
   if (!ReadHeader(request, "Figmill-Orders", dispatch.orders)) return bad("Figmill-Orders");
   if (!ReadHeader(request, "Figmill-Epoch", dispatch.epoch)) return bad("Figmill-Epoch");
   dispatch.time_left = std::chrono::milliseconds(milliseconds);
@@ -118,9 +127,12 @@
       {"Figmill-Repeatable", dispatch.repeatable ? "true" : "false"},
       {"Figmill-Deadline-Ms", std::to_string(std::max<std::int64_t>(0, milliseconds))},
       {"Figmill-Tokens", std::to_string(dispatch.tokens)},
-      {"Figmill-Resume-From", std::to_string(dispatch.resume_from)},
       {"Figmill-Orders", std::to_string(dispatch.orders)},
   };
+  if (dispatch.resume_from) {
+    headers.push_back({"Figmill-Resume-From", std::to_string(*dispatch.resume_from)});
+  }
+  if (dispatch.stamp) headers.push_back({"Figmill-Stamp", std::to_string(*dispatch.stamp)});
   if (!dispatch.item.empty()) headers.push_back({"Figmill-Item", dispatch.item.value});
   if (!dispatch.traceparent.empty()) headers.push_back({"traceparent", dispatch.traceparent});
   if (dispatch.work == WorkClass::kBatch) {
@@ -154,8 +166,10 @@
   return dispatch;
 }
 
-CancelCall SendDispatch(HttpClient& client, const Address& agent, const DispatchHeaders& dispatch,
-                        std::string body, std::function<void(DispatchEvent)> on_event) {
+namespace {
+
+CancelCall SendNow(HttpClient& client, const Address& agent, const DispatchHeaders& dispatch,
+                   std::string body, std::function<void(DispatchEvent)> on_event) {
   HttpCall call;
   call.method = "POST";
   call.to = agent;
@@ -178,4 +192,37 @@
   });
 }
 
+// The stamp of an agent's status document.
+std::optional<std::uint64_t> StampOf(const Result<HttpResponse>& status) {
+  if (!IsOk(status) || ValueOf(status).status != 200) return std::nullopt;
+  const auto body = nlohmann::json::parse(ValueOf(status).body, nullptr, false);
+  if (!body.is_object() || !body.contains("stamp")) return std::nullopt;
+  return body["stamp"].get<std::uint64_t>();
+}
+
+}  // namespace
+
+CancelCall SendDispatch(HttpClient& client, const Address& agent, const DispatchHeaders& dispatch,
+                        std::string body, std::function<void(DispatchEvent)> on_event) {
+  if (dispatch.repeatable || dispatch.resume_from || dispatch.stamp) {
+    return SendNow(client, agent, dispatch, std::move(body), std::move(on_event));
+  }
+  HttpCall ask;
+  ask.to = agent;
+  ask.target = "/agent/status";
+  ask.total_timeout = kStatusTimeout;
+  auto cancel = std::make_shared<CancelCall>();
+  *cancel = client.Fetch(std::move(ask), [&client, agent, headers = dispatch,
+                                          body = std::move(body), on_event = std::move(on_event),
+                                          cancel](const Result<HttpResponse>& status) mutable {
+    headers.stamp = StampOf(status);
+    if (!headers.stamp) {
+      on_event(DispatchBroke{false, "the agent didn't tell its stamp"});
+      return;
+    }
+    *cancel = SendNow(client, agent, headers, std::move(body), std::move(on_event));
+  });
+  return [cancel] { (*cancel)(); };
+}
+
 }  // namespace figmill
--- a/src/figmilld/dispatch.h
+++ b/src/figmilld/dispatch.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -27,12 +28,17 @@
   ItemKey item;
   bool repeatable = true;
   Duration time_left{60'000'000};
-  std::uint64_t tokens = 0;       // at most, in the answer; 0 when unknown
-  std::uint64_t resume_from = 0;  // tokens that the sender holds already
+  std::uint64_t tokens = 0;  // at most, in the answer; 0 when unknown
+  // Set: take the stream of this request id up after so many tokens, which the
+  // sender holds already; never start it.
+  std::optional<std::uint64_t> resume_from;
   Sequence orders = 0;
   NodeId owner;     // batch only
   Epoch epoch = 0;  // batch only
   std::string traceparent;
+  // The agent's clock as read before this was sent, microseconds: a copy that
+  // the network delivers late is known by it (docs/PROTOCOLS.md).
+  std::optional<std::uint64_t> stamp;
 };
 [[nodiscard]] std::vector<Header> ToHeaders(const DispatchHeaders& dispatch);
 // Errors: kBadRequest naming the header.
@@ -51,7 +57,8 @@
 using DispatchEvent =
     std::variant<FrameHead, FrameData, FrameEnd, FrameFailure, DispatchRefused, DispatchBroke>;
 
-// Sends one dispatch. The last event is FrameEnd, FrameFailure, DispatchRefused
+// Sends one dispatch; one that may not be repeated asks the agent for its stamp
+// first, as the agent refuses it without. The last event is FrameEnd, FrameFailure, DispatchRefused
 // or DispatchBroke; a FrameEnd whose length is wrong arrives as DispatchBroke.
 // Calling the result hangs up, which the agent notices.
 CancelCall SendDispatch(HttpClient& client, const Address& agent, const DispatchHeaders& dispatch,
--- a/src/figmilld/frames.cc
+++ b/src/figmilld/frames.cc
@@ -46,6 +46,7 @@
   head.online_running = body.at("online_running").get<std::uint32_t>();
   head.batch_running = body.at("batch_running").get<std::uint32_t>();
   head.room = body.at("room").get<std::uint32_t>();
+  head.request.value = body.at("request").get<std::string>();
   return Frame{head};
 }
 
@@ -83,7 +84,8 @@
           {"orders", head.orders},
           {"online_running", head.online_running},
           {"batch_running", head.batch_running},
-          {"room", head.room}};
+          {"room", head.room},
+          {"request", head.request.value}};
 }
 
 json ToJson(const FrameEnd& end) {
--- a/src/figmilld/frames.h
+++ b/src/figmilld/frames.h
@@ -25,6 +25,7 @@
   std::uint32_t online_running = 0;
   std::uint32_t batch_running = 0;
   std::uint32_t room = 0;  // further batch items the agent would queue
+  RequestId request;       // whose answer this is
 };
 struct FrameData {
   std::string bytes;
--- /dev/null
+++ b/src/figmilld/sse.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// Server-sent events of a model engine's answer: one event a token, then a
+// final marker. Cuts the byte stream into whole events, so that a stream that
+// breaks off can be taken up at a token, and turns them into one JSON answer
+// for who asked for no stream.
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace figmill {
+
+inline constexpr std::string_view kDoneEvent = "data: [DONE]\n\n";
+
+class SseCutter {
+ public:
+  // The whole events that `bytes` completes, without the final marker.
+  [[nodiscard]] std::string Feed(std::string_view bytes);
+  [[nodiscard]] bool done() const { return done_; }
+
+ private:
+  std::string pending_;
+  bool done_ = false;
+};
+
+// Whole events in `events`.
+[[nodiscard]] std::uint32_t CountEvents(std::string_view events);
+
+struct TokenUsage {
+  std::uint64_t completion_tokens = 0;
+  std::uint64_t cached_tokens = 0;
+};
+
+// Joins the events of completions and chat completions.
+class AnswerAssembler {
+ public:
+  void Add(std::string_view events);
+  // The answer as it would have come without streaming; empty when no event
+  // could be read.
+  [[nodiscard]] std::string Whole() const;
+
+ private:
+  void AddEvent(std::string_view json);
+
+  std::string text_;
+  std::string last_event_;
+};
+
+// What the last of `events` says; zeros when it says nothing.
+[[nodiscard]] TokenUsage UsageOf(std::string_view events);
+
+}  // namespace figmill
--- a/src/gate/gate_arrivals.cc
+++ b/src/gate/gate_arrivals.cc
@@ -8,10 +8,7 @@
 
 void Gate::Impl::On(const Arrived& event) {
   const Dispatch& dispatch = event.dispatch;
-  if (dispatch.work_class == WorkClass::kBatch) {
-    owners_[dispatch.owner] = now_;
-    NoteNewEpoch(dispatch.job, dispatch.epoch);
-  }
+  if (dispatch.work_class == WorkClass::kBatch) NoteNewEpoch(dispatch.job, dispatch.epoch);
   if (std::optional<Error> refusal = RefusalOf(dispatch)) {
     // What goes wrong: the network delivers a second copy after this refusal
     // said "not run", and the copy runs. The tombstone stops it.
@@ -109,7 +106,8 @@
   arrivals_[arrival] = dispatch.request;
   streams_.insert_or_assign(dispatch.request, std::move(stream));
   if (dispatch.work_class == WorkClass::kOnline) {
-    online_queue_.Push({dispatch.request, now_ + dispatch.time_left, ExpectedService(dispatch)});
+    online_queue_.Push(
+        {dispatch.request, now_, now_ + dispatch.time_left, ExpectedService(dispatch)});
   } else {
     batch_queue_.Push({dispatch.request, dispatch.repeatable});
   }
--- a/src/gate/gate_ends.cc
+++ b/src/gate/gate_ends.cc
@@ -175,7 +175,7 @@
 
 void Gate::Impl::Expire() {
   table_.Sweep(now_);
-  ForgetOldOwners();
+  ForgetOldEpochs();
   const auto late = Select([&](const Stream& s) {
     // Keyed work outlives its sender's patience; the key's holder may ask again.
     const bool wanted_later = !s.dispatch.item.empty() || !s.dispatch.repeatable;
@@ -184,20 +184,6 @@
   for (const RequestId& request : late) {
     Stop(request, Error{ErrorKind::kDeadlineExceeded, "the deadline passed"});
   }
-  const auto silent = Select([&](const Stream& s) {
-    return s.arrival != 0 && s.dispatch.work_class == WorkClass::kBatch &&
-           !IsHeard(s.dispatch.owner);
-  });
-  for (const RequestId& request : silent) {
-    Stream& stream = *Find(request);
-    if (stream.phase != Phase::kRunning) {
-      End(request, Error{ErrorKind::kCancelled, "the job's owner is silent"});
-      continue;
-    }
-    Emit(Detach{stream.arrival, request,
-                Error{ErrorKind::kCancelled, "the job's owner is silent", Ran::kYes}});
-    DropPeer(stream);
-  }
   // What goes wrong without it: online never pauses here, and an item waits for
   // hours though other agents have room. Its owner sends it elsewhere.
   for (const RequestId& request : Select([&](const Stream& s) {
--- a/src/gate/gate_impl.h
+++ b/src/gate/gate_impl.h
@@ -57,7 +57,7 @@
   void On(const Revoke& event);
   void On(const Cancel& event);
   void On(const Supersede& event);
-  void On(const OwnerHeard& event);
+  void On(const OwnerSilent& event);
   void On(const LeavingChanged& event);
   void On(const LoadReported& event);
   void On(const Tick& event);
@@ -93,8 +93,7 @@
   void DropPeer(Stream& stream);
   void NoteNewEpoch(const JobId& job, Epoch epoch);
   void Expire();
-  void ForgetOldOwners();
-  [[nodiscard]] bool IsHeard(const NodeId& owner) const;
+  void ForgetOldEpochs();
   [[nodiscard]] Error Overloaded(std::string detail) const;
   // True, and answered, when the table may have forgotten the id.
   bool AnswerForgotten(const RequestId& request, std::optional<Time> stamp);
@@ -121,13 +120,12 @@
     Time seen;
   };
   std::unordered_map<JobId, JobEpoch> epochs_;
-  std::unordered_map<NodeId, Time> owners_;
   bool leaving_ = false;
   int online_running_ = 0, batch_running_ = 0, batch_reading_ = 0, reading_ = 0;
   int online_before_ = 0;  // wanted at the last step
   int unstoppable_ = 0;    // running batch streams that may not be stopped
   Time last_reading_{};
-  Time forgot_owners_{};
+  Time forgot_epochs_{};
   std::uint64_t stops_ = 0, reruns_ = 0;
   Time now_{};
   std::vector<GateAction> actions_;
--- a/src/gate/gate_orders.cc
+++ b/src/gate/gate_orders.cc
@@ -72,24 +72,33 @@
   }
 }
 
-void Gate::Impl::On(const OwnerHeard& event) {
-  owners_[event.owner] = now_;
-}
-
-bool Gate::Impl::IsHeard(const NodeId& owner) const {
-  const auto heard = owners_.find(owner);
-  return heard != owners_.end() && now_ < heard->second + config_.owner_silence;
+// What waits is dropped; what runs is kept a while, as for any lost sender.
+void Gate::Impl::On(const OwnerSilent& event) {
+  const auto lost = Select([&](const Stream& s) {
+    return s.arrival != 0 && s.dispatch.work_class == WorkClass::kBatch &&
+           s.dispatch.owner == event.owner;
+  });
+  for (const RequestId& request : lost) {
+    Stream& stream = *Find(request);
+    Error error{ErrorKind::kCancelled, "the job's owner is silent", Ran::kYes};
+    if (stream.phase != Phase::kRunning) {
+      End(request, std::move(error));
+      continue;
+    }
+    Emit(Detach{stream.arrival, request, std::move(error)});
+    DropPeer(stream);
+  }
+  Schedule();
 }
 
-// Both tables would otherwise grow by every job that ever ran. Forgetting an
-// epoch is harmless: what commits is decided by the table service, not here.
-void Gate::Impl::ForgetOldOwners() {
+// The table would otherwise grow by every job that ever ran. Forgetting an epoch
+// is harmless: what commits is decided by the table service, not here.
+void Gate::Impl::ForgetOldEpochs() {
   constexpr Duration kEvery{1'000'000};
-  if (now_ < forgot_owners_ + kEvery) return;
-  forgot_owners_ = now_;
+  if (now_ < forgot_epochs_ + kEvery) return;
+  forgot_epochs_ = now_;
   const Time since = now_ - config_.remember;
   std::erase_if(epochs_, [&](const auto& entry) { return entry.second.seen < since; });
-  std::erase_if(owners_, [&](const auto& entry) { return entry.second < since; });
 }
 
 // What runs goes on to its end; what waits is better off elsewhere at once.
--- a/src/gate/online_queue.cc
+++ b/src/gate/online_queue.cc
@@ -16,7 +16,7 @@
 std::vector<RequestId> OnlineQueue::TakeHopeless(Time now) {
   std::vector<RequestId> hopeless;
   std::erase_if(waiting_, [&](const WaitingOnline& waiting) {
-    if (now + waiting.service <= waiting.deadline) return false;
+    if (now == waiting.since || now + waiting.service <= waiting.deadline) return false;
     hopeless.push_back(waiting.request);
     return true;
   });
--- a/src/gate/online_queue.h
+++ b/src/gate/online_queue.h
@@ -12,6 +12,7 @@
 
 struct WaitingOnline {
   RequestId request;
+  Time since;
   Time deadline;
   Duration service;  // expected from start to whole answer
 };
@@ -20,7 +21,8 @@
  public:
   void Push(WaitingOnline waiting) { waiting_.push_back(std::move(waiting)); }
   bool Remove(const RequestId& request);
-  // Takes out those whose answer can't be whole in time any more.
+  // Takes out those that have waited until their answer can't be whole in time.
+  // What starts without a wait is never judged so: `service` is only a guess.
   [[nodiscard]] std::vector<RequestId> TakeHopeless(Time now);
   [[nodiscard]] RequestId Pop();
   [[nodiscard]] int size() const { return static_cast<int>(waiting_.size()); }
