--- a/include/figmill/once.h
+++ b/include/figmill/once.h
@@ -61,6 +61,7 @@
   Epoch epoch = 0;  // rises with every claim and change of owner
   OnceParty sender;
   OnceParty agent;
+  std::int64_t stamp = 0;  // the agent's clock as the sender knew it; 0: not known
   RequestId request;
   std::string request_object;  // respond-async: the stored request
   OnceOutcome outcome;
@@ -68,10 +69,17 @@
 };
 
 [[nodiscard]] std::string OnceRowKey(const ItemKey& key);
-// Marks an accepted item that isn't finished, under the slot that owns it, so
-// that a successor finds its items without a scan of every key.
-[[nodiscard]] std::string OnceOpenPrefix(const NodeId& node);
+// A row that marks an accepted item which isn't finished, and names its owner, so
+// that a successor finds it without a scan of every key.
+inline constexpr std::string_view kOnceOpenPrefix = "once-open/";
 [[nodiscard]] std::string OnceOpenKey(const NodeId& node, const ItemKey& key);
+struct OnceOpen {
+  OnceParty owner;
+  ItemKey key;
+};
+// Errors: kInternal, when the row was not written by figmill.
+[[nodiscard]] Result<OnceOpen> ParseOnceOpen(const Row& row);
+[[nodiscard]] std::string SerializeOnceOpen(const OnceRow& row);
 [[nodiscard]] std::string SerializeOnceRow(const OnceRow& row);
 // Errors: kInternal, when the value was not written by figmill.
 [[nodiscard]] Result<OnceRow> ParseOnceRow(std::string_view value);
@@ -120,6 +128,7 @@
 struct Claim {
   RequestId request;
   OnceParty agent;
+  std::int64_t stamp = 0;  // see OnceRow
 };
 struct Wrote {
   OnceFate fate;
@@ -176,6 +185,7 @@
 struct Revoke {
   RequestId request;
   OnceParty agent;
+  std::int64_t stamp = 0;
 };
 // Ask the engine behind `agent` (whatever its incarnation now) for the stream.
 struct Resume {
@@ -252,6 +262,10 @@
 
   // Nothing more to do: told, and where there is an outcome it is committed.
   [[nodiscard]] bool finished() const { return state_ == State::kFinished; }
+  // Waits for a Claim, or is done.
+  [[nodiscard]] bool idle() const { return state_ == State::kIdle || finished(); }
+  // A dispatch is out, and its end is awaited.
+  [[nodiscard]] bool sent() const { return state_ == State::kSent; }
   [[nodiscard]] bool told() const { return told_; }
   // The answer is in hand and waits for its commit only.
   [[nodiscard]] bool committing() const { return state_ == State::kCommitting; }
@@ -342,8 +356,9 @@
 
 // The two writes that make an item of `Prefer: respond-async` durable (request
 // object, then this row), and the one by which a successor takes it over.
+// `released` is the version of a released row, 0 where there is none.
 [[nodiscard]] OnceWrite AcceptWrite(const once::Spec& spec, std::string request_object,
-                                    const RandomBits& random);
+                                    RowVersion released, const RandomBits& random);
 // `row` as found at `version`, owned by a process that is gone.
 [[nodiscard]] OnceWrite TakeOverWrite(const ItemKey& key, const OnceRow& row, RowVersion version,
                                       const OnceParty& self, const RandomBits& random);
@@ -455,8 +470,9 @@
   [[nodiscard]] std::vector<Action> OnClock(const std::optional<Row>& row, Time now);
   // A page came back; the next one is asked for by NextPage.
   [[nodiscard]] std::vector<Action> OnPage(std::span<const Row> rows);
-  // Called every `page_interval` by the shell.
+  // Called every `page_interval` by the shell while a sweep is under way.
   [[nodiscard]] std::vector<Action> NextPage();
+  [[nodiscard]] bool under_way() const { return !after_.empty(); }
 
   [[nodiscard]] std::uint64_t tick() const { return tick_; }
 
--- /dev/null
+++ b/src/figmilld/once_ticket.cc
@@ -0,0 +1,209 @@
+#include "figmilld/once_ticket.h"
+
+#include <algorithm>
+
+namespace figmill {
+namespace {
+
+constexpr std::string_view kEventStream = "text/event-stream";
+constexpr std::size_t kMaxTimers = 8;  // an item has two or three that matter
+
+HttpResponse WithRetryAfter(const Error& error) {
+  HttpResponse response = ProblemOf(error);
+  if (error.retry_after && !RowOf(error.kind).retry_may_help) {
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(*error.retry_after).count();
+    response.headers.push_back({"Retry-After", std::to_string(seconds)});
+  }
+  return response;
+}
+
+}  // namespace
+
+OnceTicket::OnceTicket(OnceTools& tools, KeyedItem item, std::shared_ptr<HttpReply> reply,
+                       std::function<void()> try_again)
+    : tools_(tools),
+      item_(std::move(item)),
+      reply_(std::move(reply)),
+      try_again_(std::move(try_again)) {}
+
+// --- From the run ----------------------------------------------------------------
+
+void OnceTicket::Claim(const once::Claim& claim, std::function<void()> go) {
+  if (item_.finished()) return;
+  // A run dispatches anew only after its last dispatch is known not to have run,
+  // or the item is repeatable.
+  if (item_.sent()) Step(once::DidNotRun{{}, true});
+  if (!item_.idle()) return;
+  body_.clear();
+  go_ = std::move(go);
+  Step(claim);
+}
+
+void OnceTicket::Fail(const Error& error) {
+  const ErrorRow& row = RowOf(error.kind);
+  const bool hopeless = row.http_status < 500 && !row.retry_may_help;
+  if (accepted() && hopeless && error.ran == Ran::kNo && item_.idle()) {
+    HttpResponse problem = ProblemOf(error);
+    return Step(once::Answered{
+        OutcomeOf(problem.status, std::move(problem.content_type), std::move(problem.body))});
+  }
+  if (error.ran == Ran::kNo) return Step(once::DidNotRun{error, false});
+  Step(once::Lost{error});
+}
+
+void OnceTicket::Send(HttpResponse response) {
+  Fail(ErrorFromProblem(response.status, response.body));
+}
+
+void OnceTicket::Begin(HttpResponse head) {
+  status_ = head.status;
+  content_type_ = std::move(head.content_type);
+  body_ = std::move(head.body);
+  // A stream goes on as it comes; only its end waits for the commit.
+  if (!reply_ || !content_type_.starts_with(kEventStream)) return;
+  streaming_ = true;
+  reply_->Begin({status_, content_type_, std::move(head.headers), body_});
+  passed_ = body_.size();
+}
+
+void OnceTicket::Write(std::string bytes) {
+  body_ += bytes;
+  if (!streaming_ || item_.told()) return;
+  passed_ = body_.size();
+  reply_->Write(std::move(bytes));
+}
+
+void OnceTicket::End() {
+  Step(once::Answered{OutcomeOf(status_, content_type_, body_)});
+}
+
+void OnceTicket::OnClosed(std::function<void()> closed) {
+  if (!reply_) return;
+  reply_->OnClosed([self = weak_from_this(), closed = std::move(closed)] {
+    const auto ticket = self.lock();
+    if (!ticket) return;
+    ticket->Step(once::Detached{});
+    if (!ticket->claimed_) closed();
+  });
+}
+
+// --- The item's steps ----------------------------------------------------------------
+
+void OnceTicket::Step(const once::Event& event) {
+  const once::Context context{Loop::Now(), tools_.random, tools_.view.gone};
+  for (once::Action& action : item_.Handle(event, context)) Act(std::move(action));
+  if (!item_.finished()) return;
+  timers_.clear();
+  go_ = {};
+}
+
+template <typename Event>
+std::function<void(Event)> OnceTicket::Back() {
+  return [self = shared_from_this()](Event event) { self->Step(std::move(event)); };
+}
+
+void OnceTicket::Act(once::Action action) {
+  std::visit(
+      Overloaded{
+          [this](once::WriteRow& write) {
+            tools_.writer.Write(std::move(write.write),
+                                [back = Back<once::Wrote>()](OnceFate fate) { back({fate}); });
+          },
+          [this](once::ReadRow& read) {
+            tools_.table.Read(std::move(read.key),
+                              [back = Back<once::ReadDone>()](const auto& row) { back({row}); });
+          },
+          [this](once::PutObject& put) {
+            tools_.objects.Put(std::move(put.key), std::move(put.bytes),
+                               [back = Back<once::ObjectStored>()](const Result<Ok>& stored) {
+                                 back({IsOk(stored)});
+                               });
+          },
+          [this](once::Send&) {
+            claimed_ = true;
+            if (const auto go = std::exchange(go_, {})) go();
+          },
+          [this](once::Revoke& revoke) {
+            tools_.agent.Revoke(
+                revoke, [back = Back<once::Revoked>()](RevokeState state) { back({state}); });
+          },
+          [this](once::Resume& resume) {
+            tools_.agent.Resume(resume, item_.spec().key, item_.spec().repeatable,
+                                [back = Back<once::Event>()](OnceAgent::Resumed resumed) {
+                                  std::visit(
+                                      Overloaded{[&](OnceOutcome& outcome) {
+                                                   back(once::Answered{std::move(outcome)});
+                                                 },
+                                                 [&](const auto& nothing) { back(nothing); }},
+                                      resumed);
+                                });
+          },
+          [this](once::TellOutcome& told) { Tell(told); },
+          [this](once::TellError& told) { TellError(told.error); },
+          [this](once::TryAgain&) {
+            if (try_again_) try_again_();
+          },
+          [this](once::WakeAt& wake) { WakeAt(wake.at); },
+      },
+      action);
+}
+
+void OnceTicket::WakeAt(Time at) {
+  const Duration delay = std::max(at - Loop::Now(), Duration{0});
+  if (timers_.size() == kMaxTimers) timers_.pop_front();
+  timers_.push_back(tools_.loop.After(delay, [self = weak_from_this()] {
+    if (const auto ticket = self.lock()) ticket->Step(once::Tick{});
+  }));
+}
+
+// --- To the caller -------------------------------------------------------------------
+
+void OnceTicket::Tell(const once::TellOutcome& told) {
+  if (!reply_) return;
+  if (told.outcome.object.empty() || !told.outcome.body.empty()) {
+    return TellWith(told.outcome, told.replayed);
+  }
+  tools_.objects.Get(told.outcome.object,
+                     [self = shared_from_this(), told](Result<std::string> body) {
+                       if (!IsOk(body)) {
+                         Error error = ErrorOf(body);
+                         error.ran = Ran::kYes;
+                         return self->TellError(error);
+                       }
+                       OnceOutcome outcome = told.outcome;
+                       outcome.body = std::move(ValueOf(body));
+                       self->TellWith(outcome, told.replayed);
+                     });
+}
+
+void OnceTicket::TellWith(const OnceOutcome& outcome, bool replayed) {
+  if (streaming_) {
+    // What the caller has is the beginning of this very answer, or the answer is
+    // another run's and can't be joined to it.
+    const bool joins = outcome.body.compare(0, passed_, body_, 0, passed_) == 0;
+    if (!joins) {
+      return TellError({ErrorKind::kBrokenAnswer, "the stream broke off", Ran::kYes});
+    }
+    if (outcome.body.size() > passed_) reply_->Write(outcome.body.substr(passed_));
+    reply_->End();
+    return;
+  }
+  HttpResponse response{outcome.status, outcome.content_type, {}, outcome.body};
+  response.headers.push_back({"Idempotency-Key", item_.spec().key.value});
+  if (replayed) response.headers.push_back({"Idempotency-Replayed", "true"});
+  reply_->Send(std::move(response));
+}
+
+void OnceTicket::TellError(const Error& error) {
+  if (!reply_) return;
+  HttpResponse response = WithRetryAfter(error);
+  if (streaming_) {
+    reply_->Write(std::move(response.body));
+    reply_->End();
+    return;
+  }
+  response.headers.push_back({"Idempotency-Key", item_.spec().key.value});
+  reply_->Send(std::move(response));
+}
+
+}  // namespace figmill
--- a/src/once/accepted.cc
+++ b/src/once/accepted.cc
@@ -4,7 +4,7 @@
 
 namespace figmill {
 
-OnceWrite AcceptWrite(const once::Spec& spec, std::string request_object,
+OnceWrite AcceptWrite(const once::Spec& spec, std::string request_object, RowVersion released,
                       const RandomBits& random) {
   OnceRow row;
   row.token = FreshToken(random);
@@ -18,9 +18,9 @@
   row.tick = spec.tick;
 
   OnceWrite write;
-  write.condition = RowCondition{OnceRowKey(spec.key), 0};
+  write.condition = RowCondition{OnceRowKey(spec.key), released};
   write.value = SerializeOnceRow(row);
-  write.side.emplace_back(PutRow{OnceOpenKey(spec.self.node, spec.key), row.token.value});
+  write.side.emplace_back(PutRow{OnceOpenKey(spec.self.node, spec.key), SerializeOnceOpen(row)});
   write.refusable = true;
   return write;
 }
@@ -37,8 +37,8 @@
   write.value = SerializeOnceRow(taken);
   if (row.sender.node != self.node) {
     write.side.emplace_back(DeleteRow{OnceOpenKey(row.sender.node, key)});
-    write.side.emplace_back(PutRow{OnceOpenKey(self.node, key), taken.token.value});
   }
+  write.side.emplace_back(PutRow{OnceOpenKey(self.node, key), SerializeOnceOpen(taken)});
   return write;
 }
 
--- a/src/once/keyed_item.cc
+++ b/src/once/keyed_item.cc
@@ -51,7 +51,9 @@
 }
 
 void KeyedItem::On(const Answered& event) {
-  if (state_ != State::kSent && state_ != State::kResuming) return;
+  // An accepted item may also end before it is sent: what it asks can't be done.
+  const bool refused = accepted_ && state_ == State::kIdle;
+  if (state_ != State::kSent && state_ != State::kResuming && !refused) return;
   answer_ = event.outcome;
   OnceOutcome outcome = event.outcome;
   if (!FitsInRow(outcome.body)) {
--- a/src/once/keyed_item_recovery.cc
+++ b/src/once/keyed_item_recovery.cc
@@ -75,6 +75,7 @@
   row.epoch = row_.epoch + 1;
   row.sender = spec_.self;
   row.agent = wanted_->agent;
+  row.stamp = wanted_->stamp;
   row.request = wanted_->request;
   row.request_object = row_.request_object;
   mine_ = row.request;
@@ -83,7 +84,7 @@
 
 void KeyedItem::Ask() {
   state_ = State::kAsking;
-  Call(Revoke{row_.request, row_.agent});
+  Call(Revoke{row_.request, row_.agent, row_.stamp});
 }
 
 void KeyedItem::On(const Revoked& event) {
--- a/src/once/row.cc
+++ b/src/once/row.cc
@@ -57,6 +57,7 @@
   row.epoch = json.at("epoch").get<Epoch>();
   row.sender = PartyFrom(json.at("sender"));
   row.agent = PartyFrom(json.at("agent"));
+  row.stamp = json.at("stamp").get<std::int64_t>();
   row.request.value = json.at("request").get<std::string>();
   row.request_object = json.value("request_object", std::string());
   if (phase == OncePhase::kDone) row.outcome = OutcomeFrom(json.at("outcome"));
@@ -79,20 +80,39 @@
   return "once/" + key.value;
 }
 
-std::string OnceOpenPrefix(const NodeId& node) {
-  return "once-open/" + node.value + "/";
+std::string OnceOpenKey(const NodeId& node, const ItemKey& key) {
+  return std::string(kOnceOpenPrefix) + node.value + "/" + key.value;
 }
 
-std::string OnceOpenKey(const NodeId& node, const ItemKey& key) {
-  return OnceOpenPrefix(node) + key.value;
+std::string SerializeOnceOpen(const OnceRow& row) {
+  return Json{{"token", row.token.value}, {"owner", ToJson(row.sender)}}.dump();
+}
+
+Result<OnceOpen> ParseOnceOpen(const Row& row) {
+  try {
+    OnceOpen open;
+    open.owner = PartyFrom(Json::parse(row.value).at("owner"));
+    const std::string prefix = OnceOpenKey(open.owner.node, ItemKey{});
+    if (!row.key.starts_with(prefix)) return BadRow("an open marker names another owner");
+    open.key.value = row.key.substr(prefix.size());
+    return open;
+  } catch (const Json::exception& problem) {
+    return BadRow(problem.what());
+  }
 }
 
 std::string SerializeOnceRow(const OnceRow& row) {
-  Json json = {{"token", row.token.value},     {"phase", ToString(row.phase)},
-               {"content", row.content},       {"team", row.team.value},
-               {"repeatable", row.repeatable}, {"epoch", row.epoch},
-               {"sender", ToJson(row.sender)}, {"agent", ToJson(row.agent)},
-               {"request", row.request.value}, {"tick", row.tick}};
+  Json json = {{"token", row.token.value},
+               {"phase", ToString(row.phase)},
+               {"content", row.content},
+               {"team", row.team.value},
+               {"repeatable", row.repeatable},
+               {"epoch", row.epoch},
+               {"sender", ToJson(row.sender)},
+               {"agent", ToJson(row.agent)},
+               {"request", row.request.value},
+               {"tick", row.tick},
+               {"stamp", row.stamp}};
   if (!row.request_object.empty()) json["request_object"] = row.request_object;
   if (row.phase == OncePhase::kDone) json["outcome"] = ToJson(row.outcome);
   return json.dump();
--- a/test/once-schedule-test.cc
+++ b/test/once-schedule-test.cc
@@ -182,7 +182,7 @@
     const RandomBits random = [this] { return rng_(); };
     const once::Spec spec{kKey, "c", TeamId{"t"}, repeatable_, self};
     // Here the store does not fail: what is tested is what comes after the 202.
-    const OnceWrite write = AcceptWrite(spec, "object", random);
+    const OnceWrite write = AcceptWrite(spec, "object", 0, random);
     accepted = IsCommitted(Apply(write));
     if (accepted) Own(entry, ValueOf(ParseOnceRow(write.value)), rows_[OnceRowKey(kKey)].version);
   }
