Add the batch library: acceptance, ownership, chunks committed exactly once

Cause: batch jobs need to survive owners that die or pause, lost store answers and store outages, with each item once in the results. Change: include/figmill/batch.h and src/batch: item parsing and chunking, job acceptance and cancellation, the owner (board, runs, commit queue, fill scheduler), all without I/O. Not-repeatable items are covered by one intent a chunk, so that writes grow with chunks and never with items.

--- /dev/null
+++ b/src/batch/items.cc
@@ -0,0 +1,206 @@
+#include <nlohmann/json.hpp>
+
+#include "figmill/batch.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+namespace figmill {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::string_view kServicesPrefix = "/v1/services/";
+constexpr std::size_t kMaxCustomIdLength = 256;
+
+Error BadLine(std::size_t line, const std::string& what) {
+  return Error{ErrorKind::kBadRequest, "line " + std::to_string(line) + ": " + what};
+}
+
+bool IsModelPath(std::string_view url) {
+  return url == "/v1/completions" || url == "/v1/chat/completions";
+}
+
+// Splits "/v1/services/{service}/{path}". False when the url has another form.
+bool ReadServiceUrl(std::string_view url, BatchItem& item) {
+  if (!url.starts_with(kServicesPrefix)) return false;
+  url.remove_prefix(kServicesPrefix.size());
+  const std::size_t slash = url.find('/');
+  if (slash == std::string_view::npos) return false;
+  item.service.value = url.substr(0, slash);
+  item.path = url.substr(slash);
+  return IsOk(ParseId(item.service.value, "service"));
+}
+
+std::uint32_t TokensOf(const Json& body) {
+  for (const char* name : {"max_tokens", "max_completion_tokens"}) {
+    const auto found = body.find(name);
+    if (found != body.end() && found->is_number_unsigned()) return found->get<std::uint32_t>();
+  }
+  return 0;
+}
+
+// Returns what is wrong; empty when nothing is.
+std::string ReadModelCall(const std::string& url, const Json& body, BatchItem& item) {
+  if (!body.is_object()) return "body must be an object";
+  const auto model = body.find("model");
+  if (model == body.end() || !model->is_string()) return "body must name its model";
+  item.service.value = model->get<std::string>();
+  if (!IsOk(ParseId(item.service.value, "model"))) return "body names a malformed model";
+  if (body.value("stream", Json(false)) != Json(false)) return "stream is not offered in a job";
+  item.path = url;
+  item.tokens = TokensOf(body);
+  return {};
+}
+
+std::string ReadFields(const Json& line, BatchItem& item) {
+  if (!line.is_object()) return "an object is expected";
+  for (const auto& [name, value] : line.items()) {
+    if (name != "custom_id" && name != "url" && name != "body" && name != "repeatable") {
+      return "unknown field '" + name + "'";
+    }
+  }
+  const auto id = line.find("custom_id");
+  if (id == line.end() || !id->is_string()) return "custom_id must be a string";
+  item.custom_id = id->get<std::string>();
+  if (item.custom_id.empty() || item.custom_id.size() > kMaxCustomIdLength) {
+    return "custom_id must have 1 to " + std::to_string(kMaxCustomIdLength) + " bytes";
+  }
+  const auto repeatable = line.find("repeatable");
+  if (repeatable != line.end()) {
+    if (!repeatable->is_boolean()) return "repeatable must be true or false";
+    item.repeatable = repeatable->get<bool>();
+  }
+  const auto url = line.find("url");
+  if (url == line.end() || !url->is_string()) return "url must be a string";
+  const auto body = line.find("body");
+  if (body == line.end()) return "body is missing";
+  const auto& path = url->get_ref<const std::string&>();
+  if (IsModelPath(path)) {
+    if (std::string wrong = ReadModelCall(path, *body, item); !wrong.empty()) return wrong;
+  } else if (!ReadServiceUrl(path, item)) {
+    return "url '" + path + "' is not offered in a job";
+  }
+  item.body = body->dump();
+  return {};
+}
+
+Result<BatchItem> ParseLine(std::string_view text, std::size_t number) {
+  const Json line = Json::parse(text, nullptr, false);
+  if (line.is_discarded()) return BadLine(number, "no JSON");
+  BatchItem item;
+  if (std::string wrong = ReadFields(line, item); !wrong.empty()) return BadLine(number, wrong);
+  return item;
+}
+
+// Hands out the lines that hold something.
+class Lines {
+ public:
+  explicit Lines(std::string_view text) : text_(text) {}
+
+  bool Next() {
+    while (at_ < text_.size()) {
+      const std::size_t end = std::min(text_.find('\n', at_), text_.size());
+      begin_ = at_;
+      line_ = text_.substr(at_, end - at_);
+      at_ = std::min(end + 1, text_.size());
+      ++number_;
+      if (line_.find_first_not_of(" \t\r") != std::string_view::npos) return true;
+    }
+    return false;
+  }
+  [[nodiscard]] std::string_view line() const { return line_; }
+  [[nodiscard]] std::size_t number() const { return number_; }
+  [[nodiscard]] std::size_t begin() const { return begin_; }
+  [[nodiscard]] std::size_t end() const { return at_; }
+
+ private:
+  std::string_view text_;
+  std::string_view line_;
+  std::size_t at_ = 0;
+  std::size_t begin_ = 0;
+  std::size_t number_ = 0;
+};
+
+// Cuts a text into chunks by the bounds on items and bytes.
+class ChunkCutter {
+ public:
+  ChunkCutter(std::string_view text, SplitPart& out) : text_(text), out_(out) {}
+
+  void Add(std::size_t begin, std::size_t end, bool repeatable) {
+    const bool full = items_ >= kMaxChunkItems || not_repeatable_ >= kMaxNotRepeatablePerChunk ||
+                      (items_ > 0 && end - begin_ > kMaxChunkBytes);
+    if (full) Cut(begin);
+    ++items_;
+    if (!repeatable) ++not_repeatable_;
+  }
+  void Cut(std::size_t end) {
+    if (items_ == 0) return;
+    const std::string_view chunk = text_.substr(begin_, end - begin_);
+    out_.texts.push_back(chunk);
+    out_.index.chunks.push_back(ChunkEntry{DigestOf(chunk), items_});
+    begin_ = end;
+    items_ = 0;
+    not_repeatable_ = 0;
+  }
+
+ private:
+  std::string_view text_;
+  SplitPart& out_;
+  std::size_t begin_ = 0;
+  std::uint32_t items_ = 0;
+  std::uint32_t not_repeatable_ = 0;
+};
+
+std::uint64_t Hash(std::string_view text) {
+  return XXH3_64bits(text.data(), text.size());
+}
+
+}  // namespace
+
+Result<std::vector<BatchItem>> ParseItems(std::string_view text) {
+  std::vector<BatchItem> items;
+  Lines lines(text);
+  while (lines.Next()) {
+    Result<BatchItem> item = ParseLine(lines.line(), lines.number());
+    if (!IsOk(item)) return ErrorOf(item);
+    items.push_back(std::move(ValueOf(item)));
+  }
+  return items;
+}
+
+Result<SplitPart> SplitItems(std::string_view text, const RepeatableRule& rule) {
+  SplitPart part;
+  ChunkCutter cutter(text, part);
+  Lines lines(text);
+  while (lines.Next()) {
+    const Result<BatchItem> parsed = ParseLine(lines.line(), lines.number());
+    if (!IsOk(parsed)) return ErrorOf(parsed);
+    const BatchItem& item = ValueOf(parsed);
+    if (part.index.marks.size() == kMaxJobItems) {
+      return Error{ErrorKind::kTooLarge,
+                   "a job holds at most " + std::to_string(kMaxJobItems) + " items"};
+    }
+    const bool repeatable = item.repeatable && (!rule || rule(item.service, item.path));
+    cutter.Add(lines.begin(), lines.end(), repeatable);
+    part.index.marks.push_back(ItemMark{Hash(item.custom_id), Hash(lines.line())});
+  }
+  cutter.Cut(text.size());
+  if (part.texts.empty()) return Error{ErrorKind::kBadRequest, "there is no item"};
+  return part;
+}
+
+std::string DigestOf(std::string_view bytes) {
+  const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
+  XXH128_canonical_t canonical;
+  XXH128_canonicalFromHash(&canonical, hash);
+  constexpr std::string_view kDigits = "0123456789abcdef";
+  std::string text;
+  for (const unsigned char byte : canonical.digest) {
+    text.push_back(kDigits[byte >> 4U]);
+    text.push_back(kDigits[byte & 15U]);
+  }
+  return text;
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/batch/store_client.cc
@@ -0,0 +1,110 @@
+#include "batch/store_client.h"
+
+#include <algorithm>
+
+namespace figmill::detail {
+namespace {
+
+constexpr Duration kFirstBackoff{100'000};
+constexpr Duration kMaxBackoff{2'000'000};
+constexpr std::uint32_t kPageRows = 1000;
+
+void SetOp(StoreCall& call, OpId op) {
+  std::visit([op](auto& c) { c.op = op; }, call);
+}
+
+}  // namespace
+
+void StoreClient::Start(StoreCall call, Callback done, Retry retry) {
+  const OpId op = ++last_op_;
+  SetOp(call, op);
+  out_.push_back(call);
+  Pending pending{{}, std::move(done), retry, Duration{0}, {}, false};
+  if (retry == Retry::kWhileDown) pending.call = std::move(call);
+  pending_.emplace(op, std::move(pending));
+}
+
+void StoreClient::Put(std::string key, std::string bytes, Retry retry,
+                      std::function<void(Result<Ok>)> done) {
+  Start(PutObject{0, std::move(key), std::move(bytes)}, std::move(done), retry);
+}
+
+void StoreClient::Get(std::string key, std::function<void(Result<std::string>)> done) {
+  Start(GetObject{0, std::move(key)}, std::move(done), Retry::kWhileDown);
+}
+
+void StoreClient::Read(std::string key, std::function<void(Result<std::optional<Row>>)> done) {
+  Start(ReadRow{0, std::move(key)}, std::move(done), Retry::kWhileDown);
+}
+
+void StoreClient::ScanAll(std::string prefix, std::function<void(Result<std::vector<Row>>)> done) {
+  ScanPage(std::move(prefix), {}, std::move(done));
+}
+
+void StoreClient::ScanPage(std::string prefix, std::vector<Row> rows,
+                           std::function<void(Result<std::vector<Row>>)> done) {
+  RowRange range{prefix, rows.empty() ? std::string() : rows.back().key, kPageRows};
+  auto on_page = [this, prefix = std::move(prefix), rows = std::move(rows),
+                  done = std::move(done)](Result<std::vector<Row>> page) mutable {
+    if (!IsOk(page)) return done(ErrorOf(page));
+    std::vector<Row>& more = ValueOf(page);
+    const bool last = more.size() < kPageRows;
+    rows.insert(rows.end(), std::make_move_iterator(more.begin()),
+                std::make_move_iterator(more.end()));
+    if (last) return done(std::move(rows));
+    ScanPage(std::move(prefix), std::move(rows), std::move(done));
+  };
+  Start(ScanRows{0, std::move(range)},
+        std::function<void(Result<std::vector<Row>>)>(std::move(on_page)), Retry::kWhileDown);
+}
+
+void StoreClient::Commit(Transaction transaction, std::function<void(TransactionOutcome)> done) {
+  Start(CommitRows{0, std::move(transaction)}, std::move(done), Retry::kNo);
+}
+
+template <typename T>
+void StoreClient::Finish(OpId op, const Result<T>& result) {
+  const auto found = pending_.find(op);
+  if (found == pending_.end()) return;
+  Pending& pending = found->second;
+  const bool down = !IsOk(result) && ErrorOf(result).kind == ErrorKind::kStoreUnavailable;
+  const bool patient = !give_up_ || now_ < *give_up_;
+  if (down && patient && pending.retry == Retry::kWhileDown) {
+    pending.backoff = std::clamp(pending.backoff * 2, kFirstBackoff, kMaxBackoff);
+    pending.repeat_at = now_ + pending.backoff;
+    pending.waiting = true;
+    return;
+  }
+  Callback done = std::move(pending.done);
+  pending_.erase(found);
+  if (auto* callback = std::get_if<std::function<void(Result<T>)>>(&done)) (*callback)(result);
+}
+
+void StoreClient::Handle(const StoreAnswer& answer, Time now) {
+  now_ = now;
+  std::visit(Overloaded{
+                 [this](const RowsCommitted& a) {
+                   const auto found = pending_.find(a.op);
+                   if (found == pending_.end()) return;
+                   Callback done = std::move(found->second.done);
+                   pending_.erase(found);
+                   std::get<std::function<void(TransactionOutcome)>>(done)(a.outcome);
+                 },
+                 [this](const RowAnswered& a) { Finish(a.op, a.row); },
+                 [this](const RowsScanned& a) { Finish(a.op, a.rows); },
+                 [this](const ObjectStored& a) { Finish(a.op, a.result); },
+                 [this](const ObjectAnswered& a) { Finish(a.op, a.bytes); },
+             },
+             answer);
+}
+
+void StoreClient::Tick(Time now) {
+  now_ = now;
+  for (auto& [op, pending] : pending_) {
+    if (!pending.waiting || now < pending.repeat_at) continue;
+    pending.waiting = false;
+    out_.push_back(pending.call);
+  }
+}
+
+}  // namespace figmill::detail
--- /dev/null
+++ b/test/batch_model.h
@@ -0,0 +1,396 @@
+#pragma once
+
+// A small model of the world around batch owners: a store that loses answers,
+// agents that run items, owners that die, pause and wake. Time is simulated.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "figmill/batch.h"
+
+namespace batch_model {
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+using namespace std::chrono_literals;
+
+class Store {
+ public:
+  explicit Store(std::mt19937_64& random) : random_(random) {}
+
+  TransactionOutcome Commit(const Transaction& transaction, Time now) {
+    if (down) return NotWritten{"down"};
+    ++commits;
+    if (!Chance(lost_answers)) return Apply(transaction);
+    switch (random_() % 3) {
+      case 0:
+        return FateUnknown{"lost before it took effect"};
+      case 1:
+        Apply(transaction);
+        return FateUnknown{"lost after it took effect"};
+      default:
+        delayed_.emplace(now + 1ms * (random_() % 3000), transaction);
+        return FateUnknown{"still on its way"};
+    }
+  }
+  void LandDelayed(Time now) {
+    while (!delayed_.empty() && delayed_.begin()->first <= now) {
+      Apply(delayed_.begin()->second);
+      delayed_.erase(delayed_.begin());
+    }
+  }
+  Result<std::optional<Row>> Read(const std::string& key) const {
+    if (down) return Down();
+    const auto row = rows.find(key);
+    return row == rows.end() ? std::optional<Row>() : std::optional<Row>(row->second);
+  }
+  Result<std::vector<Row>> Scan(const RowRange& range) const {
+    if (down) return Down();
+    std::vector<Row> found;
+    for (auto it = rows.upper_bound(std::max(range.after, range.prefix));
+         it != rows.end() && it->first.starts_with(range.prefix) && found.size() < range.limit;
+         ++it) {
+      found.push_back(it->second);
+    }
+    return found;
+  }
+  StoreAnswer Answer(const StoreCall& call, Time now) {
+    return std::visit(Overloaded{
+                          [&](const CommitRows& c) -> StoreAnswer {
+                            return RowsCommitted{c.op, Commit(c.transaction, now)};
+                          },
+                          [&](const ReadRow& c) -> StoreAnswer {
+                            return RowAnswered{c.op, Read(c.key)};
+                          },
+                          [&](const ScanRows& c) -> StoreAnswer {
+                            return RowsScanned{c.op, Scan(c.range)};
+                          },
+                          [&](const PutObject& c) -> StoreAnswer {
+                            if (down) return ObjectStored{c.op, Down()};
+                            objects[c.key] = c.bytes;
+                            return ObjectStored{c.op, Ok{}};
+                          },
+                          [&](const GetObject& c) -> StoreAnswer {
+                            if (down) return ObjectAnswered{c.op, Down()};
+                            const auto found = objects.find(c.key);
+                            if (found == objects.end()) {
+                              return ObjectAnswered{c.op, Error{ErrorKind::kNotFound, c.key}};
+                            }
+                            return ObjectAnswered{c.op, found->second};
+                          },
+                      },
+                      call);
+  }
+  JobRow Job(const JobId& job) const { return ValueOf(ParseJobRow(rows.at(JobKey(job)).value)); }
+  JobProgress Progress(const JobId& job) const {
+    return ProgressOf(ValueOf(Scan(RowRange{ChunkPrefix(job), "", 100'000})));
+  }
+
+  bool down = false;
+  double lost_answers = 0;
+  std::uint64_t commits = 0;
+  std::map<std::string, Row> rows;
+  std::map<std::string, std::string> objects;
+
+ private:
+  static Error Down() { return Error{ErrorKind::kStoreUnavailable, "down"}; }
+  bool Chance(double p) { return std::uniform_real_distribution<>(0, 1)(random_) < p; }
+  TransactionOutcome Apply(const Transaction& transaction) {
+    Rejected rejected;
+    for (const RowCondition& condition : transaction.conditions) {
+      const auto row = rows.find(condition.key);
+      const RowVersion version = row == rows.end() ? 0 : row->second.version;
+      if (version == condition.version) continue;
+      rejected.current.push_back(row == rows.end() ? Row{condition.key, "", 0} : row->second);
+    }
+    if (!rejected.current.empty()) return rejected;
+    Committed committed;
+    for (const RowWrite& write : transaction.writes) {
+      if (const auto* put = std::get_if<PutRow>(&write)) {
+        rows[put->key] = Row{put->key, put->value, ++version_};
+        committed.rows.push_back(rows[put->key]);
+      } else {
+        rows.erase(std::get<DeleteRow>(write).key);
+      }
+    }
+    return committed;
+  }
+
+  std::mt19937_64& random_;
+  RowVersion version_ = 0;
+  std::multimap<Time, Transaction> delayed_;
+};
+
+// Items named "poison..." always fail, "cut..." come back truncated once.
+inline ItemAnswer Run(const std::string& custom_id, int earlier_runs) {
+  if (custom_id.starts_with("poison")) return ItemAnswer{500, "poison"};
+  const bool cut = custom_id.starts_with("cut") && earlier_runs == 0;
+  return ItemAnswer{200, cut ? R"({"choices":[{"text":"o","finish_reason":null}]})"
+                             : R"({"choices":[{"text":"ok","finish_reason":"stop"}]})"};
+}
+
+inline std::string ItemLine(const std::string& custom_id, bool repeatable = true) {
+  nlohmann::json line = {{"custom_id", custom_id},
+                         {"url", "/v1/completions"},
+                         {"body", {{"model", "m"}, {"prompt", "p"}, {"max_tokens", 16}}}};
+  if (!repeatable) line["repeatable"] = false;
+  return line.dump() + "\n";
+}
+
+class World {
+ public:
+  struct Owner {
+    NodeId node;
+    std::unique_ptr<BatchOwner> batch;  // null: the process is dead
+    Epoch lease = 0;
+    Time renewed;
+    bool paused = false;
+    bool drained = false;
+    std::uint64_t generation = 0;
+    std::vector<BatchEvent> inbox;  // kept while paused
+    std::set<OwnerToWatch> watches;
+  };
+  struct Agent {
+    NodeId node;
+    Incarnation incarnation = 1;
+    bool alive = true;
+    std::uint32_t running = 0;
+  };
+  struct Dispatched {
+    JobId job;
+    std::uint32_t index = 0;
+    Time at;
+  };
+
+  World(std::uint64_t seed, std::size_t owner_count, std::size_t agent_count)
+      : random(seed), store(random) {
+    for (std::size_t i = 0; i < owner_count; ++i) {
+      owners.emplace_back().node.value = "entry-" + std::to_string(i);
+      StartOwner(i);
+    }
+    for (std::size_t i = 0; i < agent_count; ++i) {
+      agents.emplace_back().node.value = "agent-" + std::to_string(i);
+    }
+  }
+
+  RandomBits Bits() {
+    return [this] { return random(); };
+  }
+  void StartOwner(std::size_t i) {
+    Owner& owner = owners[i];
+    owner.batch = std::make_unique<BatchOwner>(owner.node, limits, Bits());
+    ++owner.lease;
+    ++owner.generation;
+    owner.renewed = now;
+    owner.paused = owner.drained = false;
+    owner.inbox.clear();
+    owner.watches.clear();
+  }
+  void KillOwner(std::size_t i) { owners[i].batch.reset(); }
+  void KillAgent(std::size_t i) {
+    agents[i].alive = false;
+    agents[i].running = 0;
+    ++agents[i].incarnation;
+  }
+
+  template <typename Machine>
+  auto Drive(Machine& machine) {
+    std::vector<StoreCall> calls = machine.Start(now);
+    while (!machine.outcome()) {
+      for (const StoreCall& call : std::exchange(calls, {})) {
+        const StoreAnswer answer = store.Answer(call, now);
+        for (StoreCall& more : machine.Handle(answer, now)) calls.push_back(std::move(more));
+      }
+      if (calls.empty() && !machine.outcome()) {
+        Step();
+        calls = machine.Tick(now);
+      }
+    }
+    return *machine.outcome();
+  }
+
+  // The outcome of putting this job in, with the store as it is.
+  Result<JobAccepted> Put(const JobId& job, const std::string& text, const std::string& team = "t",
+                          WallTime due = {}) {
+    const SplitPart part = ValueOf(SplitItems(text));
+    for (std::size_t i = 0; i < part.texts.size(); ++i) {
+      store.objects[ItemsObject(job, part.index.chunks[i].digest)] = part.texts[i];
+    }
+    JobAssembly assembly;
+    REQUIRE(IsOk(assembly.Add(part.index)));
+    JobAcceptance acceptance({job, TeamId{team}, due}, assembly, now + 10s, Bits());
+    return Drive(acceptance);
+  }
+  Result<JobRow> Cancel(const JobId& job) {
+    JobCancellation cancellation(job, now + 10s, Bits());
+    return Drive(cancellation);
+  }
+  void Step() {
+    now += 20ms;
+    store.LandDelayed(now);
+    if (now >= next_beat_) Beat();
+    while (!queue_.empty() && queue_.begin()->first <= now) {
+      auto happening = std::move(queue_.begin()->second);
+      queue_.erase(queue_.begin());
+      happening();
+    }
+    for (std::size_t i = 0; i < owners.size(); ++i) {
+      if (!owners[i].batch || owners[i].paused) continue;
+      for (const BatchEvent& event : std::exchange(owners[i].inbox, {})) Feed(i, event);
+      Feed(i, BatchTick{});
+    }
+  }
+  template <typename Condition>
+  bool RunUntil(Condition condition, Duration limit) {
+    const Time end = now + limit;
+    while (!condition() && now < end) Step();
+    return condition();
+  }
+  bool Done(const JobId& job) const { return store.Job(job).state == JobState::kDone; }
+
+  // Every item of the job once in the results, in item order.
+  void CheckResults(const JobId& job, const std::vector<std::string>& ids) const {
+    std::size_t index = 0;
+    const JobProgress progress = store.Progress(job);
+    for (const std::string& object : progress.objects) {
+      std::istringstream lines(store.objects.at(object));
+      for (std::string line; std::getline(lines, line); ++index) {
+        const auto json = nlohmann::json::parse(line);
+        REQUIRE(index < ids.size());
+        CHECK(json["index"] == index);
+        CHECK(json["custom_id"] == ids[index]);
+        const bool poison = ids[index].starts_with("poison");
+        CHECK(json.contains("error") == (poison || unknown.contains({job.value, index})));
+      }
+    }
+    CHECK(index == ids.size());
+    CHECK(progress.succeeded + progress.failed == ids.size());
+  }
+
+  std::mt19937_64 random;
+  Store store;
+  Time now{Duration{1'000'000}};
+  BatchLimits limits;
+  std::vector<Owner> owners;
+  std::vector<Agent> agents;
+  std::map<std::pair<std::string, std::uint32_t>, int> runs;  // started at a backend server
+  std::set<std::pair<std::string, std::size_t>> unknown;      // allowed to end so
+  std::vector<Dispatched> dispatched;
+  std::vector<JobNote> notes;
+  Duration item_time{50ms};
+
+ private:
+  // Renewals, lapses and fleet views, once a second.
+  void Beat() {
+    next_beat_ = now + 1s;
+    FleetSeen fleet;
+    for (const Owner& owner : owners) {
+      if (owner.batch && !owner.paused && !owner.drained) fleet.entries.push_back(owner.node);
+    }
+    for (const Agent& agent : agents) {
+      if (agent.alive) {
+        fleet.agents.push_back(BatchAgent{agent.node, agent.incarnation, {ServiceName{"m"}}});
+      }
+    }
+    for (std::size_t i = 0; i < owners.size(); ++i) {
+      Owner& owner = owners[i];
+      if (!owner.batch || owner.paused) continue;
+      Feed(i, fleet);
+      if (store.down) {
+        Feed(i, StoreSilent{});
+        continue;
+      }
+      // One that was silent for longer than a term starts over under a new epoch.
+      if (now - owner.renewed > 5s) ++owner.lease;
+      owner.renewed = now;
+      Feed(i, LeaseHeld{owner.lease, now + 3s});
+      TellLapses(i);
+    }
+    if (store.down) {
+      for (Owner& owner : owners) {
+        if (owner.batch && !owner.paused) owner.renewed = now;
+      }
+    }
+  }
+  void TellLapses(std::size_t i) {
+    for (const OwnerToWatch& watch : std::set<OwnerToWatch>(owners[i].watches)) {
+      for (const Owner& other : owners) {
+        const bool silent = now - other.renewed > 5s || other.lease > watch.epoch;
+        if (other.node == watch.owner && silent) Feed(i, OwnerLapsed{watch.owner, watch.epoch});
+      }
+    }
+  }
+  void Feed(std::size_t i, const BatchEvent& event) {
+    for (BatchAction& action : owners[i].batch->Handle(event, now)) Carry(i, std::move(action));
+  }
+  void Later(Duration delay, std::function<void()> happening) {
+    queue_.emplace(now + delay, std::move(happening));
+  }
+  // To a process that may be paused or gone when it arrives.
+  void Deliver(std::size_t i, std::uint64_t generation, BatchEvent event) {
+    Owner& owner = owners[i];
+    if (owner.batch && owner.generation == generation) owner.inbox.push_back(std::move(event));
+  }
+  void Carry(std::size_t i, BatchAction action) {
+    std::visit(Overloaded{
+                   [&](WatchOwners& a) {
+                     owners[i].watches = {a.owners.begin(), a.owners.end()};
+                   },
+                   [&](BatchDrained&) { owners[i].drained = true; },
+                   [&](JobNote& a) { notes.push_back(a); },
+                   [&](CancelItem& a) { cancelled_.insert(a.request); },
+                   [&](DispatchItem& a) { StartItem(i, std::move(a)); },
+                   [&](auto& call) {
+                     const std::uint64_t generation = owners[i].generation;
+                     Later(1ms * (random() % 40), [this, i, generation, c = StoreCall(call)] {
+                       const StoreAnswer answer = store.Answer(c, now);
+                       std::visit([&](const auto& a) { Deliver(i, generation, a); }, answer);
+                     });
+                   },
+               },
+               action);
+  }
+  void StartItem(std::size_t i, DispatchItem a) {
+    dispatched.push_back({a.job, a.index, now});
+    const std::uint64_t generation = owners[i].generation;
+    auto agent = std::find_if(agents.begin(), agents.end(),
+                              [&](const Agent& g) { return g.node == a.agent; });
+    const auto end = [this, i, generation, request = a.request](ItemOutcome outcome) {
+      Deliver(i, generation, ItemEnded{request, std::move(outcome)});
+    };
+    if (!agent->alive || agent->incarnation != a.incarnation) {
+      return Later(5ms, [end] { end(Error{ErrorKind::kStaleOrders, "gone", Ran::kNo}); });
+    }
+    if (agent->running >= kSlots) {
+      return Later(5ms, [end] { end(Error{ErrorKind::kOverloaded, "full", Ran::kNo}); });
+    }
+    ++agent->running;
+    const int earlier = runs[{a.job.value, a.index}]++;
+    if (!a.item.repeatable) CHECK(earlier == 0);
+    Later(5ms, [this, i, generation, agent, request = a.request] {
+      Deliver(i, generation, ItemStarted{request, kSlots - agent->running});
+    });
+    const Duration takes = item_time + 1ms * (random() % 50);
+    Later(takes, [this, agent, end, earlier, a = std::move(a)] {
+      if (!agent->alive || agent->incarnation != a.incarnation) {
+        if (!a.item.repeatable) unknown.insert({a.job.value, a.index});
+        return end(Error{ErrorKind::kBackendFailed, "broke off", Ran::kUnknown});
+      }
+      --agent->running;
+      if (!cancelled_.contains(a.request)) end(Run(a.item.custom_id, earlier));
+    });
+  }
+
+  static constexpr std::uint32_t kSlots = 32;
+  std::multimap<Time, std::function<void()>> queue_;
+  Time next_beat_;
+  std::set<RequestId> cancelled_;
+};
+
+}  // namespace batch_model
