--- a/include/figmill/batch.h
+++ b/include/figmill/batch.h
@@ -182,51 +182,51 @@
 // Names one store call; its answer carries the same number.
 using OpId = std::uint64_t;
 
-struct CommitRows {
+struct BatchCommit {
   OpId op = 0;
   Transaction transaction;
 };
-struct ReadRow {
+struct BatchRead {
   OpId op = 0;
   std::string key;
 };
-struct ScanRows {
+struct BatchScan {
   OpId op = 0;
   RowRange range;
 };
-struct PutObject {
+struct BatchPut {
   OpId op = 0;
   std::string key;
   std::string bytes;
 };
-struct GetObject {
+struct BatchGet {
   OpId op = 0;
   std::string key;
 };
-using StoreCall = std::variant<CommitRows, ReadRow, ScanRows, PutObject, GetObject>;
+using StoreCall = std::variant<BatchCommit, BatchRead, BatchScan, BatchPut, BatchGet>;
 
-struct RowsCommitted {
+struct BatchCommitted {
   OpId op = 0;
   TransactionOutcome outcome;
 };
-struct RowAnswered {
+struct BatchRowRead {
   OpId op = 0;
   Result<std::optional<Row>> row;
 };
-struct RowsScanned {
+struct BatchScanned {
   OpId op = 0;
   Result<std::vector<Row>> rows;
 };
-struct ObjectStored {
+struct BatchPutDone {
   OpId op = 0;
   Result<Ok> result;
 };
-struct ObjectAnswered {
+struct BatchGot {
   OpId op = 0;
   Result<std::string> bytes;
 };
 using StoreAnswer =
-    std::variant<RowsCommitted, RowAnswered, RowsScanned, ObjectStored, ObjectAnswered>;
+    std::variant<BatchCommitted, BatchRowRead, BatchScanned, BatchPutDone, BatchGot>;
 
 // The wish to retry needs time to pass: call again with a Tick after this.
 inline constexpr Duration kBatchTick{100'000};
@@ -386,11 +386,11 @@
 // Events.
 struct BatchTick {};
 // The process's owner lease is good until `act_until`; renewals repeat it.
-struct LeaseHeld {
+struct OwnerLeaseHeld {
   Epoch epoch = 0;
   Time act_until;
 };
-struct LeaseLost {};
+struct OwnerLeaseLost {};
 // A renewal failed because the store is down. While this goes on, nobody can
 // take over, so that repeatable items of open chunks go on past `act_until`.
 struct StoreSilent {};
@@ -419,10 +419,9 @@
   RequestId request;
   ItemOutcome outcome;
 };
-using BatchEvent =
-    std::variant<BatchTick, LeaseHeld, LeaseLost, StoreSilent, OwnerLapsed, FleetSeen, JobChanged,
-                 DrainBatch, ItemStarted, ItemEnded, RowsCommitted, RowAnswered, RowsScanned,
-                 ObjectStored, ObjectAnswered>;
+using BatchEvent = std::variant<BatchTick, OwnerLeaseHeld, OwnerLeaseLost, StoreSilent, OwnerLapsed,
+                                FleetSeen, JobChanged, DrainBatch, ItemStarted, ItemEnded,
+                                BatchCommitted, BatchRowRead, BatchScanned, BatchPutDone, BatchGot>;
 
 // Actions.
 struct DispatchItem {
@@ -458,8 +457,8 @@
   Epoch epoch = 0;
   What what = What::kClaimed;
 };
-using BatchAction = std::variant<CommitRows, ReadRow, ScanRows, PutObject, GetObject, DispatchItem,
-                                 CancelItem, WatchOwners, BatchDrained, JobNote>;
+using BatchAction = std::variant<BatchCommit, BatchRead, BatchScan, BatchPut, BatchGet,
+                                 DispatchItem, CancelItem, WatchOwners, BatchDrained, JobNote>;
 
 struct BatchCounts {
   std::uint32_t jobs = 0;
--- a/src/batch/owner_core.cc
+++ b/src/batch/owner_core.cc
@@ -44,7 +44,7 @@
   if (now_ >= next_round_ && scans_left_ == 0 && !draining_) StartRound();
 }
 
-void OwnerCore::On(const LeaseHeld& event) {
+void OwnerCore::On(const OwnerLeaseHeld& event) {
   if (event.epoch != lease_) DropRuns();
   lease_ = event.epoch;
   act_until_ = event.act_until;
@@ -52,7 +52,7 @@
   for (ReadyItem& item : std::exchange(held_back_, {})) scheduler_.Add(std::move(item));
 }
 
-void OwnerCore::On(const LeaseLost&) {
+void OwnerCore::On(const OwnerLeaseLost&) {
   act_until_ = {};
   DropRuns();
 }
--- a/src/batch/owner_core.h
+++ b/src/batch/owner_core.h
@@ -41,8 +41,8 @@
   };
 
   void On(const BatchTick&);
-  void On(const LeaseHeld& event);
-  void On(const LeaseLost&);
+  void On(const OwnerLeaseHeld& event);
+  void On(const OwnerLeaseLost&);
   void On(const StoreSilent&);
   void On(const OwnerLapsed& event);
   void On(const FleetSeen& event);
--- a/src/batch/store_client.cc
+++ b/src/batch/store_client.cc
@@ -26,15 +26,15 @@
 
 void StoreClient::Put(std::string key, std::string bytes, Retry retry,
                       std::function<void(Result<Ok>)> done) {
-  Start(PutObject{0, std::move(key), std::move(bytes)}, std::move(done), retry);
+  Start(BatchPut{0, std::move(key), std::move(bytes)}, std::move(done), retry);
 }
 
 void StoreClient::Get(std::string key, std::function<void(Result<std::string>)> done) {
-  Start(GetObject{0, std::move(key)}, std::move(done), Retry::kWhileDown);
+  Start(BatchGet{0, std::move(key)}, std::move(done), Retry::kWhileDown);
 }
 
 void StoreClient::Read(std::string key, std::function<void(Result<std::optional<Row>>)> done) {
-  Start(ReadRow{0, std::move(key)}, std::move(done), Retry::kWhileDown);
+  Start(BatchRead{0, std::move(key)}, std::move(done), Retry::kWhileDown);
 }
 
 void StoreClient::ScanAll(std::string prefix, std::function<void(Result<std::vector<Row>>)> done) {
@@ -54,12 +54,12 @@
     if (last) return done(std::move(rows));
     ScanPage(std::move(prefix), std::move(rows), std::move(done));
   };
-  Start(ScanRows{0, std::move(range)},
+  Start(BatchScan{0, std::move(range)},
         std::function<void(Result<std::vector<Row>>)>(std::move(on_page)), Retry::kWhileDown);
 }
 
 void StoreClient::Commit(Transaction transaction, std::function<void(TransactionOutcome)> done) {
-  Start(CommitRows{0, std::move(transaction)}, std::move(done), Retry::kNo);
+  Start(BatchCommit{0, std::move(transaction)}, std::move(done), Retry::kNo);
 }
 
 template <typename T>
@@ -83,17 +83,17 @@
 void StoreClient::Handle(const StoreAnswer& answer, Time now) {
   now_ = now;
   std::visit(Overloaded{
-                 [this](const RowsCommitted& a) {
+                 [this](const BatchCommitted& a) {
                    const auto found = pending_.find(a.op);
                    if (found == pending_.end()) return;
                    Callback done = std::move(found->second.done);
                    pending_.erase(found);
                    std::get<std::function<void(TransactionOutcome)>>(done)(a.outcome);
                  },
-                 [this](const RowAnswered& a) { Finish(a.op, a.row); },
-                 [this](const RowsScanned& a) { Finish(a.op, a.rows); },
-                 [this](const ObjectStored& a) { Finish(a.op, a.result); },
-                 [this](const ObjectAnswered& a) { Finish(a.op, a.bytes); },
+                 [this](const BatchRowRead& a) { Finish(a.op, a.row); },
+                 [this](const BatchScanned& a) { Finish(a.op, a.rows); },
+                 [this](const BatchPutDone& a) { Finish(a.op, a.result); },
+                 [this](const BatchGot& a) { Finish(a.op, a.bytes); },
              },
              answer);
 }
--- a/test/batch_model.h
+++ b/test/batch_model.h
@@ -62,27 +62,27 @@
   }
   StoreAnswer Answer(const StoreCall& call, Time now) {
     return std::visit(Overloaded{
-                          [&](const CommitRows& c) -> StoreAnswer {
-                            return RowsCommitted{c.op, Commit(c.transaction, now)};
+                          [&](const BatchCommit& c) -> StoreAnswer {
+                            return BatchCommitted{c.op, Commit(c.transaction, now)};
                           },
-                          [&](const ReadRow& c) -> StoreAnswer {
-                            return RowAnswered{c.op, Read(c.key)};
+                          [&](const BatchRead& c) -> StoreAnswer {
+                            return BatchRowRead{c.op, Read(c.key)};
                           },
-                          [&](const ScanRows& c) -> StoreAnswer {
-                            return RowsScanned{c.op, Scan(c.range)};
+                          [&](const BatchScan& c) -> StoreAnswer {
+                            return BatchScanned{c.op, Scan(c.range)};
                           },
-                          [&](const PutObject& c) -> StoreAnswer {
-                            if (down) return ObjectStored{c.op, Down()};
+                          [&](const BatchPut& c) -> StoreAnswer {
+                            if (down) return BatchPutDone{c.op, Down()};
                             objects[c.key] = c.bytes;
-                            return ObjectStored{c.op, Ok{}};
+                            return BatchPutDone{c.op, Ok{}};
                           },
-                          [&](const GetObject& c) -> StoreAnswer {
-                            if (down) return ObjectAnswered{c.op, Down()};
+                          [&](const BatchGet& c) -> StoreAnswer {
+                            if (down) return BatchGot{c.op, Down()};
                             const auto found = objects.find(c.key);
                             if (found == objects.end()) {
-                              return ObjectAnswered{c.op, Error{ErrorKind::kNotFound, c.key}};
+                              return BatchGot{c.op, Error{ErrorKind::kNotFound, c.key}};
                             }
-                            return ObjectAnswered{c.op, found->second};
+                            return BatchGot{c.op, found->second};
                           },
                       },
                       call);
@@ -309,7 +309,7 @@
       // One that was silent for longer than a term starts over under a new epoch.
       if (now - owner.renewed > 5s) ++owner.lease;
       owner.renewed = now;
-      Feed(i, LeaseHeld{owner.lease, now + 3s});
+      Feed(i, OwnerLeaseHeld{owner.lease, now + 3s});
       TellLapses(i);
     }
     if (store.down) {
