Bound a chunk's results: cut chunks by answer size, results into pieces

Cause: the platform takes objects of at most 8 MB, and an owner holds a chunk's results until they are committed. Change: chunks end at 4 MB of estimated answers; results are stored in pieces of at most 4 MB.

--- a/include/figmill/batch.h
+++ b/include/figmill/batch.h
@@ -34,6 +34,11 @@
 // chunks a second are committed over the whole fleet.
 inline constexpr std::uint32_t kMaxChunkItems = 256;
 inline constexpr std::size_t kMaxChunkBytes = 1U << 20;
+// Answers of a chunk may be estimated to have this many bytes, as its owner holds
+// them until they are committed.
+inline constexpr std::size_t kMaxChunkAnswerBytes = 4U << 20;
+// Of one object with results; the platform takes 8 MB.
+inline constexpr std::size_t kMaxResultObjectBytes = 4U << 20;
 // A dead owner leaves at most this many not-repeatable items of a chunk with an
 // unknown outcome.
 inline constexpr std::uint32_t kMaxNotRepeatablePerChunk = 32;
@@ -142,7 +147,9 @@
   Token token;
   ChunkState state = ChunkState::kDone;
   Epoch epoch = 0;
-  std::string object;  // of the results
+  // The results are the objects `object`-0 to `object`-(pieces - 1), joined.
+  std::string object;
+  std::uint32_t pieces = 1;
   std::uint32_t succeeded = 0;
   std::uint32_t failed = 0;
 };
@@ -173,7 +180,7 @@
 struct JobProgress {
   std::uint32_t succeeded = 0;
   std::uint32_t failed = 0;
-  std::vector<std::string> objects;  // of committed chunks, in item order
+  std::vector<std::string> objects;  // with results, in item order
 };
 [[nodiscard]] JobProgress ProgressOf(std::span<const Row> chunk_rows);
 
--- a/src/batch/items.cc
+++ b/src/batch/items.cc
@@ -12,6 +12,8 @@
 
 constexpr std::string_view kServicesPrefix = "/v1/services/";
 constexpr std::size_t kMaxCustomIdLength = 256;
+constexpr std::uint32_t kUnknownAnswerTokens = 1024;
+constexpr std::size_t kAnswerBytesPerToken = 8;
 
 Error BadLine(std::size_t line, const std::string& what) {
   return Error{ErrorKind::kBadRequest, "line " + std::to_string(line) + ": " + what};
@@ -127,11 +129,15 @@
  public:
   ChunkCutter(std::string_view text, SplitPart& out) : text_(text), out_(out) {}
 
-  void Add(std::size_t begin, std::size_t end, bool repeatable) {
+  void Add(std::size_t begin, std::size_t end, std::uint32_t tokens, bool repeatable) {
+    const std::size_t answer =
+        std::size_t{tokens == 0 ? kUnknownAnswerTokens : tokens} * kAnswerBytesPerToken;
     const bool full = items_ >= kMaxChunkItems || not_repeatable_ >= kMaxNotRepeatablePerChunk ||
-                      (items_ > 0 && end - begin_ > kMaxChunkBytes);
+                      (items_ > 0 && end - begin_ > kMaxChunkBytes) ||
+                      (items_ > 0 && answer_bytes_ + answer > kMaxChunkAnswerBytes);
     if (full) Cut(begin);
     ++items_;
+    answer_bytes_ += answer;
     if (!repeatable) ++not_repeatable_;
   }
   void Cut(std::size_t end) {
@@ -142,6 +148,7 @@
     begin_ = end;
     items_ = 0;
     not_repeatable_ = 0;
+    answer_bytes_ = 0;
   }
 
  private:
@@ -150,6 +157,7 @@
   std::size_t begin_ = 0;
   std::uint32_t items_ = 0;
   std::uint32_t not_repeatable_ = 0;
+  std::size_t answer_bytes_ = 0;
 };
 
 std::uint64_t Hash(std::string_view text) {
@@ -182,7 +190,7 @@
                    "a job holds at most " + std::to_string(kMaxJobItems) + " items"};
     }
     const bool repeatable = item.repeatable && (!rule || rule(item.service, item.path));
-    cutter.Add(lines.begin(), lines.end(), repeatable);
+    cutter.Add(lines.begin(), lines.end(), item.tokens, repeatable);
     part.index.marks.push_back(ItemMark{Hash(item.custom_id), Hash(lines.line())});
   }
   cutter.Cut(text.size());
--- a/src/batch/job_run.cc
+++ b/src/batch/job_run.cc
@@ -270,15 +270,21 @@
   OpenChunk& open = open_.at(chunk);
   if (!open.finished()) return;
   // The token keeps a paused earlier owner from writing over these results.
-  std::string object = "results/" + job_.value + "/" + std::to_string(chunk) + "-" +
-                       std::to_string(row_.epoch) + "-" + host_.NewToken().value;
-  host_.store.Put(object, open.TakeResults(), Retry::kWhileDown,
-                  Guarded([this, chunk, object](const Result<Ok>& stored) {
-                    if (!IsOk(stored)) return End(JobNote::What::kFenced);
-                    open_.at(chunk).ForgetBytes();
-                    stored_.push_back(StoredResults{chunk, object});
-                    CommitStored();
-                  }));
+  StoredResults results{chunk, "results/" + job_.value + "/" + std::to_string(chunk) + "-" +
+                                   std::to_string(row_.epoch) + "-" + host_.NewToken().value};
+  std::vector<std::string> pieces = open.TakeResults();
+  results.pieces = static_cast<std::uint32_t>(pieces.size());
+  const auto left = std::make_shared<std::uint32_t>(results.pieces);
+  for (std::uint32_t i = 0; i < results.pieces; ++i) {
+    host_.store.Put(results.object + "-" + std::to_string(i), std::move(pieces[i]),
+                    Retry::kWhileDown, Guarded([this, results, left](const Result<Ok>& stored) {
+                      if (!IsOk(stored)) return End(JobNote::What::kFenced);
+                      if (--*left > 0) return;
+                      open_.at(results.chunk).ForgetBytes();
+                      stored_.push_back(results);
+                      CommitStored();
+                    }));
+  }
 }
 
 // All chunks whose results are stored go into one request; the one that covers
@@ -293,8 +299,8 @@
   for (const StoredResults& stored : std::exchange(stored_, {})) {
     const OpenChunk& open = open_.at(stored.chunk);
     const std::string key = ChunkKey(job_, stored.chunk);
-    const ChunkRow row{request.token, ChunkState::kDone, row_.epoch,
-                       stored.object, open.succeeded(),  open.failed()};
+    const ChunkRow row{request.token, ChunkState::kDone, row_.epoch,   stored.object,
+                       stored.pieces, open.succeeded(),  open.failed()};
     request.conditions.push_back(RowCondition{key, open.row_version});
     request.writes.emplace_back(PutRow{key, EncodeChunkRow(row)});
     chunks.push_back(stored.chunk);
--- a/src/batch/job_run.h
+++ b/src/batch/job_run.h
@@ -68,6 +68,11 @@
   [[nodiscard]] std::size_t held_bytes() const;
 
  private:
+  struct StoredResults {
+    std::uint32_t chunk = 0;
+    std::string object;
+    std::uint32_t pieces = 0;
+  };
   enum class Phase : std::uint8_t { kClaiming, kIdle, kLoading, kRunning, kReleasing, kEnded };
 
   // Wraps a callback so that it is dropped once this run has ended.
@@ -106,10 +111,6 @@
   std::uint32_t loading_ = 0;
   std::map<std::uint32_t, OpenChunk> open_;
 
-  struct StoredResults {
-    std::uint32_t chunk = 0;
-    std::string object;
-  };
   std::vector<StoredResults> stored_;  // results in the object store, not committed
   bool committing_ = false;
   bool verifying_ = false;
--- a/src/batch/open_chunk.cc
+++ b/src/batch/open_chunk.cc
@@ -101,13 +101,17 @@
   ++(success ? succeeded_ : failed_);
 }
 
-std::string OpenChunk::TakeResults() {
-  std::string all;
-  all.reserve(held_bytes_);
-  for (ItemState& state : items_) all += std::exchange(state.result, std::string());
+std::vector<std::string> OpenChunk::TakeResults() {
+  std::vector<std::string> pieces(1);
+  for (ItemState& state : items_) {
+    const std::string line = std::exchange(state.result, std::string());
+    if (!pieces.back().empty() && pieces.back().size() + line.size() > kMaxResultObjectBytes) {
+      pieces.emplace_back();
+    }
+    pieces.back() += line;
+  }
   items_.clear();
-  held_bytes_ = all.size();
-  return all;
+  return pieces;
 }
 
 }  // namespace figmill::detail
--- a/src/batch/open_chunk.h
+++ b/src/batch/open_chunk.h
@@ -40,8 +40,9 @@
   [[nodiscard]] std::uint32_t succeeded() const { return succeeded_; }
   [[nodiscard]] std::uint32_t failed() const { return failed_; }
   [[nodiscard]] std::size_t held_bytes() const { return held_bytes_; }
-  // All result lines in item order; gives their memory away.
-  [[nodiscard]] std::string TakeResults();
+  // All result lines in item order, in pieces of at most kMaxResultObjectBytes
+  // where a line isn't longer; gives their memory away.
+  [[nodiscard]] std::vector<std::string> TakeResults();
   // The results lie in the object store now.
   void ForgetBytes() { held_bytes_ = 0; }
 
--- a/src/batch/rows.cc
+++ b/src/batch/rows.cc
@@ -79,9 +79,10 @@
 
 std::string EncodeChunkRow(const ChunkRow& row) {
   return Json{
-      {"token", row.token.value},   {"state", row.state == ChunkState::kDone ? "done" : "intended"},
-      {"epoch", row.epoch},         {"object", row.object},
-      {"succeeded", row.succeeded}, {"failed", row.failed}}
+      {"token", row.token.value}, {"state", row.state == ChunkState::kDone ? "done" : "intended"},
+      {"epoch", row.epoch},       {"object", row.object},
+      {"pieces", row.pieces},     {"succeeded", row.succeeded},
+      {"failed", row.failed}}
       .dump();
 }
 
@@ -93,6 +94,7 @@
     row.state = state == "done" ? ChunkState::kDone : ChunkState::kIntended;
     row.epoch = json.at("epoch");
     row.object = json.at("object");
+    row.pieces = json.at("pieces");
     row.succeeded = json.at("succeeded");
     row.failed = json.at("failed");
     return true;
@@ -158,7 +160,9 @@
     if (!IsOk(chunk) || ValueOf(chunk).state != ChunkState::kDone) continue;
     progress.succeeded += ValueOf(chunk).succeeded;
     progress.failed += ValueOf(chunk).failed;
-    progress.objects.push_back(ValueOf(chunk).object);
+    for (std::uint32_t piece = 0; piece < ValueOf(chunk).pieces; ++piece) {
+      progress.objects.push_back(ValueOf(chunk).object + "-" + std::to_string(piece));
+    }
   }
   return progress;
 }
