--- a/include/figmill/control.h
+++ b/include/figmill/control.h
@@ -84,10 +84,14 @@
   std::string version;
   auto operator<=>(const VersionedName&) const = default;
 };
-// What an engine should hold. Sequence of the order is its fencing token.
+// What an engine should hold. Sequence of the order is its fencing token. A name
+// that is wanted replaces its other versions; what is not named at all stays as
+// it is, so that an order never unloads what its operator didn't mean.
 struct Placement {
   std::vector<VersionedName> models;
   std::vector<VersionedName> adapters;
+  std::vector<VersionedName> unwanted_models;
+  std::vector<VersionedName> unwanted_adapters;
   std::string role;  // empty: as it is
 };
 
--- a/include/figmill/placement.h
+++ b/include/figmill/placement.h
@@ -34,11 +34,14 @@
   std::uint64_t weight_bytes = 16ULL << 30U;  // reserved for one load
 };
 
-// What the engine should hold, exactly; "name@version" as in EngineState.
+// What the engine should hold and what not; "name@version" as in EngineState. A
+// wanted name replaces its other versions; what is not named stays as it is.
 struct DesiredPlacement {
   Sequence sequence = 0;  // of the order in the control log
   std::vector<std::string> models;
   std::vector<std::string> adapters;
+  std::vector<std::string> unwanted_models;
+  std::vector<std::string> unwanted_adapters;
   std::string role;  // empty: as it is
   bool checks_fencing = true;
 };
--- a/include/figmill/query.h
+++ b/include/figmill/query.h
@@ -116,9 +116,6 @@
   std::optional<double> tokens_per_second;
   std::optional<double> burst_seconds;
 };
-struct RemoveLimit {
-  TeamId team;
-};
 struct SetBackend {
   NodeId node;
   std::optional<std::vector<ServiceName>> serves;
@@ -155,8 +152,8 @@
   std::string role;
 };
 using Command =
-    std::variant<CreateService, SetService, RemoveService, SetLimit, RemoveLimit, SetBackend,
-                 RemoveBackend, Drain, Undrain, CancelJob, LoadWeights, UnloadWeights, SetRole>;
+    std::variant<CreateService, SetService, RemoveService, SetLimit, SetBackend, RemoveBackend,
+                 Drain, Undrain, CancelJob, LoadWeights, UnloadWeights, SetRole>;
 
 // --- Statements ----------------------------------------------------------------
 
@@ -201,6 +198,25 @@
 };
 [[nodiscard]] std::span<const StatementHelp> StatementsHelp();
 
+// --- From statements to the log, and from state to tables ---------------------
+
+// The log entry that a command becomes on top of this fold. Settings that the
+// command leaves out are the fold's, so it must be the newest one known when the
+// entry is appended: a change of the same subject in between then loses the
+// append instead of being undone by it. Errors: kNotFound, kConflict.
+[[nodiscard]] Result<ControlEntry> EntryFor(const Command& command, const Fold& fold);
+
+// The question's columns and no rows.
+[[nodiscard]] Table EmptyTable(const Question& question);
+[[nodiscard]] Table HostTable(const Fold& fold, std::span<const Member> members);
+[[nodiscard]] Table ServiceTable(const Fold& fold, std::span<const Member> members);
+[[nodiscard]] Table LimitTable(const Fold& fold);
+[[nodiscard]] Table PlacementTable(const Fold& fold);
+[[nodiscard]] Table LogTable(std::span<const LogRecord> records);
+[[nodiscard]] Table ConfigTable(const Config& config);
+// Paths whose values differ: path, now, wanted.
+[[nodiscard]] Table DifferenceTable(const Config& now, const Config& wanted);
+
 // --- Execution -----------------------------------------------------------------
 
 // How far a change has come.
@@ -217,6 +233,9 @@
 struct HelpText {
   std::vector<StatementHelp> statements;
 };
+// Errors: kNotFound when no statement starts with the topic.
+[[nodiscard]] Result<HelpText> HelpOn(const Help& help);
+
 using QueryAnswer = std::variant<Table, Accepted, Spread, HelpText>;
 
 // Whoever can answer. Each `done` is called exactly once, on the thread that
--- a/src/control/entry_json.cc
+++ b/src/control/entry_json.cc
@@ -81,9 +81,11 @@
 Placement ReadPlacement(const Json& json, const std::string& where, Reading& reading) {
   Placement placement;
   ObjectReader object(json, where, reading);
-  object.Allow({"models", "adapters", "role"});
+  object.Allow({"models", "adapters", "unwanted_models", "unwanted_adapters", "role"});
   placement.models = ReadVersioned(object, "models");
   placement.adapters = ReadVersioned(object, "adapters");
+  placement.unwanted_models = ReadVersioned(object, "unwanted_models");
+  placement.unwanted_adapters = ReadVersioned(object, "unwanted_adapters");
   object.Text("role", placement.role);
   return placement;
 }
@@ -91,6 +93,8 @@
 Json WritePlacement(const Placement& placement) {
   return {{"models", WriteVersioned(placement.models)},
           {"adapters", WriteVersioned(placement.adapters)},
+          {"unwanted_models", WriteVersioned(placement.unwanted_models)},
+          {"unwanted_adapters", WriteVersioned(placement.unwanted_adapters)},
           {"role", placement.role}};
 }
 
--- a/src/control/fold.cc
+++ b/src/control/fold.cc
@@ -68,9 +68,17 @@
     const Result<std::string> role = ParseId(place.placement.role, "a role");
     if (!IsOk(role)) return ErrorOf(role);
   }
-  const Result<Ok> models = CheckNames(place.placement.models, "a model");
-  if (!IsOk(models)) return models;
-  return CheckNames(place.placement.adapters, "an adapter");
+  using Names = std::span<const VersionedName>;
+  const Placement& placement = place.placement;
+  for (const Names models : {Names(placement.models), Names(placement.unwanted_models)}) {
+    const Result<Ok> checked = CheckNames(models, "a model");
+    if (!IsOk(checked)) return checked;
+  }
+  for (const Names adapters : {Names(placement.adapters), Names(placement.unwanted_adapters)}) {
+    const Result<Ok> checked = CheckNames(adapters, "an adapter");
+    if (!IsOk(checked)) return checked;
+  }
+  return Ok{};
 }
 
 Result<Ok> CheckNode(const NodeId& node) {
--- a/src/placement/orders_for.cc
+++ b/src/placement/orders_for.cc
@@ -17,11 +17,27 @@
   return {std::move(kind), versioned.substr(0, at), std::move(version), fence};
 }
 
-// One order of this kind for each name that is in `from` and not in `without`.
-void AddEach(std::vector<EngineOrder>& orders, const char* kind, const Names& from,
-             const Names& without, Sequence fence) {
-  for (const std::string& name : from) {
-    if (!Holds(without, name)) orders.push_back(OrderOf(kind, name, fence));
+std::string_view NameOf(std::string_view versioned) {
+  return versioned.substr(0, versioned.find('@'));
+}
+
+// What the engine holds and shouldn't: unwanted, or another version of what is
+// wanted.
+void AddUnloads(std::vector<EngineOrder>& orders, const char* kind, const Names& held,
+                const Names& wanted, const Names& unwanted, Sequence fence) {
+  for (const std::string& each : held) {
+    if (Holds(wanted, each)) continue;
+    const bool replaced = std::any_of(wanted.begin(), wanted.end(), [&](const std::string& other) {
+      return NameOf(other) == NameOf(each);
+    });
+    if (replaced || Holds(unwanted, each)) orders.push_back(OrderOf(kind, each, fence));
+  }
+}
+
+void AddLoads(std::vector<EngineOrder>& orders, const char* kind, const Names& wanted,
+              const Names& held, Sequence fence) {
+  for (const std::string& each : wanted) {
+    if (!Holds(held, each)) orders.push_back(OrderOf(kind, each, fence));
   }
 }
 
@@ -30,13 +46,14 @@
 std::vector<EngineOrder> OrdersFor(const DesiredPlacement& desired, const EngineState& state) {
   std::vector<EngineOrder> orders;
   const Sequence fence = desired.sequence;
-  AddEach(orders, "unload-adapter", state.adapters, desired.adapters, fence);
-  AddEach(orders, "unload-model", state.models, desired.models, fence);
+  AddUnloads(orders, "unload-adapter", state.adapters, desired.adapters, desired.unwanted_adapters,
+             fence);
+  AddUnloads(orders, "unload-model", state.models, desired.models, desired.unwanted_models, fence);
   if (!desired.role.empty() && desired.role != state.role) {
     orders.push_back({"role", desired.role, "", fence});
   }
-  AddEach(orders, "load-model", desired.models, state.models, fence);
-  AddEach(orders, "load-adapter", desired.adapters, state.adapters, fence);
+  AddLoads(orders, "load-model", desired.models, state.models, fence);
+  AddLoads(orders, "load-adapter", desired.adapters, state.adapters, fence);
   return orders;
 }
 
--- a/src/query/builder.cc
+++ b/src/query/builder.cc
@@ -144,7 +144,6 @@
     return SetService{ServiceName{std::move(name)}, BuildServiceSettings(node)};
   }
   if (node.is_type<grammar::RemoveService>()) return RemoveService{ServiceName{std::move(name)}};
-  if (node.is_type<grammar::RemoveLimit>()) return RemoveLimit{TeamId{std::move(name)}};
   if (node.is_type<grammar::RemoveBackend>()) return RemoveBackend{NodeId{std::move(name)}};
   if (node.is_type<grammar::Drain>()) return Drain{NodeId{std::move(name)}};
   if (node.is_type<grammar::Undrain>()) return Undrain{NodeId{std::move(name)}};
--- a/src/query/execute.cc
+++ b/src/query/execute.cc
@@ -1,5 +1,3 @@
-#include <algorithm>
-
 #include "figmill/query.h"
 
 namespace figmill::query {
@@ -36,12 +34,7 @@
                       Answering<Spread>(std::move(done_), [](Spread spread) { return spread; }));
   }
   void operator()(const Help& help) {
-    HelpText text;
-    for (const StatementHelp& statement : StatementsHelp()) {
-      if (statement.usage.starts_with(help.topic)) text.statements.push_back(statement);
-    }
-    if (!text.statements.empty()) return done_(QueryAnswer(std::move(text)));
-    done_(Error{ErrorKind::kNotFound, "no statement starts with '" + help.topic + "'"});
+    Answering<HelpText>(std::move(done_), [](HelpText text) { return text; })(HelpOn(help));
   }
 
  private:
@@ -51,6 +44,15 @@
 
 }  // namespace
 
+Result<HelpText> HelpOn(const Help& help) {
+  HelpText text;
+  for (const StatementHelp& statement : StatementsHelp()) {
+    if (statement.usage.starts_with(help.topic)) text.statements.push_back(statement);
+  }
+  if (!text.statements.empty()) return text;
+  return Error{ErrorKind::kNotFound, "no statement starts with '" + help.topic + "'"};
+}
+
 void Execute(std::string_view text, Operations& operations, Done done) {
   const std::variant<Statement, SyntaxError> parsed = ParseStatement(text);
   if (const auto* error = std::get_if<SyntaxError>(&parsed)) return done(ToError(*error, text));
--- a/src/query/grammar.h
+++ b/src/query/grammar.h
@@ -76,7 +76,6 @@
 struct Burst : pegtl::seq<Key<"burst">, Val<Span>> {};
 struct SetLimit : pegtl::seq<Key<"set">, Key<"limit">, Key<"team">, AnyName,
                              pegtl::plus<pegtl::sor<Requests, Tokens, Burst>>> {};
-struct RemoveLimit : pegtl::seq<Key<"remove">, Key<"limit">, Key<"team">, AnyName> {};
 
 struct Serves : pegtl::seq<Key<"serves">, pegtl::list<AnyName, Mark<",">>> {};
 struct Fencing : pegtl::seq<Key<"fencing">, Truth> {};
@@ -96,9 +95,8 @@
 struct Unload : pegtl::seq<Key<"unload">, AnyWeights, Key<"on">, AnyName> {};
 struct SetRole : pegtl::seq<Key<"role">, AnyName, AnyName> {};
 
-using AnyCommand =
-    pegtl::sor<CreateService, SetService, RemoveService, SetLimit, RemoveLimit, SetBackend,
-               RemoveBackend, Drain, Undrain, CancelJob, Load, Unload, SetRole>;
+using AnyCommand = pegtl::sor<CreateService, SetService, RemoveService, SetLimit, SetBackend,
+                              RemoveBackend, Drain, Undrain, CancelJob, Load, Unload, SetRole>;
 struct IfVersion : pegtl::seq<Key<"if">, Key<"version">, Val<Digits>> {};
 struct Order : pegtl::seq<AnyCommand, pegtl::opt<IfVersion>> {};
 
@@ -122,8 +120,8 @@
                    Descending, OrderBy, Limit, Show> ||
           kIsOneOf<Rule, Repeatable, FirstToken, TokenGap, Deadline, Route, Model, Plain, Requests,
                    Tokens, Burst, Serves, Fencing, Adapter, IfVersion> ||
-          kIsOneOf<Rule, CreateService, SetService, RemoveService, SetLimit, RemoveLimit,
-                   SetBackend, RemoveBackend, Drain, Undrain, CancelJob, Load, Unload, SetRole,
-                   Order, Await, Help>> {};
+          kIsOneOf<Rule, CreateService, SetService, RemoveService, SetLimit, SetBackend,
+                   RemoveBackend, Drain, Undrain, CancelJob, Load, Unload, SetRole, Order, Await,
+                   Help>> {};
 
 }  // namespace figmill::query::detail::grammar
--- a/src/query/refusal_log.cc
+++ b/src/query/refusal_log.cc
@@ -34,8 +34,7 @@
 
 Table RefusalLog::Since(std::optional<WallTime> since) const {
   const auto within = [&](WallTime at) { return !since || at >= *since; };
-  const std::span<const Column> columns = ColumnsOf(ShowRefusals{});
-  Table table{{columns.begin(), columns.end()}, {}};
+  Table table = EmptyTable(ShowRefusals{});
   for (std::size_t kind = 0; kind < dropped_.size(); ++kind) {
     const Dropped& dropped = dropped_[kind];
     if (dropped.count == 0 || !within(dropped.newest)) continue;
--- a/src/query/schema.cc
+++ b/src/query/schema.cc
@@ -43,7 +43,6 @@
 };
 const std::array kLogColumns = {
     Column{"sequence", CellType::kInteger},
-    Column{"at", CellType::kMoment},
     Column{"by", CellType::kText},
     Column{"change", CellType::kText},
 };
@@ -54,10 +53,9 @@
     Column{"burst", CellType::kDuration},
 };
 const std::array kPlacementColumns = {
-    Column{"host", CellType::kText},
-    Column{"kind", CellType::kText},
-    Column{"name", CellType::kText},
-    Column{"version", CellType::kText},
+    Column{"host", CellType::kText},    Column{"kind", CellType::kText},
+    Column{"name", CellType::kText},    Column{"version", CellType::kText},
+    Column{"wanted", CellType::kYesNo}, Column{"sequence", CellType::kInteger},
 };
 
 const std::vector<StatementHelp> kHelp = {
@@ -88,7 +86,6 @@
     StatementHelp{"set limit team TEAM [requests N] [tokens N] [burst DURATION]",
                   "rates a second over the whole fleet; 0 is unlimited",
                   "set limit team \"harbour\" requests 10 tokens 5000 burst 2s"},
-    StatementHelp{"remove limit team TEAM", "lifts a team's limit", "remove limit team harbour"},
     StatementHelp{"set backend NODE [serves NAME, ...] [fencing true|false]",
                   "what the backend server beside an agent serves, and whether it checks fencing",
                   "set backend agent-3 serves note-llm, crop-llm fencing false"},
--- a/test/placement-test.cc
+++ b/test/placement-test.cc
@@ -25,7 +25,12 @@
 
 DesiredPlacement Wish(Sequence sequence, std::vector<std::string> models, std::string role = "",
                       bool checks_fencing = true) {
-  return {sequence, std::move(models), {}, std::move(role), checks_fencing};
+  DesiredPlacement wish;
+  wish.sequence = sequence;
+  wish.models = std::move(models);
+  wish.role = std::move(role);
+  wish.checks_fencing = checks_fencing;
+  return wish;
 }
 
 Error Failure(ErrorKind kind, Ran ran) {
@@ -98,6 +103,19 @@
   CHECK(story.placer.settled());
 }
 
+// Symptom: a role change unloads a model that traffic uses. Events: the model was
+// loaded without figmill, then a role is ordered. Cause: taking what isn't named
+// for unwanted.
+TEST_CASE("what an order doesn't name stays on the engine") {
+  DesiredPlacement wish = Wish(5, {"a@2"}, "prefill");
+  wish.unwanted_models = {"c@1"};
+  std::string kinds;
+  for (const EngineOrder& order : OrdersFor(wish, StateOf({"a@1", "b@1", "c@1"}))) {
+    kinds += order.kind + " " + order.subject + "@" + order.version + "; ";
+  }
+  CHECK(kinds == "unload-model a@1; unload-model c@1; role prefill@; load-model a@2; ");
+}
+
 TEST_CASE("an adapter comes without a drain") {
   Story story;
   DesiredPlacement wish = Wish(5, {"m@1"});
--- a/test/query-answer-test.cc
+++ b/test/query-answer-test.cc
@@ -7,10 +7,11 @@
 
 using namespace figmill;         // NOLINT(google-build-using-namespace): tests read better
 using namespace figmill::query;  // NOLINT(google-build-using-namespace)
-using trompeloeil::_;
 
 namespace {
 
+using trompeloeil::_;  // NOLINT(bugprone-reserved-identifier): the library's name
+
 class MockOperations : public Operations {
  public:
   MAKE_MOCK2(Ask, void(const Question&, std::function<void(Result<Table>)>), override);
