Mend the placement case of control-log-test for the wider Placement

Cause: Placement gained the lists of unwanted names, the test's aggregate did not. Change: the case now also sends an unwanted model through the codec.

--- a/test/control-log-test.cc
+++ b/test/control-log-test.cc
@@ -133,17 +133,18 @@
   config.services[{"s"}].routes = {{"/hazards", false}};
   config.limits[{"t"}] = TeamLimit{{"t"}, 2.5, 1000, 3};
   config.backends[{"n1"}] = BackendConfig{{"n1"}, {{"s"}}, false};
-  const std::vector<ControlEntry> entries = {Service("a"),
-                                             PutLimit{{{"t"}, 1}},
-                                             RemoveService{{"a"}},
-                                             ReplaceConfig{config},
-                                             PutBackend{{{"n2"}, {{"s"}}}},
-                                             Drain{{"n1"}},
-                                             Drain{{"n2"}},
-                                             Undrain{{"n2"}},
-                                             CancelJob{{"j"}},
-                                             Place{{"n1"}, {{{"m", "3"}}, {{"x", "1"}}, "decode"}},
-                                             RemoveBackend{{"n2"}}};
+  const std::vector<ControlEntry> entries = {
+      Service("a"),
+      PutLimit{{{"t"}, 1}},
+      RemoveService{{"a"}},
+      ReplaceConfig{config},
+      PutBackend{{{"n2"}, {{"s"}}}},
+      Drain{{"n1"}},
+      Drain{{"n2"}},
+      Undrain{{"n2"}},
+      CancelJob{{"j"}},
+      Place{{"n1"}, {{{"m", "3"}}, {{"x", "1"}}, {{"m", "2"}}, {}, "decode"}},
+      RemoveBackend{{"n2"}}};
   Fold direct;
   Fold through_json;
   for (const ControlEntry& entry : entries) {
