--- a/include/figmill/gate.h
+++ b/include/figmill/gate.h
@@ -178,6 +178,9 @@
   int batch_queued = 0;  // never started here
   int batch_paused = 0;  // stopped for online, to be taken up again
   int online_limit = 0;
+  // Online streams to which this backend server should be filled before another
+  // is used, so that the others are left to batch (docs/design/gate.md).
+  int online_mark = 0;
   int batch_limit = 0;
   int room = 0;              // batch items that a sender may add now
   std::uint64_t stops = 0;   // batch streams stopped for online
--- a/src/figmilld/agent_gate.cc
+++ b/src/figmilld/agent_gate.cc
@@ -136,6 +136,7 @@
   head.online_running = static_cast<std::uint32_t>(counts.online_running + counts.online_queued);
   head.batch_running = static_cast<std::uint32_t>(counts.batch_running);
   head.room = static_cast<std::uint32_t>(counts.room);
+  head.online_mark = static_cast<std::uint32_t>(counts.online_mark);
   head.request = work.headers().request;
   return head;
 }
--- a/src/figmilld/frames.cc
+++ b/src/figmilld/frames.cc
@@ -46,6 +46,7 @@
   head.online_running = body.at("online_running").get<std::uint32_t>();
   head.batch_running = body.at("batch_running").get<std::uint32_t>();
   head.room = body.at("room").get<std::uint32_t>();
+  head.online_mark = body.at("online_mark").get<std::uint32_t>();
   head.request.value = body.at("request").get<std::string>();
   return Frame{head};
 }
@@ -85,6 +86,7 @@
           {"online_running", head.online_running},
           {"batch_running", head.batch_running},
           {"room", head.room},
+          {"online_mark", head.online_mark},
           {"request", head.request.value}};
 }
 
--- a/src/figmilld/frames.h
+++ b/src/figmilld/frames.h
@@ -24,8 +24,9 @@
   Sequence orders = 0;
   std::uint32_t online_running = 0;
   std::uint32_t batch_running = 0;
-  std::uint32_t room = 0;  // further batch items the agent would queue
-  RequestId request;       // whose answer this is
+  std::uint32_t room = 0;         // further batch items the agent would queue
+  RequestId request;              // whose answer this is
+  std::uint32_t online_mark = 0;  // online streams here before another agent is used
 };
 struct FrameData {
   std::string bytes;
--- a/src/gate/engine_places.h
+++ b/src/gate/engine_places.h
@@ -2,7 +2,9 @@
 
 // How many streams the engine runs at once before it queues by itself. Its bound
 // (slots or KV memory) isn't told; it shows when the engine reports streams that
-// wait, and is tried again slowly, as the memory that streams need varies.
+// wait while one has waited here for its first token for long. Waiting alone
+// says nothing: every newcomer waits for the next step. The bound is tried again
+// slowly, as the memory that streams need varies.
 
 #include <algorithm>
 #include <optional>
@@ -15,8 +17,9 @@
 class EnginePlaces {
  public:
   explicit EnginePlaces(int most) : most_(most), count_(most) {}
-  void Report(const EngineLoad& load, int running, Time now) {
-    if (load.waiting > 0) {
+  // `longest_wait`: of the streams that run here, for their first token.
+  void Report(const EngineLoad& load, int running, Duration longest_wait, Time now) {
+    if (load.waiting > 0 && longest_wait >= kLongWait) {
       count_ = std::clamp(static_cast<int>(load.running), 1, most_);
       changed_ = now;
     } else if (running >= count_ && count_ < most_ && now >= changed_ + kTryAgain) {
@@ -27,6 +30,7 @@
   [[nodiscard]] int count() const { return count_; }
 
  private:
+  static constexpr Duration kLongWait{200'000};
   static constexpr Duration kTryAgain{2'000'000};
   int most_;
   int count_;
--- a/src/gate/gate.cc
+++ b/src/gate/gate.cc
@@ -8,6 +8,10 @@
 namespace figmill {
 namespace {
 
+// Of the limit; the rest takes what entries send before they hear of each other.
+constexpr int kMarkNumerator = 5;
+constexpr int kMarkDenominator = 6;
+
 // Whose time is held to the target: the gap between two tokens of a model
 // engine, the whole call of a plain service.
 Duration TargetGap(const GateConfig& config) {
@@ -48,6 +52,7 @@
   counts.batch_queued = batch_queue_.fresh();
   counts.batch_paused = batch_queue_.paused();
   counts.online_limit = OnlineLimit();
+  counts.online_mark = counts.online_limit * kMarkNumerator / kMarkDenominator;
   counts.batch_limit = yield_.Limit(model_, OnlineWanted(), places_.count(), now_);
   const int waiting = counts.batch_queued + counts.batch_paused;
   counts.room = leaving_ ? 0 : std::max(0, config_.ready_batch - waiting);
--- a/src/gate/gate_impl.h
+++ b/src/gate/gate_impl.h
@@ -94,6 +94,7 @@
   void NoteNewEpoch(const JobId& job, Epoch epoch);
   void Expire();
   void ForgetOldEpochs();
+  [[nodiscard]] Duration LongestWait() const;
   [[nodiscard]] Error Overloaded(std::string detail) const;
   // True, and answered, when the table may have forgotten the id.
   bool AnswerForgotten(const RequestId& request, std::optional<Time> stamp);
--- a/src/gate/gate_orders.cc
+++ b/src/gate/gate_orders.cc
@@ -111,9 +111,17 @@
   }
 }
 
+Duration Gate::Impl::LongestWait() const {
+  Duration longest{0};
+  for (const auto& [id, stream] : streams_) {
+    if (stream.reading) longest = std::max(longest, now_ - stream.started);
+  }
+  return longest;
+}
+
 void Gate::Impl::On(const LoadReported& event) {
   yield_.Report(event.load, now_);
-  places_.Report(event.load, online_running_ + batch_running_, now_);
+  places_.Report(event.load, online_running_ + batch_running_, LongestWait(), now_);
   Schedule();
 }
 
--- a/test/gate-schedule-test.cc
+++ b/test/gate-schedule-test.cc
@@ -201,9 +201,9 @@
   void CheckEnd() {
     CHECK(open_.empty());  // every arrival that waited has its final answer
     CHECK(running_.empty());
-    for (const auto& [request, seen] : seen_) {
-      CAPTURE(request.value);
-      CHECK((!seen.said_no || seen.starts == 0));
+    for (const auto& entry : seen_) {
+      CAPTURE(entry.first.value);
+      CHECK((!entry.second.said_no || entry.second.starts == 0));
     }
   }
 
--- a/test/gate-yield-test.cc
+++ b/test/gate-yield-test.cc
@@ -121,3 +121,20 @@
   CHECK(refused > 40);
   CHECK(f.gate.counts().online_running == 2);
 }
+
+// Symptom: an idle engine refuses nearly all online work.
+// Sequence: the engine's report falls between an arrival and the next step, so
+// it shows two streams running and one waiting.
+// Cause: that was taken for an engine with two places.
+TEST_CASE("the engine's own queue sets the limit only when it lasts") {
+  GateFixture f;
+  f.RunBatch(8);
+  f.Arrive(f.Batch("newcomer"));
+  const int before = f.gate.counts().batch_limit;
+  f.Step(LoadReported{{8, 1, 0.1}});
+  CHECK(f.gate.counts().batch_limit == before);
+  f.Pass(Duration(300'000));
+  f.Step(LoadReported{{8, 1, 0.1}});
+  CHECK(f.gate.counts().batch_limit == 8);
+  CHECK(f.gate.counts().online_limit == 8);
+}
