Never call a plain service to take a request up

Cause: taking a request up asked the backend server for its stream; a plain service answers any path, so that this would have been a second run. Change: a running call of a plain service goes on for the new sender, with its answer held until whole; otherwise not-found with ran yes or unknown. Long answers go out in frames of at most 1 MB.

--- a/src/figmilld/agent_answer.cc
+++ b/src/figmilld/agent_answer.cc
@@ -9,10 +9,12 @@
   return true;
 }
 
-void AgentAnswer::Data(std::string bytes) {
-  if (bytes.empty()) return;
+void AgentAnswer::Data(std::string_view bytes) {
+  constexpr std::size_t kLargest = 1U << 20;  // well under what a frame may hold
   bytes_ += bytes.size();
-  reply_->Write(Encode(FrameData{std::move(bytes)}));
+  for (std::size_t at = 0; at < bytes.size(); at += kLargest) {
+    reply_->Write(Encode(FrameData{std::string(bytes.substr(at, kLargest))}));
+  }
 }
 
 void AgentAnswer::KeepAlive() {
--- a/src/figmilld/agent_answer.h
+++ b/src/figmilld/agent_answer.h
@@ -16,7 +16,7 @@
   explicit AgentAnswer(std::shared_ptr<HttpReply> reply) : reply_(std::move(reply)) {}
   // False if it has begun with another status: that answer can't be taken back.
   [[nodiscard]] bool Begin(const FrameHead& head);
-  void Data(std::string bytes);
+  void Data(std::string_view bytes);
   // An empty frame, so that a long silence isn't taken for a lost host.
   void KeepAlive();
   void End(std::uint64_t tokens, std::uint64_t cached_tokens);
--- a/src/figmilld/agent_gate.cc
+++ b/src/figmilld/agent_gate.cc
@@ -65,7 +65,9 @@
   });
   if (refused) {
     metrics_.CountRefusal(std::get<Refuse>(actions.front()).error, work.headers().work);
-  } else if (AgentWork* known = Find(id)) {
+  } else if (AgentWork* known = Find(id); known && settings_.backend_kind == BackendKind::kPlain) {
+    known->arrival = arrival;  // the running call goes on, its answer is held
+  } else if (known != nullptr) {
     // Taken up: the new sender's wishes count, the running call is replaced.
     work.call = std::move(known->call);
     work.kv = std::move(known->kv);
@@ -119,8 +121,8 @@
 
 void AgentGate::ReceiveBytes(AgentWork& work, const AnswerBytes& bytes) {
   std::uint32_t tokens = 0;
-  std::string ready = work.Take(bytes, tokens);
-  if (AgentAnswer* answer = AnswerOf(work)) answer->Data(std::move(ready));
+  const std::string ready = work.Take(bytes, tokens);
+  if (AgentAnswer* answer = AnswerOf(work)) answer->Data(ready);
   if (tokens == 0) return;
   metrics_.Tokens(work.headers().work, tokens);
   Do(BackendTokens{work.headers().request, tokens});
@@ -253,6 +255,7 @@
   AgentWork* work = Find(action.request);
   if (work == nullptr) return;
   if (AgentAnswer* answer = AnswerOf(*work)) {
+    (void)answer->Begin(HeadFor(*work));
     answer->Data(work->Rest());
     const TokenUsage usage = work->usage();
     answer->End(usage.completion_tokens, usage.cached_tokens);
--- a/src/figmilld/agent_work.cc
+++ b/src/figmilld/agent_work.cc
@@ -29,7 +29,7 @@
 }  // namespace
 
 AgentWork::AgentWork(DispatchHeaders headers, std::string body, BackendKind kind)
-    : headers_(std::move(headers)), body_(std::move(body)) {
+    : headers_(std::move(headers)), kind_(kind), body_(std::move(body)) {
   max_tokens_ = static_cast<std::uint32_t>(
       std::min<std::uint64_t>(headers_.tokens, std::numeric_limits<std::uint32_t>::max()));
   if (kind == BackendKind::kPlain) return;
@@ -98,7 +98,8 @@
     assembler_.Add(bytes.bytes);
     return {};
   }
-  if (headers_.work == WorkClass::kOnline) return bytes.bytes;
+  const bool at_once = headers_.work == WorkClass::kOnline && kind_ == BackendKind::kModel;
+  if (at_once) return bytes.bytes;
   held_ += bytes.bytes;
   return {};
 }
--- a/src/figmilld/agent_work.h
+++ b/src/figmilld/agent_work.h
@@ -50,11 +50,14 @@
   [[nodiscard]] bool IsAssembled() const { return IsEvents() && !wants_stream_; }
 
   DispatchHeaders headers_;
+  BackendKind kind_;
   std::string body_;
   bool wants_stream_ = false;
   std::uint32_t max_tokens_ = 0;
   std::uint64_t tokens_ = 0;
-  std::string held_;  // batch is sent when whole, so that it can be run again
+  // Batch is sent when whole, so that it can be run again; a plain service's
+  // answer, so that another sender can take it up.
+  std::string held_;
   AnswerAssembler assembler_;
   std::string last_events_;
 };
--- a/src/gate/gate_arrivals.cc
+++ b/src/gate/gate_arrivals.cc
@@ -31,7 +31,7 @@
     return Error{ErrorKind::kStaleOrders, "meant for another incarnation of this agent", Ran::kNo};
   }
   if (table_.Find(dispatch.request)) return KnownRefusal(dispatch);
-  if (dispatch.resume_from) return std::nullopt;
+  if (dispatch.resume_from) return NothingKept(Ran::kUnknown);
   if (dispatch.stamp && table_.MayBeForgotten(*dispatch.stamp)) {
     return Error{ErrorKind::kStaleOrders, "the dispatch is older than this agent remembers",
                  Ran::kUnknown};
@@ -59,7 +59,7 @@
     case detail::Fate::kNeverStarted:
       return Error{ErrorKind::kCancelled, "the request was refused or revoked before", Ran::kNo};
     case detail::Fate::kFinished:
-      if (dispatch.resume_from) return std::nullopt;
+      if (dispatch.resume_from) return NothingKept(Ran::kYes);
       return Error{ErrorKind::kConflict, "the request has run already", Ran::kYes};
     case detail::Fate::kOpen:
       break;
@@ -71,6 +71,13 @@
                ran ? Ran::kYes : Ran::kUnknown};
 }
 
+// A plain service can't be asked for an answer that it gave; to call it would be
+// a second run.
+std::optional<Error> Gate::Impl::NothingKept(Ran ran) const {
+  if (config_.token_streams) return std::nullopt;
+  return Error{ErrorKind::kNotFound, "a plain service keeps no answers", ran};
+}
+
 std::optional<Error> Gate::Impl::QueueRefusal(const Dispatch& dispatch) const {
   if (dispatch.work_class == WorkClass::kBatch) {
     if (batch_queue_.fresh() < 2 * config_.ready_batch) return std::nullopt;
@@ -136,6 +143,7 @@
   stream->dispatch.epoch = dispatch.epoch;
   arrivals_[arrival] = dispatch.request;
   if (stream->phase == Phase::kQueued && !stream->ran) return;  // its turn will come
+  if (!config_.token_streams) return;  // the shell holds the answer until it is whole
   batch_queue_.Remove(dispatch.request);
   if (stream->phase == Phase::kRunning) LeaveRunning(*stream);
   stream->adopted = true;
--- a/src/gate/gate_impl.h
+++ b/src/gate/gate_impl.h
@@ -65,6 +65,7 @@
   // Arrivals (gate_arrivals.cc).
   [[nodiscard]] std::optional<Error> RefusalOf(const Dispatch& dispatch);
   [[nodiscard]] std::optional<Error> KnownRefusal(const Dispatch& dispatch) const;
+  [[nodiscard]] std::optional<Error> NothingKept(Ran ran) const;
   [[nodiscard]] std::optional<Error> QueueRefusal(const Dispatch& dispatch) const;
   void Adopt(Arrival arrival, const Dispatch& dispatch);
   void Enqueue(Arrival arrival, const Dispatch& dispatch);
--- a/test/agent-test.py
+++ b/test/agent-test.py
@@ -254,6 +254,18 @@
         echo = json.loads(answer.body)
         assert (echo["method"], echo["path"], echo["body_bytes"]) == ("PUT", "/photos", 5)
         assert len(fleet.executions("p")) == 1
+        fleet.fault(slow_ms=400)
+        once = {**headers, "Figmill-Request": "q", "Figmill-Item": "invoice", "Figmill-Repeatable": "false"}
+        once["Figmill-Stamp"] = str(fleet.try_status()["stamp"])
+        lost = http.client.HTTPConnection("127.0.0.1", fleet.agent, timeout=WAIT)
+        lost.request("POST", "/agent/run", b"photo", once)
+        wait_for("it runs", lambda: fleet.executions("q"))
+        lost.close()
+        resume = {**once, "Figmill-Resume-From": "0"}
+        taken_up = Answer(*call(fleet.agent, "POST", "/agent/run", b"", resume))
+        assert json.loads(taken_up.body)["body_bytes"] == 5
+        assert Answer(*call(fleet.agent, "POST", "/agent/run", b"", resume)).problem["kind"] == "not-found"
+        assert len(fleet.executions("q")) == 1
 
 
 for name, test in list(globals().items()):
--- a/test/gate-truth-test.cc
+++ b/test/gate-truth-test.cc
@@ -176,6 +176,31 @@
   CHECK(f.gate.counts().batch_running == 0);
 }
 
+// Symptom: an invoice is sent twice by the very call that asks what became of it.
+// Sequence: a plain service's call ends; its sender died; the successor takes the
+// request up, and the service is called again.
+// Cause: only model engines keep streams that can be asked for.
+TEST_CASE("a plain service is never called to take a request up") {
+  GateConfig config;
+  config.token_streams = false;
+  GateFixture f(config);
+  Dispatch dispatch = Once(f.Online("r"));
+  f.Arrive(dispatch);
+  f.Step(PeerGone{1});
+  dispatch.resume_from = 0;
+  f.Arrive(dispatch);
+  CHECK(f.last.empty());  // it runs, and now answers the second arrival
+  f.Step(BackendEnded{dispatch.request});
+  CHECK(f.Last<Finish>().at(0).arrival == 2);
+  f.Arrive(dispatch);
+  CHECK(f.Last<Refuse>().at(0).error.kind == ErrorKind::kNotFound);
+  CHECK(f.Last<Refuse>().at(0).error.ran == Ran::kYes);
+  dispatch.request.value = "never seen here";
+  f.Arrive(dispatch);
+  CHECK(f.Last<Refuse>().at(0).error.ran == Ran::kUnknown);
+  CHECK(f.Last<ResumeBackend>().empty());
+}
+
 TEST_CASE("a sender that went away stops its online request, unless the request has a key") {
   GateFixture f;
   f.Arrive(f.Online("plain"));
