Fetch the answer of unrepeatable work from a restarted agent's engine

Cause: after an agent died, its engine's stream was asked for only for 250 ms, less than a restart takes, and the caller got a broken answer.

--- a/include/figmill/online.h
+++ b/include/figmill/online.h
@@ -423,8 +423,12 @@
   static constexpr Duration kStreamPatience{2'000'000};
   static constexpr Duration kRevokeTimeout{1'000'000};
   static constexpr int kRevokes = 3;  // for what may not be repeated; others ask once
-  static constexpr int kResumes = 3;  // in a row, without progress
+  // Resumes in a row, without progress. What may not be repeated has no other
+  // way to its answer, and a restarted agent needs seconds to be known.
+  static constexpr int kResumes = 3;
+  static constexpr int kResumesOfUnrepeatable = 7;
   static constexpr Duration kResumeBackoff{50'000};
+  static constexpr Duration kLongestResumeBackoff{2'000'000};
   static constexpr Duration kRetryAfter{1'000'000};
 
   // `routes` and `budget` outlive the run.
--- a/src/online/request_run.cc
+++ b/src/online/request_run.cc
@@ -197,17 +197,19 @@
 }
 
 void RequestRun::ResumeSoon(Time now) {
-  if (attempt_.resumes_in_row >= kResumes) return CantResume(now);
+  const int most = plan_.repeatable ? kResumes : kResumesOfUnrepeatable;
+  if (attempt_.resumes_in_row >= most) return CantResume(now);
   if (attempt_.resumes_in_row == 0) return Resume(now);
   phase_ = Phase::kResting;
-  wake_at_ = now + kResumeBackoff * (1 << (2 * (attempt_.resumes_in_row - 1)));
+  const Duration backoff = kResumeBackoff * (1 << (2 * (attempt_.resumes_in_row - 1)));
+  wake_at_ = now + std::min(backoff, kLongestResumeBackoff);
   Arm(wake_at_);
 }
 
 void RequestRun::Resume(Time now) {
-  const std::optional<Pick> found = routes_.find(attempt_.to.node);
-  if (!found) return CantResume(now);
   ++attempt_.resumes_in_row;
+  const std::optional<Pick> found = routes_.find(attempt_.to.node);
+  if (!found) return plan_.repeatable ? CantResume(now) : ResumeSoon(now);
   ++resumes_;
   DispatchTo(*found, true, now);
 }
