Add the batch shell of an entry

Cause: the batch library needs sockets, a store and leases around it. Change: entry_batch and its parts: callers' calls on /v1/jobs, the owner loop on a thread of its own, dispatches over the frame protocol, the owner's lease and the watch over others. Measured: it builds; not run yet.

--- /dev/null
+++ b/src/figmilld/batch_dispatcher.h
@@ -0,0 +1,51 @@
+#pragma once
+
+// Sends batch items to agents and gathers their answers.
+
+#include <functional>
+#include <map>
+#include <string>
+
+#include "figmill/batch.h"
+#include "figmill/runtime.h"
+#include "figmilld/dispatch.h"
+
+namespace figmill {
+
+class BatchDispatcher {
+ public:
+  using Report = std::function<void(BatchEvent)>;
+  BatchDispatcher(HttpClient& client, NodeId self, Report report);
+
+  void SetAgents(std::map<NodeId, Address> agents) { agents_ = std::move(agents); }
+  void Send(DispatchItem item);
+  // Hangs up and tells the agent, so that the stream stops even if it is queued
+  // behind a connection that dies slowly.
+  void Cancel(const CancelItem& item);
+
+ private:
+  struct Call {
+    NodeId agent;
+    Incarnation incarnation = 0;
+    bool repeatable = true;
+    Time sent;
+    int status = 0;
+    std::string body;
+    CancelCall hang_up;
+  };
+
+  void On(const RequestId& request, DispatchEvent event);
+  void End(const RequestId& request, ItemOutcome outcome);
+  void TakeData(const RequestId& request, Call& call, const std::string& bytes);
+  void TakeError(const RequestId& request, const Error& error);
+  // Asks the agent whether a not-repeatable request was ever started.
+  void Revoke(const RequestId& request, const Error& error);
+
+  HttpClient& client_;
+  NodeId self_;
+  Report report_;
+  std::map<NodeId, Address> agents_;
+  std::map<RequestId, Call> calls_;
+};
+
+}  // namespace figmill
--- /dev/null
+++ b/src/figmilld/batch_lease.cc
@@ -0,0 +1,155 @@
+#include "figmilld/batch_lease.h"
+
+namespace figmill {
+namespace {
+
+// At 330 owners and renewals every third of a term, 55 writes a second.
+constexpr Duration kTerm{6'000'000};
+constexpr Duration kWatchPeriod = kTerm / 4;
+// How long the owner may go on without being told again; it is told every
+// kBatchTick, so that one that was paused stops at its first event.
+constexpr Duration kActSlice = 5 * kBatchTick;
+
+bool SaysDown(const LeaseEvent& event) {
+  return std::visit(Overloaded{
+                        [](const RowWasRead& read) { return !IsOk(read.row); },
+                        [](const CommitEnded& ended) {
+                          return std::holds_alternative<NotWritten>(ended.outcome) ||
+                                 std::holds_alternative<FateUnknown>(ended.outcome);
+                        },
+                    },
+                    event);
+}
+
+}  // namespace
+
+BatchLease::BatchLease(TableStore& table, LeaseSettings settings, Purpose purpose,
+                       RandomBits random)
+    : table_(table),
+      settings_(std::move(settings)),
+      purpose_(purpose),
+      random_(std::move(random)),
+      watcher_(std::make_unique<LeaseWatcher>(settings_, random_)) {}
+
+std::optional<Epoch> BatchLease::epoch() const {
+  if (!holder_) return std::nullopt;
+  return holder_->epoch();
+}
+
+bool BatchLease::Lapsed(Epoch epoch) const {
+  if (highest_ > epoch) return true;
+  if (!watcher_ || !watcher_->seen()) return false;
+  const LeaseRow& row = *watcher_->seen();
+  return row.epoch > epoch || (row.epoch == epoch && row.holder.empty());
+}
+
+void BatchLease::Tick() {
+  Do(holder_ ? holder_->Tick(Loop::Now()) : watcher_->Tick(Loop::Now()));
+}
+
+void BatchLease::Release() {
+  if (holder_) Do(holder_->Release(Loop::Now()));
+}
+
+void BatchLease::On(const LeaseEvent& event) {
+  const bool down = SaysDown(event);
+  failures_ = down ? failures_ + 1 : 0;
+  // Silence counts only while the store could be read: after an outage the holder
+  // first gets its chance to renew, or every outage would move all jobs.
+  if (down && purpose_ == Purpose::kFence && !holder_ &&
+      std::holds_alternative<RowWasRead>(event)) {
+    watcher_ = std::make_unique<LeaseWatcher>(settings_, random_);
+    return;
+  }
+  Do(holder_ ? holder_->On(Loop::Now(), event) : watcher_->On(Loop::Now(), event));
+}
+
+void BatchLease::Do(std::vector<LeaseAction> actions) {
+  const auto on = [this](auto make) {
+    return [this, alive = std::weak_ptr(alive_), make](auto answer) {
+      if (alive.lock()) On(make(std::move(answer)));
+    };
+  };
+  for (LeaseAction& action : actions) {
+    std::visit(Overloaded{
+                   [&](ReadRow& a) {
+                     table_.Read(std::move(a.key), on([](Result<std::optional<Row>> row) {
+                                   return LeaseEvent{RowWasRead{std::move(row)}};
+                                 }));
+                   },
+                   [&](CommitRows& a) {
+                     table_.Commit(std::move(a.transaction), on([](TransactionOutcome outcome) {
+                                     return LeaseEvent{CommitEnded{std::move(outcome)}};
+                                   }));
+                   },
+                   [&](const LeaseTaken& a) {
+                     highest_ = a.grant.epoch;
+                     holder_ = std::make_unique<LeaseHolder>(settings_, a.grant, random_);
+                     if (purpose_ == Purpose::kFence) Release();
+                   },
+                   [&](const LeaseLost&) {
+                     holder_.reset();
+                     watcher_ = std::make_unique<LeaseWatcher>(settings_, random_);
+                   },
+               },
+               action);
+  }
+}
+
+BatchLeases::BatchLeases(TableStore& table, NodeId self, Incarnation incarnation, RandomBits random,
+                         Report report)
+    : table_(table),
+      self_(std::move(self)),
+      incarnation_(incarnation),
+      random_(std::move(random)),
+      report_(std::move(report)),
+      own_(table_, SettingsFor(self_), BatchLease::Purpose::kHold, random_) {}
+
+LeaseSettings BatchLeases::SettingsFor(const NodeId& owner) const {
+  return LeaseSettings{"owner-" + owner.value, self_, incarnation_, kTerm};
+}
+
+void BatchLeases::Tick() {
+  own_.Tick();
+  ReportOwn();
+  if (Loop::Now() < next_watch_) return;
+  next_watch_ = Loop::Now() + kWatchPeriod;
+  for (auto& [owner, lease] : watched_) lease->Tick();
+  ReportOthers();
+}
+
+void BatchLeases::ReportOwn() {
+  const std::optional<Epoch> epoch = own_.epoch();
+  if (held_ && epoch != held_) report_(OwnerLeaseLost{});
+  held_ = epoch;
+  if (own_.may_act() && !released_) {
+    report_(OwnerLeaseHeld{*epoch, Loop::Now() + kActSlice});
+  } else if (own_.store_silent()) {
+    report_(StoreSilent{});
+  }
+}
+
+void BatchLeases::ReportOthers() {
+  for (const auto& [owner, lease] : watched_) {
+    if (lease->Lapsed(owner.epoch)) report_(OwnerLapsed{owner.owner, owner.epoch});
+  }
+}
+
+void BatchLeases::Watch(const std::vector<OwnerToWatch>& owners) {
+  std::map<OwnerToWatch, std::unique_ptr<BatchLease>> watched;
+  for (const OwnerToWatch& owner : owners) {
+    auto node = watched_.extract(owner);
+    watched[owner] = node.empty()
+                         ? std::make_unique<BatchLease>(table_, SettingsFor(owner.owner),
+                                                        BatchLease::Purpose::kFence, random_)
+                         : std::move(node.mapped());
+  }
+  watched_ = std::move(watched);
+}
+
+void BatchLeases::Release() {
+  released_ = true;
+  own_.Release();
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/figmilld/entry_batch.cc
@@ -0,0 +1,237 @@
+#include "figmilld/entry_batch.h"
+
+#include <algorithm>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+#include "figmilld/batch_dispatcher.h"
+#include "figmilld/batch_jobs.h"
+#include "figmilld/batch_lease.h"
+#include "figmilld/batch_store.h"
+
+namespace figmill {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Duration kNotifyTimeout{1'000'000};
+
+bool IsRepeatable(const Config& config, const ServiceName& name, std::string_view path) {
+  const auto service = config.services.find(name);
+  if (service == config.services.end()) return true;
+  return service->second.repeatable &&
+         std::none_of(service->second.routes.begin(), service->second.routes.end(),
+                      [&](const RouteRule& rule) {
+                        return !rule.repeatable && path.starts_with(rule.path_prefix);
+                      });
+}
+
+std::string_view NameOf(JobNote::What what) {
+  switch (what) {
+    case JobNote::What::kClaimed:
+      return "job-claimed";
+    case JobNote::What::kDone:
+      return "job-done";
+    case JobNote::What::kCancelled:
+      return "job-cancelled";
+    case JobNote::What::kFenced:
+      return "job-fenced";
+    case JobNote::What::kReleased:
+      return "job-released";
+  }
+  return "job";
+}
+
+}  // namespace
+
+// Lives on the batch thread but for its construction and destruction.
+class EntryBatch::Worker {
+ public:
+  Worker(Loop& server_loop, EntryBatchSettings settings, Metrics& metrics)
+      : server_loop_(server_loop),
+        settings_(std::move(settings)),
+        client_(loop_),
+        platform_(client_, settings_.platform, settings_.store_timeout),
+        store_{platform_, platform_},
+        owner_(settings_.node, settings_.limits, SystemRandom()),
+        leases_(platform_, settings_.node, settings_.incarnation, SystemRandom(),
+                [this](const BatchEvent& event) { Feed(event); }),
+        dispatcher_(client_, settings_.node, [this](const BatchEvent& event) { Feed(event); }),
+        jobs_({loop_, store_, SystemRandom(),
+               [this](const JobRow& row, const JobId& job) { Notify(row, job); }}),
+        items_(metrics.counter("figmill_batch_items_committed_total", "Batch items committed")),
+        transactions_(metrics.counter("figmill_batch_transactions_total",
+                                      "Table transactions of the batch owner")),
+        held_(metrics.gauge("figmill_batch_held_bytes", "Items and results not yet committed")),
+        running_(metrics.gauge("figmill_batch_jobs", "Jobs owned here")),
+        in_flight_(metrics.gauge("figmill_batch_in_flight", "Batch items at agents")),
+        ticks_(loop_.Every(kBatchTick, [this] { Tick(); })),
+        thread_([this] { loop_.Run(); }) {}
+
+  ~Worker() {
+    loop_.Post([this] { loop_.Stop(); });
+    thread_.join();
+  }
+
+  Loop& loop() { return loop_; }
+  Loop& server_loop() { return server_loop_; }
+  BatchJobs& jobs() { return jobs_; }
+
+  void Update(const Snapshot& snapshot) {
+    FleetSeen fleet;
+    std::map<NodeId, Address> agents;
+    entries_.clear();
+    for (const Member& member : snapshot.members) {
+      if (member.role == Role::kAgent) {
+        fleet.agents.push_back(BatchAgent{member.node, member.incarnation, member.serves,
+                                          IsLeaving(member, snapshot)});
+        agents[member.node] = member.http;
+      } else {
+        entries_[member.node] = member.http;
+        if (!member.leaving) fleet.entries.push_back(member.node);
+      }
+    }
+    if (snapshot.config) {
+      fleet.repeatable = [config = snapshot.config](const ServiceName& name,
+                                                    std::string_view path) {
+        return IsRepeatable(*config, name, path);
+      };
+    }
+    jobs_.SetRule(fleet.repeatable);
+    dispatcher_.SetAgents(std::move(agents));
+    Feed(fleet);
+  }
+  void Changed(const JobId& job) { Feed(JobChanged{job}); }
+  void Drain(std::function<void()> done) {
+    drained_ = std::move(done);
+    jobs_.SetDraining();
+    Feed(DrainBatch{});
+  }
+
+ private:
+  static bool IsLeaving(const Member& member, const Snapshot& snapshot) {
+    if (member.leaving || member.liveness == Liveness::kDead) return true;
+    if (!snapshot.config) return false;
+    const auto backend = snapshot.config->backends.find(member.node);
+    return backend != snapshot.config->backends.end() && backend->second.drained;
+  }
+
+  void Tick() {
+    leases_.Tick();
+    Feed(BatchTick{});
+    const BatchCounts counts = owner_.counts();
+    items_.Add(counts.items_committed - items_.value());
+    transactions_.Add(counts.transactions - transactions_.value());
+    held_.Set(static_cast<double>(counts.held_bytes));
+    running_.Set(counts.jobs);
+    in_flight_.Set(counts.in_flight);
+  }
+  // Never from inside itself: what an action reports at once waits its turn.
+  void Feed(const BatchEvent& event) {
+    waiting_.push_back(event);
+    if (std::exchange(feeding_, true)) return;
+    while (!waiting_.empty()) {
+      const BatchEvent next = std::move(waiting_.front());
+      waiting_.pop_front();
+      for (BatchAction& action : owner_.Handle(next, Loop::Now())) Carry(std::move(action));
+    }
+    feeding_ = false;
+  }
+  void Carry(BatchAction action) {
+    std::visit(Overloaded{
+                   [this](DispatchItem& a) { dispatcher_.Send(std::move(a)); },
+                   [this](CancelItem& a) { dispatcher_.Cancel(a); },
+                   [this](WatchOwners& a) { leases_.Watch(a.owners); },
+                   [this](BatchDrained&) { OnDrained(); },
+                   [](JobNote& a) {
+                     Log(LogLevel::kInfo, NameOf(a.what),
+                         {{"job", a.job.value}, {"epoch", std::to_string(a.epoch)}});
+                   },
+                   [this](auto& call) {
+                     CarryStoreCall(store_, std::move(call), [this](const StoreAnswer& answer) {
+                       std::visit([this](const auto& a) { Feed(a); }, answer);
+                     });
+                   },
+               },
+               action);
+  }
+  void OnDrained() {
+    leases_.Release();
+    if (drained_) server_loop_.Post(std::exchange(drained_, nullptr));
+  }
+  // A notice only: the owner finds a lost one by its next scan.
+  void Notify(const JobRow& row, const JobId& job) {
+    if (row.owner == settings_.node) return Changed(job);
+    const auto entry = entries_.find(row.owner);
+    if (entry == entries_.end()) return;
+    CallRpc(client_, entry->second, "job-changed", Json{{"job", job.value}}.dump(), kNotifyTimeout,
+            [](const Result<std::string>&) {});
+  }
+
+  Loop& server_loop_;
+  EntryBatchSettings settings_;
+  Loop loop_;
+  HttpClient client_;
+  HttpPlatform platform_;
+  BatchStore store_;
+  BatchOwner owner_;
+  BatchLeases leases_;
+  BatchDispatcher dispatcher_;
+  BatchJobs jobs_;
+  std::map<NodeId, Address> entries_;
+  std::deque<BatchEvent> waiting_;
+  bool feeding_ = false;
+  std::function<void()> drained_;
+  Counter& items_;
+  Counter& transactions_;
+  Gauge& held_;
+  Gauge& running_;
+  Gauge& in_flight_;
+  Timer ticks_;
+  std::thread thread_;  // last: it runs on all of the above
+};
+
+EntryBatch::EntryBatch(Loop& server_loop, EntryBatchSettings settings, Metrics& metrics)
+    : worker_(std::make_unique<Worker>(server_loop, std::move(settings), metrics)) {}
+
+EntryBatch::~EntryBatch() = default;
+
+void EntryBatch::OnRequest(HttpRequest request, std::shared_ptr<HttpReply> reply) {
+  RemoteReply remote(worker_->server_loop(), std::move(reply));
+  worker_->loop().Post([worker = worker_.get(), request = std::move(request), remote]() mutable {
+    worker->jobs().On(std::move(request), remote);
+  });
+}
+
+void EntryBatch::Update(const std::shared_ptr<const Snapshot>& snapshot) {
+  worker_->loop().Post([worker = worker_.get(), snapshot] { worker->Update(*snapshot); });
+}
+
+void EntryBatch::BindOrders(RpcServer& server) {
+  server.Bind("job-changed", [worker = worker_.get()](std::string_view params) {
+    const Json json = Json::parse(params, nullptr, false);
+    if (!json.is_object() || !json.contains("job") || !json["job"].is_string()) {
+      return Result<std::string>(Error{ErrorKind::kBadRequest, "a job is expected"});
+    }
+    const JobId job{json["job"].get<std::string>()};
+    worker->loop().Post([worker, job] { worker->Changed(job); });
+    return Result<std::string>("{}");
+  });
+}
+
+void EntryBatch::Cancel(const JobId& job, std::function<void(Result<JobRow>)> done) {
+  worker_->loop().Post([worker = worker_.get(), job, done = std::move(done)] {
+    worker->jobs().Cancel(job, [worker, done](Result<JobRow> row) {
+      worker->server_loop().Post([done, row = std::move(row)] { done(row); });
+    });
+  });
+}
+
+void EntryBatch::Drain(std::function<void()> done) {
+  worker_->loop().Post([worker = worker_.get(), done = std::move(done)]() mutable {
+    worker->Drain(std::move(done));
+  });
+}
+
+}  // namespace figmill
