--- a/src/query/config_tables.cc
+++ b/src/query/config_tables.cc
@@ -18,10 +18,16 @@
   return {};
 }
 
+std::string Under(std::string path, std::string_view name) {
+  if (!path.empty()) path.push_back('/');
+  path.append(name);
+  return path;
+}
+
 void Flatten(const Json& json, const std::string& path, Values& values) {
   if (json.is_object()) {
     for (const auto& [key, value] : json.items()) {
-      Flatten(value, path.empty() ? key : path + "/" + key, values);
+      Flatten(value, Under(path, key), values);
     }
     return;
   }
@@ -30,7 +36,7 @@
     values[path] = json.dump();
     return;
   }
-  for (const Json& element : json) Flatten(element, path + "/" + NameOfElement(element), values);
+  for (const Json& element : json) Flatten(element, Under(path, NameOfElement(element)), values);
 }
 
 Values ValuesOf(const Config& config) {
