Add the operators' door of an entry: queries, configuration, refusals

Cause: operators ask and order over HTTP at any entry, and a refusal must be found whichever entry gave it.

Change: POST /v1/query and GET and POST /v1/config over ControlAccess, which the control shell implements; jobs, items, log and old configurations read from the store in bounded pages; refusals gathered from all entries over JSON-RPC.

--- a/include/figmill/query.h
+++ b/include/figmill/query.h
@@ -83,6 +83,7 @@
   std::optional<std::uint64_t> limit;
 };
 
+[[nodiscard]] bool Meets(const TableRow& row, const Selection& selection);
 // Rows that meet every condition, in order, cut at the limit.
 [[nodiscard]] Table Select(Table table, const Selection& selection);
 
@@ -243,9 +244,10 @@
 class Operations {
  public:
   virtual ~Operations() = default;
-  // The table has the columns of ColumnsOf(question). Errors: kNotFound,
-  // kStoreUnavailable.
-  virtual void Ask(const Question& question, std::function<void(Result<Table>)> done) = 0;
+  // The table has the columns of ColumnsOf(show.question). Rows that the
+  // selection leaves out may be missing already; the others are selected by
+  // Execute. Errors: kNotFound, kStoreUnavailable, kTooLarge.
+  virtual void Ask(const Show& show, std::function<void(Result<Table>)> done) = 0;
   // Done once the change is in the log. Errors: kConflict and kStaleVersion name
   // what won and at which sequence; kOutcomeUnknown when the store's answer was
   // lost and can't be read back.
--- /dev/null
+++ b/src/figmilld/entry_query.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// The operators' door of an entry: statements, the whole configuration, and the
+// record of refusals.
+
+#include <memory>
+#include <mutex>
+
+#include "figmill/query.h"
+#include "figmill/runtime.h"
+#include "figmilld/control_access.h"
+
+namespace figmill {
+
+// All must outlive the EntryQuery and the loop's work.
+struct EntryQueryParts {
+  Loop& loop;
+  HttpClient& client;
+  TableStore& table;
+  ObjectStore& objects;
+  ControlAccess& control;
+  NodeId self;
+};
+
+class EntryQuery {
+ public:
+  explicit EntryQuery(EntryQueryParts parts);
+  ~EntryQuery();
+
+  // POST /v1/query: one statement in the body. GET /v1/config: the configuration
+  // in force; POST replaces it whole, `?if_version=N`. The header
+  // Figmill-Operator names the author in the log.
+  [[nodiscard]] static bool Handles(std::string_view path);
+  void OnRequest(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply);
+
+  // `refusals`, by which entries ask each other.
+  void BindRpc(RpcServer& rpc);
+
+  // Any thread.
+  void RecordRefusal(query::Refusal refusal);
+
+  // What the handlers share with the answers that are under way.
+  struct Shared;
+
+ private:
+  void OnStatement(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply);
+  void GetConfig(HttpReply& reply) const;
+  void PostConfig(const HttpRequest& request, const std::shared_ptr<HttpReply>& reply);
+
+  std::shared_ptr<Shared> shared_;
+};
+
+}  // namespace figmill
--- a/src/query/execute.cc
+++ b/src/query/execute.cc
@@ -20,7 +20,7 @@
 
   void operator()(const Show& show) {
     const Selection selection = show.selection;
-    operations_.Ask(show.question, Answering<Table>(std::move(done_), [selection](Table table) {
+    operations_.Ask(show, Answering<Table>(std::move(done_), [selection](Table table) {
                       return Select(std::move(table), selection);
                     }));
   }
--- a/src/query/select.cc
+++ b/src/query/select.cc
@@ -32,11 +32,6 @@
   return Holds(condition.comparison, cell, condition.value);
 }
 
-bool MeetsAll(const TableRow& row, const std::vector<Condition>& conditions) {
-  return std::all_of(conditions.begin(), conditions.end(),
-                     [&](const Condition& condition) { return Meets(row, condition); });
-}
-
 void Sort(std::vector<TableRow>& rows, const Ordering& order) {
   std::stable_sort(rows.begin(), rows.end(), [&](const TableRow& a, const TableRow& b) {
     const Cell& left = a[order.column];
@@ -47,8 +42,13 @@
 
 }  // namespace
 
+bool Meets(const TableRow& row, const Selection& selection) {
+  return std::all_of(selection.where.begin(), selection.where.end(),
+                     [&](const Condition& condition) { return Meets(row, condition); });
+}
+
 Table Select(Table table, const Selection& selection) {
-  std::erase_if(table.rows, [&](const TableRow& row) { return !MeetsAll(row, selection.where); });
+  std::erase_if(table.rows, [&](const TableRow& row) { return !Meets(row, selection); });
   if (selection.order) Sort(table.rows, *selection.order);
   if (selection.limit && table.rows.size() > *selection.limit) {
     table.rows.resize(*selection.limit);
--- a/test/query-answer-test.cc
+++ b/test/query-answer-test.cc
@@ -14,7 +14,7 @@
 
 class MockOperations : public Operations {
  public:
-  MAKE_MOCK2(Ask, void(const Question&, std::function<void(Result<Table>)>), override);
+  MAKE_MOCK2(Ask, void(const Show&, std::function<void(Result<Table>)>), override);
   MAKE_MOCK2(Carry, void(const Order&, std::function<void(Result<Sequence>)>), override);
   MAKE_MOCK2(Await, void(Sequence, std::function<void(Result<Spread>)>), override);
 };
