Run everything over the control shell

Change: control state on a thread of its own follows the log and gossips; entry and agent are wired whole over it, with readiness, drain and a graceful end. The interim member poll is gone.

--- a/src/figmilld/agent.cc
+++ b/src/figmilld/agent.cc
@@ -2,10 +2,12 @@
 
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <utility>
 
 #include "figmill/runtime.h"
 #include "figmilld/agent_gate.h"
 #include "figmilld/agent_orders.h"
+#include "figmilld/control_shell.h"
 #include "figmilld/process.h"
 #include "figmilld/served_models.h"
 
@@ -14,21 +16,22 @@
 
 // For the last answers to leave the sockets' buffers.
 constexpr Duration kLastAnswers{200'000};
-
-// Milliseconds since the epoch: a later process in the same slot gets a higher
-// number, since a process takes longer than that to start.
-Incarnation FreshIncarnation() {
-  return static_cast<Incarnation>(Loop::WallNow().time_since_epoch().count());
-}
+constexpr Duration kServesCheck{200'000};
 
 class Agent {
  public:
   explicit Agent(const Settings& settings)
       : settings_(settings),
-        incarnation_(FreshIncarnation()),
-        gate_({loop_, client_, metrics_}, settings.agent, incarnation_) {
+        self_(SelfAsMember(settings)),
+        tracer_(loop_, client_, settings.common.trace_endpoint, "figmill-agent", metrics_),
+        control_(loop_, metrics_, {self_, settings.common.platform, settings.common.store_timeout}),
+        gate_({loop_, client_, metrics_, &tracer_}, settings.agent, self_.incarnation) {
     BindAgentOrders(rpc_, gate_);
     rpc_.Bind("status", [this](std::string_view) -> Result<std::string> { return Status(); });
+    control_.OnChange(
+        [this](const std::shared_ptr<const Snapshot>& snapshot) { OnSnapshot(*snapshot); });
+    control_.OnSuperseded([this] { End(RowOf(ErrorKind::kFenced).exit_code); });
+    serves_timer_ = loop_.Every(kServesCheck, [this] { TellServes(); });
   }
 
   int Run() {
@@ -37,62 +40,111 @@
                            [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
                              Route(std::move(request), std::move(reply));
                            });
-    if (!IsOk(server)) return RowOf(ErrorOf(server).kind).exit_code;
-    HttpServer& listening = *ValueOf(server);
-    loop_.OnTerminate([this, &listening] { Leave(listening); });
+    if (!IsOk(server)) return Refuse(ErrorOf(server));
+    server_ = std::move(ValueOf(server));
+    const Result<Ok> started = control_.Start();
+    if (!IsOk(started)) return Refuse(ErrorOf(started));
+    Log(LogLevel::kInfo, "agent_started",
+        {{"node", self_.node.value}, {"incarnation", std::to_string(self_.incarnation)}});
+    loop_.OnTerminate([this] { Leave(); });
     loop_.Run();
-    return 0;
+    return exit_code_;
   }
 
  private:
-  // Nothing new; what runs ends first, so that no request is cut.
-  void Leave(HttpServer& server) {
+  static int Refuse(const Error& error) {
+    Log(LogLevel::kError, "agent_failed_to_start", {{"why", error.detail}});
+    return RowOf(error.kind).exit_code;
+  }
+
+  void End(int code) {
+    exit_code_ = code;
+    loop_.Stop();
+  }
+
+  // Nothing new; what runs ends first, so that no request is cut. A second signal
+  // ends the process at once.
+  void Leave() {
+    if (std::exchange(terminating_, true)) return End(0);
+    Log(LogLevel::kInfo, "agent_leaving");
+    control_.SetLeaving();
     gate_.SetLeaving(true);
-    gate_.OnDrained([this, &server] {
-      server.StopAccepting();
-      last_answers_ = loop_.After(kLastAnswers, [this] { loop_.Stop(); });
+    grace_timer_ = loop_.After(settings_.common.shutdown_grace, [this] { End(0); });
+    gate_.OnDrained([this] {
+      server_->StopAccepting();
+      last_answers_ = loop_.After(kLastAnswers, [this] { End(0); });
     });
   }
 
+  void OnSnapshot(const Snapshot& snapshot) {
+    gate_.OnMembers(snapshot);
+    gate_.SetOrders(snapshot.sequence);
+    const bool drained = snapshot.fold && snapshot.fold->drained.contains(self_.node);
+    gate_.SetLeaving(terminating_ || drained);
+    for (const ServiceName& service : models_.services()) {
+      const auto found = snapshot.config->services.find(service);
+      if (found != snapshot.config->services.end()) gate_.SetTarget(found->second.target);
+    }
+  }
+
+  void TellServes() {
+    if (models_.services() == told_serves_) return;
+    told_serves_ = models_.services();
+    control_.SetServes(told_serves_);
+  }
+
   void Route(HttpRequest request, std::shared_ptr<HttpReply> reply) {
-    if (request.path == "/agent/run") {
+    const std::string& path = request.path;
+    if (path == "/agent/run") {
       gate_.OnDispatch(std::move(request), std::move(reply));
-    } else if (request.path == "/agent/status") {
+    } else if (path == "/agent/status") {
       reply->Send({200, "application/json", {}, Status()});
-    } else if (request.path == "/rpc") {
+    } else if (path == "/rpc") {
       reply->Send({200, "application/json", {}, rpc_.Handle(request.body)});
-    } else if (request.path == "/healthz") {
+    } else if (ControlShell::Handles(path)) {
+      control_.OnRequest(std::move(request), std::move(reply));
+    } else if (path == "/healthz") {
       reply->Send({200, "text/plain", {}, "ok\n"});
-    } else if (request.path == "/readyz") {
-      const bool ready = !gate_.leaving();
-      reply->Send({ready ? 200 : 503, "text/plain", {}, ready ? "ready\n" : "leaving\n"});
-    } else if (request.path == "/metrics") {
+    } else if (path == "/readyz") {
+      TellReadiness(*reply);
+    } else if (path == "/metrics") {
       reply->Send({200, "text/plain; version=0.0.4", {}, metrics_.PrometheusText()});
     } else {
-      reply->Send(ProblemOf({ErrorKind::kNotFound, "no such path: " + request.path}));
+      reply->Send(ProblemOf({ErrorKind::kNotFound, "no such path: " + path}));
     }
   }
 
+  void TellReadiness(HttpReply& reply) const {
+    if (gate_.leaving()) return reply.Send({503, "text/plain", {}, "leaving\n"});
+    if (!control_.ready()) return reply.Send({503, "text/plain", {}, "orders not known yet\n"});
+    reply.Send({200, "text/plain", {}, "ready\n"});
+  }
+
   std::string Status() const {
     nlohmann::json serves = nlohmann::json::array();
     for (const ServiceName& service : models_.services()) serves.push_back(service.value);
-    return nlohmann::json{{"node", settings_.common.node.value},
-                          {"incarnation", incarnation_},
-                          {"leaving", gate_.leaving()},
-                          {"serves", serves},
-                          {"stamp", Loop::Now().time_since_epoch().count()}}
+    return nlohmann::json{
+        {"node", self_.node.value},   {"incarnation", self_.incarnation},
+        {"leaving", gate_.leaving()}, {"orders", control_.current()->sequence},
+        {"serves", serves},           {"stamp", Loop::Now().time_since_epoch().count()}}
         .dump();
   }
 
   const Settings& settings_;
-  Incarnation incarnation_;
+  Member self_;
   Loop loop_;
   HttpClient client_{loop_};
   Metrics metrics_;
   RpcServer rpc_{&metrics_};
+  Tracer tracer_;
+  ControlShell control_;
   ServedModels models_{loop_, client_, settings_.agent};
   AgentGate gate_;
-  Timer last_answers_;
+  std::unique_ptr<HttpServer> server_;
+  std::vector<ServiceName> told_serves_;
+  bool terminating_ = false;
+  int exit_code_ = 0;
+  Timer last_answers_, serves_timer_, grace_timer_;
 };
 
 }  // namespace
--- a/src/figmilld/batch_jobs.h
+++ b/src/figmilld/batch_jobs.h
@@ -11,24 +11,10 @@
 #include "figmill/batch.h"
 #include "figmill/runtime.h"
 #include "figmilld/batch_store.h"
+#include "figmilld/remote_reply.h"
 
 namespace figmill {
 
-// A reply that is used from another loop than the server's.
-class RemoteReply {
- public:
-  RemoteReply(Loop& loop, std::shared_ptr<HttpReply> reply)
-      : loop_(loop), reply_(std::move(reply)) {}
-  void Send(HttpResponse response) const;
-  void Begin(HttpResponse head) const;
-  void Write(std::string bytes) const;
-  void End() const;
-
- private:
-  Loop& loop_;
-  std::shared_ptr<HttpReply> reply_;
-};
-
 class BatchJobs {
  public:
   struct Links {
--- a/src/figmilld/entry.cc
+++ b/src/figmilld/entry.cc
@@ -1,26 +1,60 @@
-// The process that takes callers' requests.
+// The process that takes callers' requests and owns batch jobs.
 
 #include <memory>
+#include <utility>
 
 #include "figmill/runtime.h"
+#include "figmilld/control_shell.h"
+#include "figmilld/entry_batch.h"
+#include "figmilld/entry_once.h"
 #include "figmilld/entry_online.h"
-#include "figmilld/members.h"
+#include "figmilld/entry_query.h"
+#include "figmilld/once_view.h"
 #include "figmilld/process.h"
 
 namespace figmill {
 namespace {
 
-constexpr Duration kSnapshotPeriod{200'000};
+// How long the balancer may still send requests after /readyz has said no.
+constexpr Duration kBalancerNotice{1'000'000};
+constexpr Duration kIdleCheck{50'000};
+// For the last answers to leave the sockets' buffers.
+constexpr Duration kLastAnswers{200'000};
+
+EntryBatchSettings BatchSettingsOf(const Settings& settings, Incarnation incarnation) {
+  EntryBatchSettings batch;
+  batch.node = settings.common.node;
+  batch.incarnation = incarnation;
+  batch.platform = settings.common.platform;
+  batch.store_timeout = settings.common.store_timeout;
+  return batch;
+}
 
 class Entry {
  public:
   explicit Entry(const Settings& settings)
       : settings_(settings),
+        self_(SelfAsMember(settings)),
         platform_(client_, settings.common.platform, settings.common.store_timeout),
         tracer_(loop_, client_, settings.common.trace_endpoint, "figmill-entry", metrics_),
-        online_(loop_, client_, rpc_, metrics_, tracer_,
-                {settings.common.node, settings.common.data_centre}),
-        snapshot_timer_(loop_.Every(kSnapshotPeriod, [this] { PublishSnapshot(); })) {}
+        control_(loop_, metrics_, {self_, settings.common.platform, settings.common.store_timeout}),
+        online_(loop_, client_, rpc_, metrics_, tracer_, {self_.node, self_.data_centre}),
+        batch_(loop_, BatchSettingsOf(settings, self_.incarnation), metrics_),
+        query_({loop_, client_, platform_, platform_, control_, self_.node}),
+        once_(loop_, client_, platform_, platform_, {self_.node, self_.incarnation},
+              ViewOver(control_, self_),
+              [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
+                Route(std::move(request), std::move(reply));
+              }) {
+    online_.SetOnce(&once_);
+    batch_.BindOrders(rpc_);
+    query_.BindRpc(rpc_);
+    control_.OnChange([this](const std::shared_ptr<const Snapshot>& snapshot) {
+      online_.Update(snapshot);
+      batch_.Update(snapshot);
+    });
+    control_.OnSuperseded([this] { End(RowOf(ErrorKind::kFenced).exit_code); });
+  }
 
   int Run() {
     Result<std::unique_ptr<HttpServer>> server =
@@ -28,54 +62,110 @@
                            [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
                              Route(std::move(request), std::move(reply));
                            });
-    if (!IsOk(server)) return RowOf(ErrorOf(server).kind).exit_code;
-    loop_.OnTerminate([this] { loop_.Stop(); });
+    if (!IsOk(server)) return Refuse(ErrorOf(server));
+    server_ = std::move(ValueOf(server));
+    const Result<Ok> started = control_.Start();
+    if (!IsOk(started)) return Refuse(ErrorOf(started));
+    Log(LogLevel::kInfo, "entry_started",
+        {{"node", self_.node.value}, {"incarnation", std::to_string(self_.incarnation)}});
+    loop_.OnTerminate([this] { Leave(); });
     loop_.Run();
-    return 0;
+    return exit_code_;
   }
 
  private:
+  static int Refuse(const Error& error) {
+    Log(LogLevel::kError, "entry_failed_to_start", {{"why", error.detail}});
+    return RowOf(error.kind).exit_code;
+  }
+
+  void End(int code) {
+    exit_code_ = code;
+    loop_.Stop();
+  }
+
+  // The balancer is told first, then what runs is finished and the jobs handed
+  // over. A second signal ends the process at once.
+  void Leave() {
+    if (std::exchange(leaving_, true)) return End(0);
+    Log(LogLevel::kInfo, "entry_leaving", {{"in_flight", std::to_string(online_.in_flight())}});
+    control_.SetLeaving();
+    grace_timer_ = loop_.After(settings_.common.shutdown_grace, [this] { End(0); });
+    batch_.Drain([this] { batch_drained_ = true; });
+    idle_timer_ = loop_.After(kBalancerNotice, [this] { EndWhenIdle(); });
+  }
+
+  void EndWhenIdle() {
+    if (!batch_drained_ || online_.in_flight() > 0) {
+      idle_timer_ = loop_.After(kIdleCheck, [this] { EndWhenIdle(); });
+      return;
+    }
+    server_->StopAccepting();
+    idle_timer_ = loop_.After(kLastAnswers, [this] { End(0); });
+  }
+
   void Route(HttpRequest request, std::shared_ptr<HttpReply> reply) {
-    const bool completion =
-        request.path == "/v1/completions" || request.path == "/v1/chat/completions";
+    const std::string& path = request.path;
+    const bool completion = path == "/v1/completions" || path == "/v1/chat/completions";
     if (completion && request.method == "POST") {
       online_.OnCompletion(std::move(request), std::move(reply));
-    } else if (request.path.starts_with("/v1/services/")) {
+    } else if (path.starts_with("/v1/services/")) {
       online_.OnServiceCall(std::move(request), std::move(reply));
-    } else if (request.path == "/rpc") {
+    } else if (EntryBatch::Takes(path)) {
+      batch_.OnRequest(std::move(request), std::move(reply));
+    } else if (path.starts_with("/v1/results/")) {
+      once_.OnResult(request, std::move(reply));
+    } else if (EntryQuery::Handles(path)) {
+      query_.OnRequest(request, reply);
+    } else {
+      RouteInternal(std::move(request), std::move(reply));
+    }
+  }
+
+  // What processes and the platform ask for.
+  void RouteInternal(HttpRequest request, std::shared_ptr<HttpReply> reply) {
+    const std::string& path = request.path;
+    if (path == "/once/write") {
+      once_.OnWrite(request, std::move(reply));
+    } else if (path == "/rpc") {
       reply->Send({200, "application/json", {}, rpc_.Handle(request.body)});
-    } else if (request.path == "/metrics") {
+    } else if (ControlShell::Handles(path)) {
+      control_.OnRequest(std::move(request), std::move(reply));
+    } else if (path == "/metrics") {
       reply->Send({200, "text/plain; version=0.0.4", {}, metrics_.PrometheusText()});
-    } else if (request.path == "/healthz") {
+    } else if (path == "/healthz") {
       reply->Send({200, "text/plain", {}, "ok\n"});
-    } else if (request.path == "/readyz") {
-      const bool ready = !members_.agents().empty();
-      reply->Send({ready ? 200 : 503, "text/plain", {}, ready ? "ready\n" : "not ready\n"});
+    } else if (path == "/readyz") {
+      TellReadiness(*reply);
     } else {
-      reply->Send(ProblemOf({ErrorKind::kNotFound, "no such path: " + request.path}));
+      reply->Send(ProblemOf({ErrorKind::kNotFound, "no such path: " + path}));
     }
   }
 
-  void PublishSnapshot() {
-    Snapshot snapshot;
-    snapshot.members = members_.agents();
-    Member self;
-    self.node = settings_.common.node;
-    self.http = settings_.common.http;
-    snapshot.members.push_back(self);
-    online_.Update(std::make_shared<const Snapshot>(std::move(snapshot)));
+  void TellReadiness(HttpReply& reply) const {
+    if (leaving_) return reply.Send({503, "text/plain", {}, "leaving\n"});
+    if (!control_.ready()) return reply.Send({503, "text/plain", {}, "orders not known yet\n"});
+    reply.Send({200, "text/plain", {}, "ready\n"});
   }
 
   const Settings& settings_;
+  Member self_;
   Metrics metrics_;
   RpcServer rpc_{&metrics_};
   Loop loop_;
   HttpClient client_{loop_};
   HttpPlatform platform_;
-  Members members_{loop_, client_, platform_};
   Tracer tracer_;
+  ControlShell control_;
   EntryOnline online_;
-  Timer snapshot_timer_;
+  EntryBatch batch_;
+  EntryQuery query_;
+  EntryOnce once_;
+  std::unique_ptr<HttpServer> server_;
+  bool leaving_ = false;
+  bool batch_drained_ = false;
+  int exit_code_ = 0;
+  Timer grace_timer_, idle_timer_;
 };
 
 }  // namespace
