Send keyed and unrepeatable requests through their tickets

Cause: the once shell and the online run stood side by side. Change: such requests open a ticket, each attempt waits for its durable claim, the answer for its commit; a claim whose grant is dropped ends the run, and silence counts from the dispatch, not from the claim.

--- a/bench/routing_bench.cc
+++ b/bench/routing_bench.cc
@@ -56,6 +56,7 @@
   std::exponential_distribution<double> gap(rate);
   std::geometric_distribution<std::uint64_t> tokens(1 / kAnswerTokens);
   std::vector<double> weights;
+  weights.reserve(kPrefixes);
   for (int i = 0; i < kPrefixes; ++i) weights.push_back(1 / std::pow(i + 1, 0.8));
   std::discrete_distribution<int> prefix(weights.begin(), weights.end());
   std::vector<Request> arrivals;
--- a/include/figmill/online.h
+++ b/include/figmill/online.h
@@ -301,6 +301,11 @@
 namespace event {
 
 struct Start {};
+// A dispatch that had to wait, as for a durable claim, goes out now: silence is
+// counted from here.
+struct Sent {
+  CallNumber call = 0;
+};
 // A problem document in place of an answer, or in its `F` frame.
 struct AgentRefused {
   CallNumber call = 0;
@@ -341,7 +346,7 @@
 }  // namespace event
 
 using RequestEvent =
-    std::variant<event::Start, event::AgentRefused, event::Head, event::Data, event::End,
+    std::variant<event::Start, event::Sent, event::AgentRefused, event::Head, event::Data, event::End,
                  event::Broke, event::RevokeAnswered, event::TimerFired, event::CallerGone>;
 
 namespace action {
@@ -465,6 +470,7 @@
   };
 
   void OnStart(Time now);
+  void OnSent(const event::Sent& sent, Time now);
   void OnRefused(const event::AgentRefused& refused, Time now);
   void OnHead(const event::Head& head, Time now);
   void OnData(const event::Data& data, Time now);
--- a/src/figmilld/entry.cc
+++ b/src/figmilld/entry.cc
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "figmill/runtime.h"
+#include "figmilld/entry_once.h"
 #include "figmilld/entry_online.h"
 #include "figmilld/members.h"
 #include "figmilld/process.h"
@@ -20,7 +21,16 @@
         tracer_(loop_, client_, settings.common.trace_endpoint, "figmill-entry", metrics_),
         online_(loop_, client_, rpc_, metrics_, tracer_,
                 {settings.common.node, settings.common.data_centre}),
-        snapshot_timer_(loop_.Every(kSnapshotPeriod, [this] { PublishSnapshot(); })) {}
+        once_(loop_, client_, platform_, platform_,
+              {settings.common.node,
+               static_cast<Incarnation>(Loop::WallNow().time_since_epoch().count())},
+              View(),
+              [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
+                Route(std::move(request), std::move(reply));
+              }),
+        snapshot_timer_(loop_.Every(kSnapshotPeriod, [this] { PublishSnapshot(); })) {
+    online_.SetOnce(&once_);
+  }
 
   int Run() {
     Result<std::unique_ptr<HttpServer>> server =
@@ -42,6 +52,10 @@
       online_.OnCompletion(std::move(request), std::move(reply));
     } else if (request.path.starts_with("/v1/services/")) {
       online_.OnServiceCall(std::move(request), std::move(reply));
+    } else if (request.path.starts_with("/v1/results/")) {
+      once_.OnResult(request, std::move(reply));
+    } else if (request.path == "/once/write") {
+      once_.OnWrite(request, std::move(reply));
     } else if (request.path == "/rpc") {
       reply->Send({200, "application/json", {}, rpc_.Handle(request.body)});
     } else if (request.path == "/metrics") {
@@ -56,6 +70,23 @@
     }
   }
 
+  OnceView View() {
+    OnceView view;
+    view.agent = [this](const NodeId& node) -> std::optional<Member> {
+      for (const Member& member : members_.agents()) {
+        if (member.node == node) return member;
+      }
+      return std::nullopt;
+    };
+    view.gone = [agent = view.agent](const OnceParty& party) {
+      const std::optional<Member> present = agent(party.node);
+      return present && present->incarnation > party.incarnation;
+    };
+    view.writer = [] { return std::optional<Address>(); };
+    view.caretaker = [] { return true; };
+    return view;
+  }
+
   void PublishSnapshot() {
     Snapshot snapshot;
     snapshot.members = members_.agents();
@@ -75,6 +106,7 @@
   Members members_{loop_, client_, platform_};
   Tracer tracer_;
   EntryOnline online_;
+  EntryOnce once_;
   Timer snapshot_timer_;
 };
 
--- a/src/figmilld/entry_online.cc
+++ b/src/figmilld/entry_online.cc
@@ -74,29 +74,64 @@
 }
 
 void EntryOnline::OnCompletion(HttpRequest request, std::shared_ptr<HttpReply> reply) {
-  Accept(ParseCompletion(std::move(request), *snapshot_, Loop::Now(), parts_.random),
-         std::move(reply));
+  auto parsed = ParseCompletion(request, *snapshot_, Loop::Now(), parts_.random);
+  Accept(std::move(request), std::move(parsed), std::move(reply));
 }
 
 void EntryOnline::OnServiceCall(HttpRequest request, std::shared_ptr<HttpReply> reply) {
-  Accept(ParseServiceCall(std::move(request), *snapshot_, Loop::Now(), parts_.random),
-         std::move(reply));
+  auto parsed = ParseServiceCall(request, *snapshot_, Loop::Now(), parts_.random);
+  Accept(std::move(request), std::move(parsed), std::move(reply));
 }
 
-void EntryOnline::Accept(Result<OnlineWork> parsed, std::shared_ptr<HttpReply> reply) {
+void EntryOnline::Accept(HttpRequest request, Result<OnlineWork> parsed,
+                         std::shared_ptr<HttpReply> reply) {
   const auto refuse = [&](const Error& error) {
     parts_.metrics.Ended(std::string(RowOf(error.kind).name));
     reply->Send(ProblemOf(error));
   };
   if (!IsOk(parsed)) return refuse(ErrorOf(parsed));
   OnlineWork& work = ValueOf(parsed);
-  const Result<Ok> admitted = parts_.limits.Admit(work.team, work.plan.tokens, Loop::Now());
+  // The run of an item that was accepted, and charged, before.
+  if (auto ticket = std::dynamic_pointer_cast<OnceTicket>(reply)) {
+    work.body = std::move(request.body);
+    return RunWith(std::move(ticket), std::move(work));
+  }
+  const Time now = Loop::Now();
+  const Result<Ok> admitted = parts_.limits.Admit(work.team, work.plan.tokens, now);
   if (!IsOk(admitted)) return refuse(ErrorOf(admitted));
-  const bool lasting = !work.plan.repeatable || !work.key.empty() || work.respond_async;
-  if (lasting && once_) return once_(std::move(work), std::move(reply));
+  const bool repeatable = work.plan.repeatable;
+  if (once_ != nullptr && EntryOnce::WantsAsync(request)) {
+    return once_->Accept(std::move(request), repeatable, std::move(reply));
+  }
+  if (once_ != nullptr && EntryOnce::Needed(request, repeatable)) {
+    auto ticket = once_->Open(request, repeatable, work.plan.deadline - now, reply);
+    if (!IsOk(ticket)) return refuse(ErrorOf(ticket));
+    work.body = std::move(request.body);
+    return RunWith(std::move(ValueOf(ticket)), std::move(work));
+  }
+  work.body = std::move(request.body);
   reply->OnClosed(Run(std::move(work), SinkInto(reply), {}));
 }
 
+void EntryOnline::RunWith(std::shared_ptr<OnceTicket> ticket, OnlineWork work) {
+  work.dispatch.item = ticket->item().spec().key;
+  OnlineSink sink;
+  sink.head = [ticket](int status, const std::string& content_type) {
+    ticket->Begin({status, content_type, {}, ""});
+  };
+  sink.bytes = [ticket](std::string bytes) { ticket->Write(std::move(bytes)); };
+  sink.finish = [ticket] { ticket->End(); };
+  sink.fail = [ticket](const Error& error) { ticket->Fail(error); };
+  ClaimAttempt claim = [ticket](const RequestId& request, const Pick& agent, ClaimGranted go) {
+    Member member;
+    member.node = agent.node;
+    member.incarnation = agent.incarnation;
+    member.http = agent.address;
+    ticket->Claim(request, member, std::move(go));
+  };
+  ticket->OnClosed(Run(std::move(work), std::move(sink), std::move(claim)));
+}
+
 std::function<void()> EntryOnline::Run(OnlineWork work, OnlineSink sink, ClaimAttempt claim) {
   auto weak = std::make_shared<std::weak_ptr<OnlineCall>>();
   auto call = std::make_shared<OnlineCall>(
--- a/src/figmilld/entry_online.h
+++ b/src/figmilld/entry_online.h
@@ -9,6 +9,7 @@
 #include <unordered_set>
 
 #include "figmill/runtime.h"
+#include "figmilld/entry_once.h"
 #include "figmilld/limit_shares.h"
 #include "figmilld/online_call.h"
 
@@ -21,17 +22,14 @@
 
 class EntryOnline {
  public:
-  // Takes keyed, not repeatable and respond-async requests; it answers `reply`,
-  // and runs the work by Run with a claim.
-  using OnceHandler = std::function<void(OnlineWork, std::shared_ptr<HttpReply>)>;
-
   EntryOnline(Loop& loop, HttpClient& client, RpcServer& rpc, Metrics& metrics, Tracer& tracer,
               OnlineSettings settings);
   ~EntryOnline();
 
   // At each change of configuration or members.
   void Update(std::shared_ptr<const Snapshot> snapshot);
-  void SetOnceHandler(OnceHandler handler) { once_ = std::move(handler); }
+  // Without it, keyed and unrepeatable work runs, but isn't remembered.
+  void SetOnce(EntryOnce* once) { once_ = once; }
 
   // `POST /v1/completions`, `/v1/chat/completions`.
   void OnCompletion(HttpRequest request, std::shared_ptr<HttpReply> reply);
@@ -47,12 +45,13 @@
   [[nodiscard]] Router& router() { return parts_.router; }
 
  private:
-  void Accept(Result<OnlineWork> parsed, std::shared_ptr<HttpReply> reply);
+  void Accept(HttpRequest request, Result<OnlineWork> parsed, std::shared_ptr<HttpReply> reply);
+  void RunWith(std::shared_ptr<OnceTicket> ticket, OnlineWork work);
 
   OnlineParts parts_;
   LimitShares shares_;
   std::shared_ptr<const Snapshot> snapshot_ = std::make_shared<const Snapshot>();
-  OnceHandler once_;
+  EntryOnce* once_ = nullptr;
   std::unordered_set<std::shared_ptr<OnlineCall>> calls_;
 };
 
--- a/src/figmilld/online_call.cc
+++ b/src/figmilld/online_call.cc
@@ -25,6 +25,24 @@
   return event::RevokeState::kNoAnswer;
 }
 
+// Ends the run when its claim's answer is dropped: the item was answered without
+// it, and the run would wait out its deadline.
+struct ClaimGuard {
+  ClaimGuard(Loop& owner, std::weak_ptr<OnlineCall> guarded)
+      : loop(owner), call(std::move(guarded)) {}
+  ClaimGuard(const ClaimGuard&) = delete;
+  ClaimGuard& operator=(const ClaimGuard&) = delete;
+  ~ClaimGuard() {
+    if (answered || call.expired()) return;
+    loop.Post([weak = call] {
+      if (const auto self = weak.lock()) self->CallerGone();
+    });
+  }
+  Loop& loop;
+  std::weak_ptr<OnlineCall> call;
+  bool answered = false;
+};
+
 }  // namespace
 
 OnlineCall::OnlineCall(OnlineParts& parts, OnlineWork work, OnlineSink sink, ClaimAttempt claim,
@@ -84,17 +102,25 @@
   open.span.attributes.push_back({"agent", dispatch.to.node.value});
   open.span.attributes.push_back({"request", dispatch.request.value});
   open_.emplace(dispatch.call, std::move(open));
-  if (dispatch.resume || !claim_) return SendNow(dispatch);
-  claim_(dispatch.request, dispatch.to,
-         [weak = weak_from_this(), dispatch](const Result<Ok>& claimed) {
-           const auto self = weak.lock();
-           if (!self) return;
-           if (IsOk(claimed)) return self->SendNow(dispatch);
-           self->Step(event::AgentRefused{dispatch.call, ErrorOf(claimed)});
-         });
+  if (dispatch.resume || !claim_) return SendNow(dispatch, std::nullopt);
+  ClaimAndSend(dispatch);
 }
 
-void OnlineCall::SendNow(const action::Dispatch& dispatch) {
+void OnlineCall::ClaimAndSend(const action::Dispatch& dispatch) {
+  claiming_ = true;
+  auto guard = std::make_shared<ClaimGuard>(parts_.loop, weak_from_this());
+  claim_(dispatch.request, dispatch.to, [guard, dispatch](std::optional<std::uint64_t> stamp) {
+    guard->answered = true;
+    const auto self = guard->call.lock();
+    if (!self) return;
+    self->claiming_ = false;
+    if (!stamp) return self->Step(event::Broke{dispatch.call, false, "the agent wasn't reached"});
+    self->SendNow(dispatch, stamp);
+    self->Step(event::Sent{dispatch.call});
+  });
+}
+
+void OnlineCall::SendNow(const action::Dispatch& dispatch, std::optional<std::uint64_t> stamp) {
   const auto open = open_.find(dispatch.call);
   if (open == open_.end()) return;  // given up while its claim was written
   const Time now = Loop::Now();
@@ -103,6 +129,7 @@
   headers.request = dispatch.request;
   headers.incarnation = dispatch.to.incarnation;
   headers.time_left = std::max(Duration{0}, work_.plan.deadline - now);
+  headers.stamp = stamp;
   if (dispatch.resume) headers.resume_from = dispatch.resume_from;
   headers.traceparent = ToTraceparent(open->second.span.context);
   open->second.cancel = SendDispatch(
@@ -187,10 +214,16 @@
 
 void OnlineCall::SetTimer(Time at) {
   timer_ = parts_.loop.After(std::max(Duration{0}, at - Loop::Now()), [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->Step(event::TimerFired{});
+    if (const auto self = weak.lock()) self->OnTimer();
   });
 }
 
+// While a claim is written the agent has nothing to be asked about.
+void OnlineCall::OnTimer() {
+  if (claiming_ && Loop::Now() < work_.plan.deadline) return SetTimer(work_.plan.deadline);
+  Step(event::TimerFired{});
+}
+
 void OnlineCall::Finish(const action::Finish& finish) {
   outcome_ = "answered";
   tokens_used_ = static_cast<double>(finish.tokens);
--- a/src/figmilld/online_call.h
+++ b/src/figmilld/online_call.h
@@ -25,13 +25,14 @@
   std::function<void(const Error& error)> fail;
 };
 
-// Asked before each attempt (not before resumes) of an item that may not be
-// repeated: whether `request` may go to `agent`. Answered once, now or later, on
-// the loop; an error is final for the request, which then was not sent. A second
-// ask for the same item means that the attempt before is proven never started,
-// or that the item is repeatable.
-using ClaimAttempt = std::function<void(const RequestId& request, const Pick& agent,
-                                        std::function<void(Result<Ok>)> answer)>;
+// Asked before each attempt (not before resumes) of a keyed or unrepeatable item.
+// `go` is called once, now or later, on the loop, when `request` may go to `agent`,
+// with the agent's stamp; without one the agent wasn't reached. Dropped without a
+// call, it ends the run: the caller is answered otherwise. A further ask means
+// that the attempt before never started, or that the item is repeatable.
+using ClaimGranted = std::function<void(std::optional<std::uint64_t> stamp)>;
+using ClaimAttempt =
+    std::function<void(const RequestId& request, const Pick& agent, ClaimGranted go)>;
 
 // What calls share; outlives them.
 struct OnlineParts {
@@ -64,13 +65,15 @@
   void Step(const RequestEvent& event);
   void Carry(RequestAction& action);
   void Dispatch(const action::Dispatch& dispatch);
-  void SendNow(const action::Dispatch& dispatch);
+  void ClaimAndSend(const action::Dispatch& dispatch);
+  void SendNow(const action::Dispatch& dispatch, std::optional<std::uint64_t> stamp);
   void OnDispatchEvent(CallNumber call, const Pick& to, DispatchEvent& event);
   void Revoke(const action::Revoke& revoke);
   void CancelAt(const action::CancelAt& cancel);
   void CallOver(const action::CallOver& over);
   void SendBytes(std::string bytes);
   void SetTimer(Time at);
+  void OnTimer();
   void Finish(const action::Finish& finish);
   void Fail(const Error& error);
   void Conclude();
@@ -85,6 +88,7 @@
   std::map<CallNumber, Open> open_;
   std::deque<RequestEvent> queued_;
   bool stepping_ = false;
+  bool claiming_ = false;  // the present attempt waits for its claim
   bool concluded_ = false;
   Timer timer_;
   Time started_;
--- a/src/figmilld/online_work.cc
+++ b/src/figmilld/online_work.cc
@@ -17,7 +17,7 @@
 constexpr std::size_t kPrefixBytes = 256;
 // For sizing, when the caller sets no bound.
 constexpr double kAssumedTokens = 256;
-constexpr std::int64_t kLongestDeadlineMs = 24 * 3600 * 1000LL;
+constexpr std::int64_t kLongestDeadlineMs = 86'400'000;  // a day
 
 Error Bad(std::string detail) {
   return Error{ErrorKind::kBadRequest, std::move(detail)};
@@ -45,12 +45,6 @@
       ParseId(request.HeaderOr("Figmill-Team", kDefaultTeam), "Figmill-Team");
   if (!IsOk(team)) return ErrorOf(team);
   work.team.value = std::move(ValueOf(team));
-  if (!request.HeaderOr("Idempotency-Key").empty()) {
-    Result<std::string> key = ParseId(request.HeaderOr("Idempotency-Key"), "Idempotency-Key");
-    if (!IsOk(key)) return ErrorOf(key);
-    work.key.value = std::move(ValueOf(key));
-  }
-  work.respond_async = request.HeaderOr("Prefer").find("respond-async") != std::string_view::npos;
   work.parent = ParseTraceparent(request.HeaderOr("traceparent"));
   return Ok{};
 }
@@ -100,7 +94,6 @@
   work.dispatch.method = request.method;
   work.dispatch.path = std::move(path);
   work.dispatch.content_type = request.HeaderOr("Content-Type", "application/json");
-  work.dispatch.item = work.key;
   work.dispatch.repeatable = work.plan.repeatable;
   work.dispatch.orders = snapshot.sequence;
   return work;
@@ -133,7 +126,7 @@
 
 }  // namespace
 
-Result<OnlineWork> ParseCompletion(HttpRequest request, const Snapshot& snapshot, Time now,
+Result<OnlineWork> ParseCompletion(const HttpRequest& request, const Snapshot& snapshot, Time now,
                                    const RandomBits& random) {
   const json body = json::parse(request.body, nullptr, false);
   if (!body.is_object()) return Bad("the body must be a JSON object");
@@ -151,20 +144,17 @@
   work.plan.prefix = PromptPrefix(body);
   const auto stream = body.find("stream");
   work.plan.wants_stream = stream != body.end() && stream->is_boolean() && stream->get<bool>();
-  work.body = std::move(request.body);
   return begun;
 }
 
-Result<OnlineWork> ParseServiceCall(HttpRequest request, const Snapshot& snapshot, Time now,
+Result<OnlineWork> ParseServiceCall(const HttpRequest& request, const Snapshot& snapshot, Time now,
                                     const RandomBits& random) {
   const std::string_view rest = std::string_view(request.path).substr(kServicesPath.size());
   const std::size_t slash = std::min(rest.find('/'), rest.size());
   std::string path = slash < rest.size() ? std::string(rest.substr(slash)) : "/";
   if (!request.query.empty()) path += "?" + request.query;
-  Result<OnlineWork> begun = Begin(request, rest.substr(0, slash), std::move(path),
-                                   ServiceKind::kPlain, snapshot, now, random);
-  if (IsOk(begun)) ValueOf(begun).body = std::move(request.body);
-  return begun;
+  return Begin(request, rest.substr(0, slash), std::move(path), ServiceKind::kPlain, snapshot, now,
+               random);
 }
 
 }  // namespace figmill
--- a/src/figmilld/online_work.h
+++ b/src/figmilld/online_work.h
@@ -16,19 +16,19 @@
 struct OnlineWork {
   RequestPlan plan;
   DispatchHeaders dispatch;  // what all attempts have in common
-  std::string body;
+  std::string body;          // left empty by the parsers: it moves here last
   TeamId team;
-  ItemKey key;                 // Idempotency-Key; empty when absent
-  bool respond_async = false;  // Prefer: respond-async
   std::optional<TraceContext> parent;
 };
 
 // `POST /v1/completions` or `/v1/chat/completions`; the model names the service.
 // Errors: kBadRequest, kUnknownService.
-[[nodiscard]] Result<OnlineWork> ParseCompletion(HttpRequest request, const Snapshot& snapshot,
-                                                 Time now, const RandomBits& random);
+[[nodiscard]] Result<OnlineWork> ParseCompletion(const HttpRequest& request,
+                                                 const Snapshot& snapshot, Time now,
+                                                 const RandomBits& random);
 // Any method on `/v1/services/{service}/{path}`. Errors: kBadRequest, kUnknownService.
-[[nodiscard]] Result<OnlineWork> ParseServiceCall(HttpRequest request, const Snapshot& snapshot,
-                                                  Time now, const RandomBits& random);
+[[nodiscard]] Result<OnlineWork> ParseServiceCall(const HttpRequest& request,
+                                                  const Snapshot& snapshot, Time now,
+                                                  const RandomBits& random);
 
 }  // namespace figmill
--- a/src/online/request_run.cc
+++ b/src/online/request_run.cc
@@ -18,6 +18,7 @@
   }
   std::visit(Overloaded{
                  [&](const event::Start&) { OnStart(now); },
+                 [&](const event::Sent& sent) { OnSent(sent, now); },
                  [&](const event::AgentRefused& refused) { OnRefused(refused, now); },
                  [&](const event::Head& head) { OnHead(head, now); },
                  [&](const event::Data& data) { OnData(data, now); },
@@ -39,6 +40,10 @@
   DispatchTo(ValueOf(pick), false, now);
 }
 
+void RequestRun::OnSent(const event::Sent& sent, Time now) {
+  if (IsCurrent(sent.call)) Listen(kHeadPatience, now);
+}
+
 void RequestRun::DispatchTo(const Pick& pick, bool resume, Time now) {
   if (!resume) {
     ++attempts_;
--- a/test/online-limits-test.cc
+++ b/test/online-limits-test.cc
@@ -83,8 +83,8 @@
 };
 
 std::vector<double> Skewed(int n) {
-  std::vector<double> weights;
-  for (int i = 0; i < n; ++i) weights.push_back(1.0 / (i + 1));
+  std::vector<double> weights(static_cast<std::size_t>(n));
+  for (int i = 0; i < n; ++i) weights[static_cast<std::size_t>(i)] = 1.0 / (i + 1);
   return weights;
 }
 
