--- a/src/figmilld/once_ticket.cc
+++ b/src/figmilld/once_ticket.cc
@@ -48,6 +48,7 @@
 void OnceTicket::ClaimWith(const once::Claim& claim) {
   body_.clear();
   stamp_ = claim.stamp;
+  request_ = claim.request;
   Step(claim);
 }
 
@@ -201,7 +202,7 @@
     return;
   }
   HttpResponse response{outcome.status, outcome.content_type, {}, outcome.body};
-  response.headers.push_back({"Idempotency-Key", item_.spec().key.value});
+  NameItem(response);
   if (replayed) response.headers.push_back({"Idempotency-Replayed", "true"});
   reply_->Send(std::move(response));
 }
@@ -214,8 +215,13 @@
     reply_->End();
     return;
   }
-  response.headers.push_back({"Idempotency-Key", item_.spec().key.value});
+  NameItem(response);
   reply_->Send(std::move(response));
 }
 
+void OnceTicket::NameItem(HttpResponse& response) const {
+  response.headers.push_back({"Idempotency-Key", item_.spec().key.value});
+  if (!request_.empty()) response.headers.push_back({"Figmill-Request", request_.value});
+}
+
 }  // namespace figmill
--- a/src/figmilld/once_ticket.h
+++ b/src/figmilld/once_ticket.h
@@ -67,6 +67,7 @@
   void Tell(const once::TellOutcome& told);
   void TellWith(const OnceOutcome& outcome, bool replayed);
   void TellError(const Error& error);
+  void NameItem(HttpResponse& response) const;
   template <typename Event>
   std::function<void(Event)> Back();
 
@@ -76,6 +77,7 @@
   std::function<void()> try_again_;
   Go go_;
   std::int64_t stamp_ = 0;
+  RequestId request_;  // the last one claimed, which a trace of the run is found by
   bool claimed_ = false;
   int status_ = 0;  // of the run's answer, kept whole until its end
   std::string content_type_;
