--- a/test/query-answer-test.cc
+++ b/test/query-answer-test.cc
@@ -7,13 +7,14 @@
 
 using namespace figmill;         // NOLINT(google-build-using-namespace): tests read better
 using namespace figmill::query;  // NOLINT(google-build-using-namespace)
-using trompeloeil::_;
 
 namespace {
 
+using trompeloeil::_;  // NOLINT(bugprone-reserved-identifier): the library's name
+
 class MockOperations : public Operations {
  public:
-  MAKE_MOCK2(Ask, void(const Question&, std::function<void(Result<Table>)>), override);
+  MAKE_MOCK2(Ask, void(const Show&, std::function<void(Result<Table>)>), override);
   MAKE_MOCK2(Carry, void(const Order&, std::function<void(Result<Sequence>)>), override);
   MAKE_MOCK2(Await, void(Sequence, std::function<void(Result<Spread>)>), override);
 };
