--- a/src/figmilld/entry.cc
+++ b/src/figmilld/entry.cc
@@ -3,6 +3,7 @@
 #include <memory>
 
 #include "figmill/runtime.h"
+#include "figmilld/entry_batch.h"
 #include "figmilld/entry_online.h"
 #include "figmilld/members.h"
 #include "figmilld/process.h"
@@ -20,6 +21,7 @@
         tracer_(loop_, client_, settings.common.trace_endpoint, "figmill-entry", metrics_),
         online_(loop_, client_, rpc_, metrics_, tracer_,
                 {settings.common.node, settings.common.data_centre}),
+        batch_(loop_, BatchSettings(settings), metrics_),
         snapshot_timer_(loop_.Every(kSnapshotPeriod, [this] { PublishSnapshot(); })) {}
 
   int Run() {
@@ -29,16 +31,34 @@
                              Route(std::move(request), std::move(reply));
                            });
     if (!IsOk(server)) return RowOf(ErrorOf(server).kind).exit_code;
-    loop_.OnTerminate([this] { loop_.Stop(); });
+    batch_.BindOrders(rpc_);
+    loop_.OnTerminate([this] { Leave(); });
     loop_.Run();
     return 0;
   }
 
  private:
+  static EntryBatchSettings BatchSettings(const Settings& settings) {
+    EntryBatchSettings batch;
+    batch.node = settings.common.node;
+    batch.incarnation =
+        static_cast<Incarnation>(Loop::WallNow().time_since_epoch().count());
+    batch.platform = settings.common.platform;
+    batch.store_timeout = settings.common.store_timeout;
+    return batch;
+  }
+  // The jobs are handed over before the process goes.
+  void Leave() {
+    batch_.Drain([this] { loop_.Stop(); });
+    grace_ = loop_.After(settings_.common.shutdown_grace, [this] { loop_.Stop(); });
+  }
+
   void Route(HttpRequest request, std::shared_ptr<HttpReply> reply) {
     const bool completion =
         request.path == "/v1/completions" || request.path == "/v1/chat/completions";
-    if (completion && request.method == "POST") {
+    if (EntryBatch::Takes(request.path)) {
+      batch_.OnRequest(std::move(request), std::move(reply));
+    } else if (completion && request.method == "POST") {
       online_.OnCompletion(std::move(request), std::move(reply));
     } else if (request.path.starts_with("/v1/services/")) {
       online_.OnServiceCall(std::move(request), std::move(reply));
@@ -63,7 +83,12 @@
     self.node = settings_.common.node;
     self.http = settings_.common.http;
     snapshot.members.push_back(self);
-    online_.Update(std::make_shared<const Snapshot>(std::move(snapshot)));
+    for (const Member& entry : members_.entries()) {
+      if (entry.node != self.node) snapshot.members.push_back(entry);
+    }
+    const auto shared = std::make_shared<const Snapshot>(std::move(snapshot));
+    online_.Update(shared);
+    batch_.Update(shared);
   }
 
   const Settings& settings_;
@@ -75,7 +100,9 @@
   Members members_{loop_, client_, platform_};
   Tracer tracer_;
   EntryOnline online_;
+  EntryBatch batch_;
   Timer snapshot_timer_;
+  Timer grace_;
 };
 
 }  // namespace
--- a/src/figmilld/members.cc
+++ b/src/figmilld/members.cc
@@ -21,6 +21,7 @@
     if (!IsOk(listed)) return;
     for (const ListedHost& host : ValueOf(listed)) {
       if (host.role == "agent" && !host.leaving) Ask(host);
+      if (host.role == "entry" && !host.leaving) AskEntry(host);
     }
   });
 }
@@ -48,4 +49,20 @@
   });
 }
 
+void Members::AskEntry(const ListedHost& host) {
+  HttpCall call;
+  call.to = host.http;
+  call.target = "/healthz";
+  call.total_timeout = kStatusTimeout;
+  client_.Fetch(std::move(call), [this, host](const Result<HttpResponse>& response) {
+    std::erase_if(entries_, [&](const Member& member) { return member.node == host.node; });
+    if (!IsOk(response)) return;
+    Member member;
+    member.node = host.node;
+    member.http = host.http;
+    member.data_centre = host.data_centre;
+    entries_.push_back(member);
+  });
+}
+
 }  // namespace figmill
