--- /dev/null
+++ b/test/batch-scheduler-test.cc
@@ -0,0 +1,97 @@
+#include <doctest/doctest.h>
+
+#include <map>
+
+#include "figmill/batch.h"
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+using namespace std::chrono_literals;
+
+namespace {
+
+const ServiceName kModel{"m"};
+constexpr Time kNow{Duration{1'000'000}};
+
+ReadyItem Item(const std::string& team, const std::string& job, std::uint32_t index,
+               std::uint32_t cost = 100, int due_s = 0) {
+  return ReadyItem{JobId{job}, index, TeamId{team}, WallTime(std::chrono::seconds(due_s)), kModel,
+                   cost,       {}};
+}
+
+FillScheduler With(const std::vector<std::string>& agents, std::uint32_t room) {
+  FillScheduler scheduler;
+  std::vector<BatchAgent> list;
+  for (const std::string& name : agents) list.push_back(BatchAgent{NodeId{name}, 1, {kModel}});
+  scheduler.SetAgents(list);
+  for (const std::string& name : agents) scheduler.OnRoom(NodeId{name}, 2 * room);
+  return scheduler;
+}
+
+}  // namespace
+
+TEST_CASE("teams share by tokens, whatever they queue and however long their items are") {
+  // Symptom: a team with a job of 150,000 items, or with long ones, leaves the
+  // others waiting until it is done.
+  FillScheduler scheduler = With({"a"}, 200);
+  for (std::uint32_t i = 0; i < 5000; ++i) scheduler.Add(Item("crowd", "big", i, 100));
+  for (std::uint32_t i = 0; i < 500; ++i) scheduler.Add(Item("long", "l", i, 1000));
+  for (std::uint32_t i = 0; i < 500; ++i) scheduler.Add(Item("small", "s", i, 100));
+  std::map<std::string, std::uint64_t> tokens;
+  for (int i = 0; i < 200; ++i) {
+    const auto next = scheduler.Next(kNow);
+    REQUIRE(next);
+    tokens[next->item.team.value] += next->item.cost;
+  }
+  CHECK_FALSE(scheduler.Next(kNow));  // the room is used up
+  for (const auto& [team, sum] : tokens) {
+    CAPTURE(team);
+    CHECK(sum >= tokens["small"] * 3 / 5);
+    CHECK(sum <= tokens["small"] * 5 / 3);
+  }
+}
+
+TEST_CASE("within a team the job that is due first goes first") {
+  FillScheduler scheduler = With({"a"}, 10);
+  scheduler.Add(Item("t", "later", 0, 10, 200));
+  scheduler.Add(Item("t", "sooner", 1, 10, 100));
+  scheduler.Add(Item("t", "sooner", 0, 10, 100));
+  CHECK(scheduler.Next(kNow)->item.index == 0);
+  CHECK(scheduler.Next(kNow)->item.job.value == "sooner");
+  CHECK(scheduler.Next(kNow)->item.job.value == "later");
+}
+
+TEST_CASE("an agent that fails everything at once doesn't draw the items to it") {
+  // Symptom: items use up their attempts within seconds. Cause: an agent whose
+  // engine is gone fails at once, so it always has the most room.
+  FillScheduler scheduler = With({"bad", "good"}, 8);
+  for (std::uint32_t i = 0; i < 1000; ++i) scheduler.Add(Item("t", "j", i, 10));
+  int bad = 0;
+  for (Time now = kNow; now < kNow + 4s; now += 10ms) {
+    while (const auto next = scheduler.Next(now)) {
+      if (next->agent.value == "bad") {
+        ++bad;
+        scheduler.OnFailed(next->agent, now);
+      } else {
+        scheduler.OnEnded(next->agent);
+        if (scheduler.ReadyOf(TeamId{"t"}) < 900) break;
+      }
+    }
+  }
+  CHECK(bad >= 1);
+  CHECK(bad <= 20);
+}
+
+TEST_CASE("a leaving or unknown agent gets nothing, and items for no agent are told apart") {
+  FillScheduler scheduler = With({"a"}, 4);
+  scheduler.Add(Item("t", "j", 0));
+  BatchAgent leaving{NodeId{"a"}, 1, {kModel}};
+  leaving.leaving = true;
+  scheduler.SetAgents(std::vector{leaving});
+  CHECK_FALSE(scheduler.Next(kNow));
+  CHECK(scheduler.StuckOf(JobId{"j"}) == 1);
+  CHECK(scheduler.ReadyOf(TeamId{"t"}) == 0);
+  scheduler.SetAgents(std::vector{BatchAgent{NodeId{"b"}, 7, {kModel}}});
+  const auto next = scheduler.Next(kNow);
+  REQUIRE(next);
+  CHECK(next->incarnation == 7);
+}
