--- a/test/query-tool-test.py
+++ b/test/query-tool-test.py
@@ -203,6 +203,17 @@
             assert "help awa" in file.read()
 
 
+def test_the_page_of_the_language_shows_every_statement():
+    page = os.path.join(os.path.dirname(os.path.abspath(__file__)), "../docs/operations/language.md")
+    with open(page, encoding="utf-8") as file:
+        text = file.read().replace("\\|", "|")
+    statements = json.loads(run("--json", "-c", "help")[1])["statements"]
+    assert len(statements) > 20
+    for statement in statements:
+        for part in ["usage", "meaning", "example"]:
+            assert statement[part] in text, statement
+
+
 def test_settings_are_checked():
     assert run("--check-settings")[0] == 0
     code, _, err = run("--check-settings", FIGMILL_ENTRY="nowhere")
