--- a/src/gate/gate_impl.h
+++ b/src/gate/gate_impl.h
@@ -65,6 +65,7 @@
   // Arrivals (gate_arrivals.cc).
   [[nodiscard]] std::optional<Error> RefusalOf(const Dispatch& dispatch);
   [[nodiscard]] std::optional<Error> KnownRefusal(const Dispatch& dispatch) const;
+  [[nodiscard]] std::optional<Error> NothingKept(Ran ran) const;
   [[nodiscard]] std::optional<Error> QueueRefusal(const Dispatch& dispatch) const;
   void Adopt(Arrival arrival, const Dispatch& dispatch);
   void Enqueue(Arrival arrival, const Dispatch& dispatch);
@@ -94,6 +95,7 @@
   void NoteNewEpoch(const JobId& job, Epoch epoch);
   void Expire();
   void ForgetOldEpochs();
+  [[nodiscard]] Duration LongestWait() const;
   [[nodiscard]] Error Overloaded(std::string detail) const;
   // True, and answered, when the table may have forgotten the id.
   bool AnswerForgotten(const RequestId& request, std::optional<Time> stamp);
