--- a/src/control/membership_messages.cc
+++ b/src/control/membership_messages.cc
@@ -10,7 +10,7 @@
 constexpr std::size_t kHeaderBytes = 28;  // IP and UDP
 constexpr std::size_t kMaxPartBytes = 700;
 // An item of news is sent this often by each member that takes it in.
-constexpr int kNewsRepeats = 6;
+constexpr int kNewsRepeats = 8;
 constexpr std::size_t kUrgentPeers = 4;
 constexpr std::size_t kMaxWants = 12;
 constexpr Duration kWantAgain{1'000'000};
@@ -73,7 +73,12 @@
 // while most have it already from another.
 void Membership::Impl::AddNews(Message& message, std::size_t& room) {
   std::vector<std::pair<int, const NodeId*>> order;
-  for (const auto& [node, times] : news_) order.emplace_back(times, &node);
+  for (const auto& [node, times] : news_) {
+    // Who leaves comes first: work sent there is refused until all know.
+    const auto* entry = table_.Find(node);
+    const bool urgent = entry != nullptr && entry->record.member.leaving;
+    order.emplace_back(urgent ? times - kNewsRepeats : times, &node);
+  }
   std::sort(order.begin(), order.end(), [](const auto& a, const auto& b) {
     return a.first != b.first ? a.first < b.first : *a.second < *b.second;
   });
@@ -127,7 +132,7 @@
   switch (table_.Merge(now, brief)) {
     case Merged::kTaken: {
       Spread(brief.node);
-      if (brief.leaving) bursts_ = std::max(bursts_, 1);
+      if (brief.leaving) bursts_ = std::max(bursts_, 2);
       break;
     }
     case Merged::kUnknown: {
