Say truthfully that a request was sent when curl's own resend fails

Cause: a request goes out on a pooled connection, the peer takes it and dies; curl connects anew by itself and is refused, and its 'couldn't connect' was taken for 'never sent'. The entry then sent unrepeatable work to another agent: it ran twice. Change: HttpClient notes by curl's pre-request callback that the request went out on any connection.

--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -51,6 +51,7 @@
     std::function<void(HttpEvent)> on_event;
     HttpHead head;
     bool head_told = false;
+    bool sent = false;  // on any connection: curl sends again by itself
     bool cancelled = false;
   };
 
@@ -119,6 +120,8 @@
     }
     if (call.method == "HEAD") curl_easy_setopt(easy, CURLOPT_NOBODY, 1L);
     PrepareTimeouts(easy, call);
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &Impl::OnConnected);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_HEADERFUNCTION, &Impl::OnHeader);
     curl_easy_setopt(easy, CURLOPT_HEADERDATA, &transfer);
     curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &Impl::OnBody);
@@ -185,6 +188,14 @@
     keep->easy = nullptr;
   }
 
+  // There is a connection, and the request goes out on it next. When a pooled one
+  // breaks before any answer, curl sends again on a new one; if that can't be made,
+  // its error says "couldn't connect" of a request that the peer may have run.
+  static int OnConnected(void* user, char*, char*, int, int) {
+    static_cast<Transfer*>(user)->sent = true;
+    return CURL_PREREQFUNC_OK;
+  }
+
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* user) {
     auto& transfer = *static_cast<Transfer*>(user);
     std::string_view line(data, size * count);
@@ -297,25 +308,17 @@
     const auto found = transfers_.find(easy);
     if (found == transfers_.end()) return;
     const std::shared_ptr<Transfer> transfer = found->second;
-    const HttpEvent last = LastEvent(easy, code);
+    const HttpEvent last = LastEvent(code, transfer->sent);
     Remove(easy);
     if (!std::exchange(transfer->cancelled, true)) transfer->on_event(last);
   }
 
-  static HttpEvent LastEvent(CURL* easy, CURLcode code) {
+  static HttpEvent LastEvent(CURLcode code, bool sent) {
     if (code == CURLE_OK) return HttpEnd{};
     HttpFailure failure;
     failure.timed_out = code == CURLE_OPERATION_TIMEDOUT;
     failure.why = curl_easy_strerror(code);
-    curl_off_t connected = 0;
-    curl_easy_getinfo(easy, CURLINFO_CONNECT_TIME_T, &connected);
-    long connections = 0;
-    curl_easy_getinfo(easy, CURLINFO_NUM_CONNECTS, &connections);
-    // A connect that timed out or was refused never carried the request. A
-    // reused connection makes no new one, so its connect time says nothing.
-    const bool never_connected =
-        code == CURLE_COULDNT_CONNECT || (failure.timed_out && connections > 0 && connected == 0);
-    failure.sent = !never_connected;
+    failure.sent = sent;
     return failure;
   }
 
--- a/test/runtime-http-test.cc
+++ b/test/runtime-http-test.cc
@@ -37,6 +37,62 @@
   return call;
 }
 
+// Answers its first request; reads each further one and closes the connection, and
+// when it dies, its listening socket too.
+struct ClosingServer {
+  ClosingServer() { Accept(); }
+
+  // The error of a call that finds the first one's connection in the pool.
+  std::optional<Error> SecondCall(bool fresh_connection) {
+    HttpClient client(loop);
+    const Address at{"127.0.0.1", acceptor.local_endpoint().port()};
+    std::optional<Error> error;
+    client.Fetch(CallTo(at, "first"), [&](const Result<HttpResponse>& first) {
+      CHECK(IsOk(first));
+      HttpCall call = CallTo(at, "second");
+      call.fresh_connection = fresh_connection;
+      client.Fetch(std::move(call), [&](const Result<HttpResponse>& second) {
+        if (!IsOk(second)) error = ErrorOf(second);
+        loop.Stop();
+      });
+    });
+    loop.Run();
+    return error;
+  }
+
+  void Accept() {
+    sockets.push_back(std::make_unique<asio::ip::tcp::socket>(loop.core().io));
+    acceptor.async_accept(*sockets.back(), [this](const asio::error_code& failure) {
+      if (failure) return;
+      Serve(*sockets.back());
+      Accept();
+    });
+  }
+
+  void Serve(asio::ip::tcp::socket& socket) {
+    socket.async_read_some(
+        asio::buffer(buffer), [this, &socket](const asio::error_code& failure, std::size_t) {
+          if (failure) return;
+          if (++requests > 1) {
+            if (dies) acceptor.close();
+            socket.close();
+            return;
+          }
+          static const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+          asio::write(socket, asio::buffer(kAnswer));
+          Serve(socket);
+        });
+  }
+
+  Loop loop;
+  Timer bound = loop.After(kBound, [this] { loop.Stop(); });
+  asio::ip::tcp::acceptor acceptor{loop.core().io, {asio::ip::make_address("127.0.0.1"), 0}};
+  std::vector<std::unique_ptr<asio::ip::tcp::socket>> sockets;
+  std::array<char, 4096> buffer{};
+  int requests = 0;
+  bool dies = false;
+};
+
 }  // namespace
 
 TEST_CASE("a request arrives with its method, query, headers and body") {
@@ -130,48 +186,22 @@
 // request again by itself on a new connection.
 // Cause: that silent resend can't know whether the first copy was read.
 TEST_CASE("a request on a fresh connection is never sent twice by the client") {
-  Loop loop;
-  const Timer bound = loop.After(kBound, [&] { loop.Stop(); });
-  asio::ip::tcp::acceptor acceptor(loop.core().io, {asio::ip::make_address("127.0.0.1"), 0});
-  int requests = 0;
-  std::vector<std::unique_ptr<asio::ip::tcp::socket>> sockets;
-  std::array<char, 4096> buffer{};
-  // Answers the first request, then reads each further one and closes unanswered.
-  std::function<void(asio::ip::tcp::socket&)> serve = [&](asio::ip::tcp::socket& socket) {
-    socket.async_read_some(asio::buffer(buffer), [&](const asio::error_code& failure, std::size_t) {
-      if (failure) return;
-      if (++requests > 1) {
-        socket.close();
-        return;
-      }
-      static const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
-      asio::write(socket, asio::buffer(kAnswer));
-      serve(socket);
-    });
-  };
-  std::function<void()> accept = [&] {
-    sockets.push_back(std::make_unique<asio::ip::tcp::socket>(loop.core().io));
-    acceptor.async_accept(*sockets.back(), [&](const asio::error_code& failure) {
-      if (failure) return;
-      serve(*sockets.back());
-      accept();
-    });
-  };
-  accept();
-  HttpClient client(loop);
-  const Address at{"127.0.0.1", acceptor.local_endpoint().port()};
-  std::optional<Error> error;
-  client.Fetch(CallTo(at, "first"), [&](const Result<HttpResponse>& first) {
-    CHECK(IsOk(first));
-    HttpCall call = CallTo(at, "not repeatable");
-    call.fresh_connection = true;
-    client.Fetch(std::move(call), [&](const Result<HttpResponse>& second) {
-      if (!IsOk(second)) error = ErrorOf(second);
-      loop.Stop();
-    });
-  });
-  loop.Run();
-  CHECK(requests == 2);
+  ClosingServer server;
+  const std::optional<Error> error = server.SecondCall(true);
+  CHECK(server.requests == 2);
+  REQUIRE(error);
+  CHECK(error->ran == Ran::kUnknown);
+}
+
+// Symptom: an invoice is sent twice; its first refusal said "not run".
+// Sequence: a request goes out on a pooled connection, its peer takes it and dies;
+// the client library connects anew to send it again and is refused.
+// Cause: the refused connection taken for proof that the request was never sent.
+TEST_CASE("a refused second connection doesn't make a sent request unsent") {
+  ClosingServer server;
+  server.dies = true;
+  const std::optional<Error> error = server.SecondCall(false);
+  CHECK(server.requests == 2);
   REQUIRE(error);
   CHECK(error->ran == Ran::kUnknown);
 }
