Let an entry made from an older fold lose to what came since (control.h)

Cause: a statement such as `set service s deadline 5s` puts the whole service, made from the fold that this entry process knows. If another operator's change of the service was in the log already but not here, the append followed it and undid it, as it only compared what came after its own catching up.

Change: LogWriter::Append takes the sequence that the entry was built on, and the entries after it count as having raced. ControlAccess hands it through.

--- a/include/figmill/control.h
+++ b/include/figmill/control.h
@@ -306,9 +306,12 @@
   // kStaleVersion if `if_version` isn't the head; kConflict if another
   // operator's entry on the same subject won, saying whose and where;
   // kStoreUnavailable (nothing written); kOverloaded (too many waiting).
+  // `built_on` is the sequence of the fold that the entry was made from, if it
+  // carries values over from one: entries on the same subject after it win.
   [[nodiscard]] std::vector<LogAction> Append(std::uint64_t append, ControlEntry entry,
                                               std::string author,
-                                              std::optional<Sequence> if_version);
+                                              std::optional<Sequence> if_version,
+                                              std::optional<Sequence> built_on = {});
   // Takes back an append that is still waiting: true if so, and nothing was
   // written; false if it is in flight or done.
   [[nodiscard]] bool Withdraw(std::uint64_t append);
@@ -323,6 +326,7 @@
     ControlEntry entry;
     std::string author;
     std::optional<Sequence> if_version;
+    std::optional<Sequence> built_on;
   };
   std::vector<LogAction> Begin();
   std::vector<LogAction> CatchUp();
--- a/src/control/log_writer.cc
+++ b/src/control/log_writer.cc
@@ -32,12 +32,13 @@
     : reader_(reader), random_(std::move(random)) {}
 
 std::vector<LogAction> LogWriter::Append(std::uint64_t append, ControlEntry entry,
-                                         std::string author, std::optional<Sequence> if_version) {
+                                         std::string author, std::optional<Sequence> if_version,
+                                         std::optional<Sequence> built_on) {
   if (queue_.size() >= kMaxWaiting) {
     return {AnswerAppend{
         append, Error{ErrorKind::kOverloaded, "too many orders are waiting here", Ran::kNo}}};
   }
-  queue_.push_back({append, std::move(entry), std::move(author), if_version});
+  queue_.push_back({append, std::move(entry), std::move(author), if_version, built_on});
   if (queue_.size() > 1) return {};
   return Begin();
 }
@@ -115,7 +116,7 @@
                             fold.author + " came last",
                         Ran::kNo});
   }
-  if (!base_) base_ = fold.sequence;
+  if (!base_) base_ = std::min(fold.sequence, pending.built_on.value_or(fold.sequence));
   const auto raced = reader_.EntriesAfter(*base_, SIZE_MAX);
   if (!raced) {
     return Finish(Error{ErrorKind::kConflict, "too many other orders won meanwhile", Ran::kNo});
--- a/src/figmilld/control_access.h
+++ b/src/figmilld/control_access.h
@@ -20,6 +20,7 @@
   [[nodiscard]] virtual std::vector<Member> CurrentMembers() const = 0;
   // As LogWriter::Append; `done` is called once, on the loop.
   virtual void Append(ControlEntry entry, std::string author, std::optional<Sequence> if_version,
+                      std::optional<Sequence> built_on,
                       std::function<void(Result<Sequence>)> done) = 0;
   // Asks who runs on `sequence`; the answers change what InForce reports.
   virtual void AskInForce(Sequence sequence) = 0;
--- a/src/figmilld/control_log_shell.cc
+++ b/src/figmilld/control_log_shell.cc
@@ -52,11 +52,12 @@
 }
 
 void ControlLogShell::Append(ControlEntry entry, std::string author,
-                             std::optional<Sequence> if_version,
+                             std::optional<Sequence> if_version, std::optional<Sequence> built_on,
                              std::function<void(Result<Sequence>)> done) {
   const std::uint64_t append = next_append_++;
   appends_[append] = std::move(done);
-  Carry(Machine::kWriter, writer_.Append(append, std::move(entry), std::move(author), if_version));
+  Carry(Machine::kWriter,
+        writer_.Append(append, std::move(entry), std::move(author), if_version, built_on));
 }
 
 HttpResponse ControlLogShell::EntriesAfter(Sequence after) const {
--- a/src/figmilld/control_log_shell.h
+++ b/src/figmilld/control_log_shell.h
@@ -33,7 +33,7 @@
   void Tick() { Carry(Machine::kWriter, writer_.Tick()); }
   void Hint(const NodeId& peer, Sequence sequence);
   void Append(ControlEntry entry, std::string author, std::optional<Sequence> if_version,
-              std::function<void(Result<Sequence>)> done);
+              std::optional<Sequence> built_on, std::function<void(Result<Sequence>)> done);
 
   [[nodiscard]] const std::shared_ptr<const Fold>& fold() const { return reader_.fold(); }
   // For GET /control/entries?after=N and GET /control/fold.
--- a/src/figmilld/control_shell.cc
+++ b/src/figmilld/control_shell.cc
@@ -254,14 +254,14 @@
 }
 
 void ControlShell::Append(ControlEntry entry, std::string author,
-                          std::optional<Sequence> if_version,
+                          std::optional<Sequence> if_version, std::optional<Sequence> built_on,
                           std::function<void(Result<Sequence>)> done) {
   auto back = [this, done = std::move(done)](Result<Sequence> outcome) {
     traffic_.Post([done, outcome = std::move(outcome)] { done(outcome); });
   };
   core_->loop().Post(
-      [this, entry = std::move(entry), author = std::move(author), if_version,
-       back = std::move(back)] { core_->log().Append(entry, author, if_version, back); });
+      [this, entry = std::move(entry), author = std::move(author), if_version, built_on,
+       back = std::move(back)] { core_->log().Append(entry, author, if_version, built_on, back); });
 }
 
 void ControlShell::AskInForce(Sequence sequence) {
--- a/src/figmilld/control_shell.h
+++ b/src/figmilld/control_shell.h
@@ -53,6 +53,7 @@
   [[nodiscard]] std::shared_ptr<const Fold> CurrentFold() const override;
   [[nodiscard]] std::vector<Member> CurrentMembers() const override { return current()->members; }
   void Append(ControlEntry entry, std::string author, std::optional<Sequence> if_version,
+              std::optional<Sequence> built_on,
               std::function<void(Result<Sequence>)> done) override;
   void AskInForce(Sequence sequence) override;
   [[nodiscard]] InForceReport InForce(Sequence sequence) const override;
--- a/src/figmilld/entry_query.cc
+++ b/src/figmilld/entry_query.cc
@@ -79,7 +79,7 @@
   if (!IsOk(if_version)) return reply->Send(ProblemOf(ErrorOf(if_version)));
   shared_->parts.control.Append(
       ReplaceConfig{std::move(ValueOf(config))}, AuthorOf(request), ValueOf(if_version),
-      [reply](const Result<Sequence>& sequence) {
+      std::nullopt, [reply](const Result<Sequence>& sequence) {
         if (!IsOk(sequence)) return SendAnswer(*reply, ErrorOf(sequence));
         SendAnswer(*reply, query::QueryAnswer(query::Accepted{ValueOf(sequence)}));
       });
--- a/src/figmilld/placement_shell.cc
+++ b/src/figmilld/placement_shell.cc
@@ -11,6 +11,7 @@
 
 std::vector<std::string> Versioned(const std::vector<VersionedName>& names) {
   std::vector<std::string> texts;
+  texts.reserve(names.size());
   for (const VersionedName& each : names) texts.push_back(each.name + "@" + each.version);
   return texts;
 }
--- a/src/figmilld/query_operations.cc
+++ b/src/figmilld/query_operations.cc
@@ -114,9 +114,10 @@
 void QueryOperations::Append(const query::Order& order,
                              std::function<void(Result<Sequence>)> done) {
   ControlAccess& control = shared_->parts.control;
-  const Result<ControlEntry> entry = query::EntryFor(order.command, *control.CurrentFold());
+  const std::shared_ptr<const Fold> fold = control.CurrentFold();
+  const Result<ControlEntry> entry = query::EntryFor(order.command, *fold);
   if (!IsOk(entry)) return done(ErrorOf(entry));
-  control.Append(ValueOf(entry), author_, order.if_version, std::move(done));
+  control.Append(ValueOf(entry), author_, order.if_version, fold->sequence, std::move(done));
 }
 
 void QueryOperations::Await(Sequence sequence, std::function<void(Result<Spread>)> done) {
--- a/test/control-log-test.cc
+++ b/test/control-log-test.cc
@@ -66,8 +66,9 @@
     }
   }
   std::uint64_t Append(ControlEntry entry, std::string author = "ana",
-                       std::optional<Sequence> if_version = {}) {
-    Do(writer, writer.Append(++last, std::move(entry), std::move(author), if_version));
+                       std::optional<Sequence> if_version = {},
+                       std::optional<Sequence> built_on = {}) {
+    Do(writer, writer.Append(++last, std::move(entry), std::move(author), if_version, built_on));
     return last;
   }
   Result<Sequence> AppendNow(ControlEntry entry, std::string author = "ana",
@@ -229,6 +230,25 @@
   CHECK(store.rows.size() == 1);
 }
 
+TEST_CASE("an entry made from an older fold doesn't undo what was accepted since") {
+  // Symptom: Ben's change of a service is gone after Ana changed another of its settings.
+  // Events: Ben's change is accepted; Ana's node hasn't heard of it and makes the whole service
+  // out of the one it knows. Cause: the entry is appended after Ben's as if it followed from it.
+  Store store;
+  Node ana(store, 1);
+  Node ben(store, 2);
+  CHECK(IsOk(ana.AppendNow(Service("s", Duration(1'000'000)), "ana")));
+  CHECK(IsOk(ben.AppendNow(Service("s", Duration(2'000'000)), "ben")));
+  CHECK(IsOk(ben.AppendNow(Service("other"), "ben")));
+  const std::uint64_t stale = ana.Append(Service("s", Duration(1'000'000)), "ana", {}, 1);
+  ana.Settle();
+  REQUIRE(KindOf(ana.answers.at(stale)) == ErrorKind::kConflict);
+  CHECK(ErrorOf(ana.answers.at(stale)).detail == "'put service s' by ben won at sequence 2");
+  const std::uint64_t fresh = ana.Append(Service("s", Duration(3'000'000)), "ana", {}, 3);
+  ana.Settle();
+  CHECK(IsOk(ana.answers.at(fresh)));
+}
+
 TEST_CASE("racing operators: orders on one subject have one winner, others all pass") {
   // Four operators on four nodes interleave their steps in a random but repeatable order.
   Store store;
--- a/test/query-entry-test.cc
+++ b/test/query-entry-test.cc
@@ -55,6 +55,7 @@
   std::shared_ptr<const Fold> CurrentFold() const override { return fold; }
   std::vector<Member> CurrentMembers() const override { return members; }
   void Append(ControlEntry entry, std::string author, std::optional<Sequence> if_version,
+              std::optional<Sequence> /*built_on*/,
               std::function<void(Result<Sequence>)> done) override {
     if (if_version && *if_version != fold->sequence) {
       return done(Error{ErrorKind::kStaleVersion, "the log stands elsewhere"});
