--- a/src/figmilld/control_shell.cc
+++ b/src/figmilld/control_shell.cc
@@ -91,6 +91,10 @@
     const std::lock_guard lock(mutex_);
     return membership_.InForce(sequence);
   }
+  std::vector<Member> Members() {
+    const std::lock_guard lock(mutex_);
+    return membership_.Members();
+  }
   Result<std::string> OnFetch(std::string_view have) {
     const std::lock_guard lock(mutex_);
     return membership_.OnFetch(Loop::Now(), have);
@@ -254,20 +258,24 @@
 }
 
 void ControlShell::Append(ControlEntry entry, std::string author,
-                          std::optional<Sequence> if_version,
+                          std::optional<Sequence> if_version, std::optional<Sequence> built_on,
                           std::function<void(Result<Sequence>)> done) {
   auto back = [this, done = std::move(done)](Result<Sequence> outcome) {
     traffic_.Post([done, outcome = std::move(outcome)] { done(outcome); });
   };
   core_->loop().Post(
-      [this, entry = std::move(entry), author = std::move(author), if_version,
-       back = std::move(back)] { core_->log().Append(entry, author, if_version, back); });
+      [this, entry = std::move(entry), author = std::move(author), if_version, built_on,
+       back = std::move(back)] { core_->log().Append(entry, author, if_version, built_on, back); });
 }
 
 void ControlShell::AskInForce(Sequence sequence) {
   core_->loop().Post([this, sequence] { core_->Ask(sequence); });
 }
 
+std::vector<Member> ControlShell::CurrentMembers() const {
+  return core_->Members();
+}
+
 InForceReport ControlShell::InForce(Sequence sequence) const {
   return core_->InForce(sequence);
 }
