Tell why a keyed stream breaks off by an event

Cause: OnceTicket::TellError wrote a bare problem document into the event stream of a keyed or not-repeatable request. A reader of events saw the stream end without its closing event and without a reason or `ran`. Change: ErrorEvent() in sse.h, used by both the keyed and the plain path.

--- a/src/figmilld/entry_online.cc
+++ b/src/figmilld/entry_online.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "figmilld/sse.h"
+
 namespace figmill {
 namespace {
 
@@ -15,7 +17,7 @@
 // Without its closing event a stream is known to be broken; the error event says
 // why, and whether the work ran.
 void BreakStream(Answer& answer, const Error& error) {
-  answer.reply->Write("event: error\ndata: " + ProblemOf(error).body + "\n\n");
+  answer.reply->Write(ErrorEvent(error));
   answer.reply->End();
 }
 
--- a/src/figmilld/once_ticket.cc
+++ b/src/figmilld/once_ticket.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "figmilld/sse.h"
+
 namespace figmill {
 namespace {
 
@@ -209,12 +211,12 @@
 
 void OnceTicket::TellError(const Error& error) {
   if (!reply_) return;
-  HttpResponse response = WithRetryAfter(error);
   if (streaming_) {
-    reply_->Write(std::move(response.body));
+    reply_->Write(ErrorEvent(error));
     reply_->End();
     return;
   }
+  HttpResponse response = WithRetryAfter(error);
   NameItem(response);
   reply_->Send(std::move(response));
 }
--- a/src/figmilld/sse.cc
+++ b/src/figmilld/sse.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/runtime.h"
+
 namespace figmill {
 namespace {
 
@@ -98,6 +100,10 @@
   return whole.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
+std::string ErrorEvent(const Error& error) {
+  return "event: error\ndata: " + ProblemOf(error).body + "\n\n";
+}
+
 TokenUsage UsageOf(std::string_view events) {
   const Json event = Json::parse(DataOf(LastEvent(events)), nullptr, false);
   if (!event.is_object() || !event.contains("usage") || !event["usage"].is_object()) return {};
--- a/src/figmilld/sse.h
+++ b/src/figmilld/sse.h
@@ -9,6 +9,8 @@
 #include <string>
 #include <string_view>
 
+#include "figmill/base.h"
+
 namespace figmill {
 
 inline constexpr std::string_view kDoneEvent = "data: [DONE]\n\n";
@@ -24,6 +26,10 @@
   bool done_ = false;
 };
 
+// Tells the reader of a stream that has begun why it breaks off, and whether the
+// work ran: a status can't say it any more, and bare JSON isn't an event.
+[[nodiscard]] std::string ErrorEvent(const Error& error);
+
 // Whole events in `events`.
 [[nodiscard]] std::uint32_t CountEvents(std::string_view events);
 
