Carry out the operators' cancellation of a job

Symptom: `cancel job X` is answered with its sequence number, and the job runs on to its end as done. Cause: the order went into the control log alone; nothing read the fold's cancelled jobs, and the job's row, which is what stops its items, stayed running. Change: the entry that took the order writes the row at once; a job's owner, also a later one, writes it too whenever the fold says so, and again until it is done.

--- a/src/figmilld/entry.cc
+++ b/src/figmilld/entry.cc
@@ -40,7 +40,8 @@
         control_(loop_, metrics_, {self_, settings.common.platform, settings.common.store_timeout}),
         online_(loop_, client_, rpc_, metrics_, tracer_, {self_.node, self_.data_centre}),
         batch_(loop_, BatchSettingsOf(settings, self_.incarnation), metrics_),
-        query_({loop_, client_, platform_, platform_, control_, self_.node}),
+        query_({loop_, client_, platform_, platform_, control_, self_.node,
+                [this](const JobId& job) { batch_.Cancel(job, [](const Result<JobRow>&) {}); }}),
         once_(loop_, client_, platform_, platform_, {self_.node, self_.incarnation},
               ViewOver(control_, self_),
               [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
--- a/src/figmilld/entry_batch.cc
+++ b/src/figmilld/entry_batch.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <thread>
 
 #include "figmilld/batch_dispatcher.h"
@@ -16,6 +17,7 @@
 using Json = nlohmann::json;
 
 constexpr Duration kNotifyTimeout{1'000'000};
+constexpr Duration kCancelRetry{1'000'000};  // should the store have been away
 
 bool IsRepeatable(const Config& config, const ServiceName& name, std::string_view path) {
   const auto service = config.services.find(name);
@@ -67,6 +69,7 @@
         running_(metrics.gauge("figmill_batch_jobs", "Jobs owned here")),
         in_flight_(metrics.gauge("figmill_batch_in_flight", "Batch items at agents")),
         ticks_(loop_.Every(kBatchTick, [this] { Tick(); })),
+        cancel_retries_(loop_.Every(kCancelRetry, [this] { CancelAsOrdered(); })),
         thread_([this] { loop_.Run(); }) {}
 
   ~Worker() {
@@ -100,6 +103,8 @@
     }
     jobs_.SetRule(fleet.repeatable);
     dispatcher_.SetAgents(std::move(agents));
+    fold_ = snapshot.fold;
+    CancelAsOrdered();
     Feed(fleet);
   }
   void Changed(const JobId& job) { Feed(JobChanged{job}); }
@@ -156,8 +161,26 @@
   void OnNote(const JobNote& note) {
     Log(LogLevel::kInfo, NameOf(note.what),
         {{"job", note.job.value}, {"epoch", std::to_string(note.epoch)}});
-    const bool taken_over = note.what == JobNote::What::kClaimed && note.epoch > 1;
-    if (taken_over) dispatcher_.Supersede(note.job, note.epoch);
+    const bool claimed = note.what == JobNote::What::kClaimed;
+    if (claimed && note.epoch > 1) dispatcher_.Supersede(note.job, note.epoch);
+    if (!claimed) {
+      owned_.erase(note.job);
+      return;
+    }
+    owned_.insert(note.job);
+    CancelAsOrdered();
+  }
+  // An operator's cancellation is accepted once it is in the log, but what stops a
+  // job is its row. The entry that took the order writes the row at once; should it
+  // die in between, or the store be away, the job would run on though its operator
+  // was told that it is cancelled. Hence a job's owner, also a later one, writes it
+  // too.
+  void CancelAsOrdered() {
+    if (!fold_) return;
+    for (const JobId& job : owned_) {
+      if (!fold_->cancelled_jobs.contains(job) || !cancelling_.insert(job).second) continue;
+      jobs_.Cancel(job, [this, job](const Result<JobRow>&) { cancelling_.erase(job); });
+    }
   }
   void OnDrained() {
     leases_.Release();
@@ -186,6 +209,9 @@
   BatchDispatcher dispatcher_;
   BatchJobs jobs_;
   std::map<NodeId, Address> entries_;
+  std::shared_ptr<const Fold> fold_;
+  std::set<JobId> owned_;
+  std::set<JobId> cancelling_;  // a write of the row is under way
   std::deque<BatchEvent> waiting_;
   bool feeding_ = false;
   std::function<void()> drained_;
@@ -194,7 +220,7 @@
   Gauge& held_;
   Gauge& running_;
   Gauge& in_flight_;
-  Timer ticks_;
+  Timer ticks_, cancel_retries_;
   std::thread thread_;  // last: it runs on all of the above
 };
 
--- a/src/figmilld/entry_query.h
+++ b/src/figmilld/entry_query.h
@@ -3,6 +3,7 @@
 // The operators' door of an entry: statements, the whole configuration, and the
 // record of refusals.
 
+#include <functional>
 #include <memory>
 #include <mutex>
 
@@ -20,6 +21,8 @@
   ObjectStore& objects;
   ControlAccess& control;
   NodeId self;
+  // Stops a job whose cancellation is in the log, ahead of its owner.
+  std::function<void(const JobId&)> cancel_job = {};
 };
 
 class EntryQuery {
--- a/src/figmilld/query_operations.cc
+++ b/src/figmilld/query_operations.cc
@@ -120,7 +120,11 @@
     if (IsOk(row) && ValueOf(row).state == JobState::kDone) {
       return done(Error{ErrorKind::kConflict, "job " + job.value + " is done already"});
     }
-    self->Append(order, done);
+    self->Append(order, [self, job, done](const Result<Sequence>& sequence) {
+      const auto& cancel = self->shared_->parts.cancel_job;
+      if (IsOk(sequence) && cancel) cancel(job);
+      done(sequence);
+    });
   };
   shared_->parts.table.Read(JobKey(job), std::move(append));
 }
