--- a/test/fleet.py
+++ b/test/fleet.py
@@ -136,13 +136,15 @@
 class Fleet:
     """A local fleet. Members are named by node, engines as engine-N."""
 
-    def __init__(self, entries, agents, *arguments):
+    def __init__(self, entries, agents, *arguments, environment=None):
+        self.environment = {**os.environ, **(environment or {})}
         self.scratch = tempfile.TemporaryDirectory()
         self.dir = pathlib.Path(self.scratch.name)
         self.own = {}  # processes started here, by node
         self.keeper = subprocess.Popen(
             [sys.executable, ROOT / "support/local-fleet", "--build", BUILD, "--dir", self.dir,
-             "--entries", str(entries), "--agents", str(agents), "--services", "0", *arguments], stdout=subprocess.DEVNULL)
+             "--entries", str(entries), "--agents", str(agents), "--services", "0", *arguments],
+            stdout=subprocess.DEVNULL, env=self.environment)
 
     def __enter__(self):
         state = self.dir / "fleet.json"
@@ -209,7 +211,7 @@
             argv[argv.index("--" + flag) + 1] = value
         with open(self.dir / f"{name}.log", "ab") as log:
             self.own[name] = subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=log,
-                                              stderr=log)
+                                              stderr=log, env=self.environment)
         self.pids[name] = self.own[name].pid
 
     def replace(self, name, **changed):
