--- a/include/figmill/control.h
+++ b/include/figmill/control.h
@@ -266,6 +266,10 @@
 
   [[nodiscard]] const std::shared_ptr<const Fold>& fold() const { return fold_; }
   [[nodiscard]] Sequence head() const { return fold_->sequence; }
+  // Whether the whole log was once read, from the store or a peer ahead. Before
+  // that the fold may lack most orders, and a process that routes by it would
+  // serve on a configuration that never was.
+  [[nodiscard]] bool learned() const { return learned_; }
   // For a peer that is at `after`, oldest first, at most `max_bytes` but at
   // least one; nothing when the window doesn't reach back that far.
   [[nodiscard]] std::optional<std::vector<LogRecord>> EntriesAfter(Sequence after,
@@ -288,6 +292,7 @@
   std::shared_ptr<const Fold> fold_;
   std::deque<Kept> window_;  // the newest records, up to the head
   std::size_t window_bytes_ = 0;
+  bool learned_ = false;
   bool reading_store_ = false;
   std::optional<NodeId> fetching_from_;
   Sequence wanted_ = 0;  // the highest sequence a peer was seen on
--- a/src/control/log_reader.cc
+++ b/src/control/log_reader.cc
@@ -60,7 +60,11 @@
 
 std::vector<LogAction> LogReader::OnRows(Result<std::vector<Row>> rows) {
   reading_store_ = false;
-  if (!IsOk(rows) || ValueOf(rows).empty()) return {};
+  if (!IsOk(rows)) return {};
+  if (ValueOf(rows).empty()) {
+    learned_ = true;
+    return {};
+  }
   const Result<std::vector<LogRecord>> records = ParseRows(ValueOf(rows));
   if (!IsOk(records)) return {LogStuck{head() + 1, ErrorOf(records).detail}};
   const std::vector<LogRecord>& found = ValueOf(records);
@@ -70,6 +74,9 @@
     return {ReadRow{std::string(detail::kSnapshotKey)}};
   }
   std::vector<LogAction> actions;
+  const bool whole = found.size() < kRowsPerScan &&
+                     found.back().sequence - found.front().sequence == found.size() - 1;
+  learned_ = learned_ || whole;
   if (Offer(found)) actions.emplace_back(PublishFold{});
   if (found.size() == kRowsPerScan) {
     for (LogAction& action : Scan()) actions.push_back(std::move(action));
@@ -109,6 +116,7 @@
   }
   std::vector<LogAction> actions;
   const bool moved = Offer(ValueOf(records));
+  learned_ = learned_ || (moved && head() >= wanted_);
   if (moved) actions.emplace_back(PublishFold{});
   if (!moved) wanted_ = head();
   for (LogAction& action : NextFetch()) actions.push_back(std::move(action));
@@ -118,6 +126,7 @@
 std::vector<LogAction> LogReader::OnFold(Result<Fold> fold) {
   std::vector<LogAction> actions;
   const bool moved = IsOk(fold) && Offer(std::move(ValueOf(fold)));
+  learned_ = learned_ || (moved && head() >= wanted_);
   if (moved) actions.emplace_back(PublishFold{});
   if (!moved) wanted_ = head();
   for (LogAction& action : NextFetch()) actions.push_back(std::move(action));
--- a/test/control-log-test.cc
+++ b/test/control-log-test.cc
@@ -341,8 +341,11 @@
   sleeper.Poll();
   CHECK(IsOk(sleeper.AppendNow(Service("c"))));
 
+  // A fresh node has learned nothing until it holds the whole log.
   Node fresh(store, 3);
-  fresh.Poll();
+  fresh.Do(fresh.reader, fresh.reader.Poll());
+  while (!fresh.reader.learned()) REQUIRE(fresh.Step());
+  CHECK(fresh.reader.head() == many + 1);
   busy.Poll();
   CHECK(ToJson(*fresh.reader.fold()) == ToJson(*busy.reader.fold()));
   CHECK(ToJson(*sleeper.reader.fold()) == ToJson(*busy.reader.fold()));
@@ -359,8 +362,10 @@
   fresh.peer = &old;
   fresh.Poll();
   CHECK(fresh.reader.head() == 0);
+  CHECK_FALSE(fresh.reader.learned());
   fresh.Do(fresh.reader, fresh.reader.Hint({"old"}, old.reader.head()));
   fresh.Settle();
+  CHECK(fresh.reader.learned());
   CHECK(ToJson(*fresh.reader.fold()) == ToJson(*old.reader.fold()));
 
   // A peer that lags, or an older fold, takes nothing back.
--- a/test/control-net.h
+++ b/test/control-net.h
@@ -235,4 +235,14 @@
   MESSAGE(count << " members found each other in " << *joined << " s");
 }
 
+// The same by way of one listed host, which all ask when they start and once more:
+// then they know each other much sooner.
+inline void Acquaint(Net& net, std::size_t count) {
+  net.List(NameOf(0));
+  for (std::size_t i = 0; i < count; ++i) net.Start(NameOf(i), 1);
+  net.check_every = 10;
+  REQUIRE(net.TimeUntil(Duration(60'000'000), [&] { return net.Agreed(); }).has_value());
+  net.check_every = 1;
+}
+
 }  // namespace figmill::fake
