--- a/src/control/fold.cc
+++ b/src/control/fold.cc
@@ -71,11 +71,11 @@
   using Names = std::span<const VersionedName>;
   const Placement& placement = place.placement;
   for (const Names models : {Names(placement.models), Names(placement.unwanted_models)}) {
-    const Result<Ok> checked = CheckNames(models, "a model");
+    Result<Ok> checked = CheckNames(models, "a model");
     if (!IsOk(checked)) return checked;
   }
   for (const Names adapters : {Names(placement.adapters), Names(placement.unwanted_adapters)}) {
-    const Result<Ok> checked = CheckNames(adapters, "an adapter");
+    Result<Ok> checked = CheckNames(adapters, "an adapter");
     if (!IsOk(checked)) return checked;
   }
   return Ok{};
@@ -129,7 +129,7 @@
     return Error{ErrorKind::kTooLarge,
                  "an order has at most " + std::to_string(kMaxEntryBytes) + " bytes"};
   }
-  const Result<Ok> subject = CheckSubject(fold, entry);
+  Result<Ok> subject = CheckSubject(fold, entry);
   if (!IsOk(subject)) return subject;
   Config config = fold.config;
   Edit(config, entry);
