--- a/src/figmill/settings.cc
+++ b/src/figmill/settings.cc
@@ -23,7 +23,8 @@
   std::vector<Address> entries;
   for (const std::string& text : texts) {
     const Result<Address> address = ParseAddress(text);
-    if (!IsOk(address)) throw CLI::ValidationError("--entry (FIGMILL_ENTRY)", ErrorOf(address).detail);
+    if (!IsOk(address))
+      throw CLI::ValidationError("--entry (FIGMILL_ENTRY)", ErrorOf(address).detail);
     entries.push_back(ValueOf(address));
   }
   return entries;
