--- a/test/batch-fleet-test.py
+++ b/test/batch-fleet-test.py
@@ -15,7 +15,7 @@
 BUILD = pathlib.Path(sys.argv[1]).resolve()
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ITEMS = 3000
-ONCE_ITEMS = 400
+ONCE_ITEMS = 1500
 TOKENS = 4
 POISON = {7, 1500}
 MASK = (1 << 64) - 1
