--- a/src/batch/job_run.cc
+++ b/src/batch/job_run.cc
@@ -199,6 +199,10 @@
       if (!open.item(index).repeatable) open.Fail(index, unknown);
     }
   } else if (needs_intent) {
+    has_once_ = true;
+    for (std::uint32_t i = 0; i < count; ++i) {
+      if (!open.item(open.first_index() + i).repeatable) ++unsent_once_;
+    }
     Intend(chunk);
   }
   OfferItems(chunk, true);
@@ -253,7 +257,9 @@
 }
 
 void JobRun::OnSent(std::uint32_t index) {
-  open_.at(ChunkOf(index)).CountAttempt(index);
+  OpenChunk& open = open_.at(ChunkOf(index));
+  open.CountAttempt(index);
+  if (!open.item(index).repeatable) --unsent_once_;
 }
 
 void JobRun::OnOutcome(std::uint32_t index, const ItemOutcome& outcome, const NodeId& agent) {
@@ -261,6 +267,7 @@
   const auto open = open_.find(chunk);
   if (open == open_.end() || open->second.finished()) return;
   if (open->second.Take(index, outcome, host_.limits().max_attempts) == AfterAttempt::kTryAgain) {
+    if (!open->second.item(index).repeatable) ++unsent_once_;
     return Offer(index, agent);
   }
   StoreIfFinished(chunk);
--- a/src/batch/job_run.h
+++ b/src/batch/job_run.h
@@ -50,6 +50,12 @@
   // Loads one more chunk ahead, if there is one.
   void OpenNext();
   [[nodiscard]] bool has_more() const;
+  // Not-repeatable items are intended and not sent yet. What goes wrong if more of
+  // them are intended ahead: an owner's death ends them all as unknown although
+  // they never ran, which shows as far more `outcome-unknown` than runs.
+  [[nodiscard]] bool awaits_sending_once() const {
+    return unsent_once_ > 0 || (has_once_ && loading_ > 0);
+  }
   // Nothing is open, loading, or on its way to the store.
   [[nodiscard]] bool idle() const;
 
@@ -112,6 +118,8 @@
   std::map<std::uint32_t, OpenChunk> open_;
 
   std::vector<StoredResults> stored_;  // results in the object store, not committed
+  std::uint32_t unsent_once_ = 0;      // not-repeatable items of intended chunks
+  bool has_once_ = false;
   bool committing_ = false;
   bool verifying_ = false;
   bool lost_ = false;
--- a/src/batch/owner_core.cc
+++ b/src/batch/owner_core.cc
@@ -194,7 +194,7 @@
     if (run->row().team != team) continue;
     open += run->open_chunks();
     // A job whose items nobody serves now must not draw in ever more of them.
-    if (!run->has_more() || scheduler_.StuckOf(job) > 0) continue;
+    if (!run->has_more() || run->awaits_sending_once() || scheduler_.StuckOf(job) > 0) continue;
     if (first == nullptr || run->row().due < first->row().due) first = run.get();
   }
   if (first != nullptr && open < most_open) first->OpenNext();
--- a/test/batch-fleet-test.py
+++ b/test/batch-fleet-test.py
@@ -15,7 +15,8 @@
 BUILD = pathlib.Path(sys.argv[1]).resolve()
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ITEMS = 3000
-ONCE_ITEMS = 1500
+ONCE_ITEMS = 250
+ONCE_JOBS = [f"once-{i}" for i in range(6)]
 TOKENS = 4
 POISON = {7, 1500}
 MASK = (1 << 64) - 1
@@ -115,9 +116,6 @@
                     items.append(int(key.split("/")[1]))
         return items
 
-    def runs_of(self, job):
-        return collections.Counter(self.executions(job))
-
     def stop(self):
         self.process.terminate()
         self.process.wait(60)
@@ -142,12 +140,18 @@
     status, answer = ask(fleet.entry(), *put, item_line(0))
     assert (status, answer["kind"], answer["ran"]) == (409, "conflict", "no"), answer
 
-    # Beside it a job that may not be repeated, through the same faults.
-    once = "\n".join(item_line(i, repeatable=False) for i in range(ONCE_ITEMS))
-    assert ask(fleet.entry(), "PUT", "/v1/jobs/once?team=field", once)[0] == 201
-
     await_that("some items are done", lambda: fleet.state("season")["completed"] > 0, 60)
     first, epoch = await_that("an owner", lambda: fleet.owner("season", 0), 20)
+    # Jobs that may not be repeated, one of them in the hands of the same owner.
+    once = "\n".join(item_line(i, repeatable=False) for i in range(ONCE_ITEMS))
+    for job in ONCE_JOBS:
+        assert ask(fleet.entry(), "PUT", f"/v1/jobs/{job}?team=field", once)[0] == 201
+
+    def sent_by_first():
+        return any(fleet.state(job)["owner"] == first and fleet.executions(job)
+                   for job in ONCE_JOBS)
+
+    await_that("the first owner works on one of them", sent_by_first, 20)
     fleet.gone.add(first)
     os.kill(fleet.entries[first]["pid"], signal.SIGKILL)
     second, epoch = await_that("a second owner", lambda: fleet.owner("season", epoch), 60)
@@ -189,17 +193,24 @@
                 assert text == expected_text(prompt(i)), (result, expected_text(prompt(i)))
 
 
-    await_that("the other is done", lambda: fleet.state("once")["state"] == "done", 60)
-    _, body, _ = call(fleet.entry(), "GET", "/v1/jobs/once/results")
+    for job in ONCE_JOBS:
+        check_run_at_most_once(fleet, job)
+
+
+def check_run_at_most_once(fleet, job):
+    await_that(f"{job} is done", lambda: fleet.state(job)["state"] == "done", 60)
+    _, body, _ = call(fleet.entry(), "GET", f"/v1/jobs/{job}/results")
     results = [json.loads(line) for line in body.splitlines()]
     assert [r["custom_id"] for r in results] == [f"item-{i}" for i in range(ONCE_ITEMS)]
-    runs = fleet.runs_of("once")
+    runs = collections.Counter(fleet.executions(job))
     for i, result in enumerate(results):
-        assert runs.get(i, 0) <= 1, (i, runs[i])
+        assert runs[i] <= 1, (job, i, runs[i])
         if "response" in result:
             assert runs[i] == 1, result
-    answered = sum("response" in result for result in results)
-    print(f"once: {answered} answered, {ONCE_ITEMS - answered} ended as failed or unknown")
+        elif result["error"]["ran"] == "no":
+            assert runs[i] == 0, result
+    kinds = collections.Counter(r.get("error", {"kind": "answered"})["kind"] for r in results)
+    print(f"{job}: {dict(kinds)}, {sum(runs.values())} runs", flush=True)
 
 
 def test_a_cancelled_job_stops(fleet):
--- a/test/batch-owner-test.cc
+++ b/test/batch-owner-test.cc
@@ -127,6 +127,9 @@
   REQUIRE(world.RunUntil([&] { return world.Done(kJob); }, 300s));
   for (const auto& [item, runs] : world.runs) CHECK(runs == 1);
   CHECK(world.store.Progress(kJob).failed > 4);
+  // At most one chunk was intended ahead of what was sent.
+  const std::uint32_t not_run = 200 - static_cast<std::uint32_t>(world.runs.size());
+  CHECK(not_run <= kMaxNotRepeatablePerChunk);
   CHECK(world.store.Progress(kJob).succeeded > 0);
 }
 
