Call a process ready only once the whole log was read

Cause: one answer about the log, such as a first page of rows, made a process ready although its fold could lack most orders. Change: readiness follows LogReader::learned.

--- a/src/figmilld/control_log_shell.cc
+++ b/src/figmilld/control_log_shell.cc
@@ -31,15 +31,6 @@
   return FoldFetched{ParseFold(ValueOf(body))};
 }
 
-// Whether the event shows how far the log goes, for readiness.
-bool TellsOfLog(const LogEvent& event) {
-  const auto* scanned = std::get_if<RowsScanned>(&event);
-  const auto* entries = std::get_if<EntriesFetched>(&event);
-  const auto* fold = std::get_if<FoldFetched>(&event);
-  return (scanned != nullptr && IsOk(scanned->rows)) ||
-         (entries != nullptr && IsOk(entries->records)) || (fold != nullptr && IsOk(fold->fold));
-}
-
 }  // namespace
 
 ControlLogShell::ControlLogShell(Parts parts)
@@ -79,15 +70,18 @@
 }
 
 void ControlLogShell::Answer(Machine machine, LogEvent event) {
-  if (TellsOfLog(event)) parts_.learned();
   switch (machine) {
     case Machine::kReader:
-      return Carry(machine, reader_.On(std::move(event)));
+      Carry(machine, reader_.On(std::move(event)));
+      break;
     case Machine::kWriter:
-      return Carry(machine, writer_.On(std::move(event)));
+      Carry(machine, writer_.On(std::move(event)));
+      break;
     case Machine::kCompactor:
-      return Carry(machine, compactor_.On(std::move(event)));
+      Carry(machine, compactor_.On(std::move(event)));
+      break;
   }
+  if (reader_.learned()) parts_.learned();
 }
 
 void ControlLogShell::Do(Machine machine, const LogAction& action) {
--- a/src/figmilld/control_log_shell.h
+++ b/src/figmilld/control_log_shell.h
@@ -25,7 +25,7 @@
     // Where a peer's HTTP is served; empty when it isn't known any more.
     std::function<std::optional<Address>(const NodeId&)> address_of;
     std::function<void()> fold_moved;
-    std::function<void()> learned;  // the store or a peer has told the log's state
+    std::function<void()> learned;  // the whole log was read, from the store or a peer
   };
   explicit ControlLogShell(Parts parts);
 
