--- a/test/control-log-test.cc
+++ b/test/control-log-test.cc
@@ -211,6 +211,30 @@
   }
 }
 
+TEST_CASE("a plain refusal of the second try says nothing about the first") {
+  // Symptom: an operator is told "not run", and a moment later the change is in force.
+  // Events: the first commit is delayed on its way; its row is read as absent; the second commit of
+  // the same record is refused; then the first arrives.
+  // Cause: a refusal speaks for its own try only.
+  Store store;
+  Node node(store);
+  const std::uint64_t id = node.Append(Service("s"));
+  REQUIRE(node.Step());  // catches up
+  store.next = Fault::kRequestLate;
+  REQUIRE(node.Step());  // commits
+  REQUIRE(node.Step());  // reads the row: absent
+  store.next = Fault::kRefused;
+  REQUIRE(node.Step());  // commits again
+  node.Settle();
+  CHECK_FALSE(node.answers.contains(id));
+  store.Land();
+  node.Do(node.writer, node.writer.Tick());
+  node.Settle();
+  REQUIRE(node.answers.contains(id));
+  REQUIRE(IsOk(node.answers.at(id)));
+  CHECK(ValueOf(node.answers.at(id)) == 1);
+}
+
 TEST_CASE(
     "a write that lands late, after another operator won its place, is not said to have won") {
   // Events: Ana's commit is delayed on its way, Ben's takes the same sequence, then Ana's arrives.
