Read on at once after an append was refused for lagging

Cause: a node whose append lost to orders it had not read waited for gossip or its 30 s poll, so that the operator's next try was refused as well. Change: the log shell polls the store after stale-orders.

--- a/src/figmilld/control_log_shell.cc
+++ b/src/figmilld/control_log_shell.cc
@@ -153,7 +153,9 @@
       {{"outcome", won ? "sequence " + std::to_string(ValueOf(answer.outcome))
                        : std::string(RowOf(ErrorOf(answer.outcome).kind).name)}});
   done(answer.outcome);
-  if (won) Carry(Machine::kCompactor, compactor_.Consider());
+  if (won) return Carry(Machine::kCompactor, compactor_.Consider());
+  // This node lags: unless it reads on now, the operator's next try is refused too.
+  if (ErrorOf(answer.outcome).kind == ErrorKind::kStaleOrders) Poll();
 }
 
 }  // namespace figmill
