--- a/src/figmilld/dispatch.cc
+++ b/src/figmilld/dispatch.cc
@@ -177,6 +177,10 @@
   call.headers = ToHeaders(dispatch);
   call.body = std::move(body);
   call.idle_timeout = kLongestSilence;
+  // Over a pooled connection that breaks when the agent is killed, the client would
+  // send again, to the agent's successor; that one's "not run" is true of itself
+  // and false of the request, which would then run a second time elsewhere.
+  call.fresh_connection = !dispatch.repeatable;
   auto incoming = std::make_shared<Incoming>();
   incoming->on_event = std::move(on_event);
   return client.Start(std::move(call), [incoming](HttpEvent event) {
--- a/src/figmilld/entry.cc
+++ b/src/figmilld/entry.cc
@@ -3,8 +3,10 @@
 #include <memory>
 
 #include "figmill/runtime.h"
+#include "figmilld/entry_once.h"
 #include "figmilld/entry_online.h"
 #include "figmilld/members.h"
+#include "figmilld/once_relay.h"
 #include "figmilld/process.h"
 
 namespace figmill {
@@ -20,7 +22,15 @@
         tracer_(loop_, client_, settings.common.trace_endpoint, "figmill-entry", metrics_),
         online_(loop_, client_, rpc_, metrics_, tracer_,
                 {settings.common.node, settings.common.data_centre}),
-        snapshot_timer_(loop_.Every(kSnapshotPeriod, [this] { PublishSnapshot(); })) {}
+        once_(loop_, client_, platform_, platform_, self_, View(),
+              [this](OnlineWork work, OnlineSink sink, ClaimAttempt claim) {
+                return online_.Run(std::move(work), std::move(sink), std::move(claim));
+              }),
+        snapshot_timer_(loop_.Every(kSnapshotPeriod, [this] { PublishSnapshot(); })) {
+    online_.SetOnceHandler([this](OnlineWork work, std::shared_ptr<HttpReply> reply) {
+      once_.Handle(std::move(work), std::move(reply));
+    });
+  }
 
   int Run() {
     Result<std::unique_ptr<HttpServer>> server =
@@ -42,6 +52,10 @@
       online_.OnCompletion(std::move(request), std::move(reply));
     } else if (request.path.starts_with("/v1/services/")) {
       online_.OnServiceCall(std::move(request), std::move(reply));
+    } else if (request.method == "GET" && request.path.starts_with("/v1/results/")) {
+      once_.OnResult(request, std::move(reply));
+    } else if (request.method == "POST" && request.path == kOnceWritePath) {
+      once_.OnWrite(request, std::move(reply));
     } else if (request.path == "/rpc") {
       reply->Send({200, "application/json", {}, rpc_.Handle(request.body)});
     } else if (request.path == "/metrics") {
@@ -56,6 +70,25 @@
     }
   }
 
+  // How keyed items see the other processes.
+  OnceView View() {
+    OnceView view;
+    view.agent = [this](const NodeId& node) -> std::optional<Member> {
+      for (const Member& agent : members_.agents()) {
+        if (agent.node == node) return agent;
+      }
+      return std::nullopt;
+    };
+    view.gone = [this, agent = view.agent](const OnceParty& party) {
+      if (party.node == self_.node) return party.incarnation < self_.incarnation;
+      const std::optional<Member> member = agent(party.node);
+      return member && party.incarnation < member->incarnation;
+    };
+    view.writer = [] { return std::optional<Address>(); };
+    view.caretaker = [] { return true; };
+    return view;
+  }
+
   void PublishSnapshot() {
     Snapshot snapshot;
     snapshot.members = members_.agents();
@@ -75,6 +108,11 @@
   Members members_{loop_, client_, platform_};
   Tracer tracer_;
   EntryOnline online_;
+  // Milliseconds since the epoch: a later process in the same slot gets a higher
+  // number, since a process takes longer than that to start.
+  OnceParty self_{settings_.common.node,
+                  static_cast<Incarnation>(Loop::WallNow().time_since_epoch().count())};
+  EntryOnce once_;
   Timer snapshot_timer_;
 };
 
--- a/src/figmilld/entry_once.cc
+++ b/src/figmilld/entry_once.cc
@@ -4,32 +4,34 @@
 #include <nlohmann/json.hpp>
 
 #include "figmilld/once_relay.h"
-#include "figmilld/stored_request.h"
+#include "figmilld/stored_work.h"
 
 namespace figmill {
 namespace {
 
 constexpr std::string_view kKeyHeader = "Idempotency-Key";
 constexpr std::string_view kTeamHeader = "Figmill-Team";
+constexpr std::string_view kDefaultTeam = "default";  // as for requests
 constexpr std::string_view kResultsPath = "/v1/results/";
 // Requests in the care of this process at once, those whose outcome waits for the
 // store included: about 8 KiB each at most, so 80 MB at the worst.
 constexpr std::size_t kMaxOpen = 10'000;
 constexpr Duration kResubmit{200'000};
+constexpr Duration kAcceptedDeadline{600'000'000};  // of one run of an accepted item
 constexpr Duration kAcceptPatience{2'000'000};
 
 TeamId TeamOf(const HttpRequest& request) {
-  return TeamId{std::string(request.HeaderOr(kTeamHeader))};
+  return TeamId{std::string(request.HeaderOr(kTeamHeader, kDefaultTeam))};
 }
 
 }  // namespace
 
 EntryOnce::EntryOnce(Loop& loop, HttpClient& client, TableStore& table, ObjectStore& objects,
-                     OnceParty self, OnceView view, Route route)
+                     OnceParty self, OnceView view, Run run)
     : loop_(loop),
       self_(std::move(self)),
       view_(std::move(view)),
-      route_(std::move(route)),
+      run_(std::move(run)),
       tools_{loop,
              table,
              objects,
@@ -44,48 +46,38 @@
 
 // --- Requests ------------------------------------------------------------------------
 
-bool EntryOnce::Needed(const HttpRequest& request, bool repeatable) {
-  return !repeatable || !request.HeaderOr(kKeyHeader).empty();
-}
-
-once::Spec EntryOnce::SpecOf(const HttpRequest& request, ItemKey key, bool repeatable) const {
-  const TeamId team = TeamOf(request);
-  const std::string_view parts[] = {team.value, request.method, request.path, request.query,
-                                    request.body};
+once::Spec EntryOnce::SpecOf(const OnlineWork& work) const {
+  const std::string_view parts[] = {work.team.value, work.plan.service.value, work.dispatch.method,
+                                    work.dispatch.path, work.body};
   once::Spec spec;
-  spec.key = std::move(key);
+  spec.key = work.key;
   spec.content = ContentDigest(parts);
-  spec.team = team;
-  spec.repeatable = repeatable;
+  spec.team = work.team;
+  spec.repeatable = work.plan.repeatable;
   spec.self = self_;
   spec.tick = sweep_.tick();
   return spec;
 }
 
-Result<ItemKey> EntryOnce::KeyOf(const HttpRequest& request) const {
-  const std::string_view given = request.HeaderOr(kKeyHeader);
-  if (given.empty()) return ItemKey{"auto-" + FreshToken(tools_.random).value};
-  Result<std::string> key = ParseId(given, kKeyHeader);
-  if (!IsOk(key)) return ErrorOf(key);
-  return ItemKey{std::move(ValueOf(key))};
-}
-
-Result<std::shared_ptr<OnceTicket>> EntryOnce::Open(const HttpRequest& request, bool repeatable,
-                                                    Duration time_left,
-                                                    std::shared_ptr<HttpReply> reply) {
-  // The run of an accepted item answers to its ticket already.
-  if (auto ticket = std::dynamic_pointer_cast<OnceTicket>(reply)) return ticket;
-  Result<ItemKey> key = KeyOf(request);
-  if (!IsOk(key)) return ErrorOf(key);
+void EntryOnce::Handle(OnlineWork work, std::shared_ptr<HttpReply> reply) {
+  if (work.key.empty()) work.key.value = "auto-" + FreshToken(tools_.random).value;
+  work.dispatch.item = work.key;
   DropFinished();
   if (open_.size() >= kMaxOpen) {
-    return Error{ErrorKind::kOverloaded, "too many requests wait for their outcome's commit"};
+    return reply->Send(ProblemOf(
+        {ErrorKind::kOverloaded, "too many requests here wait for their outcome's commit"}));
   }
-  once::Spec spec = SpecOf(request, std::move(ValueOf(key)), repeatable);
-  spec.wait_until = Loop::Now() + time_left;
-  auto ticket = std::make_shared<OnceTicket>(tools_, KeyedItem(std::move(spec)), std::move(reply));
+  if (work.respond_async) return Accept(std::move(work), std::move(reply));
+  once::Spec spec = SpecOf(work);
+  spec.wait_until = work.plan.deadline;
+  auto ticket = std::make_shared<OnceTicket>(
+      tools_, KeyedItem(std::move(spec)),
+      [this, work = std::move(work)](OnlineSink sink, ClaimAttempt claim) {
+        return run_(work, std::move(sink), std::move(claim));
+      },
+      std::move(reply));
   open_.insert(ticket);
-  return ticket;
+  ticket->Start();
 }
 
 void EntryOnce::DropFinished() {
@@ -151,7 +143,7 @@
 
 struct EntryOnce::Acceptance {
   once::Spec spec;
-  HttpRequest request;
+  OnlineWork work;
   OnceWrite write;
   std::shared_ptr<HttpReply> reply;  // null once answered
   Timer patience;
@@ -170,24 +162,14 @@
   }
 };
 
-bool EntryOnce::WantsAsync(const HttpRequest& request) {
-  return request.HeaderOr("Prefer").find("respond-async") != std::string_view::npos;
-}
-
-void EntryOnce::Accept(HttpRequest request, bool repeatable, std::shared_ptr<HttpReply> reply) {
-  Result<ItemKey> key = KeyOf(request);
-  if (!IsOk(key)) return reply->Send(ProblemOf(ErrorOf(key)));
-  if (owned_.size() >= kMaxOpen) {
-    return reply->Send(ProblemOf({ErrorKind::kOverloaded, "too many accepted items here"}));
-  }
+void EntryOnce::Accept(OnlineWork work, std::shared_ptr<HttpReply> reply) {
   auto acceptance = std::make_shared<Acceptance>();
-  acceptance->spec = SpecOf(request, std::move(ValueOf(key)), repeatable);
+  acceptance->spec = SpecOf(work);
   acceptance->reply = std::move(reply);
-  std::erase_if(request.headers, [](const Header& header) { return header.name == "Prefer"; });
-  acceptance->request = std::move(request);
+  acceptance->work = std::move(work);
   const std::string object =
       "results/" + acceptance->spec.key.value + "/request-" + acceptance->spec.content;
-  tools_.objects.Put(object, SerializeRequest(acceptance->request),
+  tools_.objects.Put(object, SerializeWork(acceptance->work),
                      [this, acceptance, object](const Result<Ok>& stored) {
                        if (!IsOk(stored)) {
                          Error error = ErrorOf(stored);
@@ -220,7 +202,7 @@
   if (const auto* committed = std::get_if<OnceCommitted>(&fate)) {
     acceptance->TellAccepted();
     const Result<OnceRow> row = ParseOnceRow(acceptance->write.value);
-    return StartAccepted(acceptance->spec, {ValueOf(row), committed->version}, acceptance->request);
+    return StartAccepted(acceptance->spec, {ValueOf(row), committed->version}, acceptance->work);
   }
   const auto* rejected = std::get_if<OnceRejected>(&fate);
   if (rejected == nullptr || !rejected->current) {
@@ -238,15 +220,17 @@
   acceptance->TellAccepted();
 }
 
-void EntryOnce::StartAccepted(const once::Spec& spec, once::Accepted accepted,
-                              HttpRequest request) {
+void EntryOnce::StartAccepted(const once::Spec& spec, once::Accepted accepted, OnlineWork work) {
   owned_.insert(spec.key.value);
-  auto slot = std::make_shared<std::weak_ptr<OnceTicket>>();
-  auto ticket = std::make_shared<OnceTicket>(tools_, KeyedItem(spec, std::move(accepted)), nullptr,
-                                             [this, slot, request = std::move(request)] {
-                                               if (auto self = slot->lock()) route_(request, self);
-                                             });
-  *slot = ticket;
+  auto ticket = std::make_shared<OnceTicket>(
+      tools_, KeyedItem(spec, std::move(accepted)),
+      [this, work = std::move(work)](OnlineSink sink, ClaimAttempt claim) {
+        OnlineWork attempt = work;
+        attempt.plan.request.value = FreshToken(tools_.random).value;
+        attempt.plan.deadline = Loop::Now() + kAcceptedDeadline;
+        return run_(std::move(attempt), std::move(sink), std::move(claim));
+      },
+      nullptr);
   open_.insert(ticket);
   ticket->Start();
 }
--- a/src/figmilld/entry_once.h
+++ b/src/figmilld/entry_once.h
@@ -13,30 +13,21 @@
 #include "figmill/once.h"
 #include "figmill/runtime.h"
 #include "figmilld/once_ticket.h"
+#include "figmilld/online_work.h"
 
 namespace figmill {
 
 class EntryOnce {
  public:
-  using Route = std::function<void(HttpRequest, std::shared_ptr<HttpReply>)>;
+  // As EntryOnline::Run.
+  using Run = std::function<std::function<void()>(OnlineWork, OnlineSink, ClaimAttempt)>;
 
-  // `route` runs a stored request as if a caller had sent it.
   EntryOnce(Loop& loop, HttpClient& client, TableStore& table, ObjectStore& objects, OnceParty self,
-            OnceView view, Route route);
+            OnceView view, Run run);
   ~EntryOnce();
 
-  // Whether the request must have a ticket: it has a key, or may not be repeated.
-  [[nodiscard]] static bool Needed(const HttpRequest& request, bool repeatable);
-  // A ticket for one request, to be used in place of `reply` from then on. Errors:
-  // kBadRequest (the key), kOverloaded.
-  [[nodiscard]] Result<std::shared_ptr<OnceTicket>> Open(const HttpRequest& request,
-                                                         bool repeatable, Duration time_left,
-                                                         std::shared_ptr<HttpReply> reply);
-
-  [[nodiscard]] static bool WantsAsync(const HttpRequest& request);
-  // Answers 202 once the item is durable, and runs it. `repeatable` as the
-  // configuration and the request say.
-  void Accept(HttpRequest request, bool repeatable, std::shared_ptr<HttpReply> reply);
+  // Work that has a key, may not be repeated, or is to be done later.
+  void Handle(OnlineWork work, std::shared_ptr<HttpReply> reply);
   // GET /v1/results/{key}.
   void OnResult(const HttpRequest& request, std::shared_ptr<HttpReply> reply);
 
@@ -47,15 +38,15 @@
 
  private:
   struct Acceptance;
-  [[nodiscard]] Result<ItemKey> KeyOf(const HttpRequest& request) const;
-  [[nodiscard]] once::Spec SpecOf(const HttpRequest& request, ItemKey key, bool repeatable) const;
+  [[nodiscard]] once::Spec SpecOf(const OnlineWork& work) const;
+  void Accept(OnlineWork work, std::shared_ptr<HttpReply> reply);
   void WriteUntilKnown(OnceWrite write, std::function<void(OnceFate)> done,
                        bool unknown_before = false);
   void WriteAcceptance(const std::shared_ptr<Acceptance>& acceptance, const std::string& object,
                        RowVersion released);
   void OnAcceptFate(const std::shared_ptr<Acceptance>& acceptance, const std::string& object,
                     const OnceFate& fate);
-  void StartAccepted(const once::Spec& spec, once::Accepted accepted, HttpRequest request);
+  void StartAccepted(const once::Spec& spec, once::Accepted accepted, OnlineWork work);
   void Answer(const ItemKey& key, const OnceRow& row, const std::shared_ptr<HttpReply>& reply);
   void StartCare();
   void Care();
@@ -70,7 +61,7 @@
   Loop& loop_;
   OnceParty self_;
   OnceView view_;
-  Route route_;
+  Run run_;
   OnceTools tools_;
   RetentionSweep sweep_;
   std::set<std::shared_ptr<OnceTicket>> open_;
--- a/src/figmilld/entry_once_care.cc
+++ b/src/figmilld/entry_once_care.cc
@@ -2,7 +2,7 @@
 // owner is gone, and rows whose time has passed.
 
 #include "figmilld/entry_once.h"
-#include "figmilld/stored_request.h"
+#include "figmilld/stored_work.h"
 
 namespace figmill {
 namespace {
@@ -70,11 +70,11 @@
 // Fetches the request of an item that this process owns, and starts it.
 void EntryOnce::Adopt(const ItemKey& key, const OnceRow& row, RowVersion version) {
   tools_.objects.Get(row.request_object, [this, key, row, version](Result<std::string> bytes) {
-    Result<HttpRequest> request =
-        IsOk(bytes) ? ParseStoredRequest(ValueOf(bytes)) : Result<HttpRequest>(ErrorOf(bytes));
-    if (!IsOk(request)) {
+    Result<OnlineWork> work =
+        IsOk(bytes) ? ParseStoredWork(ValueOf(bytes)) : Result<OnlineWork>(ErrorOf(bytes));
+    if (!IsOk(work)) {
       Log(LogLevel::kWarning, "once-adopt-failed",
-          {{"key", key.value}, {"detail", ErrorOf(request).detail}});
+          {{"key", key.value}, {"detail", ErrorOf(work).detail}});
       const std::size_t id = next_retry_++;
       retries_[id] = loop_.After(kCarePeriod, [this, id, key, row, version] {
         Adopt(key, row, version);
@@ -89,7 +89,7 @@
     spec.repeatable = row.repeatable;
     spec.self = self_;
     spec.tick = sweep_.tick();
-    StartAccepted(spec, {row, version}, std::move(ValueOf(request)));
+    StartAccepted(spec, {row, version}, std::move(ValueOf(work)));
   });
 }
 
--- a/src/figmilld/once_ticket.cc
+++ b/src/figmilld/once_ticket.cc
@@ -17,87 +17,105 @@
   return response;
 }
 
+// Ends a run whose item has another answer; the caller never sees it.
+Error NotClaimed() {
+  return Error{ErrorKind::kConflict, "the item was not claimed for this run"};
+}
+
+// What the request asks can't be done, now or later.
+bool IsHopeless(const Error& error) {
+  const ErrorRow& row = RowOf(error.kind);
+  return error.ran == Ran::kNo && row.http_status < 500 && !row.retry_may_help;
+}
+
 }  // namespace
 
-OnceTicket::OnceTicket(OnceTools& tools, KeyedItem item, std::shared_ptr<HttpReply> reply,
-                       std::function<void()> try_again)
-    : tools_(tools),
-      item_(std::move(item)),
-      reply_(std::move(reply)),
-      try_again_(std::move(try_again)) {}
+OnceTicket::OnceTicket(OnceTools& tools, KeyedItem item, Run run, std::shared_ptr<HttpReply> reply)
+    : tools_(tools), item_(std::move(item)), run_(std::move(run)), reply_(std::move(reply)) {}
+
+void OnceTicket::Start() {
+  if (accepted()) return Step(once::Tick{});
+  // A caller that leaves stops what isn't claimed yet; what is runs to its end.
+  reply_->OnClosed([self = weak_from_this()] {
+    const auto ticket = self.lock();
+    if (!ticket) return;
+    const bool stop = ticket->request_.empty();
+    ticket->Step(once::Detached{});
+    if (stop && ticket->stop_run_) ticket->stop_run_();
+  });
+  StartRun();
+}
 
 // --- From the run ----------------------------------------------------------------
 
-void OnceTicket::Claim(const RequestId& request, const Member& agent, Go go) {
-  if (item_.finished()) return;
-  // A run dispatches anew only after its last dispatch is known not to have run,
-  // or the item is repeatable.
+void OnceTicket::StartRun() {
+  run_over_ = false;
+  stop_run_ = run_(Sink(), [self = shared_from_this()](const RequestId& request, const Pick& agent,
+                                                       ClaimAnswer answer) {
+    self->Claim(request, agent, std::move(answer));
+  });
+}
+
+OnlineSink OnceTicket::Sink() {
+  const auto self = shared_from_this();
+  OnlineSink sink;
+  sink.head = [self](int status, const std::string& type) { self->Head(status, type); };
+  sink.bytes = [self](std::string bytes) { self->Bytes(std::move(bytes)); };
+  sink.finish = [self] { self->Whole(); };
+  sink.fail = [self](const Error& error) { self->Failed(error); };
+  return sink;
+}
+
+void OnceTicket::Claim(const RequestId& request, const Pick& agent, ClaimAnswer answer) {
+  // The run asks again only after its last attempt is proven never started, or the
+  // item is repeatable.
   if (item_.sent()) Step(once::DidNotRun{{}, true});
-  if (!item_.idle()) return;
-  go_ = std::move(go);
+  if (!item_.idle() || item_.finished()) return answer(NotClaimed());
+  claim_answer_ = std::move(answer);
   once::Claim claim{request, OnceParty{agent.node, agent.incarnation}};
+  // An agent that doesn't tell its stamp will hardly take the dispatch: the run
+  // finds out, and goes elsewhere.
   tools_.agent.ReadStamp(
-      agent.http, [self = shared_from_this(), claim](std::optional<std::int64_t> stamp) mutable {
-        if (!self->item_.idle()) return;
+      agent.address, [self = shared_from_this(), claim](std::optional<std::int64_t> stamp) mutable {
+        if (!self->item_.idle() || self->item_.finished()) return self->LetGo();
         claim.stamp = stamp.value_or(0);
-        if (stamp) return self->ClaimWith(claim);
-        if (const auto unreached = std::exchange(self->go_, {})) unreached(std::nullopt);
+        self->request_ = claim.request;
+        self->body_.clear();
+        self->Step(claim);
       });
 }
 
-void OnceTicket::ClaimWith(const once::Claim& claim) {
+void OnceTicket::Head(int status, const std::string& content_type) {
+  status_ = status;
+  content_type_ = content_type;
   body_.clear();
-  stamp_ = claim.stamp;
-  request_ = claim.request;
-  Step(claim);
-}
-
-void OnceTicket::Fail(const Error& error) {
-  const ErrorRow& row = RowOf(error.kind);
-  const bool hopeless = row.http_status < 500 && !row.retry_may_help;
-  if (accepted() && hopeless && error.ran == Ran::kNo && item_.idle()) {
-    HttpResponse problem = ProblemOf(error);
-    return Step(once::Answered{
-        OutcomeOf(problem.status, std::move(problem.content_type), std::move(problem.body))});
-  }
-  if (error.ran == Ran::kNo) return Step(once::DidNotRun{error, false});
-  Step(once::Lost{error});
-}
-
-void OnceTicket::Send(HttpResponse response) {
-  Fail(ErrorFromProblem(response.status, response.body));
-}
-
-void OnceTicket::Begin(HttpResponse head) {
-  status_ = head.status;
-  content_type_ = std::move(head.content_type);
-  body_ = std::move(head.body);
   // A stream goes on as it comes; only its end waits for the commit.
-  if (!reply_ || !content_type_.starts_with(kEventStream)) return;
+  if (accepted() || item_.told() || !content_type_.starts_with(kEventStream)) return;
   streaming_ = true;
-  reply_->Begin({status_, content_type_, std::move(head.headers), body_});
-  passed_ = body_.size();
+  reply_->Begin({status_, content_type_, {}, ""});
 }
 
-void OnceTicket::Write(std::string bytes) {
+void OnceTicket::Bytes(std::string bytes) {
   body_ += bytes;
   if (!streaming_ || item_.told()) return;
   passed_ = body_.size();
   reply_->Write(std::move(bytes));
 }
 
-void OnceTicket::End() {
+void OnceTicket::Whole() {
+  run_over_ = true;
   Step(once::Answered{OutcomeOf(status_, content_type_, body_)});
 }
 
-void OnceTicket::OnClosed(std::function<void()> closed) {
-  if (!reply_) return;
-  reply_->OnClosed([self = weak_from_this(), closed = std::move(closed)] {
-    const auto ticket = self.lock();
-    if (!ticket) return;
-    ticket->Step(once::Detached{});
-    if (!ticket->claimed_) closed();
-  });
+void OnceTicket::Failed(const Error& error) {
+  run_over_ = true;
+  if (accepted() && item_.idle() && IsHopeless(error)) {
+    HttpResponse problem = ProblemOf(error);
+    return Step(once::Answered{
+        OutcomeOf(problem.status, std::move(problem.content_type), std::move(problem.body))});
+  }
+  if (error.ran == Ran::kNo) return Step(once::DidNotRun{error, false});
+  Step(once::Lost{error});
 }
 
 // --- The item's steps ----------------------------------------------------------------
@@ -105,9 +123,12 @@
 void OnceTicket::Step(const once::Event& event) {
   const once::Context context{Loop::Now(), tools_.random, tools_.view.gone};
   for (once::Action& action : item_.Handle(event, context)) Act(std::move(action));
-  if (!item_.finished()) return;
-  timers_.clear();
-  go_ = {};
+  if (item_.finished()) LetGo();
+}
+
+// The run that waits for its claim is told that it won't come.
+void OnceTicket::LetGo() {
+  if (const auto answer = std::exchange(claim_answer_, {})) answer(NotClaimed());
 }
 
 template <typename Event>
@@ -133,8 +154,12 @@
                                });
           },
           [this](once::Send&) {
-            claimed_ = true;
-            if (const auto go = std::exchange(go_, {})) go(static_cast<std::uint64_t>(stamp_));
+            const auto answer = std::exchange(claim_answer_, {});
+            // Its time was up while the claim was under way.
+            if (run_over_ || !answer) {
+              return Step(once::DidNotRun{{ErrorKind::kDeadlineExceeded, "not sent in time"}});
+            }
+            answer(Ok{});
           },
           [this](once::Revoke& revoke) {
             tools_.agent.Revoke(
@@ -153,9 +178,7 @@
           },
           [this](once::TellOutcome& told) { Tell(told); },
           [this](once::TellError& told) { TellError(told.error); },
-          [this](once::TryAgain&) {
-            if (try_again_) try_again_();
-          },
+          [this](once::TryAgain&) { StartRun(); },
           [this](once::WakeAt& wake) { WakeAt(wake.at); },
       },
       action);
@@ -172,7 +195,7 @@
 // --- To the caller -------------------------------------------------------------------
 
 void OnceTicket::Tell(const once::TellOutcome& told) {
-  if (!reply_) return;
+  if (accepted()) return;
   if (told.outcome.object.empty() || !told.outcome.body.empty()) {
     return TellWith(told.outcome, told.replayed);
   }
@@ -208,10 +231,10 @@
 }
 
 void OnceTicket::TellError(const Error& error) {
-  if (!reply_) return;
+  if (accepted()) return;
   HttpResponse response = WithRetryAfter(error);
   if (streaming_) {
-    reply_->Write(std::move(response.body));
+    reply_->Write("event: error\ndata: " + response.body + "\n\n");
     reply_->End();
     return;
   }
--- a/src/figmilld/once_ticket.h
+++ b/src/figmilld/once_ticket.h
@@ -1,21 +1,23 @@
 #pragma once
 
 // One keyed or not-repeatable request on its way: stands between the online run
-// and its caller. The run asks it before each fresh dispatch and answers through
-// it as through any HttpReply; the caller's answer waits for its commit.
+// and its caller. The run asks it before each attempt and answers into it; the
+// caller's answer waits for the commit of the outcome.
 
 #include <deque>
 #include <functional>
 #include <memory>
+#include <string>
 
 #include "figmill/once.h"
 #include "figmill/runtime.h"
 #include "figmilld/once_agent.h"
 #include "figmilld/once_writer.h"
+#include "figmilld/online_call.h"
 
 namespace figmill {
 
-// What a ticket works with; it outlives them all.
+// What tickets work with; it outlives them all.
 struct OnceTools {
   Loop& loop;
   TableStore& table;
@@ -26,60 +28,55 @@
   RandomBits random;
 };
 
-class OnceTicket final : public HttpReply, public std::enable_shared_from_this<OnceTicket> {
+class OnceTicket final : public std::enable_shared_from_this<OnceTicket> {
  public:
-  // `reply` is null for an item that was accepted for later; `try_again` starts
-  // another run of such an item.
-  OnceTicket(OnceTools& tools, KeyedItem item, std::shared_ptr<HttpReply> reply,
-             std::function<void()> try_again = {});
+  // Starts an online run that answers into `sink` and asks `claim`; the result
+  // stops it.
+  using Run = std::function<std::function<void()>(OnlineSink sink, ClaimAttempt claim)>;
 
-  // Gets the agent's stamp for the dispatch, or nothing when the agent can't be
-  // reached and nothing was claimed.
-  using Go = std::function<void(std::optional<std::uint64_t> stamp)>;
-  // Before each fresh dispatch (not before a resume), also after an earlier one
-  // that did not run: `go` is called once the claim is durable. It is never called
-  // when the ticket answers the caller by itself.
-  void Claim(const RequestId& request, const Member& agent, Go go);
-  // The run ended without a whole answer; `error.ran` says what is known.
-  void Fail(const Error& error);
+  // `reply` is null for an item that was accepted for later.
+  OnceTicket(OnceTools& tools, KeyedItem item, Run run, std::shared_ptr<HttpReply> reply);
 
-  // The run's answer. Send takes figmill's own refusals, as ProblemOf makes them;
-  // an answer of a backend server comes by Begin, Write and End.
-  void Send(HttpResponse response) override;
-  void Begin(HttpResponse head) override;
-  void Write(std::string bytes) override;
-  void End() override;
-  // Told only of a caller that leaves before anything is claimed: what is claimed
-  // runs to its end.
-  void OnClosed(std::function<void()> closed) override;
-
-  // Begins an accepted item's work.
-  void Start() { Step(once::Tick{}); }
+  // Begins the request, or the work of an accepted item.
+  void Start();
   [[nodiscard]] bool accepted() const { return reply_ == nullptr; }
   [[nodiscard]] bool finished() const { return item_.finished(); }
   [[nodiscard]] const KeyedItem& item() const { return item_; }
 
  private:
-  void ClaimWith(const once::Claim& claim);
+  using ClaimAnswer = std::function<void(Result<Ok>)>;
+
+  // From the run.
+  void StartRun();
+  [[nodiscard]] OnlineSink Sink();
+  void Claim(const RequestId& request, const Pick& agent, ClaimAnswer answer);
+  void Head(int status, const std::string& content_type);
+  void Bytes(std::string bytes);
+  void Whole();
+  void Failed(const Error& error);
+
   void Step(const once::Event& event);
   void Act(once::Action action);
+  void LetGo();
   void WakeAt(Time at);
+  template <typename Event>
+  std::function<void(Event)> Back();
+
+  // To the caller.
   void Tell(const once::TellOutcome& told);
   void TellWith(const OnceOutcome& outcome, bool replayed);
   void TellError(const Error& error);
   void NameItem(HttpResponse& response) const;
-  template <typename Event>
-  std::function<void(Event)> Back();
 
   OnceTools& tools_;
   KeyedItem item_;
+  Run run_;
   std::shared_ptr<HttpReply> reply_;
-  std::function<void()> try_again_;
-  Go go_;
-  std::int64_t stamp_ = 0;
-  RequestId request_;  // the last one claimed, which a trace of the run is found by
-  bool claimed_ = false;
-  int status_ = 0;  // of the run's answer, kept whole until its end
+  std::function<void()> stop_run_;
+  bool run_over_ = false;
+  ClaimAnswer claim_answer_;
+  RequestId request_;  // the last one claimed, by which a trace of the run is found
+  int status_ = 0;     // of the run's answer, kept whole until its end
   std::string content_type_;
   std::string body_;
   std::size_t passed_ = 0;  // of body_, streamed to the caller already
--- a/test/once-fleet-test.py
+++ b/test/once-fleet-test.py
@@ -50,9 +50,9 @@
     raise AssertionError(f"never: {what}")
 
 
-def send(entry, key, **headers):
+def send(entry, key, tokens=24, **headers):
     """One request of the key; nothing when the entry died with it."""
-    body = json.dumps({"model": "note-llm", "prompt": f"note {key}", "max_tokens": 24})
+    body = json.dumps({"model": "note-llm", "prompt": f"note {key}", "max_tokens": tokens})
     sent = {"Content-Type": "application/json", "Idempotency-Key": key,
             "Figmill-Repeatable": "false", "Figmill-Deadline-Ms": "15000", **headers}
     try:
@@ -71,9 +71,15 @@
 
     def __init__(self, folder):
         self.folder = pathlib.Path(folder)
+        # Without the operators' tool the fleet runs unconfigured: agents say what
+        # they serve, and nothing but the requests under test needs the store.
+        programs = self.folder / "bin"
+        programs.mkdir()
+        for name in ("figmilld", "figmill-standin"):
+            (programs / name).symlink_to(BUILD / name)
         self.keeper = subprocess.Popen(
             [sys.executable, ROOT / "support/local-fleet", "--entries", "4", "--agents", "4",
-             "--services", "0", "--build", BUILD, "--dir", folder, "--seed", str(SEED),
+             "--services", "0", "--build", programs, "--dir", folder, "--seed", str(SEED),
              "--engine-arg=--step-base-us", "--engine-arg=25000"],
             stdout=subprocess.DEVNULL)
         self.replaced = []
@@ -111,8 +117,8 @@
         except FileNotFoundError:
             return True
 
-    def faults(self, **faults):
-        status, _, data = call(self.platform["address"], "POST", "/standin/faults",
+    def faults(self, at=None, **faults):
+        status, _, data = call((at or self.platform)["address"], "POST", "/standin/faults",
                                json.dumps(faults))
         assert status == 200, data
 
@@ -193,6 +199,32 @@
     assert not unrun, f"answered without an execution: {unrun}"
 
 
+def lose_the_agents(fleet):
+    """Symptom: a second run after "not run". Sequence: an agent is killed while it
+    runs a dispatch that came over a pooled connection, and its successor is up at
+    once. Cause: an HTTP client that sends again on its own account when a pooled
+    connection breaks, and an agent that truly says it did not run that copy."""
+    with concurrent.futures.ThreadPoolExecutor(max_workers=40) as pool:
+        for entry in fleet.entries:  # connections for the pools
+            list(pool.map(lambda i, e=entry: send(e, f"warm-{e['name']}-{i}", tokens=2,
+                                                  **{"Figmill-Repeatable": "true"}), range(10)))
+        for engine in fleet.engines:
+            fleet.faults(engine, delay_ms=2000)  # it runs, and no byte has come back
+        sent = [pool.submit(send, fleet.entries[i % 4], f"mid-run-{i}")
+                for i in range(24)]
+        wait_for("all of them run",
+                 lambda: sum(run["item_key"].startswith("mid-run") for run in fleet.executions())
+                 >= len(sent))
+        for agent in fleet.agents:
+            fleet.replace(agent)
+        for engine in fleet.engines:
+            fleet.faults(engine, delay_ms=0)
+        answers = [answer.result() for answer in sent]
+    check(answers, fleet.executions(), [answer for answer in answers if answer.ran == "no"])
+    for member in fleet.agents + fleet.entries:
+        wait_for(f"{member['name']} is ready", lambda m=member: fleet.is_ready(m))
+
+
 def accept_and_lose_the_owner(fleet):
     """An accepted item ends though the entry that accepted it never comes back."""
     owner, other = fleet.entries[0], fleet.entries[1]
@@ -217,6 +249,7 @@
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(folder)
         try:
+            lose_the_agents(fleet)
             over = threading.Event()
             chaos = threading.Thread(target=disturb, args=(fleet, random.Random(SEED), over))
             chaos.start()
@@ -233,7 +266,7 @@
 
             with concurrent.futures.ThreadPoolExecutor(max_workers=20) as pool:
                 answers += pool.map(lambda i: final_answer(fleet, f"invoice-{i}", i), range(KEYS))
-            runs = fleet.executions()
+            runs = [run for run in fleet.executions() if run["item_key"].startswith("invoice")]
             check(answers, runs, told_no)
             print(f"{len(answers) - KEYS} of {2 * KEYS} answered: "
                   f"{sum(a.status == 200 for a in answers[:-KEYS])} outcomes, "
