--- a/include/figmill/control.h
+++ b/include/figmill/control.h
@@ -306,9 +306,12 @@
   // kStaleVersion if `if_version` isn't the head; kConflict if another
   // operator's entry on the same subject won, saying whose and where;
   // kStoreUnavailable (nothing written); kOverloaded (too many waiting).
+  // `built_on` is the sequence of the fold that the entry was made from, if it
+  // carries values over from one: entries on the same subject after it win.
   [[nodiscard]] std::vector<LogAction> Append(std::uint64_t append, ControlEntry entry,
                                               std::string author,
-                                              std::optional<Sequence> if_version);
+                                              std::optional<Sequence> if_version,
+                                              std::optional<Sequence> built_on = {});
   // Takes back an append that is still waiting: true if so, and nothing was
   // written; false if it is in flight or done.
   [[nodiscard]] bool Withdraw(std::uint64_t append);
@@ -323,6 +326,7 @@
     ControlEntry entry;
     std::string author;
     std::optional<Sequence> if_version;
+    std::optional<Sequence> built_on;
   };
   std::vector<LogAction> Begin();
   std::vector<LogAction> CatchUp();
@@ -535,10 +539,12 @@
   NodeId peer;
   Sequence sequence = 0;
 };
-// Take the whole table from `peer` over HTTP: far more differs than datagrams
-// would carry in time.
+// Send `have` to `peer` over HTTP, which answers with OnFetch(have): more differs
+// than datagrams would carry in time.
 struct FetchMembers {
   NodeId peer;
+  Address http;
+  std::string have;  // this member's record, and 8 bytes for each it knows
 };
 struct MembersChanged {};
 // A newer process has this one's slot. This one must stop: outbidding the newer
@@ -568,9 +574,9 @@
   [[nodiscard]] std::vector<MembershipAction> Tick(Time now);
   [[nodiscard]] std::vector<MembershipAction> OnDatagram(Time now, std::string_view bytes,
                                                          const Address& from);
-  // The whole table, for FetchMembers.
-  [[nodiscard]] std::string Table() const;
-  [[nodiscard]] std::vector<MembershipAction> OnTable(Time now, std::string_view bytes);
+  // Answers a peer's FetchMembers with what it lacks. Errors: kBadRequest.
+  [[nodiscard]] Result<std::string> OnFetch(Time now, std::string_view have);
+  [[nodiscard]] std::vector<MembershipAction> OnMembers(Time now, std::string_view bytes);
 
   [[nodiscard]] std::vector<MembershipAction> SetLeaving(Time now);
   [[nodiscard]] std::vector<MembershipAction> SetServes(Time now, std::vector<ServiceName> serves);
