--- a/src/figmilld/entry.cc
+++ b/src/figmilld/entry.cc
@@ -44,7 +44,7 @@
         once_(loop_, client_, platform_, platform_, {self_.node, self_.incarnation},
               ViewOver(control_, self_),
               [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
-                Route(std::move(request), std::move(reply));
+                RunStored(std::move(request), std::move(reply));
               }) {
     online_.SetOnce(&once_);
     batch_.BindOrders(rpc_);
@@ -125,6 +125,17 @@
     }
   }
 
+  // An item accepted before. Its reply is its ticket, by which the online part knows
+  // it: behind another reply it would be taken for a new request with the key, and
+  // wait for its own outcome.
+  void RunStored(HttpRequest request, std::shared_ptr<HttpReply> ticket) {
+    if (request.path.starts_with("/v1/services/")) {
+      online_.OnServiceCall(std::move(request), std::move(ticket));
+    } else {
+      online_.OnCompletion(std::move(request), std::move(ticket));
+    }
+  }
+
   // What processes and the platform ask for.
   void RouteInternal(HttpRequest request, std::shared_ptr<HttpReply> reply) {
     const std::string& path = request.path;
--- a/src/figmilld/once_ticket.h
+++ b/src/figmilld/once_ticket.h
@@ -79,6 +79,7 @@
   std::int64_t stamp_ = 0;
   RequestId request_;  // the last one claimed, which a trace of the run is found by
   bool claimed_ = false;
+  bool run_over_ = false;
   int status_ = 0;  // of the run's answer, kept whole until its end
   std::string content_type_;
   std::string body_;
