--- a/test/batch-scheduler-test.cc
+++ b/test/batch-scheduler-test.cc
@@ -21,6 +21,7 @@
 FillScheduler With(const std::vector<std::string>& agents, std::uint32_t room) {
   FillScheduler scheduler;
   std::vector<BatchAgent> list;
+  list.reserve(agents.size());
   for (const std::string& name : agents) list.push_back(BatchAgent{NodeId{name}, 1, {kModel}});
   scheduler.SetAgents(list);
   for (const std::string& name : agents) scheduler.OnRoom(NodeId{name}, 2 * room);
