--- a/src/figmilld/once_ticket.cc
+++ b/src/figmilld/once_ticket.cc
@@ -36,6 +36,7 @@
   // or the item is repeatable.
   if (item_.sent()) Step(once::DidNotRun{{}, true});
   if (!item_.idle()) return;
+  run_over_ = false;
   go_ = std::move(go);
   once::Claim claim{request, OnceParty{agent.node, agent.incarnation}};
   tools_.agent.ReadStamp(
@@ -55,6 +56,7 @@
 }
 
 void OnceTicket::Fail(const Error& error) {
+  run_over_ = true;
   const ErrorRow& row = RowOf(error.kind);
   const bool hopeless = row.http_status < 500 && !row.retry_may_help;
   if (accepted() && hopeless && error.ran == Ran::kNo && item_.idle()) {
@@ -89,6 +91,7 @@
 }
 
 void OnceTicket::End() {
+  run_over_ = true;
   Step(once::Answered{OutcomeOf(status_, content_type_, body_)});
 }
 
@@ -135,6 +138,11 @@
                                });
           },
           [this](once::Send&) {
+            // The run's time was up while its claim was under way: it sends nothing,
+            // and without this the caller would wait for an answer for ever.
+            if (run_over_ || !go_) {
+              return Step(once::DidNotRun{{ErrorKind::kDeadlineExceeded, "not sent in time"}});
+            }
             claimed_ = true;
             if (const auto go = std::exchange(go_, {})) go(static_cast<std::uint64_t>(stamp_));
           },
