--- a/src/batch/owner_core.cc
+++ b/src/batch/owner_core.cc
@@ -186,8 +186,10 @@
   }
 }
 
+// A job with no chunk open gets one even when its team has enough ready: what is
+// ready may all be for one model, while the engines of another stand idle.
 void OwnerCore::OpenFor(const TeamId& team, std::size_t ready, std::uint32_t most_open) {
-  if (ready >= limits_.ready_per_team) return;
+  const bool enough = ready >= limits_.ready_per_team;
   JobRun* first = nullptr;
   std::uint32_t open = 0;
   for (const auto& [job, run] : runs_) {
@@ -195,6 +197,7 @@
     open += run->open_chunks();
     // A job whose items nobody serves now must not draw in ever more of them.
     if (!run->has_more() || run->awaits_sending_once() || scheduler_.StuckOf(job) > 0) continue;
+    if (enough && run->open_chunks() > 0) continue;
     if (first == nullptr || run->row().due < first->row().due) first = run.get();
   }
   if (first != nullptr && open < most_open) first->OpenNext();
--- a/src/figmilld/entry.cc
+++ b/src/figmilld/entry.cc
@@ -97,7 +97,8 @@
   }
 
   void EndWhenIdle() {
-    if (!batch_drained_ || online_.in_flight() > 0) {
+    // A keyed item's outcome is kept even when its caller has its answer already.
+    if (!batch_drained_ || online_.in_flight() > 0 || once_.open() > 0) {
       idle_timer_ = loop_.After(kIdleCheck, [this] { EndWhenIdle(); });
       return;
     }
--- a/src/figmilld/entry_once.cc
+++ b/src/figmilld/entry_once.cc
@@ -44,6 +44,11 @@
 
 // --- Requests ------------------------------------------------------------------------
 
+std::size_t EntryOnce::open() const {
+  return static_cast<std::size_t>(std::count_if(
+      open_.begin(), open_.end(), [](const auto& ticket) { return !ticket->finished(); }));
+}
+
 bool EntryOnce::Needed(const HttpRequest& request, bool repeatable) {
   return !repeatable || !request.HeaderOr(kKeyHeader).empty();
 }
--- a/src/figmilld/entry_once.h
+++ b/src/figmilld/entry_once.h
@@ -43,7 +43,8 @@
   // POST /once/write, from the other entries of the data centre.
   void OnWrite(const HttpRequest& request, std::shared_ptr<HttpReply> reply);
 
-  [[nodiscard]] std::size_t open() const { return open_.size(); }
+  // Requests whose outcome isn't durable yet.
+  [[nodiscard]] std::size_t open() const;
 
  private:
   struct Acceptance;
--- a/src/figmilld/once_relay.cc
+++ b/src/figmilld/once_relay.cc
@@ -76,11 +76,11 @@
                           }
                           return Json{{"fate", "rejected"}, {"current", std::move(current)}};
                         },
-                        [](const NotWritten& fate_) {
-                          return Json{{"fate", "not-written"}, {"why", fate_.why}};
+                        [](const NotWritten& outcome) {
+                          return Json{{"fate", "not-written"}, {"why", outcome.why}};
                         },
-                        [](const FateUnknown& fate_) {
-                          return Json{{"fate", "unknown"}, {"why", fate_.why}};
+                        [](const FateUnknown& outcome) {
+                          return Json{{"fate", "unknown"}, {"why", outcome.why}};
                         },
                     },
                     fate)
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -3,6 +3,7 @@
 #include <cassert>
 #include <restinio/all.hpp>
 #include <unordered_map>
+#include <vector>
 
 #include "figmill/runtime.h"
 #include "runtime/loop_core.h"
@@ -23,12 +24,14 @@
  public:
   void state_changed(const restinio::connection_state::notice_t& notice) noexcept;
   void Add(restinio::connection_id_t id, const std::shared_ptr<Reply>& reply) {
-    replies_[id] = reply;
+    replies_.emplace(id, reply);
   }
-  void Remove(restinio::connection_id_t id) { replies_.erase(id); }
+  void Remove(restinio::connection_id_t id, const Reply* reply);
 
  private:
-  std::unordered_map<restinio::connection_id_t, std::weak_ptr<Reply>> replies_;
+  // A caller may send its next request before it has the answer to the first, so
+  // a connection can have two.
+  std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<Reply>> replies_;
 };
 
 struct Traits : restinio::default_single_thread_traits_t {
@@ -96,7 +99,7 @@
   void Finish() {
     finished_ = true;
     on_closed_ = nullptr;
-    listener_->Remove(request_->connection_id());
+    listener_->Remove(request_->connection_id(), this);
   }
 
   restinio::request_handle_t request_;
@@ -109,11 +112,22 @@
 void ConnectionListener::state_changed(
     const restinio::connection_state::notice_t& notice) noexcept {
   if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) return;
-  const auto found = replies_.find(notice.connection_id());
-  if (found == replies_.end()) return;
-  const std::shared_ptr<Reply> reply = found->second.lock();
-  replies_.erase(found);
-  if (reply) reply->ConnectionClosed();
+  const auto [first, last] = replies_.equal_range(notice.connection_id());
+  std::vector<std::shared_ptr<Reply>> open;
+  for (auto at = first; at != last; ++at) {
+    if (std::shared_ptr<Reply> reply = at->second.lock()) open.push_back(std::move(reply));
+  }
+  replies_.erase(first, last);
+  for (const std::shared_ptr<Reply>& reply : open) reply->ConnectionClosed();
+}
+
+void ConnectionListener::Remove(restinio::connection_id_t id, const Reply* reply) {
+  const auto [first, last] = replies_.equal_range(id);
+  for (auto at = first; at != last; ++at) {
+    if (at->second.lock().get() != reply) continue;
+    replies_.erase(at);
+    return;
+  }
 }
 
 HttpRequest Converted(const restinio::request_handle_t& request) {
@@ -155,9 +169,9 @@
                                             .max_body_size(kMaxBodyBytes + kBodySlack))
               .separate_accept_and_create_connect(false)
               .buffer_size(kReadBufferBytes)
-              // A second slot keeps RESTinio reading while a request runs, so
-              // that it notices a peer that closes.
-              .max_pipelined_requests(2)
+              // RESTinio reads on while a slot is free, and only so notices a peer
+              // that closes: one request runs, a second may wait.
+              .max_pipelined_requests(kPipelinedRequests)
               .read_next_http_message_timelimit(kIdleConnection)
               .handle_request_timeout(kNoLimit)
               .write_http_response_timelimit(kNoLimit)
@@ -177,6 +191,7 @@
   // in place of a closed connection.
   static constexpr std::size_t kBodySlack = 1U << 20;
   static constexpr std::size_t kReadBufferBytes = 4096;
+  static constexpr std::size_t kPipelinedRequests = 4;
 
   restinio::request_handling_status_t Handle(restinio::request_handle_t request) {
     auto reply = std::make_shared<Reply>(request, listener_);
--- a/test/batch-owner-test.cc
+++ b/test/batch-owner-test.cc
@@ -151,6 +151,21 @@
   }
 }
 
+TEST_CASE("a long job for one model doesn't keep another model's engines idle") {
+  // Symptom: engines of one model stand idle though a job waits for them.
+  // Sequence: a team puts a long job for model m, then one for model n. Cause: the
+  // first job's items were all that the team was allowed to have ready.
+  World world(6, 1, 4);
+  world.agents[2].serves = world.agents[3].serves = ServiceName{"n"};
+  world.item_time = 2s;
+  std::string second;
+  for (int i = 0; i < 300; ++i) second += ItemLine("n-" + std::to_string(i), true, "n");
+  REQUIRE(IsOk(world.Put(kJob, Items(20'000, "m").ndjson)));
+  REQUIRE(IsOk(world.Put(JobId{"second"}, second)));
+  REQUIRE(world.RunUntil([&] { return world.Done(JobId{"second"}); }, 300s));
+  CHECK(Completed(world) < 20'000);
+}
+
 TEST_CASE("each item ends exactly once under random deaths, pauses and lost answers") {
   // Symptom: an item lost or doubled. Any of it at any moment: owners die, pause
   // and wake, agents die, the store loses one answer in ten and is down at times.
--- a/test/batch_model.h
+++ b/test/batch_model.h
@@ -135,10 +135,11 @@
                              : R"({"choices":[{"text":"ok","finish_reason":"stop"}]})"};
 }
 
-inline std::string ItemLine(const std::string& custom_id, bool repeatable = true) {
+inline std::string ItemLine(const std::string& custom_id, bool repeatable = true,
+                            const std::string& model = "m") {
   nlohmann::json line = {{"custom_id", custom_id},
                          {"url", "/v1/completions"},
-                         {"body", {{"model", "m"}, {"prompt", "p"}, {"max_tokens", 16}}}};
+                         {"body", {{"model", model}, {"prompt", "p"}, {"max_tokens", 16}}}};
   if (!repeatable) line["repeatable"] = false;
   return line.dump() + "\n";
 }
@@ -161,6 +162,7 @@
     Incarnation incarnation = 1;
     bool alive = true;
     std::uint32_t running = 0;
+    ServiceName serves{"m"};
   };
   struct Dispatched {
     JobId job;
@@ -295,7 +297,7 @@
     }
     for (const Agent& agent : agents) {
       if (agent.alive) {
-        fleet.agents.push_back(BatchAgent{agent.node, agent.incarnation, {ServiceName{"m"}}});
+        fleet.agents.push_back(BatchAgent{agent.node, agent.incarnation, {agent.serves}});
       }
     }
     for (std::size_t i = 0; i < owners.size(); ++i) {
--- a/test/runtime-http-test.cc
+++ b/test/runtime-http-test.cc
@@ -166,6 +166,31 @@
   CHECK(closed);
 }
 
+// Symptom: the engine goes on for the first of two requests of a caller that left.
+// Sequence: a caller sends a second request before the first is answered, and hangs
+// up. Cause: one place for each connection, which the second request took.
+TEST_CASE("a peer that goes away is noticed by both requests it had sent") {
+  int closed = 0;
+  std::vector<std::shared_ptr<HttpReply>> held;
+  Pair* self = nullptr;
+  std::unique_ptr<asio::ip::tcp::socket> socket;
+  Pair pair([&](const HttpRequest&, const std::shared_ptr<HttpReply>& reply) {
+    held.push_back(reply);
+    reply->OnClosed([&] {
+      if (++closed == 2) self->loop.Stop();
+    });
+    if (held.size() == 2) socket->close();
+  });
+  self = &pair;
+  socket = std::make_unique<asio::ip::tcp::socket>(pair.loop.core().io);
+  socket->connect({asio::ip::make_address("127.0.0.1"), pair.server->address().port});
+  static const std::string kTwo =
+      "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n";
+  asio::write(*socket, asio::buffer(kTwo));
+  pair.loop.Run();
+  CHECK(closed == 2);
+}
+
 TEST_CASE("a request to nobody is known not to have been sent") {
   Pair pair([](const HttpRequest&, const std::shared_ptr<HttpReply>&) {});
   const Address gone = pair.server->address();
