Tell an agent that the platform lists its host as leaving

Cause: the host list seeded membership only, so a host that the platform was about to take got new work until SIGTERM. Change: the two members that read the log for a data centre read the host list as often and tell the agent; refusals that cost nothing don't spend the budget.

--- a/include/figmill/online.h
+++ b/include/figmill/online.h
@@ -497,6 +497,7 @@
   void AskedInVain(Time now);
   void CantResume(Time now);
   void TryElsewhere(Time now);
+  [[nodiscard]] bool SpentNothing() const;
   void CloseCall(AttemptEnd end, std::optional<Error> error = {});
   void CancelStarted();
   void GiveUp(Error error);
--- a/src/figmilld/agent.cc
+++ b/src/figmilld/agent.cc
@@ -19,6 +19,8 @@
 // For the last answers to leave the sockets' buffers.
 constexpr Duration kLastAnswers{200'000};
 constexpr Duration kServesCheck{200'000};
+// After the platform's list was last said to name this host as leaving.
+constexpr Duration kListedLeaving{10'000'000};
 
 class Agent {
  public:
@@ -37,6 +39,11 @@
             PlacerSettings{}) {
     BindAgentOrders(rpc_, gate_);
     rpc_.Bind("status", [this](std::string_view) -> Result<std::string> { return Status(); });
+    rpc_.Bind("leave", [this](std::string_view) -> Result<std::string> {
+      listed_leaving_until_ = Loop::Now() + kListedLeaving;
+      SetLeaving();
+      return std::string("{}");
+    });
     control_.OnChange(
         [this](const std::shared_ptr<const Snapshot>& snapshot) { OnSnapshot(*snapshot); });
     control_.OnSuperseded([this] { End(RowOf(ErrorKind::kFenced).exit_code); });
@@ -98,7 +105,10 @@
   }
 
   // Whatever holds new work off; each reason ends on its own.
-  void SetLeaving() { gate_.SetLeaving(terminating_ || drained_ || placing_); }
+  void SetLeaving() {
+    const bool listed = Loop::Now() < listed_leaving_until_;
+    gate_.SetLeaving(terminating_ || drained_ || placing_ || listed);
+  }
 
   // The engine is about to change its models or role.
   void BeginPlacing(std::function<void()> drained) {
@@ -113,6 +123,7 @@
   }
 
   void TellServes() {
+    SetLeaving();
     if (models_.services() == told_serves_) return;
     told_serves_ = models_.services();
     control_.SetServes(told_serves_);
@@ -173,6 +184,7 @@
   bool terminating_ = false;
   bool drained_ = false;
   bool placing_ = false;
+  Time listed_leaving_until_{};
   int exit_code_ = 0;
   Timer last_answers_, serves_timer_, grace_timer_;
 };
--- a/src/figmilld/control_shell.cc
+++ b/src/figmilld/control_shell.cc
@@ -187,12 +187,12 @@
   // 960 doing so, the store's reads would go to nothing else.
   void PollHead() {
     log_.Poll();
-    const std::shared_ptr<const Snapshot> snapshot = shell_.current();
-    const bool reader =
-        !shell_.ready() || ReadsStore(membership_.self(), snapshot->members, kReadersPerDataCentre);
+    const bool reader = !shell_.ready() || ReadsForDataCentre();
     poll_timer_ = loop_.After(reader ? kHeadPoll : kSlowHeadPoll, [this] { PollHead(); });
   }
 
+  // The few that read the log's head for their data centre read the host list as
+  // often, as nobody else tells an agent that its host is to leave.
   void Seed() {
     platform_.List([this](const Result<std::vector<ListedHost>>& hosts) {
       bool heard = false;
@@ -201,10 +201,26 @@
         if (IsOk(hosts)) membership_.Seed(ValueOf(hosts));
         heard = membership_.heard().has_value();
       }
-      seed_timer_ = loop_.After(heard ? kSlowSeedPeriod : kSeedPeriod, [this] { Seed(); });
+      if (IsOk(hosts)) TellLeaving(ValueOf(hosts));
+      const Duration period = heard && !ReadsForDataCentre() ? kSlowSeedPeriod : kSeedPeriod;
+      seed_timer_ = loop_.After(period, [this] { Seed(); });
     });
   }
 
+  // Repeated while the list says so: the agent forgets it soon after, so that a
+  // list that lags can't keep out for long what has been replaced in the slot.
+  void TellLeaving(const std::vector<ListedHost>& hosts) {
+    for (const ListedHost& host : hosts) {
+      const bool ours = host.data_centre == membership_.self().data_centre;
+      if (!host.leaving || host.role != "agent" || !ours || !ReadsForDataCentre()) continue;
+      CallRpc(client_, host.http, "leave", "{}", kPeerTimeout, [](const Result<std::string>&) {});
+    }
+  }
+
+  [[nodiscard]] bool ReadsForDataCentre() const {
+    return ReadsStore(membership_.self(), shell_.current()->members, kReadersPerDataCentre);
+  }
+
   ControlShell& shell_;
   Loop loop_;
   HttpClient client_{loop_};
--- a/src/online/request_run.cc
+++ b/src/online/request_run.cc
@@ -232,12 +232,20 @@
   GiveUp(std::move(error));
 }
 
+// The budget keeps retries from multiplying the load. An agent that leaves refuses
+// at no cost and to everyone at once: charged for that, the budget would run out
+// and callers be refused though others have room.
+bool RequestRun::SpentNothing() const {
+  return ran_before_ == Ran::kNo &&
+         (last_error_.kind == ErrorKind::kLeaving || last_error_.kind == ErrorKind::kStaleOrders);
+}
+
 void RequestRun::TryElsewhere(Time now) {
   phase_ = Phase::kNew;
   ran_before_ = detail::Worse(ran_before_, std::exchange(attempt_.ran, Ran::kNo));
   if (now >= plan_.deadline) return GiveUp(detail::DeadlinePassed());
   const Result<Pick> pick = routes_.choose(plan_, tried_, now);
-  if (!IsOk(pick) || !budget_.Spend()) {
+  if (!IsOk(pick) || !(SpentNothing() || budget_.Spend())) {
     // All there is to say to the caller is that it may come back.
     const bool not_run = ran_before_ == Ran::kNo && last_error_.kind == ErrorKind::kBackendFailed;
     if (not_run) last_error_.kind = ErrorKind::kNoBackend;
--- a/test/faults-shutdown-test.py
+++ b/test/faults-shutdown-test.py
@@ -112,4 +112,25 @@
         check(fleet, callers, load.stop())
 
 
+def test_a_host_that_the_platform_lists_as_leaving():
+    # Symptom: a host is taken away with work on it that came after the notice.
+    # Sequence: the platform's list names an agent's host as leaving, under load,
+    # and takes it back later.
+    # Cause: the list only seeds membership, and nobody told the agent.
+    with Fleet(2, 2, SLOW_STEP) as fleet:
+        callers = Callers(fleet)
+        load = Load(callers, fleet.entries)
+        wait_for("it runs work", lambda: len(fleet.running(fleet.engines[0])) > 1)
+        fleet.list_host("agent-0", leaving=True)
+        wait_for("the agent takes nothing new", lambda: not fleet.is_ready("agent-0"))
+        runs = len(fleet.executions(fleet.engines[0]))
+        wait_for("its streams end", lambda: not fleet.running(fleet.engines[0]))
+        seen = len(load.answers)
+        wait_for("the load goes on", lambda: len(load.answers) > seen + 20)
+        assert len(fleet.executions(fleet.engines[0])) == runs, "new work after the notice"
+        fleet.list_host("agent-0", leaving=False)
+        wait_for("it works again", lambda: len(fleet.executions(fleet.engines[0])) > runs)
+        check(fleet, callers, load.stop())
+
+
 run_tests(sys.modules[__name__])
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -242,6 +242,14 @@
                              json.dumps(faults))
         assert status == 200, answer
 
+    def list_host(self, name, leaving):
+        """Changes what the platform's lagging list says of a host."""
+        of = next(each for each in self.entries + self.agents if each["name"] == name)
+        host = {key: of[key] for key in ("node", "http", "gossip", "role", "data_centre")}
+        body = json.dumps({"hosts": [{**host, "leaving": leaving}]})
+        status, _ = ask(self.platform["address"], "POST", "/hosts", body)
+        assert status == 200, status
+
     def engine_faults(self, engine, **faults):
         status, answer = ask(engine["address"], "POST", "/standin/faults", json.dumps(faults))
         assert status == 200, answer
--- a/test/lossy_datagrams.cc
+++ b/test/lossy_datagrams.cc
@@ -17,10 +17,10 @@
 }
 
 bool IsLost() {
-  static const char* const text = std::getenv("FIGMILL_TEST_LOSS");
-  static const double share = text == nullptr ? 0 : std::strtod(text, nullptr);
+  static const char* const kText = std::getenv("FIGMILL_TEST_LOSS");
+  static const double kShare = kText == nullptr ? 0 : std::strtod(kText, nullptr);
   thread_local std::mt19937 random{std::random_device{}()};
-  return std::uniform_real_distribution<>{}(random) < share;
+  return std::uniform_real_distribution<>{}(random) < kShare;
 }
 
 }  // namespace
@@ -29,8 +29,8 @@
 
 ssize_t sendmsg(int socket, const msghdr* message, int flags) {
   using Function = ssize_t (*)(int, const msghdr*, int);
-  static const auto real = reinterpret_cast<Function>(dlsym(RTLD_NEXT, "sendmsg"));
-  if (!IsDatagramSocket(socket) || !IsLost()) return real(socket, message, flags);
+  static const auto kReal = reinterpret_cast<Function>(dlsym(RTLD_NEXT, "sendmsg"));
+  if (!IsDatagramSocket(socket) || !IsLost()) return kReal(socket, message, flags);
   std::size_t bytes = 0;
   for (std::size_t i = 0; i < message->msg_iovlen; ++i) bytes += message->msg_iov[i].iov_len;
   return static_cast<ssize_t>(bytes);
@@ -39,8 +39,8 @@
 ssize_t sendto(int socket, const void* data, std::size_t size, int flags, const sockaddr* to,
                socklen_t to_size) {
   using Function = ssize_t (*)(int, const void*, std::size_t, int, const sockaddr*, socklen_t);
-  static const auto real = reinterpret_cast<Function>(dlsym(RTLD_NEXT, "sendto"));
-  if (!IsDatagramSocket(socket) || !IsLost()) return real(socket, data, size, flags, to, to_size);
+  static const auto kReal = reinterpret_cast<Function>(dlsym(RTLD_NEXT, "sendto"));
+  if (!IsDatagramSocket(socket) || !IsLost()) return kReal(socket, data, size, flags, to, to_size);
   return static_cast<ssize_t>(size);
 }
 
--- a/test/online-run-test.cc
+++ b/test/online-run-test.cc
@@ -177,6 +177,21 @@
   CHECK(bench.error->retry_after >= 500 * kMs);
 }
 
+TEST_CASE("an agent that leaves doesn't use up the retries of the others") {
+  // Symptom: callers get 503 leaving though other agents have room. Sequence: an
+  // agent starts to leave; requests already on their way to it are refused, more
+  // than the budget holds. Cause: refusals that cost nothing, charged as retries.
+  Bench bench(Plan(true));
+  while (bench.budget.Spend()) {
+  }
+  bench.On(event::Start{});
+  bench.On(event::AgentRefused{bench.last.call, {ErrorKind::kLeaving, "leaving", Ran::kNo}});
+  CHECK_FALSE(bench.error);
+  CHECK(bench.last.to.node == NodeId{"a1"});
+  bench.On(event::AgentRefused{bench.last.call, {ErrorKind::kOverloaded, "full", Ran::kNo}});
+  CHECK(bench.error);  // that one counts
+}
+
 // --- All orders of events ----------------------------------------------------------
 
 namespace {
