--- a/src/figmilld/control_shell.cc
+++ b/src/figmilld/control_shell.cc
@@ -1,6 +1,7 @@
 #include "figmilld/control_shell.h"
 
 #include <charconv>
+#include <exception>
 #include <mutex>
 #include <thread>
 
@@ -46,13 +47,15 @@
         gossip_unreadable_(metrics.counter("figmill_gossip_unreadable_total",
                                            "Datagrams dropped because they can't be read")) {}
 
-  ~Core() {
+  ~Core() { Stop(); }
+
+  void Stop() {
     if (!thread_.joinable()) return;
     loop_.Stop();
     thread_.join();
   }
 
-  Result<Ok> Start() {
+  Result<Ok> Start(std::function<void(Error)> failed) {
     Result<std::unique_ptr<UdpSocket>> socket = UdpSocket::Bind(
         loop_, membership_.self().gossip, [this](std::string_view bytes, const Address& from) {
           const std::lock_guard lock(mutex_);
@@ -67,7 +70,7 @@
       PollHead();
       Seed();
     });
-    thread_ = std::thread([this] { loop_.Run(); });
+    thread_ = std::thread([this, failed = std::move(failed)] { RunLoop(failed); });
     return Ok{};
   }
 
@@ -101,6 +104,17 @@
   }
 
  private:
+  // Without control state the process would route by what is ever older.
+  void RunLoop(const std::function<void(Error)>& failed) {
+    try {
+      loop_.Run();
+    } catch (const std::exception& defect) {
+      ToTraffic([failed, why = std::string(defect.what())] {
+        failed({ErrorKind::kInternal, "control thread: " + why});
+      });
+    }
+  }
+
   void TickGossip() {
     const std::lock_guard lock(mutex_);
     CarryOut(membership_.Tick(Loop::Now()));
@@ -249,8 +263,12 @@
 
 ControlShell::~ControlShell() = default;
 
-Result<Ok> ControlShell::Start() {
-  return core_->Start();
+Result<Ok> ControlShell::Start(std::function<void(Error)> failed) {
+  return core_->Start(std::move(failed));
+}
+
+void ControlShell::Stop() {
+  core_->Stop();
 }
 
 void ControlShell::OnChange(std::function<void(const std::shared_ptr<const Snapshot>&)> changed) {
--- a/src/figmilld/control_shell.h
+++ b/src/figmilld/control_shell.h
@@ -29,8 +29,11 @@
   ControlShell(Loop& traffic, Metrics& metrics, ControlSettings settings);
   ~ControlShell() override;
 
-  // Binds the gossip socket and starts the control thread. Errors: kInternal.
-  [[nodiscard]] Result<Ok> Start();
+  // Binds the gossip socket and starts the control thread. `failed` is called on
+  // the traffic loop when that thread can't go on. Errors: kInternal.
+  [[nodiscard]] Result<Ok> Start(std::function<void(Error)> failed);
+  // Ends the control thread; what was published stays.
+  void Stop();
   // Called with each new snapshot.
   void OnChange(std::function<void(const std::shared_ptr<const Snapshot>&)> changed);
   // Called once when a newer process has taken this one's slot; this one must
