--- a/test/batch_job.py
+++ b/test/batch_job.py
@@ -2,6 +2,7 @@
 
 import json
 
+import history_checker
 from fleet import MODEL, ask, call, wait_for
 
 ITEMS = 600
@@ -69,3 +70,22 @@
 
     def executions(self):
         return [run for run in self.fleet.executions() if run["item_key"].startswith(self.name)]
+
+
+def check_results(job, entry, items=ITEMS):
+    """Each item once, in order, with its own answer; the indices of failed ones."""
+    headers, results = job.results(entry)
+    assert headers["Figmill-Complete"] == "true"
+    assert [r["custom_id"] for r in results] == [f"item-{i}" for i in range(items)]
+    failed = set()
+    for i, result in enumerate(results):
+        if "error" in result:
+            failed.add(i)
+        else:
+            text = result["response"]["body"]["choices"][0]["text"]
+            assert text == history_checker.expected_answer(prompt(i), TOKENS), result
+    # A not-repeatable item that a lost process had sent may end as not known.
+    unknown = {i for i in failed if results[i]["error"]["kind"] == "outcome-unknown"}
+    assert POISON in failed and not any(is_repeatable(i) for i in unknown), failed
+    assert failed - unknown <= {POISON}, [results[i] for i in failed - unknown]
+    return failed
--- a/test/faults-batch-test.py
+++ b/test/faults-batch-test.py
@@ -6,31 +6,12 @@
 import sys
 import time
 
-import history_checker
-from batch_job import ITEMS, POISON, SLOW, TOKENS, Job, is_repeatable, prompt, upload
+from batch_job import ITEMS, SLOW, Job, check_results, upload
 from fleet import Fleet, run_tests, wait_for
 
 OUTAGE_SECONDS = 10
 
 
-def check_results(job, entry):
-    headers, results = job.results(entry)
-    assert headers["Figmill-Complete"] == "true"
-    assert [r["custom_id"] for r in results] == [f"item-{i}" for i in range(ITEMS)]
-    failed = set()
-    for i, result in enumerate(results):
-        if "error" in result:
-            failed.add(i)
-        else:
-            text = result["response"]["body"]["choices"][0]["text"]
-            assert text == history_checker.expected_answer(prompt(i), TOKENS), result
-    # A not-repeatable item that a lost process had sent may end as not known.
-    unknown = {i for i in failed if results[i]["error"]["kind"] == "outcome-unknown"}
-    assert POISON in failed and not any(is_repeatable(i) for i in unknown), failed
-    assert failed - unknown <= {POISON}, [results[i] for i in failed - unknown]
-    return failed
-
-
 def check_not_repeatable(job):
     runs = {}
     for run in job.executions():
--- a/test/faults-online-test.py
+++ b/test/faults-online-test.py
@@ -4,10 +4,12 @@
 is true; what may not be repeated runs at most once.
 """
 
+import json
 import signal
+import subprocess
 import sys
 
-from fleet import Callers, Fleet, run_tests, wait_for
+from fleet import BUILD, Callers, Fleet, call, run_tests, wait_for
 
 SLOW_STEP = "--engine-arg=--step-base-us=20000"  # streams long enough to break
 STREAMS = 18
@@ -123,4 +125,58 @@
         assert not lost, lost
 
 
+class Proxy:
+    """A fault proxy before an engine."""
+
+    def __init__(self, engine):
+        self.process = subprocess.Popen(
+            [BUILD / "figmill-fault-proxy", "--listen", "127.0.0.1:0", "--forward",
+             engine["address"]], stdout=subprocess.PIPE, text=True)
+        ready = json.loads(self.process.stdout.readline())
+        self.admin, self.link = ready["admin"], ready["links"][0]
+
+    def rule(self, **members):
+        status, _, answer = call(self.admin, "POST", "/rules", json.dumps(members))
+        assert status == 201, answer
+        return json.loads(answer)["id"]
+
+    def hits(self):
+        return sum(rule["hits"] for rule in json.loads(call(self.admin, "GET", "/rules")[2]))
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.process.terminate()
+        self.process.wait()
+
+
+def test_a_network_that_cuts_and_swallows_engines_answers():
+    # Symptom: half a note as if it were whole; a caller that waits for ever.
+    # Sequence: between one agent and its engine connections are reset within an
+    # answer, and others stay open while the rest is swallowed.
+    # Cause: the end of a connection taken for the end of an answer, or silence for
+    # an engine that thinks.
+    with Fleet(2, 2, SLOW_STEP) as fleet, Proxy(fleet.engines[0]) as proxy:
+        fleet.replace("agent-0", backend=proxy.link)
+        fleet.wait_in_force()
+        callers = Callers(fleet)
+        proxy.rule(fault="cut", direction="to-caller", after_bytes=2500, times=4)
+        proxy.rule(fault="half-open", direction="to-caller", after_bytes=3500, times=2)
+        sent = []
+        while proxy.hits() < 6:
+            sent += [callers.send(f"cut {len(sent) + i}", TOKENS, stream=i % 2 == 0,
+                                  item=f"cut-{len(sent) + i}" if i % 3 == 0 else None,
+                                  repeatable=i % 3 != 0) for i in range(6)]
+            for each in sent[-6:]:
+                each.result()
+            assert len(sent) < 120, f"only {proxy.hits()} of 6 connections were struck"
+        fleet.wait_quiet()
+        callers.verdict()
+        answers = [each.result() for each in sent]
+        assert None not in answers
+        failed = [got.problem for got in answers if not got.whole]
+        assert len(failed) <= 6 and all(problem["ran"] != "no" for problem in failed), failed
+
+
 run_tests(sys.modules[__name__])
