--- a/src/figmilld/control_shell.cc
+++ b/src/figmilld/control_shell.cc
@@ -1,6 +1,7 @@
 #include "figmilld/control_shell.h"
 
 #include <charconv>
+#include <exception>
 #include <mutex>
 #include <thread>
 
@@ -46,13 +47,15 @@
         gossip_unreadable_(metrics.counter("figmill_gossip_unreadable_total",
                                            "Datagrams dropped because they can't be read")) {}
 
-  ~Core() {
+  ~Core() { Stop(); }
+
+  void Stop() {
     if (!thread_.joinable()) return;
     loop_.Stop();
     thread_.join();
   }
 
-  Result<Ok> Start() {
+  Result<Ok> Start(std::function<void(Error)> failed) {
     Result<std::unique_ptr<UdpSocket>> socket = UdpSocket::Bind(
         loop_, membership_.self().gossip, [this](std::string_view bytes, const Address& from) {
           const std::lock_guard lock(mutex_);
@@ -67,7 +70,7 @@
       PollHead();
       Seed();
     });
-    thread_ = std::thread([this] { loop_.Run(); });
+    thread_ = std::thread([this, failed = std::move(failed)] { RunLoop(failed); });
     return Ok{};
   }
 
@@ -101,6 +104,17 @@
   }
 
  private:
+  // Without control state the process would route by what is ever older.
+  void RunLoop(const std::function<void(Error)>& failed) {
+    try {
+      loop_.Run();
+    } catch (const std::exception& defect) {
+      ToTraffic([failed, why = std::string(defect.what())] {
+        failed({ErrorKind::kInternal, "control thread: " + why});
+      });
+    }
+  }
+
   void TickGossip() {
     const std::lock_guard lock(mutex_);
     CarryOut(membership_.Tick(Loop::Now()));
@@ -187,12 +201,12 @@
   // 960 doing so, the store's reads would go to nothing else.
   void PollHead() {
     log_.Poll();
-    const std::shared_ptr<const Snapshot> snapshot = shell_.current();
-    const bool reader =
-        !shell_.ready() || ReadsStore(membership_.self(), snapshot->members, kReadersPerDataCentre);
+    const bool reader = !shell_.ready() || ReadsForDataCentre();
     poll_timer_ = loop_.After(reader ? kHeadPoll : kSlowHeadPoll, [this] { PollHead(); });
   }
 
+  // The few that read the log's head for their data centre read the host list as
+  // often, as nobody else tells an agent that its host is to leave.
   void Seed() {
     platform_.List([this](const Result<std::vector<ListedHost>>& hosts) {
       bool heard = false;
@@ -201,10 +215,26 @@
         if (IsOk(hosts)) membership_.Seed(ValueOf(hosts));
         heard = membership_.heard().has_value();
       }
-      seed_timer_ = loop_.After(heard ? kSlowSeedPeriod : kSeedPeriod, [this] { Seed(); });
+      if (IsOk(hosts)) TellLeaving(ValueOf(hosts));
+      const Duration period = heard && !ReadsForDataCentre() ? kSlowSeedPeriod : kSeedPeriod;
+      seed_timer_ = loop_.After(period, [this] { Seed(); });
     });
   }
 
+  // Repeated while the list says so: the agent forgets it soon after, so that a
+  // list that lags can't keep out for long what has been replaced in the slot.
+  void TellLeaving(const std::vector<ListedHost>& hosts) {
+    for (const ListedHost& host : hosts) {
+      const bool ours = host.data_centre == membership_.self().data_centre;
+      if (!host.leaving || host.role != "agent" || !ours || !ReadsForDataCentre()) continue;
+      CallRpc(client_, host.http, "leave", "{}", kPeerTimeout, [](const Result<std::string>&) {});
+    }
+  }
+
+  [[nodiscard]] bool ReadsForDataCentre() const {
+    return ReadsStore(membership_.self(), shell_.current()->members, kReadersPerDataCentre);
+  }
+
   ControlShell& shell_;
   Loop loop_;
   HttpClient client_{loop_};
@@ -233,8 +263,12 @@
 
 ControlShell::~ControlShell() = default;
 
-Result<Ok> ControlShell::Start() {
-  return core_->Start();
+Result<Ok> ControlShell::Start(std::function<void(Error)> failed) {
+  return core_->Start(std::move(failed));
+}
+
+void ControlShell::Stop() {
+  core_->Stop();
 }
 
 void ControlShell::OnChange(std::function<void(const std::shared_ptr<const Snapshot>&)> changed) {
