Learn an engine's places upwards, from a few

Cause: an agent that had just started took its engine for unbounded, so packed online filled it past its 48 slots, and callers waited inside the engine until the agent noticed after 200 ms. Ruled out: harm by batch, as it came with online alone and only on a fleet's first phase. Change: places start at 32 and rise one a load report until a bound has shown.

--- a/src/gate/engine_places.h
+++ b/src/gate/engine_places.h
@@ -5,6 +5,10 @@
 // wait while one has waited here for its first token for long. Waiting alone
 // says nothing: every newcomer waits for the next step. The bound is tried again
 // slowly, as the memory that streams need varies.
+//
+// Until a bound has shown, places are added one a report, from a few. Taken for
+// unbounded, a new agent would send a dozen streams too many at once, and their
+// callers wait 200 ms and more for the first token before it is noticed.
 
 #include <algorithm>
 #include <optional>
@@ -16,13 +20,14 @@
 
 class EnginePlaces {
  public:
-  explicit EnginePlaces(int most) : most_(most), count_(most) {}
+  explicit EnginePlaces(int most) : most_(most), count_(std::min(most, kFirstPlaces)) {}
   // `longest_wait`: of the streams that run here, for their first token.
   void Report(const EngineLoad& load, int running, Duration longest_wait, Time now) {
     if (load.waiting > 0 && longest_wait >= kLongWait) {
       count_ = std::clamp(static_cast<int>(load.running), 1, most_);
       changed_ = now;
-    } else if (running >= count_ && count_ < most_ && now >= changed_ + kTryAgain) {
+      shown_ = true;
+    } else if (running >= count_ && count_ < most_ && (!shown_ || now >= changed_ + kTryAgain)) {
       ++count_;
       changed_ = now;
     }
@@ -30,11 +35,13 @@
   [[nodiscard]] int count() const { return count_; }
 
  private:
+  static constexpr int kFirstPlaces = 32;
   static constexpr Duration kLongWait{200'000};
   static constexpr Duration kTryAgain{2'000'000};
   int most_;
   int count_;
   Time changed_{};
+  bool shown_ = false;
 };
 
 }  // namespace figmill::detail
