Let load and unload share how a placement is changed

Cause: the two translations stood twice, alike but for one call. Change: PlaceWeights takes the function that moves the name. README's first request, job and query run as written on a local fleet.

--- a/src/query/entry_for.cc
+++ b/src/query/entry_for.cc
@@ -101,24 +101,10 @@
     return ControlEntry(figmill::CancelJob{command.job});
   }
   Result<ControlEntry> operator()(const LoadWeights& command) const {
-    Placement placement = PlacementOf(fold_, command.node);
-    const VersionedName name{command.weights.name, command.weights.version};
-    if (command.weights.adapter) {
-      Want(placement.adapters, placement.unwanted_adapters, name);
-    } else {
-      Want(placement.models, placement.unwanted_models, name);
-    }
-    return ControlEntry(Place{command.node, std::move(placement)});
+    return PlaceWeights(command.node, command.weights, Want);
   }
   Result<ControlEntry> operator()(const UnloadWeights& command) const {
-    Placement placement = PlacementOf(fold_, command.node);
-    const VersionedName name{command.weights.name, command.weights.version};
-    if (command.weights.adapter) {
-      Unwant(placement.adapters, placement.unwanted_adapters, name);
-    } else {
-      Unwant(placement.models, placement.unwanted_models, name);
-    }
-    return ControlEntry(Place{command.node, std::move(placement)});
+    return PlaceWeights(command.node, command.weights, Unwant);
   }
   Result<ControlEntry> operator()(const SetRole& command) const {
     Placement placement = PlacementOf(fold_, command.node);
@@ -127,6 +113,20 @@
   }
 
  private:
+  // `move` shifts the name between what is wanted and what is not.
+  [[nodiscard]] ControlEntry PlaceWeights(const NodeId& node, const Weights& weights,
+                                          void (*move)(Names&, Names&,
+                                                       const VersionedName&)) const {
+    Placement placement = PlacementOf(fold_, node);
+    const VersionedName name{weights.name, weights.version};
+    if (weights.adapter) {
+      move(placement.adapters, placement.unwanted_adapters, name);
+    } else {
+      move(placement.models, placement.unwanted_models, name);
+    }
+    return Place{node, std::move(placement)};
+  }
+
   const Fold& fold_;
 };
 
