--- a/include/figmill/base.h
+++ b/include/figmill/base.h
@@ -12,6 +12,7 @@
 #include <string_view>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace figmill {
 
@@ -56,6 +57,23 @@
 };
 [[nodiscard]] std::string ToString(const Address& address);
 
+// A header of an HTTP message, and the head of an answer. The decisions about
+// requests that are passed on look at both.
+struct Header {
+  std::string name;
+  std::string value;
+  bool operator==(const Header&) const = default;
+};
+// Header names are equal whatever their case.
+[[nodiscard]] bool SameHeaderName(std::string_view a, std::string_view b);
+struct HttpHead {
+  int status = 0;
+  std::vector<Header> headers;
+  // The first header of this name; empty when absent.
+  [[nodiscard]] std::string_view HeaderOr(std::string_view name,
+                                          std::string_view fallback = {}) const;
+};
+
 // Position in the control log; rises only.
 using Sequence = std::uint64_t;
 // Fencing token of a lease; rises with every new holder.
--- /dev/null
+++ b/include/figmill/fleet.h
@@ -0,0 +1,103 @@
+#pragma once
+
+// Which backend servers there are and which of them gets the next request. No
+// I/O, clocks or threads: the caller passes the time in. Not thread-safe.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "figmill/base.h"
+#include "figmill/relay.h"
+#include "figmill/routes.h"
+
+namespace figmill {
+
+enum class BackendState : std::uint8_t { kReady, kDraining };
+
+// A backend server as the platform's list has it.
+struct BackendInfo {
+  BackendId id;
+  ServiceName service;
+  Address address;
+  DataCentre data_centre;
+  int places = 1;  // requests that run at once
+  BackendState state = BackendState::kReady;
+  bool operator==(const BackendInfo&) const = default;
+};
+
+// --- PlaceBook -------------------------------------------------------------------
+
+// How much of a backend server is taken, as far as this entry knows.
+struct PlaceUse {
+  int online = 0;        // by this entry
+  int batch = 0;         // by this entry
+  int online_other = 0;  // by other entries
+  int batch_other = 0;
+};
+
+struct PlaceQuery {
+  ServiceName service;
+  std::span<const BackendId> tried;  // never picked again
+  std::string_view prompt_parts;     // names the shared parts of the prompt; empty: none
+  bool repeatable = false;
+  Duration time_left{0};  // of the caller
+};
+
+class PlaceBook {
+ public:
+  // Online requests that may wait in a full engine's own queue. Each waits for
+  // one of its places to fall free: with streams of some 0.7 s on 8 places that
+  // is 90 ms in the mean, so that a second one still makes a first event in
+  // 300 ms, and a third doesn't.
+  static constexpr int kMaxWaiting = 2;
+  // Failures in a row until a backend server is left out.
+  static constexpr int kFailuresToEject = 3;
+  static constexpr Duration kFirstEjection{500'000};
+  static constexpr Duration kLongestEjection{8'000'000};
+  // After "not run" the backend server is full or leaving; the next request goes
+  // elsewhere for about as long as a place needs to fall free.
+  static constexpr Duration kRejectedPause{100'000};
+  // A backend server of another data centre is taken when those of this one have
+  // this many more of their places in use. Unit: share of its places.
+  static constexpr double kHopShare = 0.5;
+
+  explicit PlaceBook(DataCentre here) : here_(std::move(here)) {}
+
+  // Adds it or changes what is known of it.
+  void Learn(const BackendInfo& info);
+  void Forget(const BackendId& id);
+  [[nodiscard]] const BackendInfo* Find(const BackendId& id) const;
+  [[nodiscard]] std::vector<BackendInfo> OfService(const ServiceName& service) const;
+
+  // Errors: kNoBackend (none is left to try), kOverloaded (all are full); ran no.
+  [[nodiscard]] Result<BackendAddress> Choose(const PlaceQuery& query, Time now) const;
+
+  void Began(const BackendId& id, WorkClass work);
+  void Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Time now);
+  // What other entries have there.
+  void SetOthers(const BackendId& id, int online, int batch);
+  [[nodiscard]] PlaceUse Use(const BackendId& id) const;
+  [[nodiscard]] std::size_t size() const { return backends_.size(); }
+
+ private:
+  struct Backend {
+    BackendInfo info;
+    PlaceUse use;
+    int failures = 0;
+    int ejections = 0;
+    Time ejected_until{};
+    Time rejecting_until{};
+  };
+  [[nodiscard]] double Cost(const Backend& backend) const;
+
+  DataCentre here_;
+  std::map<BackendId, Backend> backends_;
+};
+
+}  // namespace figmill
--- /dev/null
+++ b/include/figmill/gateway.h
@@ -0,0 +1,68 @@
+#pragma once
+
+// An entry that calls backend servers itself, on a platform that keeps the
+// routing configuration, the list of backend servers and what must last in its
+// table service. What differs between platforms is behind PlatformAdapter.
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "figmill/base.h"
+#include "figmill/exchange.h"
+#include "figmill/fleet.h"
+#include "figmill/routes.h"
+#include "figmill/runtime.h"
+#include "figmill/tables.h"
+
+namespace figmill {
+
+// Names of the headers that figmill reads and sets. Others pass through.
+struct WireNames {
+  std::string request_id = "Figmill-Request-Id";
+  std::string deadline_ms = "Figmill-Deadline-Ms";
+  std::string expect_backend = "Figmill-Expect-Backend";  // refused by any other
+  std::string backend_id = "Figmill-Backend";             // who answers
+  std::string not_run = "Figmill-Not-Run";                // the request was not run
+  std::string prompt_parts = "Figmill-Prompt-Parts";      // shared parts of the prompt
+  std::string last_event_id = "Last-Event-Id";
+};
+
+class PlatformAdapter {
+ public:
+  virtual ~PlatformAdapter() = default;
+  [[nodiscard]] virtual const WireNames& names() const = 0;
+  // A client of the table service at `address`.
+  [[nodiscard]] virtual std::unique_ptr<SharedTables> Connect(Loop& loop, ExchangeClient& client,
+                                                              const Address& address) const = 0;
+  // Where the operator's configuration lies.
+  [[nodiscard]] virtual TableKey config_row() const = 0;
+  // Errors: kBadRequest, with the place.
+  [[nodiscard]] virtual Result<RoutingConfig> ParseConfig(std::string_view text) const = 0;
+  // The table that backend servers write themselves into, by their id.
+  [[nodiscard]] virtual std::string backend_table() const = 0;
+  // Errors: kBadRequest, with the place.
+  [[nodiscard]] virtual Result<BackendInfo> ParseBackend(std::string_view id,
+                                                         std::string_view text) const = 0;
+};
+
+struct GatewaySettings {
+  NodeId node;
+  DataCentre data_centre;
+  Address callers{"127.0.0.1", 8080};  // where callers' connections come in
+  Address health{"127.0.0.1", 8081};   // readiness, for the balancer
+  Address peers{"127.0.0.1", 8082};    // HTTP and datagrams of other entries
+  Address metrics{"127.0.0.1", 8083};
+  Address store{"127.0.0.1", 9000};
+  std::vector<Address> seeds;          // some other entries' peer addresses; may be stale
+  Duration shutdown_grace{8'000'000};  // from the order to stop until the kill
+  LogLevel log_level = LogLevel::kInfo;
+};
+
+// Until the process is told to stop or fails. Returns the exit code.
+[[nodiscard]] int RunGateway(const GatewaySettings& settings, const PlatformAdapter& adapter);
+
+}  // namespace figmill
--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -77,11 +77,6 @@
 
 // --- HTTP server -----------------------------------------------------------------
 
-struct Header {
-  std::string name;
-  std::string value;
-};
-
 struct HttpRequest {
   std::string method;
   std::string path;   // without the query, still percent-encoded
@@ -98,9 +93,10 @@
 
 struct HttpResponse {
   int status = 200;
-  std::string content_type = "application/json";
+  std::string content_type = "application/json";  // empty: `headers` has it, or none
   std::vector<Header> headers;
   std::string body;
+  bool close = false;  // the connection ends with this answer
 };
 
 // The answer to one request; used on the server's loop only. Either Send once,
@@ -114,6 +110,12 @@
   virtual void End() = 0;
   // Called once when the peer goes away before the answer is complete.
   virtual void OnClosed(std::function<void()> closed) = 0;
+  // Breaks the answer off by closing the connection, so that the peer sees that
+  // it is not whole. OnClosed is not called. A reply without a connection of its
+  // own has nothing to close.
+  virtual void Abort() {}
+  // Bytes written here that the peer has not taken yet.
+  [[nodiscard]] virtual std::size_t unsent() const { return 0; }
 };
 using HttpHandler = std::function<void(HttpRequest, std::shared_ptr<HttpReply>)>;
 
@@ -152,10 +154,6 @@
   bool fresh_connection = false;
 };
 
-struct HttpHead {
-  int status = 0;
-  std::vector<Header> headers;
-};
 struct HttpBytes {
   std::string_view bytes;  // valid during the call
 };
--- /dev/null
+++ b/src/exchange/answer_parser.cc
@@ -0,0 +1,115 @@
+#include "exchange/answer_parser.h"
+
+#include <charconv>
+
+namespace figmill::detail {
+namespace {
+
+constexpr int kGoOn = 0;
+constexpr int kNoBody = 1;  // http_parser: don't expect one
+
+bool IsInformational(unsigned status) {
+  return status >= 100 && status < 200;
+}
+
+// The N of "timeout=N" in a Keep-Alive header.
+int TimeoutOf(std::string_view value) {
+  constexpr std::string_view kName = "timeout=";
+  const std::size_t at = value.find(kName);
+  if (at == std::string_view::npos) return 0;
+  int seconds = 0;
+  const std::string_view digits = value.substr(at + kName.size());
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return seconds;
+}
+
+}  // namespace
+
+AnswerParser::AnswerParser(bool to_head, std::function<void(HttpEvent)> on_event)
+    : on_event_(std::move(on_event)), to_head_(to_head) {
+  http_parser_init(&parser_, HTTP_RESPONSE);
+  parser_.data = this;
+}
+
+http_parser_settings AnswerParser::MakeSettings() {
+  http_parser_settings settings;
+  http_parser_settings_init(&settings);
+  settings.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
+    Of(p).OnField({at, n});
+    return kGoOn;
+  };
+  settings.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
+    Of(p).OnValue({at, n});
+    return kGoOn;
+  };
+  settings.on_headers_complete = [](http_parser* p) { return Of(p).OnHead(); };
+  settings.on_body = [](http_parser* p, const char* at, std::size_t n) {
+    Of(p).OnBody({at, n});
+    return kGoOn;
+  };
+  settings.on_message_complete = [](http_parser* p) { return Of(p).OnComplete(); };
+  return settings;
+}
+
+AnswerState AnswerParser::Feed(std::string_view bytes) {
+  static const http_parser_settings kSettings = MakeSettings();
+  if (complete_) return AnswerState::kMalformed;
+  const std::size_t used = http_parser_execute(&parser_, &kSettings, bytes.data(), bytes.size());
+  const auto failure = HTTP_PARSER_ERRNO(&parser_);
+  if (failure != HPE_OK && failure != HPE_PAUSED) return AnswerState::kMalformed;
+  // The answer itself is whole; what follows it ends the connection's use.
+  if (complete_ && used < bytes.size()) reusable_ = false;
+  return StateNow();
+}
+
+AnswerState AnswerParser::FeedEnd() {
+  static const http_parser_settings kSettings = MakeSettings();
+  if (!complete_) http_parser_execute(&parser_, &kSettings, nullptr, 0);
+  reusable_ = false;
+  return complete_ ? AnswerState::kLast : AnswerState::kMalformed;
+}
+
+AnswerState AnswerParser::StateNow() {
+  if (!complete_) return AnswerState::kUnfinished;
+  return reusable_ ? AnswerState::kComplete : AnswerState::kLast;
+}
+
+void AnswerParser::OnField(std::string_view part) {
+  if (in_value_ || head_.headers.empty()) head_.headers.emplace_back();
+  in_value_ = false;
+  head_.headers.back().name.append(part);
+}
+
+void AnswerParser::OnValue(std::string_view part) {
+  in_value_ = true;
+  if (!head_.headers.empty()) head_.headers.back().value.append(part);
+}
+
+int AnswerParser::OnHead() {
+  if (IsInformational(parser_.status_code)) {
+    head_ = {};
+    in_value_ = false;
+    return kGoOn;
+  }
+  head_.status = static_cast<int>(parser_.status_code);
+  for (const Header& header : head_.headers) {
+    if (SameHeaderName(header.name, "Keep-Alive")) keep_alive_seconds_ = TimeoutOf(header.value);
+  }
+  on_event_(std::move(head_));
+  head_ = {};
+  return to_head_ ? kNoBody : kGoOn;
+}
+
+void AnswerParser::OnBody(std::string_view part) {
+  on_event_(HttpBytes{part});
+}
+
+int AnswerParser::OnComplete() {
+  if (IsInformational(parser_.status_code)) return kGoOn;
+  complete_ = true;
+  reusable_ = http_should_keep_alive(&parser_) != 0;
+  http_parser_pause(&parser_, 1);
+  return kGoOn;
+}
+
+}  // namespace figmill::detail
--- /dev/null
+++ b/src/exchange/exchange_client.cc
@@ -0,0 +1,348 @@
+#include <sys/socket.h>
+
+#include <array>
+#include <asio/ip/tcp.hpp>
+#include <asio/post.hpp>
+#include <asio/write.hpp>
+#include <cerrno>
+#include <deque>
+#include <map>
+#include <unordered_set>
+
+#include "exchange/answer_parser.h"
+#include "figmill/exchange.h"
+#include "runtime/loop_core.h"
+
+namespace figmill {
+namespace {
+
+using asio::ip::tcp;
+using detail::AnswerParser;
+using detail::AnswerState;
+
+constexpr std::size_t kReadBytes = 8192;
+
+bool Has(const std::vector<Header>& headers, std::string_view name) {
+  for (const Header& header : headers) {
+    if (SameHeaderName(header.name, name)) return true;
+  }
+  return false;
+}
+
+std::string HeadText(const HttpCall& call) {
+  std::string text;
+  text.reserve(256);
+  text.append(call.method).append(" ").append(call.target).append(" HTTP/1.1\r\n");
+  if (!Has(call.headers, "Host")) text.append("Host: ").append(ToString(call.to)).append("\r\n");
+  for (const Header& header : call.headers) {
+    text.append(header.name).append(": ").append(header.value).append("\r\n");
+  }
+  const bool has_body = !call.body.empty() || call.method == "POST" || call.method == "PUT";
+  if (has_body && !Has(call.headers, "Content-Length")) {
+    text.append("Content-Length: ").append(std::to_string(call.body.size())).append("\r\n");
+  }
+  return text.append("\r\n");
+}
+
+}  // namespace
+
+class ExchangeClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  Impl(Loop& loop, ExchangeLimits limits) : loop_(loop), limits_(limits) {}
+
+  CancelCall Start(HttpCall call, std::function<void(HttpEvent)> on_event);
+  void DropIdle(const Address& address);
+  void CloseAll();
+  [[nodiscard]] std::uint64_t opened() const { return opened_; }
+
+ private:
+  class Connection;
+  struct Idle {
+    std::shared_ptr<Connection> connection;
+    Time until;
+  };
+
+  std::shared_ptr<Connection> TakeIdle(const Address& address);
+  void Keep(const std::shared_ptr<Connection>& connection, int peer_seconds);
+  void Forget(const Connection* connection);
+
+  Loop& loop_;
+  ExchangeLimits limits_;
+  std::map<Address, std::deque<Idle>> idle_;
+  std::unordered_set<std::shared_ptr<Connection>> busy_;
+  std::uint64_t opened_ = 0;
+};
+
+// One connection and the call that is on it, if any.
+class ExchangeClient::Impl::Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> owner, const Address& to)
+      : owner_(std::move(owner)), to_(to), socket_(owner_->loop_.core().io) {}
+
+  void Begin(HttpCall call, std::function<void(HttpEvent)> on_event) {
+    ++calls_;
+    call_ = std::move(call);
+    on_event_ = std::move(on_event);
+    head_ = HeadText(call_);
+    parser_ = std::make_unique<AnswerParser>(call_.method == "HEAD", [this](HttpEvent event) {
+      if (on_event_) Tell(std::move(event));
+    });
+    written_ = false;
+    if (call_.total_timeout.count() > 0) {
+      total_timer_ = owner_->loop_.After(call_.total_timeout,
+                                         [this] { Fail(connected_, true, "no answer in time"); });
+    }
+    connected_ ? Send() : Connect();
+  }
+
+  // Ends the call without a further event; does nothing between calls.
+  void Cancel() {
+    if (std::exchange(on_event_, nullptr)) Close();
+  }
+
+  // Whether the peer has neither closed nor sent anything since the last answer.
+  // What it sent then belongs to no request, and the read that would show it may
+  // not have run yet.
+  [[nodiscard]] bool IsQuiet() {
+    char byte = 0;
+    const ssize_t got = ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  void Close() {
+    total_timer_.Reset();
+    connect_timer_.Reset();
+    asio::error_code ignored;
+    socket_.close(ignored);
+    if (owner_) {
+      const std::shared_ptr<Impl> owner = std::move(owner_);
+      owner->Forget(this);
+    }
+  }
+
+  [[nodiscard]] const Address& to() const { return to_; }
+  [[nodiscard]] bool open() const { return socket_.is_open(); }
+  [[nodiscard]] std::uint64_t calls() const { return calls_; }
+
+ private:
+  // A copy is called: the callback may cancel this very call.
+  void Tell(HttpEvent event) {
+    const auto on_event = on_event_;
+    on_event(std::move(event));
+  }
+
+  void Connect() {
+    asio::error_code bad;
+    const auto host = asio::ip::make_address_v4(to_.host, bad);
+    if (bad) {
+      return asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        self->Fail(false, false, "not an IPv4 address: " + self->to_.host);
+      });
+    }
+    connect_timer_ = owner_->loop_.After(call_.connect_timeout,
+                                         [this] { Fail(false, true, "no connection in time"); });
+    socket_.async_connect(tcp::endpoint(host, to_.port),
+                          [self = shared_from_this()](const asio::error_code& failure) {
+                            self->OnConnected(failure);
+                          });
+  }
+
+  void OnConnected(const asio::error_code& failure) {
+    if (!socket_.is_open() || !on_event_) return;
+    connect_timer_.Reset();
+    if (failure) return Fail(false, false, failure.message());
+    connected_ = true;
+    asio::error_code ignored;
+    socket_.set_option(tcp::no_delay(true), ignored);
+    Send();
+  }
+
+  void Send() {
+    const std::array<asio::const_buffer, 2> parts{asio::buffer(head_), asio::buffer(call_.body)};
+    asio::async_write(socket_, parts,
+                      [self = shared_from_this()](const asio::error_code& failure, std::size_t) {
+                        self->OnWritten(failure);
+                      });
+    if (!reading_) Read();
+  }
+
+  void OnWritten(const asio::error_code& failure) {
+    if (failure) return;  // the read sees it too, after what the peer still said
+    written_ = true;
+  }
+
+  void Read() {
+    reading_ = true;
+    socket_.async_read_some(
+        asio::buffer(buffer_),
+        [self = shared_from_this()](const asio::error_code& failure, std::size_t size) {
+          self->reading_ = false;
+          self->OnRead(failure, size);
+        });
+  }
+
+  void OnRead(const asio::error_code& failure, std::size_t size) {
+    if (!socket_.is_open()) return;
+    if (!on_event_) return Close();  // idle: closed by the peer, or stray bytes
+    if (failure && failure != asio::error::eof) return Fail(true, false, failure.message());
+    const auto keep = shared_from_this();
+    const AnswerState state = failure ? parser_->FeedEnd() : parser_->Feed({buffer_.data(), size});
+    if (!on_event_) return;  // cancelled by an event's receiver
+    switch (state) {
+      case AnswerState::kUnfinished:
+        return Read();
+      case AnswerState::kComplete:
+        return Finish(/*reusable=*/true);
+      case AnswerState::kLast:
+        return Finish(/*reusable=*/false);
+      case AnswerState::kMalformed:
+        return Fail(true, false, failure ? "the answer broke off" : "malformed answer");
+    }
+  }
+
+  void Finish(bool reusable) {
+    total_timer_.Reset();
+    const auto on_event = std::exchange(on_event_, nullptr);
+    const int peer_seconds = parser_->keep_alive_seconds();
+    // An answer that came before the body was out: the peer would take the next
+    // request's bytes for the rest of this body.
+    if (reusable && written_) {
+      Read();
+      owner_->Keep(shared_from_this(), peer_seconds);
+    } else {
+      Close();
+    }
+    on_event(HttpEnd{});
+  }
+
+  void Fail(bool sent, bool timed_out, std::string why) {
+    const auto keep = shared_from_this();
+    const auto on_event = std::exchange(on_event_, nullptr);
+    Close();
+    if (on_event) on_event(HttpFailure{sent, timed_out, std::move(why)});
+  }
+
+  std::shared_ptr<Impl> owner_;
+  Address to_;
+  tcp::socket socket_;
+  HttpCall call_;
+  std::function<void(HttpEvent)> on_event_;
+  std::string head_;
+  std::unique_ptr<AnswerParser> parser_;
+  std::array<char, kReadBytes> buffer_{};
+  Timer connect_timer_, total_timer_;
+  std::uint64_t calls_ = 0;
+  bool connected_ = false;
+  bool written_ = false;
+  bool reading_ = false;
+};
+
+CancelCall ExchangeClient::Impl::Start(HttpCall call, std::function<void(HttpEvent)> on_event) {
+  std::shared_ptr<Connection> connection;
+  if (!call.fresh_connection) connection = TakeIdle(call.to);
+  if (!connection) {
+    connection = std::make_shared<Connection>(shared_from_this(), call.to);
+    ++opened_;
+  }
+  busy_.insert(connection);
+  connection->Begin(std::move(call), std::move(on_event));
+  // The connection may serve another call later: only this call may be cancelled.
+  return [weak = std::weak_ptr<Connection>(connection), number = connection->calls()] {
+    const auto target = weak.lock();
+    if (target && target->calls() == number) target->Cancel();
+  };
+}
+
+std::shared_ptr<ExchangeClient::Impl::Connection> ExchangeClient::Impl::TakeIdle(
+    const Address& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return nullptr;
+  const Time now = Loop::Now();
+  while (!found->second.empty()) {
+    Idle idle = std::move(found->second.back());
+    found->second.pop_back();
+    const bool usable = idle.connection->open() && now < idle.until && idle.connection->IsQuiet();
+    if (usable) return idle.connection;
+    idle.connection->Close();
+  }
+  return nullptr;
+}
+
+void ExchangeClient::Impl::Keep(const std::shared_ptr<Connection>& connection, int peer_seconds) {
+  busy_.erase(connection);
+  Duration idle = limits_.max_idle;
+  if (peer_seconds > 0) idle = std::chrono::seconds(peer_seconds) - limits_.idle_margin;
+  auto& kept = idle_[connection->to()];
+  kept.push_back({connection, Loop::Now() + idle});
+  if (kept.size() <= limits_.max_idle_per_address) return;
+  const std::shared_ptr<Connection> oldest = kept.front().connection;
+  kept.pop_front();
+  oldest->Close();
+}
+
+void ExchangeClient::Impl::Forget(const Connection* connection) {
+  std::erase_if(busy_, [connection](const auto& busy) { return busy.get() == connection; });
+  const auto found = idle_.find(connection->to());
+  if (found == idle_.end()) return;
+  std::erase_if(found->second,
+                [connection](const Idle& idle) { return idle.connection.get() == connection; });
+}
+
+void ExchangeClient::Impl::DropIdle(const Address& address) {
+  const auto found = idle_.find(address);
+  if (found == idle_.end()) return;
+  const std::deque<Idle> kept = std::move(found->second);
+  idle_.erase(found);
+  for (const Idle& idle : kept) idle.connection->Close();
+}
+
+void ExchangeClient::Impl::CloseAll() {
+  const auto busy = std::move(busy_);
+  const auto idle = std::move(idle_);
+  busy_.clear();
+  idle_.clear();
+  for (const auto& connection : busy) connection->Cancel();
+  for (const auto& [address, kept] : idle) {
+    for (const Idle& one : kept) one.connection->Close();
+  }
+}
+
+ExchangeClient::ExchangeClient(Loop& loop, ExchangeLimits limits)
+    : impl_(std::make_shared<Impl>(loop, limits)) {}
+
+ExchangeClient::~ExchangeClient() {
+  impl_->CloseAll();
+}
+
+CancelCall ExchangeClient::Start(HttpCall call, std::function<void(HttpEvent)> on_event) {
+  return impl_->Start(std::move(call), std::move(on_event));
+}
+
+CancelCall ExchangeClient::Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done) {
+  auto response = std::make_shared<HttpResponse>();
+  return Start(std::move(call), [response, done = std::move(done)](HttpEvent event) {
+    std::visit(Overloaded{
+                   [&](HttpHead& head) {
+                     response->status = head.status;
+                     response->headers = std::move(head.headers);
+                   },
+                   [&](HttpBytes& bytes) { response->body.append(bytes.bytes); },
+                   [&](HttpEnd&) { done(std::move(*response)); },
+                   [&](HttpFailure& failure) {
+                     done(Error{ErrorKind::kBackendFailed, failure.why,
+                                failure.sent ? Ran::kUnknown : Ran::kNo});
+                   },
+               },
+               event);
+  });
+}
+
+void ExchangeClient::DropIdle(const Address& address) {
+  impl_->DropIdle(address);
+}
+
+std::uint64_t ExchangeClient::opened() const {
+  return impl_->opened();
+}
+
+}  // namespace figmill
--- a/src/figmilld/main.cc
+++ b/src/figmilld/main.cc
@@ -1,6 +1,7 @@
 #include <iostream>
 
 #include "figmilld/process.h"
+#include "platform/adapter.h"
 
 namespace {
 
@@ -10,6 +11,11 @@
                                                 : figmill::RunAgent(settings);
 }
 
+int Run(const figmill::GatewaySettings& settings) {
+  figmill::StartLogging("figmilld", settings.log_level);
+  return figmill::RunGateway(settings, *figmill::users::MakeAdapter());
+}
+
 int Leave(const figmill::EarlyExit& exit) {
   (exit.code == 0 ? std::cout : std::cerr) << exit.text;
   return exit.code;
@@ -20,6 +26,7 @@
 int main(int argc, char** argv) {
   return std::visit(
       figmill::Overloaded{[](const figmill::Settings& settings) { return Run(settings); },
+                          [](const figmill::GatewaySettings& settings) { return Run(settings); },
                           [](const figmill::EarlyExit& exit) { return Leave(exit); }},
       figmill::ParseSettings(argc, argv));
 }
--- a/src/figmilld/settings.cc
+++ b/src/figmilld/settings.cc
@@ -3,6 +3,8 @@
 #include <CLI/CLI.hpp>
 #include <charconv>
 #include <sstream>
+#include <string>
+#include <vector>
 
 namespace figmill {
 namespace {
@@ -173,6 +175,51 @@
       ->group(group);
 }
 
+// "IP:PORT,IP:PORT"; empty: none.
+std::vector<Address> ReadAddresses(const Setting& setting, const std::string& text) {
+  std::vector<Address> addresses;
+  std::istringstream parts(text);
+  for (std::string part; std::getline(parts, part, ',');) {
+    addresses.push_back(ReadAddress(setting, part, Port::kFixed));
+  }
+  return addresses;
+}
+
+void AddGateway(CLI::App& app, GatewaySettings& gateway) {
+  AddId(app, {"--node", "FIGMILL_NODE", "name of this process's slot, kept over restarts"},
+        gateway.node.value)
+      ->required()
+      ->group("Identity");
+  AddId(app, {"--data-centre", "FIGMILL_DATA_CENTRE", "data centre of this host"},
+        gateway.data_centre.value)
+      ->group("Identity");
+  const char* const group = "Addresses";
+  AddAddress(app, {"--callers", "FIGMILL_CALLERS", "where callers connect"}, gateway.callers,
+             Port::kAny)
+      ->group(group);
+  AddAddress(app, {"--health", "FIGMILL_HEALTH", "where the balancer asks for readiness"},
+             gateway.health, Port::kAny)
+      ->group(group);
+  AddAddress(app, {"--peers", "FIGMILL_PEERS", "where other gateways connect and send datagrams"},
+             gateway.peers, Port::kAny)
+      ->group(group);
+  AddAddress(app, {"--metrics", "FIGMILL_METRICS", "where metrics are served"}, gateway.metrics,
+             Port::kAny)
+      ->group(group);
+  AddAddress(app, {"--store", "FIGMILL_STORE", "the platform's table service"}, gateway.store,
+             Port::kFixed)
+      ->group(group);
+  const Setting seeds{"--seeds", "FIGMILL_SEEDS", "peer addresses of some gateways, may be stale"};
+  Add(app, seeds, "IP:PORT,...", [&gateway, seeds](const std::string& text) {
+    gateway.seeds = ReadAddresses(seeds, text);
+  })->group(group);
+  AddMilliseconds(app,
+                  {"--shutdown-grace-ms", "FIGMILL_SHUTDOWN_GRACE_MS",
+                   "from the order to stop until the process is killed"},
+                  {1'000, 600'000}, gateway.shutdown_grace)
+      ->group("Times");
+}
+
 // What no setting can tell alone.
 void CheckTogether(const AgentSettings& agent) {
   const Setting service{"--service", "FIGMILL_SERVICE", ""};
@@ -194,18 +241,24 @@
 
 }  // namespace
 
-std::variant<Settings, EarlyExit> ParseSettings(int argc, char** argv) {
+std::variant<Settings, GatewaySettings, EarlyExit> ParseSettings(int argc, char** argv) {
   Settings settings;
+  GatewaySettings gateway_settings;
   bool check_only = false;
   CLI::App app("figmilld: serves online and batch inference on one fleet", "figmilld");
   app.require_subcommand(1);
   CLI::App* entry = app.add_subcommand("entry", "takes callers' requests and owns batch jobs");
   CLI::App* agent = app.add_subcommand("agent", "runs beside one backend server");
+  CLI::App* gateway =
+      app.add_subcommand("gateway", "takes callers' requests and calls backend servers itself");
   for (CLI::App* role : {entry, agent}) {
     AddIdentity(*role, settings.common);
     AddAddresses(*role, settings.common);
     AddTimes(*role, settings.common);
     AddObservation(*role, settings.common);
+  }
+  AddGateway(*gateway, gateway_settings);
+  for (CLI::App* role : {entry, agent, gateway}) {
     role->add_flag("--check-settings", check_only, "checks the settings and exits");
     // Without a callback of its own CLI11 also reads the variables of the role
     // that wasn't asked for, and an entry would stumble over an agent's setting.
@@ -219,6 +272,7 @@
     return ExitOf(app, failure);
   }
   if (check_only) return EarlyExit{0, "the settings are valid\n"};
+  if (gateway->parsed()) return gateway_settings;
   settings.role = agent->parsed() ? Role::kAgent : Role::kEntry;
   return settings;
 }
--- a/src/figmilld/settings.h
+++ b/src/figmilld/settings.h
@@ -8,6 +8,7 @@
 
 #include "figmill/base.h"
 #include "figmill/control.h"
+#include "figmill/gateway.h"
 #include "figmill/runtime.h"
 
 namespace figmill {
@@ -47,6 +48,7 @@
 
 // Reads the command line and the environment; a flag goes before its variable.
 // A mistake's text names the setting, the value and what is allowed.
-[[nodiscard]] std::variant<Settings, EarlyExit> ParseSettings(int argc, char** argv);
+[[nodiscard]] std::variant<Settings, GatewaySettings, EarlyExit> ParseSettings(int argc,
+                                                                               char** argv);
 
 }  // namespace figmill
--- /dev/null
+++ b/src/fleet/place_book.cc
@@ -0,0 +1,103 @@
+#include <algorithm>
+
+#include "figmill/fleet.h"
+
+namespace figmill {
+namespace {
+
+bool Contains(std::span<const BackendId> ids, const BackendId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+int OnlineOf(const PlaceUse& use) {
+  return use.online + use.online_other;
+}
+
+bool IsFault(relay::SendEnd end) {
+  return end == relay::SendEnd::kFailed || end == relay::SendEnd::kUnreachable ||
+         end == relay::SendEnd::kBroken || end == relay::SendEnd::kSilent;
+}
+
+}  // namespace
+
+void PlaceBook::Learn(const BackendInfo& info) {
+  backends_[info.id].info = info;
+}
+
+void PlaceBook::Forget(const BackendId& id) {
+  backends_.erase(id);
+}
+
+const BackendInfo* PlaceBook::Find(const BackendId& id) const {
+  const auto found = backends_.find(id);
+  return found == backends_.end() ? nullptr : &found->second.info;
+}
+
+std::vector<BackendInfo> PlaceBook::OfService(const ServiceName& service) const {
+  std::vector<BackendInfo> infos;
+  for (const auto& [id, backend] : backends_) {
+    if (backend.info.service == service) infos.push_back(backend.info);
+  }
+  return infos;
+}
+
+double PlaceBook::Cost(const Backend& backend) const {
+  const double share = static_cast<double>(OnlineOf(backend.use)) / backend.info.places;
+  const bool local = backend.info.data_centre == here_;
+  return share + (local ? 0 : kHopShare);
+}
+
+Result<BackendAddress> PlaceBook::Choose(const PlaceQuery& query, Time now) const {
+  const Backend* best = nullptr;
+  bool any = false;
+  for (const auto& [id, backend] : backends_) {
+    if (backend.info.service != query.service || Contains(query.tried, id)) continue;
+    if (backend.info.state != BackendState::kReady || now < backend.ejected_until) continue;
+    any = true;
+    if (now < backend.rejecting_until) continue;
+    if (OnlineOf(backend.use) >= backend.info.places + kMaxWaiting) continue;
+    if (best == nullptr || Cost(backend) < Cost(*best)) best = &backend;
+  }
+  if (best != nullptr) return BackendAddress{best->info.id, best->info.address};
+  if (any) return Error{ErrorKind::kOverloaded, "all backend servers are full", Ran::kNo};
+  return Error{ErrorKind::kNoBackend, "no backend server is known", Ran::kNo};
+}
+
+void PlaceBook::Began(const BackendId& id, WorkClass work) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  PlaceUse& use = found->second.use;
+  ++(work == WorkClass::kOnline ? use.online : use.batch);
+}
+
+void PlaceBook::Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Time now) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  Backend& backend = found->second;
+  int& mine = work == WorkClass::kOnline ? backend.use.online : backend.use.batch;
+  mine = std::max(0, mine - 1);
+  if (end == relay::SendEnd::kAnswered) {
+    backend.failures = 0;
+    backend.ejections = 0;
+  }
+  if (end == relay::SendEnd::kRejected) backend.rejecting_until = now + kRejectedPause;
+  if (!IsFault(end) || ++backend.failures < kFailuresToEject) return;
+  const Duration length = kFirstEjection * (1 << std::min(backend.ejections, 4));
+  backend.ejected_until = now + std::min<Duration>(length, kLongestEjection);
+  ++backend.ejections;
+  backend.failures = kFailuresToEject - 1;  // one more failure ejects again
+}
+
+void PlaceBook::SetOthers(const BackendId& id, int online, int batch) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  found->second.use.online_other = online;
+  found->second.use.batch_other = batch;
+}
+
+PlaceUse PlaceBook::Use(const BackendId& id) const {
+  const auto found = backends_.find(id);
+  return found == backends_.end() ? PlaceUse{} : found->second.use;
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/caller_door.cc
@@ -0,0 +1,113 @@
+#include "gateway/caller_door.h"
+
+#include <charconv>
+#include <utility>
+
+#include "gateway/refusal.h"
+
+namespace figmill {
+namespace {
+
+std::optional<Duration> DeadlineOf(std::string_view text) {
+  std::int64_t ms = 0;
+  const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), ms);
+  if (failure != std::errc{} || end == text.data() || ms < 0) return std::nullopt;
+  return std::chrono::milliseconds(ms);
+}
+
+bool IsReplaced(const WireNames& names, std::string_view header) {
+  for (const std::string_view each :
+       {std::string_view("Connection"), std::string_view("Keep-Alive"),
+        std::string_view("Transfer-Encoding"), std::string_view("Content-Length"),
+        std::string_view("TE"), std::string_view("Trailer"), std::string_view("Upgrade"),
+        std::string_view("Proxy-Connection"), std::string_view(names.deadline_ms),
+        std::string_view(names.expect_backend), std::string_view(names.last_event_id)}) {
+    if (SameHeaderName(header, each)) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+CallerDoor::CallerDoor(RelayTools tools, RandomBits random)
+    : tools_(tools), random_(std::move(random)) {}
+
+void CallerDoor::Update(std::shared_ptr<const FleetView> view) {
+  if (view_) {
+    for (const auto& [id, info] : view_->backends) {
+      if (!view->backends.contains(id)) tools_.places.Forget(id);
+    }
+  }
+  for (const auto& [id, info] : view->backends) tools_.places.Learn(info);
+  view_ = std::move(view);
+}
+
+void CallerDoor::SetLeaving() {
+  leaving_ = true;
+  RelayCall::SetLeaving(true);
+}
+
+void CallerDoor::OnRequest(HttpRequest request, std::shared_ptr<HttpReply> reply) {
+  if (!ready()) {
+    return Refuse(
+        request, *reply,
+        {ErrorKind::kNoBackend, "no configuration is known yet", Ran::kNo, Duration{500'000}});
+  }
+  const Route* route = view_->routes->Find(request.HeaderOr("Host"), request.path);
+  if (route == nullptr) {
+    return Refuse(request, *reply, {ErrorKind::kNotFound, "no route for this host and path"});
+  }
+  Relay(*route, std::move(request), std::move(reply));
+}
+
+void CallerDoor::Refuse(const HttpRequest& request, HttpReply& reply, const Error& error) const {
+  Log(LogLevel::kInfo, "request",
+      {{"request", std::string(request.HeaderOr(tools_.names.request_id))},
+       {"outcome", "refused"},
+       {"host", std::string(request.HeaderOr("Host"))},
+       {"path", request.path},
+       {"config", view_ && view_->routes ? std::to_string(view_->routes->version()) : "none"},
+       {"why", error.detail}});
+  HttpResponse response = RefusalOf(error);
+  response.close = leaving_;
+  reply.Send(std::move(response));
+}
+
+RelayPlan CallerDoor::PlanOf(const Route& route, const HttpRequest& request) const {
+  RelayPlan plan;
+  plan.request = RequestId{std::string(request.HeaderOr(tools_.names.request_id))};
+  plan.idempotent = IsIdempotent(route);
+  plan.stream = route.kind == RouteKind::kStream;
+  plan.resumable = route.resumable;
+  plan.max_backends = route.max_backends;
+  Duration patience = route.timeout;
+  if (const auto deadline = DeadlineOf(request.HeaderOr(tools_.names.deadline_ms))) {
+    patience = std::min(patience, *deadline);
+  }
+  plan.limit = Loop::Now() + patience;
+  const std::string_view after = request.HeaderOr(tools_.names.last_event_id);
+  if (!after.empty()) plan.after_event = std::string(after);
+  return plan;
+}
+
+void CallerDoor::Relay(const Route& route, HttpRequest request, std::shared_ptr<HttpReply> reply) {
+  RelayPlan plan = PlanOf(route, request);
+  RelayedRequest relayed;
+  relayed.method = std::move(request.method);
+  relayed.target = request.path;
+  if (!request.query.empty()) relayed.target += "?" + request.query;
+  relayed.prompt_parts = std::string(request.HeaderOr(tools_.names.prompt_parts));
+  relayed.service = ChooseShare(route, random_());
+  relayed.route = route.name;
+  relayed.config_version = view_->routes->version();
+  relayed.body = std::move(request.body);
+  relayed.headers = std::move(request.headers);
+  std::erase_if(relayed.headers,
+                [this](const Header& header) { return IsReplaced(tools_.names, header.name); });
+  ++in_flight_;
+  const auto call = std::make_shared<RelayCall>(tools_, std::move(plan), std::move(relayed),
+                                                std::move(reply), [this] { --in_flight_; });
+  call->Start();
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/caller_door.h
@@ -0,0 +1,36 @@
+#pragma once
+
+// Takes callers' requests, finds their route and passes them on.
+
+#include <functional>
+#include <memory>
+
+#include "figmill/gateway.h"
+#include "gateway/fleet_view.h"
+#include "gateway/relay_call.h"
+
+namespace figmill {
+
+class CallerDoor {
+ public:
+  CallerDoor(RelayTools tools, RandomBits random);
+
+  void Update(std::shared_ptr<const FleetView> view);
+  void OnRequest(HttpRequest request, std::shared_ptr<HttpReply> reply);
+  void SetLeaving();
+  [[nodiscard]] bool ready() const { return view_ && view_->routes; }
+  [[nodiscard]] std::size_t in_flight() const { return in_flight_; }
+
+ private:
+  void Relay(const Route& route, HttpRequest request, std::shared_ptr<HttpReply> reply);
+  void Refuse(const HttpRequest& request, HttpReply& reply, const Error& error) const;
+  [[nodiscard]] RelayPlan PlanOf(const Route& route, const HttpRequest& request) const;
+
+  RelayTools tools_;
+  RandomBits random_;
+  std::shared_ptr<const FleetView> view_;
+  std::size_t in_flight_ = 0;
+  bool leaving_ = false;
+};
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/refusal.cc
@@ -0,0 +1,17 @@
+#include "gateway/refusal.h"
+
+#include <fmt/format.h>
+
+namespace figmill {
+
+HttpResponse RefusalOf(const Error& error) {
+  HttpResponse response = ProblemOf(error);
+  if (!error.retry_after) return response;
+  const double seconds = std::chrono::duration<double>(*error.retry_after).count();
+  for (Header& header : response.headers) {
+    if (header.name == "Retry-After") header.value = fmt::format("{:.3f}", seconds);
+  }
+  return response;
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/relay_call.cc
@@ -0,0 +1,213 @@
+#include "gateway/relay_call.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "gateway/refusal.h"
+
+namespace figmill {
+namespace {
+
+constexpr int kMisdirected = 421;
+// A connection within a data centre region takes a few ms; a host that is gone
+// does not answer at all.
+constexpr Duration kConnectTimeout{250'000};
+
+std::string Milliseconds(Duration d) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
+
+bool IsOfOneConnection(std::string_view name) {
+  for (const std::string_view each :
+       {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "TE",
+        "Upgrade", "Proxy-Connection"}) {
+    if (SameHeaderName(name, each)) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+bool RelayCall::leaving_ = false;
+
+RelayCall::RelayCall(RelayTools& tools, RelayPlan plan, RelayedRequest request,
+                     std::shared_ptr<HttpReply> reply, std::function<void()> finished)
+    : tools_(tools),
+      run_(std::move(plan)),
+      request_(std::move(request)),
+      reply_(std::move(reply)),
+      finished_(std::move(finished)),
+      started_at_(Loop::Now()) {}
+
+void RelayCall::Start() {
+  reply_->OnClosed([self = shared_from_this()] {
+    self->Step(relay::CallerGone{});
+    self->Finished("caller_left", "");
+  });
+  Step(relay::Start{});
+}
+
+void RelayCall::Step(const relay::Event& event) {
+  const auto keep = shared_from_this();
+  std::vector<relay::Action> actions = run_.Step(Loop::Now(), event);
+  for (relay::Action& action : actions) {
+    std::visit([this](auto& each) { Do(each); }, action);
+  }
+}
+
+void RelayCall::Do(const relay::AskPlace& action) {
+  PlaceQuery query;
+  query.service = request_.service;
+  query.tried = action.tried;
+  query.prompt_parts = request_.prompt_parts;
+  query.repeatable = run_.plan().idempotent;
+  query.time_left = run_.plan().limit - Loop::Now();
+  const Result<BackendAddress> place = tools_.places.Choose(query, Loop::Now());
+  if (!IsOk(place)) return Step(relay::NoPlace{ErrorOf(place)});
+  Step(relay::Placed{ValueOf(place)});
+}
+
+HttpCall RelayCall::CallFor(const relay::Send& action) const {
+  HttpCall call;
+  call.method = request_.method;
+  call.to = action.backend.address;
+  call.target = request_.target;
+  call.body = request_.body;
+  call.connect_timeout = std::min(kConnectTimeout, std::max(action.time_left, Duration{1'000}));
+  call.headers = request_.headers;
+  const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(action.time_left);
+  call.headers.push_back({tools_.names.deadline_ms, std::to_string(left.count())});
+  call.headers.push_back({tools_.names.expect_backend, action.backend.id.value});
+  if (action.after_event) call.headers.push_back({tools_.names.last_event_id, *action.after_event});
+  return call;
+}
+
+void RelayCall::Do(const relay::Send& action) {
+  backend_ = action.backend.id.value;
+  tools_.places.Began(action.backend.id, WorkClass::kOnline);
+  cancel_ = tools_.client.Start(CallFor(action),
+                                [self = shared_from_this(), send = action.send](HttpEvent event) {
+                                  self->OnHttp(send, std::move(event));
+                                });
+}
+
+void RelayCall::OnHttp(SendNumber send, HttpEvent event) {
+  const WireNames& names = tools_.names;
+  std::visit(Overloaded{
+                 [&](HttpHead& head) {
+                   const bool not_run =
+                       !head.HeaderOr(names.not_run).empty() || head.status == kMisdirected;
+                   const std::string_view id = head.HeaderOr(names.request_id);
+                   const bool mine = not_run || id == run_.plan().request.value;
+                   Step(relay::Head{send, std::move(head), not_run, mine});
+                 },
+                 [&](const HttpBytes& bytes) {
+                   if (first_byte_at_ == Time{}) first_byte_at_ = Loop::Now();
+                   Step(relay::Bytes{send, bytes.bytes});
+                 },
+                 [&](const HttpEnd&) { Step(relay::End{send}); },
+                 [&](const HttpFailure& failure) {
+                   Step(relay::Broke{send, failure.sent, failure.why});
+                 },
+             },
+             event);
+}
+
+void RelayCall::Do(const relay::SendOver& action) {
+  if (const CancelCall cancel = std::exchange(cancel_, nullptr)) cancel();
+  tools_.places.Ended(action.backend.id, WorkClass::kOnline, action.end, Loop::Now());
+  if (action.end == relay::SendEnd::kAnswered) return;
+  Log(LogLevel::kInfo, "send_over",
+      {{"request", run_.plan().request.value},
+       {"send", std::to_string(action.send)},
+       {"backend", action.backend.id.value},
+       {"end", std::string(relay::ToString(action.end))},
+       {"why", action.why},
+       {"after_ms", Milliseconds(Loop::Now() - started_at_)}});
+}
+
+HttpResponse RelayCall::ResponseOf(HttpHead head, std::string body) const {
+  HttpResponse response;
+  response.status = head.status;
+  response.content_type.clear();
+  std::erase_if(head.headers, [](const Header& header) { return IsOfOneConnection(header.name); });
+  response.headers = std::move(head.headers);
+  response.body = std::move(body);
+  response.close = leaving_;
+  return response;
+}
+
+void RelayCall::Do(const relay::PassHead& action) {
+  status_ = action.head.status;
+  reply_->Begin(ResponseOf(action.head, {}));
+}
+
+void RelayCall::Do(relay::PassBytes& action) {
+  reply_->Write(std::move(action.bytes));
+}
+
+void RelayCall::Do(relay::PassAnswer& action) {
+  status_ = action.head.status;
+  reply_->Send(ResponseOf(std::move(action.head), std::move(action.body)));
+  Finished("answered", "");
+}
+
+void RelayCall::Do(const relay::Finish& /*action*/) {
+  reply_->End();
+  Finished("answered", "");
+}
+
+void RelayCall::Do(const relay::Refuse& action) {
+  HttpResponse response = RefusalOf(action.error);
+  response.close = leaving_;
+  status_ = response.status;
+  reply_->Send(std::move(response));
+  Finished("refused", action.error.detail);
+}
+
+void RelayCall::Do(const relay::BreakOff& action) {
+  reply_->Abort();
+  Finished("broken_off", action.error.detail);
+}
+
+// Most moves of the timer are to a later time: then it fires early and is set again.
+void RelayCall::Do(const relay::SetTimer& action) {
+  wanted_at_ = action.at;
+  if (timer_armed_ && timer_at_ <= wanted_at_) return;
+  ArmTimer();
+}
+
+void RelayCall::ArmTimer() {
+  timer_armed_ = true;
+  timer_at_ = wanted_at_;
+  timer_ =
+      tools_.loop.After(std::max(wanted_at_ - Loop::Now(), Duration{0}), [weak = weak_from_this()] {
+        const auto self = weak.lock();
+        if (!self) return;
+        self->timer_armed_ = false;
+        if (Loop::Now() < self->wanted_at_) return self->ArmTimer();
+        self->Step(relay::TimerFired{});
+      });
+}
+
+void RelayCall::Finished(std::string_view outcome, const std::string& why) {
+  if (!finished_) return;
+  timer_.Reset();
+  const Time now = Loop::Now();
+  Log(LogLevel::kInfo, "request",
+      {{"request", run_.plan().request.value},
+       {"route", request_.route},
+       {"config", std::to_string(request_.config_version)},
+       {"outcome", std::string(outcome)},
+       {"status", std::to_string(status_)},
+       {"backend", backend_},
+       {"backends", std::to_string(run_.backends_used())},
+       {"events", std::to_string(run_.events_passed())},
+       {"first_ms", first_byte_at_ == Time{} ? "" : Milliseconds(first_byte_at_ - started_at_)},
+       {"ms", Milliseconds(now - started_at_)},
+       {"why", why}});
+  reply_->OnClosed(nullptr);
+  std::exchange(finished_, nullptr)();
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/relay_call.h
@@ -0,0 +1,83 @@
+#pragma once
+
+// Carries out what a RelayRun decides: calls the backend server, answers the caller.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "figmill/exchange.h"
+#include "figmill/fleet.h"
+#include "figmill/gateway.h"
+#include "figmill/relay.h"
+
+namespace figmill {
+
+// What all calls share; it outlives them.
+struct RelayTools {
+  Loop& loop;
+  ExchangeClient& client;
+  PlaceBook& places;
+  const WireNames& names;
+  Metrics& metrics;
+};
+
+// One request as its caller sent it.
+struct RelayedRequest {
+  std::string method;
+  std::string target;           // path and query
+  std::vector<Header> headers;  // without those of one connection
+  std::string body;
+  std::string prompt_parts;
+  ServiceName service;
+  std::string route;
+  std::uint64_t config_version = 0;
+};
+
+class RelayCall : public std::enable_shared_from_this<RelayCall> {
+ public:
+  RelayCall(RelayTools& tools, RelayPlan plan, RelayedRequest request,
+            std::shared_ptr<HttpReply> reply, std::function<void()> finished);
+
+  void Start();
+  // Answers from now on end their connections.
+  static void SetLeaving(bool leaving) { leaving_ = leaving; }
+
+ private:
+  void Step(const relay::Event& event);
+  void Do(const relay::AskPlace& action);
+  void Do(const relay::Send& action);
+  void Do(const relay::SendOver& action);
+  void Do(const relay::PassHead& action);
+  void Do(relay::PassBytes& action);
+  void Do(relay::PassAnswer& action);
+  void Do(const relay::Finish& action);
+  void Do(const relay::Refuse& action);
+  void Do(const relay::BreakOff& action);
+  void Do(const relay::SetTimer& action);
+  void OnHttp(SendNumber send, HttpEvent event);
+  void Finished(std::string_view outcome, const std::string& why);
+  [[nodiscard]] HttpCall CallFor(const relay::Send& action) const;
+  [[nodiscard]] HttpResponse ResponseOf(HttpHead head, std::string body) const;
+  void ArmTimer();
+
+  static bool leaving_;
+
+  RelayTools& tools_;
+  RelayRun run_;
+  RelayedRequest request_;
+  std::shared_ptr<HttpReply> reply_;
+  std::function<void()> finished_;
+  CancelCall cancel_;
+  Timer timer_;
+  Time timer_at_{};
+  Time wanted_at_{};
+  bool timer_armed_ = false;
+  Time started_at_{};
+  Time first_byte_at_{};
+  int status_ = 0;
+  std::string backend_;
+};
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/table_follower.cc
@@ -0,0 +1,61 @@
+#include "gateway/table_follower.h"
+
+#include <utility>
+
+namespace figmill {
+
+TableFollower::TableFollower(Loop& loop, SharedTables& tables, std::string table,
+                             std::vector<std::string> parts, TableMirror::OnChange on_change,
+                             std::function<void()> settled)
+    : loop_(loop),
+      tables_(tables),
+      table_(table),
+      mirror_(std::move(table), std::move(parts), std::move(on_change)),
+      settled_(std::move(settled)),
+      self_(std::make_shared<TableFollower*>(this)) {}
+
+TableFollower::~TableFollower() {
+  *self_ = nullptr;
+}
+
+void TableFollower::Step() {
+  std::visit(
+      Overloaded{
+          [this](const mirror::ListPart& list) {
+            tables_.Read({table_, list.part, list.from, {}, TableRange{}.limit},
+                         [self = self_, part = list.part](const Result<TablePage>& page) {
+                           if (*self == nullptr) return;
+                           (*self)->mirror_.Listed(part, page);
+                           (*self)->Answered(IsOk(page), IsOk(page) ? "" : ErrorOf(page).detail);
+                         });
+          },
+          [this](const mirror::FollowFrom& from) {
+            tables_.Follow(table_, from.version, kWait, [self = self_](const FeedOutcome& outcome) {
+              if (*self == nullptr) return;
+              (*self)->mirror_.Followed(outcome);
+              const Error* error = std::get_if<Error>(&outcome);
+              (*self)->Answered(error == nullptr, error == nullptr ? "" : error->detail);
+            });
+          },
+          [this](const mirror::WaitFor& wait) {
+            pause_ = loop_.After(wait.delay, [this] {
+              mirror_.Waited();
+              Step();
+            });
+          },
+      },
+      mirror_.Next());
+}
+
+void TableFollower::Answered(bool ok, const std::string& why) {
+  if (ok != connected_) {
+    connected_ = ok;
+    changed_at_ = Loop::Now();
+    Log(ok ? LogLevel::kInfo : LogLevel::kWarning, ok ? "store_regained" : "store_lost",
+        {{"table", table_}, {"version", std::to_string(mirror_.version())}, {"why", why}});
+  }
+  settled_();
+  Step();
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/table_follower.h
@@ -0,0 +1,50 @@
+#pragma once
+
+// Keeps a TableMirror up to date over the table service.
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "figmill/runtime.h"
+#include "figmill/tables.h"
+
+namespace figmill {
+
+class TableFollower {
+ public:
+  // How long the service holds a call for changes. Short against the time in which
+  // a change must be in force, so that a connection which went silent costs no more
+  // than this; it costs each process a call every two seconds.
+  static constexpr Duration kWait{2'000'000};
+
+  // `on_change` as for TableMirror; `settled` after each answer, when what the
+  // mirror holds may have changed.
+  TableFollower(Loop& loop, SharedTables& tables, std::string table, std::vector<std::string> parts,
+                TableMirror::OnChange on_change, std::function<void()> settled);
+  ~TableFollower();
+
+  void Start() { Step(); }
+  [[nodiscard]] const TableMirror& mirror() const { return mirror_; }
+  void Learn(const TableRow& row) { mirror_.Learn(row); }
+  // Whether the last call was answered, and since when that is so.
+  [[nodiscard]] bool connected() const { return connected_; }
+  [[nodiscard]] Time changed_at() const { return changed_at_; }
+
+ private:
+  void Step();
+  void Answered(bool ok, const std::string& why);
+
+  Loop& loop_;
+  SharedTables& tables_;
+  std::string table_;
+  TableMirror mirror_;
+  std::function<void()> settled_;
+  bool connected_ = false;
+  Time changed_at_{};
+  Timer pause_;
+  std::shared_ptr<TableFollower*> self_;  // null once this is gone
+};
+
+}  // namespace figmill
--- /dev/null
+++ b/src/relay/event_pieces.cc
@@ -0,0 +1,54 @@
+#include "figmill/relay.h"
+
+namespace figmill {
+namespace {
+
+constexpr std::string_view kIdField = "id:";
+
+// The value of the last "id" line of an event, without the blank before it.
+std::optional<std::string> IdOf(std::string_view event) {
+  std::optional<std::string> id;
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      if (line.starts_with(' ')) line.remove_prefix(1);
+      id = std::string(line);
+    }
+    if (end == std::string_view::npos) break;
+    event.remove_prefix(end + 1);
+  }
+  return id;
+}
+
+// Just behind the blank line that ends the first event, or npos.
+std::size_t EndOfEvent(std::string_view bytes, std::size_t from) {
+  for (std::size_t at = bytes.find('\n', from); at != std::string_view::npos;
+       at = bytes.find('\n', at + 1)) {
+    const std::string_view rest = bytes.substr(at + 1);
+    if (rest.starts_with('\n')) return at + 2;
+    if (rest.starts_with("\r\n")) return at + 3;
+  }
+  return std::string_view::npos;
+}
+
+}  // namespace
+
+std::string EventPieces::Feed(std::string_view bytes) {
+  tail_.append(bytes);
+  std::size_t whole = 0;
+  for (std::size_t end = EndOfEvent(tail_, 0); end != std::string_view::npos;
+       end = EndOfEvent(tail_, whole)) {
+    if (auto id = IdOf(std::string_view(tail_).substr(whole, end - whole)))
+      last_id_ = std::move(id);
+    ++count_;
+    whole = end;
+  }
+  std::string events = tail_.substr(0, whole);
+  tail_.erase(0, whole);
+  return events;
+}
+
+}  // namespace figmill
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -38,6 +38,7 @@
   using connection_state_listener_t = ConnectionListener;
 };
 using Server = restinio::http_server_t<Traits>;
+using Connection = restinio::impl::connection_t<Traits>;
 using Builder = restinio::response_builder_t<restinio::chunked_output_t>;
 
 class Reply final : public HttpReply, public std::enable_shared_from_this<Reply> {
@@ -49,8 +50,7 @@
     if (finished_) return;
     Finish();
     auto builder = request_->create_response(StatusLine(response.status));
-    builder.append_header(restinio::http_field::content_type, response.content_type);
-    for (const Header& header : response.headers) builder.append_header(header.name, header.value);
+    AppendHeaders(builder, response);
     builder.set_body(std::move(response.body));
     builder.done();
   }
@@ -60,17 +60,18 @@
     assert(!builder_);
     builder_ = std::make_unique<Builder>(
         request_->create_response<restinio::chunked_output_t>(StatusLine(head.status)));
-    builder_->append_header(restinio::http_field::content_type, head.content_type);
-    for (const Header& header : head.headers) builder_->append_header(header.name, header.value);
-    if (!head.body.empty()) builder_->append_chunk(std::move(head.body));
-    builder_->flush();
+    AppendHeaders(*builder_, head);
+    if (head.body.empty()) {
+      builder_->flush();
+    } else {
+      Flush(std::move(head.body));
+    }
   }
 
   void Write(std::string bytes) override {
     if (finished_ || bytes.empty()) return;
     assert(builder_);
-    builder_->append_chunk(std::move(bytes));
-    builder_->flush();
+    Flush(std::move(bytes));
   }
 
   void End() override {
@@ -82,6 +83,18 @@
 
   void OnClosed(std::function<void()> closed) override { on_closed_ = std::move(closed); }
 
+  // RESTinio has no call that ends an answer without its last chunk. Taking the
+  // socket out of the connection, as an upgrade to another protocol does, and
+  // letting it go closes it.
+  void Abort() override {
+    if (finished_) return;
+    Finish();
+    const auto& connection = restinio::impl::access_req_connection(*request_);
+    if (connection) static_cast<Connection&>(*connection).move_upgrade_internals();
+  }
+
+  [[nodiscard]] std::size_t unsent() const override { return unsent_; }
+
   void ConnectionClosed() {
     if (finished_) return;
     finished_ = true;
@@ -89,6 +102,24 @@
   }
 
  private:
+  template <typename AnyBuilder>
+  static void AppendHeaders(AnyBuilder& builder, const HttpResponse& response) {
+    if (!response.content_type.empty()) {
+      builder.append_header(restinio::http_field::content_type, response.content_type);
+    }
+    for (const Header& header : response.headers) builder.append_header(header.name, header.value);
+    if (response.close) builder.connection_close();
+  }
+
+  void Flush(std::string bytes) {
+    const std::size_t size = bytes.size();
+    unsent_ += size;
+    builder_->append_chunk(std::move(bytes));
+    builder_->flush([weak = weak_from_this(), size](const auto& /*failure*/) {
+      if (const auto self = weak.lock()) self->unsent_ -= size;
+    });
+  }
+
   static restinio::http_status_line_t StatusLine(int status) {
     return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, ReasonOf(status)};
   }
@@ -106,6 +137,7 @@
   std::shared_ptr<ConnectionListener> listener_;
   std::unique_ptr<Builder> builder_;
   std::function<void()> on_closed_;
+  std::size_t unsent_ = 0;
   bool finished_ = false;
 };
 
--- /dev/null
+++ b/src/tables/table_mirror.cc
@@ -0,0 +1,125 @@
+#include <algorithm>
+#include <cassert>
+
+#include "figmill/tables.h"
+
+namespace figmill {
+
+TableMirror::TableMirror(std::string table, std::vector<std::string> parts, OnChange on_change)
+    : table_(std::move(table)), parts_(std::move(parts)), on_change_(std::move(on_change)) {
+  assert(!parts_.empty());
+}
+
+mirror::Action TableMirror::Next() const {
+  if (pausing_) return mirror::WaitFor{kRetryPause};
+  if (listing_) return mirror::ListPart{parts_[part_index_], from_};
+  return mirror::FollowFrom{version_};
+}
+
+void TableMirror::StartListing() {
+  listing_ = true;
+  part_index_ = 0;
+  from_.clear();
+  seen_.clear();
+  oldest_page_.reset();
+}
+
+void TableMirror::Listed(const std::string& part, const Result<TablePage>& answer) {
+  if (!listing_ || part != parts_[part_index_]) return;
+  if (!IsOk(answer)) {
+    pausing_ = true;
+    return;
+  }
+  const TablePage& page = ValueOf(answer);
+  // An answer from before what is already known here: taking it would bring rows
+  // back that are gone. Ask again until the store has caught up.
+  if (page.version < version_) {
+    StartListing();
+    pausing_ = true;
+    return;
+  }
+  oldest_page_ = std::min(oldest_page_.value_or(page.version), page.version);
+  for (const TableRow& row : page.rows) seen_[row.at] = row;
+  if (page.truncated && !page.rows.empty()) {
+    // The smallest key after the last one.
+    from_ = page.rows.back().at.key + '\0';
+    return;
+  }
+  from_.clear();
+  if (++part_index_ == parts_.size()) FinishListing();
+}
+
+// Changes between the pages come again by the feed, which goes on from the
+// oldest page.
+void TableMirror::FinishListing() {
+  listing_ = false;
+  complete_ = true;
+  const RowVersion from = *oldest_page_;
+  std::vector<TableKey> gone;
+  for (const auto& [at, row] : rows_) {
+    // A row written after the list was made is not missing from it.
+    if (!seen_.contains(at) && row.version <= from) gone.push_back(at);
+  }
+  for (const TableKey& at : gone) Remove(at, from, /*by_listing=*/true);
+  for (const auto& [at, row] : seen_) Apply(row, /*by_listing=*/true);
+  seen_.clear();
+  version_ = std::max(version_, from);
+}
+
+void TableMirror::Followed(const FeedOutcome& outcome) {
+  if (listing_) return;
+  std::visit(Overloaded{
+                 [this](const TableChanges& changes) {
+                   for (const TableRow& row : changes.rows) {
+                     if (row.deleted) {
+                       Remove(row.at, row.version, /*by_listing=*/false);
+                     } else {
+                       Apply(row, /*by_listing=*/false);
+                     }
+                   }
+                   version_ = std::max(version_, changes.version);
+                 },
+                 [this](const HistoryLost&) { StartListing(); },
+                 [this](const Error&) { pausing_ = true; },
+             },
+             outcome);
+}
+
+void TableMirror::Waited() {
+  pausing_ = false;
+}
+
+void TableMirror::Learn(const TableRow& row) {
+  if (row.deleted) {
+    Remove(row.at, row.version, /*by_listing=*/false);
+  } else {
+    Apply(row, /*by_listing=*/false);
+  }
+}
+
+const TableRow* TableMirror::Find(const TableKey& at) const {
+  const auto found = rows_.find(at);
+  return found == rows_.end() ? nullptr : &found->second;
+}
+
+void TableMirror::Apply(const TableRow& row, bool by_listing) {
+  const auto removed = removed_.find(row.at);
+  if (removed != removed_.end()) {
+    if (row.version <= removed->second) return;
+    removed_.erase(removed);
+  }
+  TableRow& mine = rows_[row.at];
+  if (mine.version >= row.version) return;
+  mine = row;
+  on_change_({row.at, &mine, by_listing});
+}
+
+void TableMirror::Remove(const TableKey& at, RowVersion version, bool by_listing) {
+  const auto found = rows_.find(at);
+  if (found == rows_.end() || found->second.version > version) return;
+  rows_.erase(found);
+  removed_[at] = version;
+  on_change_({at, nullptr, by_listing});
+}
+
+}  // namespace figmill
--- a/bench/spread.py
+++ b/test/spread.py
@@ -1,7 +1,7 @@
 #!/usr/bin/env python3
 """Measures how fast accepted orders are in force everywhere, with real processes.
 
-usage: bench/spread.py BUILD_FOLDER [--agents 100] [--entries 4] [--loss 0.2]
+usage: test/spread.py BUILD_FOLDER [--agents 100] [--entries 4] [--loss 0.2]
 
 Four operators race 50 orders on few subjects, each operator at an entry of its
 own, while the given share of all datagrams is lost. Every process is asked for
@@ -22,7 +22,7 @@
 import threading
 import time
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "bench"))
 import capacity  # noqa: E402  the path is set above
 
 ORDERS = 50
