--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -4,6 +4,7 @@
 // I/O, clocks or threads: the caller passes the time in. Not thread-safe.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -39,6 +40,7 @@
   int batch = 0;         // by this entry
   int online_other = 0;  // by other entries
   int batch_other = 0;
+  int batch_allowed = 0;  // batch items that this entry may have there
 };
 
 struct PlaceQuery {
@@ -80,8 +82,18 @@
 
   void Began(const BackendId& id, WorkClass work);
   void Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Time now);
-  // What other entries have there.
-  void SetOthers(const BackendId& id, int online, int batch);
+  // What the backend server's keeper says: what other entries have there, and how
+  // many batch items this one may have.
+  void SetGrant(const BackendId& id, int online_other, int batch_other, int batch_allowed);
+  // Nobody knows what others have there: no batch item begins there.
+  void DropGrant(const BackendId& id);
+  // Called after each change of this entry's own use.
+  void OnUse(std::function<void(const BackendId&)> on_use) { on_use_ = std::move(on_use); }
+  // Calls `visit` for each backend server.
+  void ForEach(
+      const std::function<void(const BackendInfo& info, const PlaceUse& use)>& visit) const;
+  // Ready, and not left out for its failures.
+  [[nodiscard]] bool IsUsable(const BackendId& id, Time now) const;
   [[nodiscard]] PlaceUse Use(const BackendId& id) const;
   [[nodiscard]] std::size_t size() const { return backends_.size(); }
 
@@ -95,9 +107,11 @@
     Time rejecting_until{};
   };
   [[nodiscard]] double Cost(const Backend& backend) const;
+  static void Judge(Backend& backend, relay::SendEnd end, Time now);
 
   DataCentre here_;
   std::map<BackendId, Backend> backends_;
+  std::function<void(const BackendId&)> on_use_ = [](const BackendId&) {};
 };
 
 }  // namespace figmill
--- a/include/figmill/gateway.h
+++ b/include/figmill/gateway.h
@@ -7,13 +7,16 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "figmill/base.h"
 #include "figmill/exchange.h"
 #include "figmill/fleet.h"
+#include "figmill/ledger.h"
 #include "figmill/routes.h"
 #include "figmill/runtime.h"
 #include "figmill/tables.h"
@@ -31,6 +34,24 @@
   std::string last_event_id = "Last-Event-Id";
 };
 
+// Callers' calls about batch jobs that were accepted.
+struct JobReadCall {
+  static constexpr std::string_view kName = "read";
+  JobId job;
+  std::uint32_t after = 0;  // the first position
+  Duration wait{0};         // for a result, if there is none yet
+};
+struct JobItemCall {
+  static constexpr std::string_view kName = "item";
+  JobId job;
+  std::string item;
+};
+struct JobEndCall {
+  static constexpr std::string_view kName = "end";
+  JobId job;
+};
+using JobCall = std::variant<JobReadCall, JobItemCall, JobEndCall>;
+
 class PlatformAdapter {
  public:
   virtual ~PlatformAdapter() = default;
@@ -47,6 +68,15 @@
   // Errors: kBadRequest, with the place.
   [[nodiscard]] virtual Result<BackendInfo> ParseBackend(std::string_view id,
                                                          std::string_view text) const = 0;
+  // The submission of a batch job. Errors: kBadRequest, with the place.
+  [[nodiscard]] virtual Result<JobSubmission> ParseSubmission(const HttpRequest& request) const = 0;
+  // A call about a job; nothing when the path is none of those. Errors: kBadRequest.
+  [[nodiscard]] virtual std::optional<Result<JobCall>> ParseJobCall(
+      const HttpRequest& request) const = 0;
+  // Bodies of answers.
+  [[nodiscard]] virtual std::string RenderAccepted() const = 0;
+  [[nodiscard]] virtual std::string RenderResults(std::uint32_t total, std::uint32_t after,
+                                                  std::span<const ItemResult> results) const = 0;
 };
 
 struct GatewaySettings {
--- /dev/null
+++ b/include/figmill/ledger.h
@@ -0,0 +1,223 @@
+#pragma once
+
+// Batch jobs whose state lies in a shared table service: accepted once, each item
+// listed once, results at positions that stay. Any entry may take a job, and each
+// job has one owner at a time, which runs its items and writes their results.
+// Exactly once rests on the condition of each write on the job's row, never on who
+// believes to be the owner. No I/O.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "figmill/base.h"
+#include "figmill/relay.h"
+#include "figmill/tables.h"
+
+namespace figmill {
+
+struct JobItem {
+  std::string id;
+  std::string target;  // path and query at the backend server
+  std::vector<Header> headers;
+  std::string body;
+  std::int64_t tokens = 0;  // of prompt and output together; an estimate of its size
+};
+
+struct JobSubmission {
+  JobId id;
+  std::vector<JobItem> items;
+};
+
+enum class ResultState : std::uint8_t {
+  kComplete,
+  kDead,  // given up
+};
+
+struct ItemResult {
+  std::string item;
+  ResultState state = ResultState::kComplete;
+  std::string output;
+};
+
+// The one row that says what a job is and how far it has come.
+struct JobHead {
+  JobId id;
+  std::string route;
+  std::string host;
+  std::uint32_t total = 0;
+  std::uint32_t listed = 0;  // results at positions 0 to listed - 1
+  std::string done;          // an 'x' for each item that is listed, else '.'
+  NodeId owner;
+  Incarnation owner_incarnation = 0;
+  bool ended = false;  // by its sender
+  StoreTime submitted{0};
+  StoreTime due{0};          // all results
+  StoreTime expires{0};      // items may be given up after this
+  std::uint64_t digest = 0;  // of the submission: the same id with other items is refused
+  // Marks the write, so that one whose answer was lost is known again.
+  Token token;
+
+  [[nodiscard]] bool open() const { return !ended && listed < total; }
+};
+
+// --- Rows ------------------------------------------------------------------------
+
+namespace ledger {
+
+inline constexpr std::string_view kJobTable = "jobs";
+inline constexpr std::string_view kItemTable = "job_items";
+inline constexpr std::string_view kResultTable = "job_results";
+
+// Parts that jobs are spread over: a part takes 300 transactions a second, so
+// that these take all that the store as a whole allows, and a process that starts
+// lists them with as many calls.
+inline constexpr int kParts = 8;
+// Bytes of a value in one row, under the 64 KiB that a row holds also when those
+// are counted after base64.
+inline constexpr std::size_t kPieceBytes = 45'000;
+// Pieces in one transaction, which holds 1 MB.
+inline constexpr std::size_t kPiecesPerTransaction = 14;
+
+[[nodiscard]] std::vector<std::string> Parts();
+[[nodiscard]] std::string PartOf(const JobId& job);
+[[nodiscard]] TableKey HeadKey(const JobId& job);
+
+[[nodiscard]] std::string EncodeHead(const JobHead& head);
+// Errors: kBadRequest.
+[[nodiscard]] Result<JobHead> DecodeHead(std::string_view value);
+
+// The transactions that accept a job, in order; only the last one makes it exist.
+[[nodiscard]] std::vector<TableTransaction> Accept(const JobHead& head,
+                                                   const std::vector<JobItem>& items);
+// Where the items of a job lie.
+[[nodiscard]] TableRange ItemRange(const JobId& job);
+// Errors: kBadRequest.
+[[nodiscard]] Result<std::vector<JobItem>> DecodeItems(const std::vector<TableRow>& rows);
+
+// Results from a position on.
+[[nodiscard]] TableRange ResultRange(const JobId& job, std::uint32_t from);
+[[nodiscard]] std::vector<TablePut> ResultRows(const JobId& job, std::uint32_t position,
+                                               const ItemResult& result);
+// The whole results at the start of a page, in order; a last one that the page
+// cuts is left out. Errors: kBadRequest.
+[[nodiscard]] Result<std::vector<ItemResult>> DecodeResults(const std::vector<TableRow>& rows);
+
+// For JobHead::digest.
+[[nodiscard]] std::uint64_t DigestOf(const JobSubmission& submission);
+
+}  // namespace ledger
+
+// --- Owner ------------------------------------------------------------------------
+
+// A job as its owner keeps it: which items are listed, which results wait to be
+// written, and one write at a time.
+class OwnedJob {
+ public:
+  // Results in one write; a transaction takes 100 entries and 1 MB.
+  static constexpr std::size_t kMaxResultsPerWrite = 12;
+  static constexpr std::size_t kMaxBytesPerWrite = 500'000;
+
+  OwnedJob(JobHead head, RowVersion version, std::vector<JobItem> items);
+
+  [[nodiscard]] const JobHead& head() const { return head_; }
+  [[nodiscard]] RowVersion version() const { return version_; }
+  [[nodiscard]] const std::vector<JobItem>& items() const { return items_; }
+  [[nodiscard]] bool IsListed(std::size_t item) const { return head_.done[item] == 'x'; }
+  // Neither listed nor waiting to be.
+  [[nodiscard]] bool IsOpen(std::size_t item) const;
+
+  // The item has its final result; only the first counts.
+  void Finish(std::size_t item, ItemResult result);
+  // The sender ends the job.
+  void End() { wants_end_ = !head_.ended; }
+  // The next write, if there is something to write and none is under way.
+  [[nodiscard]] std::optional<TableTransaction> NextWrite(const RandomBits& random);
+  // The owner row as it stands in the store, by a feed or a rejected write. False:
+  // this entry does not own the job any more.
+  bool OnHead(const JobHead& head, RowVersion version);
+  // The outcome of the write. After FateUnknown or NotWritten the same write is
+  // given out again by NextWrite.
+  void OnCommitted(RowVersion version);
+  void OnFailed() { in_flight_ = false; }
+
+  [[nodiscard]] bool writing() const { return in_flight_; }
+  [[nodiscard]] bool settled() const { return !write_ && pending_.empty() && !wants_end_; }
+
+ private:
+  struct Write {
+    JobHead head;
+    std::vector<std::pair<std::size_t, ItemResult>> results;
+    RowVersion condition = 0;
+  };
+  [[nodiscard]] TableTransaction TransactionFor(const Write& write) const;
+  void Adopt(const JobHead& head, RowVersion version);
+
+  JobHead head_;
+  RowVersion version_;
+  std::vector<JobItem> items_;
+  std::map<std::string, std::size_t> index_;
+  std::vector<std::pair<std::size_t, ItemResult>> pending_;  // in order of completion
+  std::vector<bool> finished_;
+  bool wants_end_ = false;
+  bool in_flight_ = false;
+  std::optional<Write> write_;
+};
+
+// --- Items ------------------------------------------------------------------------
+
+// The text of one item, gathered over any number of runs that go on where the
+// last one broke off.
+class ItemText {
+ public:
+  // Bytes of an event stream.
+  void Feed(std::string_view bytes);
+  // The run broke off: an event that was begun comes again.
+  void BreakOff() { pieces_.DropTail(); }
+  // Whether the run ended between events.
+  [[nodiscard]] bool at_event_end() const { return !pieces_.in_event(); }
+  [[nodiscard]] const std::optional<std::string>& last_id() const { return pieces_.last_id(); }
+  [[nodiscard]] std::uint64_t events() const { return pieces_.count(); }
+  // The data of all events, each on a line of its own.
+  [[nodiscard]] const std::string& text() const { return text_; }
+  void Reset() { *this = ItemText{}; }
+
+ private:
+  EventPieces pieces_;
+  std::string text_;
+};
+
+// --- Order of work ---------------------------------------------------------------
+
+// Which item of all jobs runs next. Earliest due first keeps the most jobs whole
+// as long as all fit. Once they don't, it would work on each job until it is late;
+// so an item that can't be done in time any more lets those go first that can.
+class ItemBacklog {
+ public:
+  struct Entry {
+    JobId job;
+    std::size_t item = 0;
+    StoreTime due{0};
+    Duration work{0};         // expected until it is done
+    StoreTime not_before{0};  // after a failure
+  };
+
+  void Add(Entry entry) { entries_.push_back(std::move(entry)); }
+  void RemoveJob(const JobId& job);
+  // Takes out the next one that may start now and fits.
+  [[nodiscard]] std::optional<Entry> Take(StoreTime now,
+                                          const std::function<bool(const Entry&)>& fits);
+  // How many may start now.
+  [[nodiscard]] std::size_t Startable(StoreTime now) const;
+  [[nodiscard]] std::size_t size() const { return entries_.size(); }
+
+ private:
+  std::vector<Entry> entries_;
+};
+
+}  // namespace figmill
--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -59,6 +59,8 @@
   void Stop();
   void Post(std::function<void()> task);
   [[nodiscard]] Timer After(Duration delay, std::function<void()> task);
+  // As After, for what is never called off.
+  void Later(Duration delay, std::function<void()> task);
   // Repeats until the timer is destroyed; never overlaps itself.
   [[nodiscard]] Timer Every(Duration period, std::function<void()> task);
   // Runs `task` on this loop for SIGTERM and SIGINT.
--- a/include/figmill/tables.h
+++ b/include/figmill/tables.h
@@ -51,9 +51,13 @@
   std::vector<TableKey> removes;
 };
 
+// Time of the store's own steady clock, which all processes read alike.
+using StoreTime = Duration;
+
 // `version` is that of all the rows that were written.
 struct TableCommitted {
   RowVersion version = 0;
+  StoreTime now{0};
 };
 struct TableRejected {
   std::vector<TableRow> current;  // the rows of the conditions, as they are
@@ -74,12 +78,14 @@
   std::vector<TableRow> rows;  // in key order
   bool truncated = false;      // more follow the last one
   RowVersion version = 0;      // the newest in the whole store at that moment
+  StoreTime now{0};
 };
 
 // What changed after a version, in order.
 struct TableChanges {
   std::vector<TableRow> rows;
   RowVersion version = 0;  // go on from here
+  StoreTime now{0};
 };
 // The store no longer knows what changed since then: list the table again.
 struct HistoryLost {};
--- a/src/fleet/place_book.cc
+++ b/src/fleet/place_book.cc
@@ -68,6 +68,7 @@
   if (found == backends_.end()) return;
   PlaceUse& use = found->second.use;
   ++(work == WorkClass::kOnline ? use.online : use.batch);
+  on_use_(id);
 }
 
 void PlaceBook::Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Time now) {
@@ -76,6 +77,11 @@
   Backend& backend = found->second;
   int& mine = work == WorkClass::kOnline ? backend.use.online : backend.use.batch;
   mine = std::max(0, mine - 1);
+  Judge(backend, end, now);
+  on_use_(id);
+}
+
+void PlaceBook::Judge(Backend& backend, relay::SendEnd end, Time now) {
   if (end == relay::SendEnd::kAnswered) {
     backend.failures = 0;
     backend.ejections = 0;
@@ -88,11 +94,33 @@
   backend.failures = kFailuresToEject - 1;  // one more failure ejects again
 }
 
-void PlaceBook::SetOthers(const BackendId& id, int online, int batch) {
+void PlaceBook::SetGrant(const BackendId& id, int online_other, int batch_other,
+                         int batch_allowed) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  found->second.use.online_other = online_other;
+  found->second.use.batch_other = batch_other;
+  found->second.use.batch_allowed = batch_allowed;
+}
+
+void PlaceBook::DropGrant(const BackendId& id) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
-  found->second.use.online_other = online;
-  found->second.use.batch_other = batch;
+  PlaceUse& use = found->second.use;
+  use.batch_allowed = std::min(use.batch_allowed, use.batch);
+}
+
+void PlaceBook::ForEach(
+    const std::function<void(const BackendInfo& info, const PlaceUse& use)>& visit) const {
+  for (const auto& [id, backend] : backends_) visit(backend.info, backend.use);
+}
+
+bool PlaceBook::IsUsable(const BackendId& id, Time now) const {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return false;
+  const Backend& backend = found->second;
+  return backend.info.state == BackendState::kReady && now >= backend.ejected_until &&
+         now >= backend.rejecting_until;
 }
 
 PlaceUse PlaceBook::Use(const BackendId& id) const {
--- /dev/null
+++ b/src/gateway/batch_runner.cc
@@ -0,0 +1,296 @@
+#include "gateway/batch_runner.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace figmill {
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kUnprocessable = 422;  // the item can never be done
+constexpr int kMisdirected = 421;
+constexpr int kServerError = 500;
+constexpr Duration kConnectTimeout{250'000};
+// Weight of the newest run in what is expected of the next one.
+constexpr double kNewest = 0.1;
+
+std::string Text(std::uint64_t number) {
+  return std::to_string(number);
+}
+
+}  // namespace
+
+BatchRunner::BatchRunner(RelayTools& tools, JobStore& jobs, StoreClock& clock,
+                         std::function<void()> wanted_changed)
+    : tools_(tools), jobs_(jobs), clock_(clock), wanted_changed_(std::move(wanted_changed)) {
+  sweep_timer_ = tools_.loop.Every(kSweepPeriod, [this] { Sweep(); });
+}
+
+int BatchRunner::wanted() const {
+  return static_cast<int>(backlog_.Startable(clock_.Now()));
+}
+
+void BatchRunner::OnOwned(OwnedJob& job) {
+  for (std::size_t i = 0; i < job.items().size(); ++i) {
+    if (job.IsOpen(i)) Queue({job.head().id, i}, Duration{0});
+  }
+  wanted_changed_();
+  Pump();
+}
+
+void BatchRunner::OnDropped(const JobId& job) {
+  backlog_.RemoveJob(job);
+  std::vector<ItemKey> running;
+  for (const auto& [key, run] : runs_) {
+    if (key.job == job) running.push_back(key);
+  }
+  for (const ItemKey& key : running) EndRun(key, relay::SendEnd::kAbandoned);
+  std::erase_if(progress_, [&job](const auto& each) { return each.first.job == job; });
+}
+
+Duration BatchRunner::WorkLeft(const Progress& progress) const {
+  if (usual_events_ <= 0) return usual_run_;
+  const double done = static_cast<double>(progress.text.events()) / usual_events_;
+  const double left = std::clamp(1.0 - done, 0.05, 1.0);
+  return Duration(static_cast<Duration::rep>(static_cast<double>(usual_run_.count()) * left));
+}
+
+void BatchRunner::Queue(const ItemKey& key, Duration pause) {
+  const JobHead* head = jobs_.Known(key.job);
+  const StoreTime due = head == nullptr ? StoreTime{0} : head->due;
+  const StoreTime now = clock_.Now();
+  backlog_.Add({key.job, key.item, due, WorkLeft(progress_[key]), now + pause});
+  if (pause.count() > 0) tools_.loop.Later(pause, [this] { Pump(); });
+}
+
+const Route* BatchRunner::RouteOf(const JobHead& head, const JobItem& item) const {
+  if (!routes_) return nullptr;
+  const Route* route = routes_->Find(head.host, item.target);
+  return route != nullptr && route->kind == RouteKind::kBatch ? route : nullptr;
+}
+
+bool BatchRunner::Fits(const ItemKey& key, const BackendInfo& backend) const {
+  const OwnedJob* job = jobs_.Owned(key.job);
+  if (job == nullptr) return false;
+  const Route* route = RouteOf(job->head(), job->items()[key.item]);
+  if (route == nullptr) return false;
+  return std::any_of(
+      route->split.begin(), route->split.end(),
+      [&backend](const ServiceShare& share) { return share.service == backend.service; });
+}
+
+void BatchRunner::Pump() {
+  StopExcess();
+  StartAllowed();
+}
+
+// Online has come: the items that have most time left give way first.
+void BatchRunner::StopExcess() {
+  std::vector<std::pair<BackendId, int>> excess;
+  tools_.places.ForEach([&excess](const BackendInfo& info, const PlaceUse& use) {
+    if (use.batch > use.batch_allowed) excess.emplace_back(info.id, use.batch - use.batch_allowed);
+  });
+  for (const auto& [backend, count] : excess) {
+    std::vector<std::pair<StoreTime, ItemKey>> there;
+    for (const auto& [key, run] : runs_) {
+      if (run.backend.id == backend) there.emplace_back(run.due, key);
+    }
+    std::sort(there.begin(), there.end(),
+              [](const auto& a, const auto& b) { return a.first > b.first; });
+    for (int i = 0; i < count && i < static_cast<int>(there.size()); ++i) {
+      Requeue(there[i].second, relay::SendEnd::kAbandoned, "gives way to online", Duration{0});
+    }
+  }
+}
+
+void BatchRunner::StartAllowed() {
+  if (backlog_.size() == 0) return;
+  const Time now = Loop::Now();
+  std::vector<std::pair<double, BackendInfo>> open;
+  tools_.places.ForEach([&](const BackendInfo& info, const PlaceUse& use) {
+    if (use.batch >= use.batch_allowed || !tools_.places.IsUsable(info.id, now)) return;
+    const int used = use.online + use.batch + use.online_other + use.batch_other;
+    for (int i = use.batch; i < use.batch_allowed; ++i) {
+      open.emplace_back(static_cast<double>(used + i - use.batch) / info.places, info);
+    }
+  });
+  // The least used first: there a run disturbs others least, and is stopped last.
+  std::sort(open.begin(), open.end(),
+            [](const auto& a, const auto& b) { return a.first < b.first; });
+  bool started = false;
+  for (const auto& [share, info] : open) started |= StartOn(info);
+  if (started) wanted_changed_();
+}
+
+bool BatchRunner::StartOn(const BackendInfo& backend) {
+  const auto entry = backlog_.Take(clock_.Now(), [this, &backend](const ItemBacklog::Entry& each) {
+    return Fits({each.job, each.item}, backend);
+  });
+  if (!entry) return false;
+  Start({entry->job, entry->item}, entry->due, backend);
+  return true;
+}
+
+void BatchRunner::Start(const ItemKey& key, StoreTime due, const BackendInfo& backend) {
+  const OwnedJob* job = jobs_.Owned(key.job);
+  const JobItem& item = job->items()[key.item];
+  Progress& progress = progress_[key];
+  ++progress.runs;
+  HttpCall call;
+  call.method = "POST";
+  call.to = backend.address;
+  call.target = item.target;
+  call.body = item.body;
+  call.connect_timeout = kConnectTimeout;
+  call.headers = item.headers;
+  call.headers.push_back({"Host", job->head().host});
+  call.headers.push_back({tools_.names.request_id, item.id});
+  call.headers.push_back({tools_.names.expect_backend, backend.id.value});
+  if (progress.text.last_id()) {
+    call.headers.push_back({tools_.names.last_event_id, *progress.text.last_id()});
+  }
+  const PlaceUse use = tools_.places.Use(backend.id);
+  Log(LogLevel::kInfo, "item_run",
+      {{"job", key.job.value},
+       {"item", item.id},
+       {"run", std::to_string(progress.runs)},
+       {"after_event", progress.text.last_id().value_or("")},
+       {"backend", backend.id.value},
+       {"allowed", std::to_string(use.batch_allowed)},
+       {"online", std::to_string(use.online + use.online_other)},
+       {"batch", std::to_string(use.batch + use.batch_other)}});
+  Run& run = runs_[key];
+  run = Run{};
+  run.backend = {backend.id, backend.address};
+  run.number = ++next_number_;
+  run.started_at = run.heard_at = Loop::Now();
+  run.due = due;
+  tools_.places.Began(backend.id, WorkClass::kBatch);
+  run.cancel = tools_.client.Start(
+      std::move(call),
+      [this, key, number = run.number](HttpEvent event) { OnHttp(key, number, std::move(event)); });
+}
+
+void BatchRunner::OnHttp(const ItemKey& key, std::uint64_t number, HttpEvent event) {
+  const auto found = runs_.find(key);
+  if (found == runs_.end() || found->second.number != number) return;
+  Run& run = found->second;
+  run.heard_at = Loop::Now();
+  std::visit(Overloaded{
+                 [&](const HttpHead& head) { OnHead(key, head); },
+                 [&](const HttpBytes& bytes) {
+                   if (run.answering) progress_[key].text.Feed(bytes.bytes);
+                 },
+                 [&](const HttpEnd&) { OnEnd(key); },
+                 [&](const HttpFailure& failure) {
+                   Requeue(key,
+                           failure.sent ? relay::SendEnd::kBroken : relay::SendEnd::kUnreachable,
+                           failure.why, kRetryPause);
+                 },
+             },
+             event);
+}
+
+void BatchRunner::OnHead(const ItemKey& key, const HttpHead& head) {
+  const WireNames& names = tools_.names;
+  const std::string why = "status " + std::to_string(head.status);
+  if (!head.HeaderOr(names.not_run).empty() || head.status == kMisdirected) {
+    return Requeue(key, relay::SendEnd::kRejected, "not run, " + why, kRetryPause);
+  }
+  const OwnedJob* job = jobs_.Owned(key.job);
+  if (job == nullptr) return EndRun(key, relay::SendEnd::kAbandoned);
+  const JobItem& item = job->items()[key.item];
+  if (head.HeaderOr(names.request_id) != item.id) {
+    return Requeue(key, relay::SendEnd::kBroken, "answered another request", kRetryPause);
+  }
+  if (head.status == kOk) {
+    runs_[key].answering = true;
+    return;
+  }
+  if (head.status == kUnprocessable) {
+    EndRun(key, relay::SendEnd::kAnswered);
+    return Finish(key, ResultState::kDead, why);
+  }
+  const Route* route = RouteOf(job->head(), item);
+  const int most = route == nullptr ? 1 : route->max_backends;
+  if (head.status == kServerError && ++progress_[key].failures >= most) {
+    EndRun(key, relay::SendEnd::kFailed);
+    return Finish(key, ResultState::kDead, "failed " + std::to_string(most) + " times");
+  }
+  Requeue(key, relay::SendEnd::kFailed, why, kRetryPause);
+}
+
+void BatchRunner::OnEnd(const ItemKey& key) {
+  const Run& run = runs_[key];
+  Progress& progress = progress_[key];
+  if (!run.answering || !progress.text.at_event_end()) {
+    return Requeue(key, relay::SendEnd::kBroken, "ended early", kRetryPause);
+  }
+  if (progress.runs == 1) {
+    const Duration length = Loop::Now() - run.started_at;
+    usual_run_ =
+        std::chrono::duration_cast<Duration>(usual_run_ * (1 - kNewest) + length * kNewest);
+    const auto events = static_cast<double>(progress.text.events());
+    usual_events_ = usual_events_ == 0 ? events : usual_events_ * (1 - kNewest) + events * kNewest;
+  }
+  EndRun(key, relay::SendEnd::kAnswered);
+  Finish(key, ResultState::kComplete, "");
+}
+
+void BatchRunner::EndRun(const ItemKey& key, relay::SendEnd end) {
+  const auto found = runs_.find(key);
+  if (found == runs_.end()) return;
+  const Run run = std::move(found->second);
+  runs_.erase(found);
+  run.cancel();
+  tools_.places.Ended(run.backend.id, WorkClass::kBatch, end, Loop::Now());
+}
+
+void BatchRunner::Requeue(const ItemKey& key, relay::SendEnd end, std::string_view why,
+                          Duration pause) {
+  Progress& progress = progress_[key];
+  progress.text.BreakOff();
+  Log(LogLevel::kInfo, "item_stopped",
+      {{"job", key.job.value},
+       {"item", Text(key.item)},
+       {"backend", runs_[key].backend.id.value},
+       {"end", std::string(relay::ToString(end))},
+       {"events", Text(progress.text.events())},
+       {"why", std::string(why)}});
+  EndRun(key, end);
+  Queue(key, pause);
+  wanted_changed_();
+}
+
+void BatchRunner::Finish(const ItemKey& key, ResultState state, std::string_view why) {
+  OwnedJob* job = jobs_.Owned(key.job);
+  if (job == nullptr) return;
+  const std::string& id = job->items()[key.item].id;
+  const Progress progress = std::move(progress_[key]);
+  progress_.erase(key);
+  Log(LogLevel::kInfo, "item_finished",
+      {{"job", key.job.value},
+       {"item", id},
+       {"state", state == ResultState::kComplete ? "complete" : "dead"},
+       {"runs", std::to_string(progress.runs)},
+       {"events", Text(progress.text.events())},
+       {"why", std::string(why)}});
+  job->Finish(key.item, {id, state, state == ResultState::kComplete ? progress.text.text() : ""});
+  jobs_.Write(*job);
+  Pump();
+}
+
+void BatchRunner::Sweep() {
+  const Time now = Loop::Now();
+  std::vector<ItemKey> silent;
+  for (const auto& [key, run] : runs_) {
+    const Duration patience = run.answering ? kNextByteSilence : kFirstByteSilence;
+    if (now - run.heard_at >= patience) silent.push_back(key);
+  }
+  for (const ItemKey& key : silent) {
+    Requeue(key, relay::SendEnd::kSilent, "no bytes in time", Duration{0});
+  }
+  Pump();
+}
+
+}  // namespace figmill
--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -29,8 +29,9 @@
 
 }  // namespace
 
-CallerDoor::CallerDoor(RelayTools tools, RandomBits random)
-    : tools_(tools), random_(std::move(random)) {}
+CallerDoor::CallerDoor(RelayTools& tools, const PlatformAdapter& adapter, JobDesk& jobs,
+                       RandomBits random)
+    : tools_(tools), adapter_(adapter), jobs_(jobs), random_(std::move(random)) {}
 
 void CallerDoor::Update(std::shared_ptr<const FleetView> view) {
   if (view_) {
@@ -53,10 +54,17 @@
         request, *reply,
         {ErrorKind::kNoBackend, "no configuration is known yet", Ran::kNo, Duration{500'000}});
   }
+  if (const std::optional<Result<JobCall>> call = adapter_.ParseJobCall(request)) {
+    if (!IsOk(*call)) return Refuse(request, *reply, ErrorOf(*call));
+    return jobs_.Call(ValueOf(*call), std::move(reply));
+  }
   const Route* route = view_->routes->Find(request.HeaderOr("Host"), request.path);
   if (route == nullptr) {
     return Refuse(request, *reply, {ErrorKind::kNotFound, "no route for this host and path"});
   }
+  if (route->kind == RouteKind::kBatch) {
+    return jobs_.Submit(*route, std::move(request), std::move(reply));
+  }
   Relay(*route, std::move(request), std::move(reply));
 }
 
--- a/src/gateway/caller_door.h
+++ b/src/gateway/caller_door.h
@@ -7,13 +7,14 @@
 
 #include "figmill/gateway.h"
 #include "gateway/fleet_view.h"
+#include "gateway/job_desk.h"
 #include "gateway/relay_call.h"
 
 namespace figmill {
 
 class CallerDoor {
  public:
-  CallerDoor(RelayTools tools, RandomBits random);
+  CallerDoor(RelayTools& tools, const PlatformAdapter& adapter, JobDesk& jobs, RandomBits random);
 
   void Update(std::shared_ptr<const FleetView> view);
   void OnRequest(HttpRequest request, std::shared_ptr<HttpReply> reply);
@@ -26,7 +27,9 @@
   void Refuse(const HttpRequest& request, HttpReply& reply, const Error& error) const;
   [[nodiscard]] RelayPlan PlanOf(const Route& route, const HttpRequest& request) const;
 
-  RelayTools tools_;
+  RelayTools& tools_;
+  const PlatformAdapter& adapter_;
+  JobDesk& jobs_;
   RandomBits random_;
   std::shared_ptr<const FleetView> view_;
   std::size_t in_flight_ = 0;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -1,13 +1,19 @@
-// The process: a control thread that follows the configuration and the list of
-// backend servers, and the main thread, which carries the traffic.
+// The process: a control thread that follows the configuration, the list of
+// backend servers and the other entries, and the main thread, which carries the
+// traffic and the batch jobs.
 
 #include "figmill/gateway.h"
 
 #include <thread>
 #include <utility>
 
+#include "gateway/batch_runner.h"
 #include "gateway/caller_door.h"
 #include "gateway/fleet_watch.h"
+#include "gateway/job_desk.h"
+#include "gateway/job_store.h"
+#include "gateway/member_watch.h"
+#include "gateway/peer_link.h"
 
 namespace figmill {
 namespace {
@@ -22,13 +28,20 @@
 // The control thread and what lives on it.
 class Control {
  public:
-  Control(const GatewaySettings& settings, const PlatformAdapter& adapter,
-          std::function<void(std::shared_ptr<const FleetView>)> publish)
+  struct Hooks {
+    std::function<void(std::shared_ptr<const FleetView>)> publish;
+    MemberWatch::Hooks members;
+  };
+
+  Control(const GatewaySettings& settings, const PlatformAdapter& adapter, const Peer& self,
+          Hooks hooks)
       : client_(loop_),
         tables_(adapter.Connect(loop_, client_, settings.store)),
-        watch_(loop_, *tables_, adapter, std::move(publish)),
+        fleet_(loop_, *tables_, adapter, std::move(hooks.publish)),
+        members_(loop_, *tables_, self, std::move(hooks.members)),
         thread_([this] {
-          watch_.Start();
+          members_.Start();
+          fleet_.Start();
           loop_.Run();
         }) {}
   ~Control() {
@@ -36,26 +49,52 @@
     thread_.join();
   }
 
+  void Leave() {
+    loop_.Post([this] { members_.Leave(); });
+  }
+
  private:
   Loop loop_;
   ExchangeClient client_;
   std::unique_ptr<SharedTables> tables_;
-  FleetWatch watch_;
+  FleetWatch fleet_;
+  MemberWatch members_;
   std::thread thread_;
 };
 
+Peer SelfOf(const GatewaySettings& settings) {
+  const auto incarnation = static_cast<Incarnation>(Loop::WallNow().time_since_epoch().count());
+  return {settings.node, incarnation, settings.peers, settings.data_centre, false};
+}
+
 class Gateway {
  public:
   Gateway(const GatewaySettings& settings, const PlatformAdapter& adapter)
       : settings_(settings),
         client_(loop_),
+        tables_(adapter.Connect(loop_, client_, settings.store)),
         places_(settings.data_centre),
-        door_({loop_, client_, places_, adapter.names(), metrics_}, SystemRandom()),
-        control_(settings, adapter, [this](std::shared_ptr<const FleetView> view) {
-          loop_.Post([this, view = std::move(view)]() mutable { door_.Update(std::move(view)); });
-        }) {}
+        peers_(SelfOf(settings)),
+        tools_{loop_, client_, places_, adapter.names(), metrics_},
+        link_(loop_, peers_, places_, metrics_,
+              {[this] { return runner_.wanted(); }, [this] { runner_.Pump(); }}),
+        jobs_(loop_, *tables_, peers_, clock_, SystemRandom(),
+              {[this](OwnedJob& job) { runner_.OnOwned(job); },
+               [this](const JobId& job) { runner_.OnDropped(job); },
+               [this](const JobHead& head) { desk_.OnChanged(head); }}),
+        runner_(tools_, jobs_, clock_, [this] { link_.WantedChanged(); }),
+        desk_(loop_, jobs_, clock_, adapter),
+        door_(tools_, adapter, desk_, SystemRandom()),
+        control_(settings, adapter, peers_.self(), ControlHooks()) {
+    places_.OnUse([this](const BackendId& backend) { link_.Touch(backend); });
+  }
 
   int Run() {
+    const Result<Ok> linked = link_.Start(settings_.seeds);
+    if (!IsOk(linked)) {
+      Log(LogLevel::kError, "cannot_listen", {{"why", ErrorOf(linked).detail}});
+      return RowOf(ErrorKind::kInternal).exit_code;
+    }
     if (!Listen(settings_.callers, callers_,
                 [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
                   door_.OnRequest(std::move(request), std::move(reply));
@@ -70,7 +109,10 @@
                 })) {
       return RowOf(ErrorKind::kInternal).exit_code;
     }
-    Log(LogLevel::kInfo, "started", {{"node", settings_.node.value}});
+    jobs_.Start();
+    Log(LogLevel::kInfo, "started",
+        {{"node", settings_.node.value},
+         {"incarnation", std::to_string(peers_.self().incarnation)}});
     loop_.OnTerminate([this] { Leave(); });
     loop_.Run();
     Log(LogLevel::kInfo, "stopped", {{"node", settings_.node.value}});
@@ -78,6 +120,19 @@
   }
 
  private:
+  Control::Hooks ControlHooks() {
+    return {[this](std::shared_ptr<const FleetView> view) {
+              loop_.Post([this, view = std::move(view)] { Update(view); });
+            },
+            {[this](const Peer& peer) { loop_.Post([this, peer] { link_.Named(peer); }); },
+             [this](const NodeId& node) { loop_.Post([this, node] { link_.Unlisted(node); }); }}};
+  }
+
+  void Update(const std::shared_ptr<const FleetView>& view) {
+    door_.Update(view);
+    runner_.SetRoutes(view->routes);
+  }
+
   bool Listen(const Address& at, std::unique_ptr<HttpServer>& server, HttpHandler handler) {
     Result<std::unique_ptr<HttpServer>> made = HttpServer::Listen(loop_, at, std::move(handler));
     if (!IsOk(made)) {
@@ -98,12 +153,16 @@
     if (std::exchange(leaving_, true)) return loop_.Stop();
     Log(LogLevel::kInfo, "leaving", {{"in_flight", std::to_string(door_.in_flight())}});
     door_.SetLeaving();
+    desk_.SetLeaving();
+    link_.Leave();
+    control_.Leave();
+    jobs_.Leave([this] { jobs_left_ = true; });
     grace_timer_ = loop_.After(settings_.shutdown_grace - kGraceMargin, [this] { loop_.Stop(); });
     idle_timer_ = loop_.After(kBalancerNotice, [this] { StopWhenIdle(); });
   }
 
   void StopWhenIdle() {
-    if (door_.in_flight() == 0) return loop_.Stop();
+    if (door_.in_flight() == 0 && desk_.in_flight() == 0 && jobs_left_) return loop_.Stop();
     idle_timer_ = loop_.After(kIdleCheck, [this] { StopWhenIdle(); });
   }
 
@@ -111,10 +170,19 @@
   Metrics metrics_;
   Loop loop_;
   ExchangeClient client_;
+  std::unique_ptr<SharedTables> tables_;
+  StoreClock clock_;
   PlaceBook places_;
+  PeerTable peers_;
+  RelayTools tools_;
+  PeerLink link_;
+  JobStore jobs_;
+  BatchRunner runner_;
+  JobDesk desk_;
   CallerDoor door_;
   std::unique_ptr<HttpServer> callers_, health_, metrics_server_;
   bool leaving_ = false;
+  bool jobs_left_ = false;
   Timer grace_timer_, idle_timer_;
   Control control_;
 };
--- /dev/null
+++ b/src/gateway/job_desk.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// Callers' calls about batch jobs: submit, read results, read an item, end.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <vector>
+
+#include "figmill/gateway.h"
+#include "gateway/job_store.h"
+#include "gateway/store_clock.h"
+
+namespace figmill {
+
+class JobDesk {
+ public:
+  JobDesk(Loop& loop, JobStore& jobs, StoreClock& clock, const PlatformAdapter& adapter);
+
+  void Submit(const Route& route, HttpRequest request, std::shared_ptr<HttpReply> reply);
+  void Call(const JobCall& call, std::shared_ptr<HttpReply> reply);
+  // The job has new results, or has ended.
+  void OnChanged(const JobHead& head);
+  void SetLeaving();
+  [[nodiscard]] std::size_t in_flight() const { return in_flight_; }
+
+ private:
+  struct Waiting {
+    std::uint32_t after = 0;
+    std::function<void()> answer;
+    Time until{};
+    std::uint64_t number = 0;
+  };
+  // A reply that counts as in flight until it is sent.
+  class Answer;
+
+  void On(const JobReadCall& call, std::shared_ptr<Answer> answer);
+  void On(const JobItemCall& call, std::shared_ptr<Answer> answer);
+  void On(const JobEndCall& call, std::shared_ptr<Answer> answer);
+  void Read(const JobReadCall& call, const JobHead& head, std::shared_ptr<Answer> answer);
+  void Wait(const JobReadCall& call, const JobHead& head, std::shared_ptr<Answer> answer);
+
+  Loop& loop_;
+  JobStore& jobs_;
+  StoreClock& clock_;
+  const PlatformAdapter& adapter_;
+  std::multimap<JobId, Waiting> waiting_;
+  std::uint64_t next_number_ = 0;
+  std::size_t in_flight_ = 0;
+  bool leaving_ = false;
+};
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/job_store.cc
@@ -0,0 +1,470 @@
+#include "gateway/job_store.h"
+
+#include <utility>
+
+#include "gateway/hedged_commit.h"
+
+namespace figmill {
+namespace {
+
+constexpr int kMaxEndTries = 8;
+
+// The row that a rejected write found, if it is there.
+const TableRow* RowIn(const TableRejected& rejected, const TableKey& at) {
+  for (const TableRow& row : rejected.current) {
+    if (row.at.key == at.key && row.version != 0 && !row.deleted) return &row;
+  }
+  return nullptr;
+}
+
+}  // namespace
+
+JobStore::JobStore(Loop& loop, SharedTables& tables, const PeerTable& peers, StoreClock& clock,
+                   RandomBits random, Hooks hooks)
+    : loop_(loop),
+      tables_(tables),
+      peers_(peers),
+      clock_(clock),
+      random_(std::move(random)),
+      hooks_(std::move(hooks)),
+      follower_(
+          loop, tables, std::string(ledger::kJobTable), ledger::Parts(),
+          [this](const TableMirror::Change& change) { OnRow(change); }, [] {}, &clock) {}
+
+void JobStore::Start() {
+  started_at_ = Loop::Now();
+  follower_.Start();
+  check_timer_ = loop_.Every(kCheckPeriod, [this] { CheckOwners(); });
+}
+
+bool JobStore::IsMine(const JobHead& head) const {
+  return head.owner == peers_.self().node && head.owner_incarnation == peers_.self().incarnation;
+}
+
+const JobHead* JobStore::Known(const JobId& job) const {
+  const auto found = known_.find(job);
+  return found == known_.end() ? nullptr : &found->second.head;
+}
+
+OwnedJob* JobStore::Owned(const JobId& job) {
+  const auto found = owned_.find(job);
+  return found == owned_.end() ? nullptr : found->second.get();
+}
+
+// --- What the store says ----------------------------------------------------------
+
+void JobStore::OnRow(const TableMirror::Change& change) {
+  if (change.row == nullptr) {
+    const JobId job{change.at.key};
+    known_.erase(job);
+    if (owned_.contains(job)) Drop(job);
+    return;
+  }
+  LearnRow(*change.row);
+}
+
+void JobStore::LearnRow(const TableRow& row) {
+  Result<JobHead> head = ledger::DecodeHead(row.value);
+  if (!IsOk(head)) {
+    Log(LogLevel::kError, "job_row_refused", {{"job", row.at.key}, {"why", ErrorOf(head).detail}});
+    return;
+  }
+  Learn(ValueOf(head), row.version);
+}
+
+void JobStore::Learn(const JobHead& head, RowVersion version) {
+  KnownJob& known = known_[head.id];
+  if (version <= known.version) return;
+  const bool new_owner = known.version == 0 || known.head.owner != head.owner ||
+                         known.head.owner_incarnation != head.owner_incarnation;
+  if (new_owner) known.seen_at = Loop::Now();
+  known.head = head;
+  known.version = version;
+  if (OwnedJob* job = Owned(head.id)) {
+    if (!job->OnHead(head, version)) {
+      Log(LogLevel::kWarning, "job_lost",
+          {{"job", head.id.value},
+           {"owner", head.owner.value},
+           {"row_version", std::to_string(version)}});
+      Drop(head.id);
+    } else if (!head.open()) {
+      hooks_.dropped(head.id);
+      if (job->settled()) owned_.erase(head.id);
+    } else {
+      Write(*job);
+    }
+  }
+  hooks_.changed(head);
+}
+
+void JobStore::Drop(const JobId& job) {
+  hooks_.dropped(job);
+  owned_.erase(job);
+}
+
+// --- Acceptance ---------------------------------------------------------------------
+
+void JobStore::Accept(JobHead head, JobSubmission submission,
+                      std::function<void(Result<Ok>)> done) {
+  if (const JobHead* known = Known(head.id)) {
+    if (known->digest == head.digest) return done(Ok{});
+    return done(Error{ErrorKind::kConflict, "a job with this id and other items was accepted"});
+  }
+  if (leaving_) return done(Error{ErrorKind::kLeaving, "this entry is shutting down", Ran::kNo});
+  head.owner = peers_.self().node;
+  head.owner_incarnation = peers_.self().incarnation;
+  head.token = FreshToken(random_);
+  auto transactions =
+      std::make_shared<std::vector<TableTransaction>>(ledger::Accept(head, submission.items));
+  CommitAll(transactions, 0,
+            [this, head, submission = std::move(submission),
+             done = std::move(done)](const TableOutcome& outcome) mutable {
+              OnAccepted(head, std::move(submission), outcome, done);
+            });
+}
+
+void JobStore::CommitAll(std::shared_ptr<std::vector<TableTransaction>> transactions,
+                         std::size_t next, std::function<void(TableOutcome)> done) {
+  HedgedCommit(
+      loop_, tables_, (*transactions)[next],
+      [this, transactions, next, done = std::move(done)](const TableOutcome& outcome) {
+        const bool last = next + 1 == transactions->size();
+        if (last || !std::holds_alternative<TableCommitted>(outcome)) {
+          // Rows of items without the job's own row mean nothing.
+          const bool harmless = !last && std::holds_alternative<FateUnknown>(outcome);
+          return done(harmless ? TableOutcome{NotWritten{"the items were not written"}} : outcome);
+        }
+        CommitAll(transactions, next + 1, done);
+      });
+}
+
+void JobStore::OnAccepted(const JobHead& head, JobSubmission submission,
+                          const TableOutcome& outcome,
+                          const std::function<void(Result<Ok>)>& done) {
+  std::visit(Overloaded{
+                 [&](const TableCommitted& committed) {
+                   clock_.Heard(committed.now);
+                   Own(head, committed.version, std::move(submission.items));
+                   Learn(head, committed.version);
+                   done(Ok{});
+                 },
+                 [&](const TableRejected& rejected) {
+                   const TableRow* row = RowIn(rejected, ledger::HeadKey(head.id));
+                   const Result<JobHead> there =
+                       row == nullptr ? Error{ErrorKind::kInternal, "rejected, and no row is there"}
+                                      : ledger::DecodeHead(row->value);
+                   if (!IsOk(there)) {
+                     return done(
+                         Error{ErrorKind::kStoreUnavailable, ErrorOf(there).detail, Ran::kUnknown});
+                   }
+                   if (ValueOf(there).digest != head.digest) {
+                     return done(Error{ErrorKind::kConflict,
+                                       "a job with this id and other items was accepted"});
+                   }
+                   // An earlier copy of this very write took effect.
+                   if (ValueOf(there).token == head.token) {
+                     Own(head, row->version, std::move(submission.items));
+                   }
+                   LearnRow(*row);
+                   done(Ok{});
+                 },
+                 [&](const NotWritten& refused) {
+                   done(Error{ErrorKind::kStoreUnavailable, refused.why, Ran::kNo});
+                 },
+                 [&](const FateUnknown& unknown) {
+                   done(Error{ErrorKind::kStoreUnavailable, unknown.why, Ran::kUnknown});
+                 },
+             },
+             outcome);
+}
+
+// --- Ownership ------------------------------------------------------------------------
+
+void JobStore::Own(JobHead head, RowVersion version, std::vector<JobItem> items) {
+  if (leaving_ || owned_.contains(head.id)) return;
+  if (items.size() != head.total) {
+    Log(LogLevel::kError, "job_items_missing",
+        {{"job", head.id.value},
+         {"total", std::to_string(head.total)},
+         {"found", std::to_string(items.size())}});
+    return;
+  }
+  const JobId id = head.id;
+  Log(LogLevel::kInfo, "job_owned",
+      {{"job", id.value},
+       {"row_version", std::to_string(version)},
+       {"total", std::to_string(head.total)},
+       {"listed", std::to_string(head.listed)}});
+  const auto at =
+      owned_.emplace(id, std::make_unique<OwnedJob>(std::move(head), version, std::move(items)));
+  hooks_.owned(*at.first->second);
+}
+
+bool JobStore::ShouldTake(const KnownJob& job, Time now) const {
+  if (!job.head.open() || job.taking || IsMine(job.head)) return false;
+  const bool released = job.head.owner.empty();
+  // An earlier process of this very slot: it can't come back.
+  const bool was_mine = job.head.owner == peers_.self().node;
+  if (!released && !was_mine) {
+    if (peers_.IsLive(job.head.owner, now)) return false;
+    if (now - job.seen_at < kTakeOverAfter || now - started_at_ < kTakeOverAfter) return false;
+  }
+  if (was_mine) return true;
+  // One of those that are there, the same for all.
+  const Peer* best = nullptr;
+  std::uint64_t best_weight = 0;
+  const std::vector<Peer> live = peers_.Live(now);
+  for (const Peer& peer : live) {
+    if (peer.leaving) continue;
+    const std::uint64_t weight = RendezvousWeight(job.head.id.value, peer.node.value);
+    if (best == nullptr || weight > best_weight) {
+      best = &peer;
+      best_weight = weight;
+    }
+  }
+  return best != nullptr && best->node == peers_.self().node;
+}
+
+void JobStore::CheckOwners() {
+  if (leaving_) return;
+  const Time now = Loop::Now();
+  std::vector<JobId> take;
+  for (const auto& [id, job] : known_) {
+    if (!owned_.contains(id) && ShouldTake(job, now)) take.push_back(id);
+  }
+  for (const JobId& id : take) Take(id);
+}
+
+void JobStore::Take(const JobId& id) {
+  KnownJob& known = known_[id];
+  known.taking = true;
+  JobHead head = known.head;
+  Log(LogLevel::kInfo, "job_take_over",
+      {{"job", id.value},
+       {"from", head.owner.value},
+       {"row_version", std::to_string(known.version)}});
+  head.owner = peers_.self().node;
+  head.owner_incarnation = peers_.self().incarnation;
+  head.token = FreshToken(random_);
+  TableTransaction transaction;
+  transaction.conditions.push_back({ledger::HeadKey(id), known.version});
+  transaction.puts.push_back({ledger::HeadKey(id), ledger::EncodeHead(head)});
+  HedgedCommit(loop_, tables_, std::move(transaction),
+               [this, head](const TableOutcome& outcome) { OnTaken(head, outcome); });
+}
+
+void JobStore::OnTaken(const JobHead& head, const TableOutcome& outcome) {
+  known_[head.id].taking = false;
+  if (const auto* committed = std::get_if<TableCommitted>(&outcome)) {
+    Learn(head, committed->version);
+    LoadAndOwn(head, committed->version);
+  } else if (const auto* rejected = std::get_if<TableRejected>(&outcome)) {
+    const TableRow* row = RowIn(*rejected, ledger::HeadKey(head.id));
+    if (row == nullptr) return;
+    LearnRow(*row);
+    const JobHead* now = Known(head.id);
+    if (now != nullptr && now->token == head.token) LoadAndOwn(*now, row->version);
+  }
+  // Otherwise the next check tries again.
+}
+
+void JobStore::LoadAndOwn(const JobHead& head, RowVersion version) {
+  ReadItems(head.id, [this, head, version](Result<std::vector<JobItem>> items) {
+    const JobHead* now = Known(head.id);
+    if (now == nullptr || !IsMine(*now) || leaving_) return;
+    if (!IsOk(items)) {
+      Log(LogLevel::kWarning, "job_items_unread",
+          {{"job", head.id.value}, {"why", ErrorOf(items).detail}});
+      loop_.Later(kRetryPause, [this, head, version] { LoadAndOwn(head, version); });
+      return;
+    }
+    Own(*now, known_[head.id].version, std::move(ValueOf(items)));
+  });
+}
+
+// --- Results --------------------------------------------------------------------------
+
+void JobStore::Write(OwnedJob& job) {
+  std::optional<TableTransaction> write = job.NextWrite(random_);
+  if (!write) return;
+  HedgedCommit(loop_, tables_, *std::move(write),
+               [this, id = job.head().id](const TableOutcome& outcome) { OnWritten(id, outcome); });
+}
+
+void JobStore::OnWritten(const JobId& id, const TableOutcome& outcome) {
+  OwnedJob* job = Owned(id);
+  if (job == nullptr) return;
+  std::visit(Overloaded{
+                 [&](const TableCommitted& committed) {
+                   clock_.Heard(committed.now);
+                   job->OnCommitted(committed.version);
+                   Learn(JobHead(job->head()), committed.version);
+                 },
+                 [&](const TableRejected& rejected) {
+                   job->OnFailed();
+                   const TableRow* row = RowIn(rejected, ledger::HeadKey(id));
+                   if (row != nullptr) LearnRow(*row);
+                 },
+                 [&](const NotWritten& refused) {
+                   Log(LogLevel::kWarning, "results_not_written",
+                       {{"job", id.value}, {"why", refused.why}});
+                   job->OnFailed();
+                 },
+                 [&](const FateUnknown& unknown) {
+                   Log(LogLevel::kWarning, "results_fate_unknown",
+                       {{"job", id.value}, {"why", unknown.why}});
+                   job->OnFailed();
+                 },
+             },
+             outcome);
+  job = Owned(id);
+  if (job == nullptr) return;
+  if (!job->head().open() && job->settled()) {
+    owned_.erase(id);
+    return FinishLeaving();
+  }
+  if (leaving_ && job->settled()) return Release(id);
+  if (std::holds_alternative<TableCommitted>(outcome) ||
+      std::holds_alternative<TableRejected>(outcome)) {
+    return Write(*job);
+  }
+  loop_.Later(kRetryPause, [this, id] {
+    if (OwnedJob* again = Owned(id)) Write(*again);
+  });
+}
+
+// --- Ends -------------------------------------------------------------------------------
+
+void JobStore::End(const JobId& id, std::function<void(Result<Ok>)> done) {
+  Find(id, [this, id, done = std::move(done)](Result<JobHead> head) {
+    if (!IsOk(head)) return done(ErrorOf(head));
+    if (ValueOf(head).ended) return done(Ok{});
+    if (OwnedJob* job = Owned(id)) hooks_.dropped(job->head().id);
+    EndElsewhere(id, ValueOf(head), known_[id].version, kMaxEndTries, done);
+  });
+}
+
+// Also for a job of this entry's own: its next write then finds the new row.
+void JobStore::EndElsewhere(const JobId& id, const JobHead& head, RowVersion version, int tries,
+                            std::function<void(Result<Ok>)> done) {
+  JobHead next = head;
+  next.ended = true;
+  next.token = FreshToken(random_);
+  TableTransaction transaction;
+  transaction.conditions.push_back({ledger::HeadKey(id), version});
+  transaction.puts.push_back({ledger::HeadKey(id), ledger::EncodeHead(next)});
+  HedgedCommit(loop_, tables_, std::move(transaction),
+               [this, id, next, tries, done = std::move(done)](const TableOutcome& outcome) {
+                 if (const auto* committed = std::get_if<TableCommitted>(&outcome)) {
+                   Learn(next, committed->version);
+                   return done(Ok{});
+                 }
+                 const auto* rejected = std::get_if<TableRejected>(&outcome);
+                 const TableRow* row =
+                     rejected == nullptr ? nullptr : RowIn(*rejected, ledger::HeadKey(id));
+                 if (row == nullptr || tries == 0) {
+                   return done(Error{ErrorKind::kStoreUnavailable, "the end could not be written",
+                                     Ran::kUnknown});
+                 }
+                 LearnRow(*row);
+                 const JobHead* now = Known(id);
+                 if (now == nullptr) return done(Error{ErrorKind::kNotFound, "no such job"});
+                 if (now->ended) return done(Ok{});
+                 EndElsewhere(id, *now, row->version, tries - 1, done);
+               });
+}
+
+// --- Reads --------------------------------------------------------------------------------
+
+void JobStore::Find(const JobId& job, std::function<void(Result<JobHead>)> done) {
+  if (const JobHead* known = Known(job)) return done(*known);
+  const TableKey at = ledger::HeadKey(job);
+  tables_.Read({at.table, at.part, at.key, at.key + '\0', 1},
+               [this, job, done = std::move(done)](const Result<TablePage>& page) {
+                 if (!IsOk(page)) return done(ErrorOf(page));
+                 for (const TableRow& row : ValueOf(page).rows) LearnRow(row);
+                 const JobHead* known = Known(job);
+                 if (known == nullptr) return done(Error{ErrorKind::kNotFound, "no such job"});
+                 done(*known);
+               });
+}
+
+void JobStore::ReadResults(const JobId& job, std::uint32_t from,
+                           std::function<void(Result<std::vector<ItemResult>>)> done) {
+  tables_.Read(
+      ledger::ResultRange(job, from), [done = std::move(done)](const Result<TablePage>& page) {
+        if (!IsOk(page)) return done(ErrorOf(page));
+        Result<std::vector<ItemResult>> results = ledger::DecodeResults(ValueOf(page).rows);
+        if (!IsOk(results)) {
+          return done(Error{ErrorKind::kStoreUnavailable, ErrorOf(results).detail});
+        }
+        done(std::move(results));
+      });
+}
+
+void JobStore::ReadItems(const JobId& job, std::function<void(Result<std::vector<JobItem>>)> done) {
+  ReadAllItems(ledger::ItemRange(job), std::make_shared<std::vector<TableRow>>(), std::move(done));
+}
+
+void JobStore::ReadAllItems(TableRange range, std::shared_ptr<std::vector<TableRow>> rows,
+                            std::function<void(Result<std::vector<JobItem>>)> done) {
+  tables_.Read(range,
+               [this, range, rows, done = std::move(done)](const Result<TablePage>& page) mutable {
+                 if (!IsOk(page)) return done(ErrorOf(page));
+                 rows->insert(rows->end(), ValueOf(page).rows.begin(), ValueOf(page).rows.end());
+                 if (ValueOf(page).truncated && !rows->empty()) {
+                   range.from = rows->back().at.key + '\0';
+                   return ReadAllItems(std::move(range), rows, std::move(done));
+                 }
+                 Result<std::vector<JobItem>> items = ledger::DecodeItems(*rows);
+                 if (!IsOk(items))
+                   return done(Error{ErrorKind::kStoreUnavailable, ErrorOf(items).detail});
+                 done(std::move(items));
+               });
+}
+
+// --- Leaving ------------------------------------------------------------------------------
+
+void JobStore::Leave(std::function<void()> done) {
+  leaving_ = true;
+  left_ = std::move(done);
+  std::vector<JobId> mine;
+  for (const auto& [id, job] : owned_) mine.push_back(id);
+  for (const JobId& id : mine) {
+    hooks_.dropped(id);
+    // What is finished is written first; OnWritten releases the job after that.
+    OwnedJob& job = *owned_[id];
+    if (job.settled()) {
+      Release(id);
+    } else {
+      Write(job);
+    }
+  }
+  FinishLeaving();
+}
+
+void JobStore::Release(const JobId& id) {
+  const OwnedJob* job = Owned(id);
+  JobHead head = job->head();
+  const RowVersion version = job->version();
+  Drop(id);
+  head.owner = NodeId{};
+  head.owner_incarnation = 0;
+  head.token = FreshToken(random_);
+  TableTransaction transaction;
+  transaction.conditions.push_back({ledger::HeadKey(id), version});
+  transaction.puts.push_back({ledger::HeadKey(id), ledger::EncodeHead(head)});
+  Log(LogLevel::kInfo, "job_released", {{"job", id.value}});
+  ++releasing_;
+  HedgedCommit(loop_, tables_, std::move(transaction), [this](const TableOutcome& /*outcome*/) {
+    // When it failed, the others take the job over once this process is gone.
+    --releasing_;
+    FinishLeaving();
+  });
+}
+
+void JobStore::FinishLeaving() {
+  if (releasing_ == 0 && owned_.empty() && left_) std::exchange(left_, nullptr)();
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/job_store.h
@@ -0,0 +1,110 @@
+#pragma once
+
+// All batch jobs as the table service has them, and those that this entry owns:
+// accepts, takes over, writes results and hands over.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "figmill/ledger.h"
+#include "figmill/runtime.h"
+#include "figmill/sharing.h"
+#include "gateway/store_clock.h"
+#include "gateway/table_follower.h"
+
+namespace figmill {
+
+class JobStore {
+ public:
+  // A job whose owner is not heard of is taken over after this. The owner's death
+  // is known after PeerTable::kSilence; this leaves a restarted one time to come
+  // back for its own.
+  static constexpr Duration kTakeOverAfter{800'000};
+  static constexpr Duration kCheckPeriod{100'000};
+  static constexpr Duration kRetryPause{100'000};
+
+  struct Hooks {
+    // A job is owned now and its items are known.
+    std::function<void(OwnedJob&)> owned;
+    // It is not, or it has ended: stop what runs of it.
+    std::function<void(const JobId&)> dropped;
+    std::function<void(const JobHead&)> changed;
+  };
+
+  JobStore(Loop& loop, SharedTables& tables, const PeerTable& peers, StoreClock& clock,
+           RandomBits random, Hooks hooks);
+
+  void Start();
+  // Refuses new jobs; hands all open ones to others and calls `done`.
+  void Leave(std::function<void()> done);
+
+  // Accepts a job for good or finds it accepted. Errors: kConflict (other items under
+  // this id), kStoreUnavailable with `ran` no (never will be accepted) or unknown.
+  void Accept(JobHead head, JobSubmission submission, std::function<void(Result<Ok>)> done);
+  // Ends it for its sender. Errors: kNotFound, kStoreUnavailable.
+  void End(const JobId& job, std::function<void(Result<Ok>)> done);
+  // The job's row: from the mirror, else from the store. Errors: kNotFound, kStoreUnavailable.
+  void Find(const JobId& job, std::function<void(Result<JobHead>)> done);
+  // Errors: kStoreUnavailable.
+  void ReadResults(const JobId& job, std::uint32_t from,
+                   std::function<void(Result<std::vector<ItemResult>>)> done);
+  void ReadItems(const JobId& job, std::function<void(Result<std::vector<JobItem>>)> done);
+
+  [[nodiscard]] const JobHead* Known(const JobId& job) const;
+  [[nodiscard]] OwnedJob* Owned(const JobId& job);
+  // Something was finished: write it.
+  void Write(OwnedJob& job);
+  [[nodiscard]] bool listed() const { return follower_.mirror().complete(); }
+  [[nodiscard]] std::size_t owned() const { return owned_.size(); }
+
+ private:
+  struct KnownJob {
+    JobHead head;
+    RowVersion version = 0;
+    Time seen_at{};  // since when its owner has been as it is
+    bool taking = false;
+  };
+
+  void OnRow(const TableMirror::Change& change);
+  void Learn(const JobHead& head, RowVersion version);
+  void LearnRow(const TableRow& row);
+  void CommitAll(std::shared_ptr<std::vector<TableTransaction>> transactions, std::size_t next,
+                 std::function<void(TableOutcome)> done);
+  void OnAccepted(const JobHead& head, JobSubmission submission, const TableOutcome& outcome,
+                  const std::function<void(Result<Ok>)>& done);
+  void CheckOwners();
+  [[nodiscard]] bool ShouldTake(const KnownJob& job, Time now) const;
+  void Take(const JobId& job);
+  void OnTaken(const JobHead& head, const TableOutcome& outcome);
+  void Own(JobHead head, RowVersion version, std::vector<JobItem> items);
+  void LoadAndOwn(const JobHead& head, RowVersion version);
+  void Drop(const JobId& job);
+  void OnWritten(const JobId& job, const TableOutcome& outcome);
+  void EndElsewhere(const JobId& job, const JobHead& head, RowVersion version, int tries,
+                    std::function<void(Result<Ok>)> done);
+  void ReadAllItems(TableRange range, std::shared_ptr<std::vector<TableRow>> rows,
+                    std::function<void(Result<std::vector<JobItem>>)> done);
+  void Release(const JobId& job);
+  void FinishLeaving();
+  [[nodiscard]] bool IsMine(const JobHead& head) const;
+
+  Loop& loop_;
+  SharedTables& tables_;
+  const PeerTable& peers_;
+  StoreClock& clock_;
+  RandomBits random_;
+  Hooks hooks_;
+  TableFollower follower_;
+  std::map<JobId, KnownJob> known_;
+  std::map<JobId, std::unique_ptr<OwnedJob>> owned_;
+  std::function<void()> left_;
+  bool leaving_ = false;
+  std::size_t releasing_ = 0;
+  Time started_at_{};
+  Timer check_timer_;
+};
+
+}  // namespace figmill
--- /dev/null
+++ b/src/gateway/peer_link.h
@@ -0,0 +1,67 @@
+#pragma once
+
+// Datagrams between entries: who is there, and who uses which places.
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <vector>
+
+#include "figmill/fleet.h"
+#include "figmill/runtime.h"
+#include "figmill/sharing.h"
+
+namespace figmill {
+
+class PeerLink {
+ public:
+  struct Hooks {
+    std::function<int()> wanted;  // batch items that could start now
+    std::function<void()> grants_changed;
+  };
+  // Places kept free of batch at each backend server.
+  static constexpr int kReserve = 0;
+
+  PeerLink(Loop& loop, PeerTable& peers, PlaceBook& places, Metrics& metrics, Hooks hooks);
+
+  // Errors: kInternal, with the cause.
+  [[nodiscard]] Result<Ok> Start(const std::vector<Address>& seeds);
+  // Tells all that this process leaves.
+  void Leave();
+  // The store lists this peer.
+  void Named(const Peer& peer);
+  void Unlisted(const NodeId& node);
+  // This entry's use of a backend server, or what it wants, has changed.
+  void Touch(const BackendId& backend);
+  void WantedChanged();
+
+ private:
+  void OnDatagram(std::string_view bytes);
+  void OnGrant(const Peer& from, const PlaceGrant& grant);
+  void Heartbeat();
+  void UpdateKeepers();
+  void ScheduleFlush();
+  void Flush();
+  void SendReport(const Peer& keeper, std::vector<PlaceReport::Line> lines);
+  void SendGrants();
+  void Send(const Peer& to, PeerMessage message);
+  [[nodiscard]] PlaceReport::Line LineOf(const BackendId& backend) const;
+
+  Loop& loop_;
+  PeerTable& peers_;
+  PlaceBook& places_;
+  Metrics& metrics_;
+  Hooks hooks_;
+  PlaceKeeper keeper_{kReserve};
+  std::unique_ptr<UdpSocket> socket_;
+  std::map<BackendId, Peer> keeper_of_;
+  std::map<NodeId, std::uint64_t> acted_;  // by keeper: the last grant acted on
+  std::set<BackendId> touched_;
+  std::set<NodeId> owed_;  // keepers that wait for a report
+  std::uint64_t report_number_ = 0;
+  bool flush_scheduled_ = false;
+  Timer heartbeat_, grant_timer_;
+};
+
+}  // namespace figmill
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -9,6 +9,7 @@
 
 #include "figmill/runtime.h"
 #include "figmill/tables.h"
+#include "gateway/store_clock.h"
 
 namespace figmill {
 
@@ -22,7 +23,8 @@
   // `on_change` as for TableMirror; `settled` after each answer, when what the
   // mirror holds may have changed.
   TableFollower(Loop& loop, SharedTables& tables, std::string table, std::vector<std::string> parts,
-                TableMirror::OnChange on_change, std::function<void()> settled);
+                TableMirror::OnChange on_change, std::function<void()> settled,
+                StoreClock* clock = nullptr);
   ~TableFollower();
 
   void Start() { Step(); }
@@ -34,6 +36,7 @@
 
  private:
   void Step();
+  void Heard(StoreTime at);
   void Answered(bool ok, const std::string& why);
 
   Loop& loop_;
@@ -41,6 +44,7 @@
   std::string table_;
   TableMirror mirror_;
   std::function<void()> settled_;
+  StoreClock* clock_;
   bool connected_ = false;
   Time changed_at_{};
   Timer pause_;
--- /dev/null
+++ b/src/ledger/item_text.cc
@@ -0,0 +1,48 @@
+#include "figmill/ledger.h"
+
+namespace figmill {
+namespace {
+
+constexpr std::string_view kDataField = "data:";
+
+// The data lines of one event, joined by line feeds; nothing if it has none.
+std::optional<std::string> DataOf(std::string_view event) {
+  std::optional<std::string> data;
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.starts_with(kDataField)) {
+      line.remove_prefix(kDataField.size());
+      if (line.starts_with(' ')) line.remove_prefix(1);
+      if (data) {
+        data->append("\n").append(line);
+      } else {
+        data = std::string(line);
+      }
+    }
+    if (end == std::string_view::npos) break;
+    event.remove_prefix(end + 1);
+  }
+  return data;
+}
+
+}  // namespace
+
+void ItemText::Feed(std::string_view bytes) {
+  const std::string events = pieces_.Feed(bytes);
+  std::string_view rest = events;
+  while (!rest.empty()) {
+    std::size_t end = rest.find("\n\n");
+    const std::size_t crlf = rest.find("\n\r\n");
+    std::size_t length = end == std::string_view::npos ? rest.size() : end + 2;
+    if (crlf != std::string_view::npos && crlf + 3 < length) length = crlf + 3;
+    if (const auto data = DataOf(rest.substr(0, length))) {
+      if (!text_.empty()) text_ += '\n';
+      text_ += *data;
+    }
+    rest.remove_prefix(length);
+  }
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/src/ledger/owned_job.cc
@@ -0,0 +1,92 @@
+#include <algorithm>
+#include <cassert>
+
+#include "figmill/ledger.h"
+
+namespace figmill {
+
+OwnedJob::OwnedJob(JobHead head, RowVersion version, std::vector<JobItem> items)
+    : head_(std::move(head)), version_(version), items_(std::move(items)) {
+  assert(head_.done.size() == items_.size());
+  finished_.resize(items_.size(), false);
+}
+
+bool OwnedJob::IsOpen(std::size_t item) const {
+  return !IsListed(item) && !finished_[item];
+}
+
+void OwnedJob::Finish(std::size_t item, ItemResult result) {
+  if (!IsOpen(item)) return;
+  finished_[item] = true;
+  pending_.emplace_back(item, std::move(result));
+}
+
+std::optional<TableTransaction> OwnedJob::NextWrite(const RandomBits& random) {
+  if (in_flight_) return std::nullopt;
+  if (!write_) {
+    if (pending_.empty() && !wants_end_) return std::nullopt;
+    write_ = Write{head_, {}, version_};
+    write_->head.token = FreshToken(random);
+    write_->head.ended = head_.ended || wants_end_;
+    std::size_t bytes = 0;
+    while (!pending_.empty() && write_->results.size() < kMaxResultsPerWrite &&
+           bytes < kMaxBytesPerWrite) {
+      bytes += pending_.front().second.output.size();
+      write_->head.done[pending_.front().first] = 'x';
+      ++write_->head.listed;
+      write_->results.push_back(std::move(pending_.front()));
+      pending_.erase(pending_.begin());
+    }
+  }
+  in_flight_ = true;
+  return TransactionFor(*write_);
+}
+
+// A write that is sent again is the same to the letter: an earlier copy, whose
+// answer was lost, may still take effect, and then this one finds its own token.
+TableTransaction OwnedJob::TransactionFor(const Write& write) const {
+  TableTransaction transaction;
+  transaction.conditions.push_back({ledger::HeadKey(head_.id), write.condition});
+  transaction.puts.push_back({ledger::HeadKey(head_.id), ledger::EncodeHead(write.head)});
+  std::uint32_t position = write.head.listed - static_cast<std::uint32_t>(write.results.size());
+  for (const auto& [item, result] : write.results) {
+    for (TablePut& put : ledger::ResultRows(head_.id, position, result)) {
+      transaction.puts.push_back(std::move(put));
+    }
+    ++position;
+  }
+  return transaction;
+}
+
+void OwnedJob::OnCommitted(RowVersion version) {
+  in_flight_ = false;
+  if (!write_) return;
+  const JobHead written = write_->head;  // Adopt lets go of the write
+  Adopt(written, version);
+}
+
+bool OwnedJob::OnHead(const JobHead& head, RowVersion version) {
+  if (version <= version_) return true;
+  if (head.owner != head_.owner || head.owner_incarnation != head_.owner_incarnation) return false;
+  Adopt(head, version);
+  return true;
+}
+
+// The row as it is now. Our write is among what it has, if its token is ours;
+// otherwise another one came before it, and the results wait for the next write.
+void OwnedJob::Adopt(const JobHead& head, RowVersion version) {
+  if (write_) {
+    const bool ours = head.token == write_->head.token;
+    if (!ours) {
+      pending_.insert(pending_.begin(), std::make_move_iterator(write_->results.begin()),
+                      std::make_move_iterator(write_->results.end()));
+    }
+    write_.reset();
+  }
+  head_ = head;
+  version_ = version;
+  if (head_.ended) wants_end_ = false;
+  std::erase_if(pending_, [this](const auto& each) { return IsListed(each.first); });
+}
+
+}  // namespace figmill
--- a/src/runtime/loop.cc
+++ b/src/runtime/loop.cc
@@ -62,6 +62,12 @@
   return Timer(core);
 }
 
+void Loop::Later(Duration delay, std::function<void()> task) {
+  auto core = std::make_shared<TimerCore>(core_->io);
+  core->task = std::move(task);
+  Arm(core, delay);
+}
+
 Timer Loop::Every(Duration period, std::function<void()> task) {
   auto core = std::make_shared<TimerCore>(core_->io);
   core->task = std::move(task);
--- /dev/null
+++ b/src/sharing/place_keeper.cc
@@ -0,0 +1,154 @@
+#include <algorithm>
+
+#include "figmill/sharing.h"
+
+namespace figmill {
+
+void PlaceKeeper::Keep(const std::map<BackendId, int>& places, Time now) {
+  std::erase_if(kept_, [&places](const auto& each) { return !places.contains(each.first); });
+  for (const auto& [id, count] : places) {
+    const auto [at, fresh] = kept_.try_emplace(id);
+    if (fresh) at->second.since = now;
+    if (at->second.places == count) continue;
+    at->second.places = count;
+    Divide(at->second, now);
+  }
+}
+
+void PlaceKeeper::OnReport(const NodeId& from, Incarnation incarnation, const PlaceReport& report,
+                           Time now) {
+  EntryState& entry = entries_[from];
+  if (incarnation < entry.incarnation) return;
+  if (incarnation > entry.incarnation) {
+    Forget(from, now);
+    entries_[from] = EntryState{};
+    entries_[from].incarnation = incarnation;
+    return OnReport(from, incarnation, report, now);
+  }
+  if (report.number <= entry.number) return;  // overtaken by a later one
+  entry.number = report.number;
+  entry.acted = std::max(entry.acted, report.grant);
+  entry.wanted = report.wanted;
+  entry.at = now;
+  for (const PlaceReport::Line& line : report.lines) {
+    const auto found = kept_.find(line.backend);
+    if (found == kept_.end()) continue;
+    Share& share = found->second.shares[from];
+    if (share.online != line.online || share.batch != line.batch) {
+      MarkOthersStale(found->second, from);
+    }
+    share.online = line.online;
+    share.batch = line.batch;
+    Divide(found->second, now);
+  }
+}
+
+void PlaceKeeper::Forget(const NodeId& entry, Time now) {
+  for (auto& [id, kept] : kept_) {
+    if (kept.shares.erase(entry) == 0) continue;
+    MarkOthersStale(kept, entry);
+    Divide(kept, now);
+  }
+  entries_.erase(entry);
+}
+
+void PlaceKeeper::MarkOthersStale(const Kept& kept, const NodeId& but) {
+  for (const auto& [node, share] : kept.shares) {
+    if (node != but) entries_[node].stale = true;
+  }
+}
+
+// A grant is under way that the entry has not acted on yet.
+bool PlaceKeeper::InFlight(const NodeId& entry) const {
+  const auto found = entries_.find(entry);
+  return found != entries_.end() && found->second.acted < found->second.granted;
+}
+
+// Divides what online leaves of one backend server. An entry keeps what it runs;
+// when that is too much, the one that runs most gives up first. What is free goes
+// one by one to the entry that runs least there and wants more.
+void PlaceKeeper::Divide(Kept& kept, Time now) {
+  int free = kept.places - reserve_;
+  for (const auto& [node, share] : kept.shares) free -= share.online;
+  std::map<NodeId, int> next;
+  int used = 0;
+  for (const auto& [node, share] : kept.shares) {
+    const int held = InFlight(node) ? std::max(share.batch, share.allowed) : share.batch;
+    next[node] = held;
+    used += held;
+  }
+  while (used > std::max(free, 0)) {
+    const auto most = std::max_element(
+        next.begin(), next.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+    if (most == next.end() || most->second == 0) break;
+    --most->second;
+    --used;
+  }
+  const bool settled = now - kept.since >= kSettle;
+  while (settled && used < free) {
+    std::map<NodeId, int>::iterator least = next.end();
+    for (auto at = next.begin(); at != next.end(); ++at) {
+      const EntryState& entry = entries_[at->first];
+      const int extra = at->second - kept.shares[at->first].batch;
+      if (entry.wanted <= extra) continue;
+      if (least == next.end() || at->second < least->second) least = at;
+    }
+    if (least == next.end()) break;
+    ++least->second;
+    ++used;
+  }
+  for (auto& [node, share] : kept.shares) {
+    if (share.allowed == next[node]) continue;
+    share.allowed = next[node];
+    entries_[node].urgent = true;
+  }
+}
+
+PlaceGrant PlaceKeeper::GrantFor(const NodeId& entry) const {
+  PlaceGrant grant;
+  for (const auto& [id, kept] : kept_) {
+    const auto mine = kept.shares.find(entry);
+    if (mine == kept.shares.end()) continue;
+    PlaceGrant::Line line{id, 0, 0, mine->second.allowed};
+    for (const auto& [node, share] : kept.shares) {
+      if (node == entry) continue;
+      line.online_other += share.online;
+      line.batch_other += share.batch;
+    }
+    grant.lines.push_back(std::move(line));
+  }
+  return grant;
+}
+
+std::vector<PlaceKeeper::Outgoing> PlaceKeeper::Due(Time now) {
+  std::vector<NodeId> silent;
+  for (const auto& [node, entry] : entries_) {
+    if (now - entry.at >= kReportLife) silent.push_back(node);
+  }
+  for (const NodeId& node : silent) Forget(node, now);
+  for (auto& [id, kept] : kept_) {
+    const bool just_settled = now - kept.since >= kSettle && now - kept.since < 4 * kSettle;
+    if (just_settled) Divide(kept, now);
+  }
+  std::vector<Outgoing> due;
+  for (auto& [node, entry] : entries_) {
+    const bool told_lately = now - entry.told_at < kCoalesce;
+    if (!entry.urgent && !(entry.stale && !told_lately)) continue;
+    PlaceGrant grant = GrantFor(node);
+    grant.number = ++entry.granted;
+    entry.urgent = false;
+    entry.stale = false;
+    entry.told_at = now;
+    due.push_back({node, std::move(grant)});
+  }
+  return due;
+}
+
+int PlaceKeeper::Allowed(const BackendId& backend, const NodeId& entry) const {
+  const auto found = kept_.find(backend);
+  if (found == kept_.end()) return 0;
+  const auto share = found->second.shares.find(entry);
+  return share == found->second.shares.end() ? 0 : share->second.allowed;
+}
+
+}  // namespace figmill
--- /dev/null
+++ b/test/ledger-rows-test.cc
@@ -0,0 +1,89 @@
+#include <doctest/doctest.h>
+
+#include <random>
+
+#include "figmill/encoding.h"
+#include "figmill/ledger.h"
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+std::string RandomBytes(std::size_t size) {
+  std::mt19937 random(static_cast<unsigned>(size) + 1);
+  std::string bytes(size, '\0');
+  for (char& byte : bytes) byte = static_cast<char>(random());
+  return bytes;
+}
+
+std::vector<TableRow> RowsOf(const std::vector<TablePut>& puts) {
+  std::vector<TableRow> rows;
+  for (const TablePut& put : puts) rows.push_back({put.at, put.value, 1, false});
+  return rows;
+}
+
+}  // namespace
+
+TEST_CASE("base64 gives any bytes back and refuses what is not base64") {
+  for (const std::size_t size : {0, 1, 2, 3, 4, 100, 45'000}) {
+    const std::string bytes = RandomBytes(size);
+    const std::string text = Base64Encoded(bytes);
+    CHECK(text.find_first_not_of(
+              "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/=") ==
+          std::string::npos);
+    CHECK(Base64Decoded(text) == bytes);
+  }
+  CHECK(Base64Decoded("abc") == std::nullopt);
+  CHECK(Base64Decoded("ab!=") == std::nullopt);
+}
+
+TEST_CASE("results of any size come back from their rows, a cut one is left out") {
+  const JobId job{"job-1"};
+  std::vector<TablePut> puts;
+  const std::vector<ItemResult> results = {{"a", ResultState::kComplete, RandomBytes(100)},
+                                           {"b", ResultState::kComplete, RandomBytes(120'000)},
+                                           {"c", ResultState::kDead, ""}};
+  for (std::uint32_t i = 0; i < results.size(); ++i) {
+    for (TablePut& put : ledger::ResultRows(job, i, results[i])) puts.push_back(std::move(put));
+  }
+  std::vector<TableRow> rows = RowsOf(puts);
+  auto back = ledger::DecodeResults(rows);
+  REQUIRE(IsOk(back));
+  REQUIRE(ValueOf(back).size() == 3);
+  CHECK(ValueOf(back)[1].output == results[1].output);
+  CHECK(ValueOf(back)[2].state == ResultState::kDead);
+  rows.resize(2);  // the page ends within the second result
+  back = ledger::DecodeResults(rows);
+  REQUIRE(IsOk(back));
+  CHECK(ValueOf(back).size() == 1);
+}
+
+TEST_CASE("the items of a job come back from their rows, and only the last write makes the job") {
+  JobHead head;
+  head.id = JobId{"job-1"};
+  std::vector<JobItem> items;
+  for (int i = 0; i < 40; ++i) {
+    items.push_back({"i" + std::to_string(i), "/p/", {{"Model", "m"}}, RandomBytes(30'000), 7});
+  }
+  head.total = 40;
+  head.done = std::string(40, '.');
+  const std::vector<TableTransaction> writes = ledger::Accept(head, items);
+  CHECK(writes.size() > 1);
+  std::vector<TableRow> rows;
+  for (const TableTransaction& write : writes) {
+    const bool last = &write == &writes.back();
+    CHECK(write.conditions.size() == (last ? 1 : 0));
+    for (const TablePut& put : write.puts) {
+      CHECK(put.value.size() <= ledger::kPieceBytes);
+      if (put.at.table == ledger::kItemTable) rows.push_back({put.at, put.value, 1, false});
+    }
+  }
+  const auto back = ledger::DecodeItems(rows);
+  REQUIRE(IsOk(back));
+  REQUIRE(ValueOf(back).size() == 40);
+  CHECK(ValueOf(back)[39].body == items[39].body);
+  CHECK(ValueOf(back)[39].headers == items[39].headers);
+  const auto head_back = ledger::DecodeHead(writes.back().puts.back().value);
+  REQUIRE(IsOk(head_back));
+  CHECK(ValueOf(head_back).total == 40);
+}
