--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -65,6 +65,8 @@
   [[nodiscard]] Timer Every(Duration period, std::function<void()> task);
   // Runs `task` on this loop for SIGTERM and SIGINT.
   void OnTerminate(std::function<void()> task);
+  // Runs `task` on this loop for SIGHUP, which ends the process otherwise.
+  void OnReload(std::function<void()> task);
 
   [[nodiscard]] static Time Now();
   [[nodiscard]] static WallTime WallNow();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -114,6 +114,9 @@
         {{"node", settings_.node.value},
          {"incarnation", std::to_string(peers_.self().incarnation)}});
     loop_.OnTerminate([this] { Leave(); });
+    loop_.OnReload([] {
+      Log(LogLevel::kInfo, "reload", {{"why", "settings are read at start; none to apply"}});
+    });
     loop_.Run();
     Log(LogLevel::kInfo, "stopped", {{"node", settings_.node.value}});
     return 0;
--- a/src/runtime/loop.cc
+++ b/src/runtime/loop.cc
@@ -82,6 +82,11 @@
   AwaitSignal(core_->signals, task);
 }
 
+void Loop::OnReload(std::function<void()> task) {
+  core_->reloads.add(SIGHUP);
+  AwaitSignal(core_->reloads, task);
+}
+
 Time Loop::Now() {
   const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
   return Time(std::chrono::duration_cast<Duration>(since_boot));
--- a/src/runtime/loop_core.h
+++ b/src/runtime/loop_core.h
@@ -16,6 +16,7 @@
   asio::io_context io{1};
   asio::executor_work_guard<asio::io_context::executor_type> work = asio::make_work_guard(io);
   asio::signal_set signals{io};
+  asio::signal_set reloads{io};
 };
 
 struct TimerCore : std::enable_shared_from_this<TimerCore> {
