Trials: spread of online over engines by chance, keepers on large hosts, messages by msgpack

Conclusion: fresher counts help, but what is needed is one place that decides at the peak; next, entries ask the keeper.

--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -65,11 +65,16 @@
   // After "not run" the backend server is full or leaving; the next request goes
   // elsewhere for about as long as a place needs to fall free.
   static constexpr Duration kRejectedPause{100'000};
-  // A backend server of another data centre is taken when those of this one have
-  // this many more of their places in use. Unit: share of its places.
-  static constexpr double kHopShare = 0.5;
+  // A backend server of another data centre costs as much as this many online
+  // requests more. Unit: requests.
+  static constexpr double kHopRequests = 0.5;
+  // What is known of others' use is some ms old, and all entries know the same. If
+  // each took the least used backend server, those of one such span would all meet
+  // there. So each takes the better of this many that it draws by chance.
+  static constexpr int kDraws = 3;
 
-  explicit PlaceBook(DataCentre here) : here_(std::move(here)) {}
+  PlaceBook(DataCentre here, RandomBits random)
+      : here_(std::move(here)), random_(std::move(random)) {}
 
   // Adds it or changes what is known of it.
   void Learn(const BackendInfo& info);
@@ -78,7 +83,7 @@
   [[nodiscard]] std::vector<BackendInfo> OfService(const ServiceName& service) const;
 
   // Errors: kNoBackend (none is left to try), kOverloaded (all are full); ran no.
-  [[nodiscard]] Result<BackendAddress> Choose(const PlaceQuery& query, Time now) const;
+  [[nodiscard]] Result<BackendAddress> Choose(const PlaceQuery& query, Time now);
 
   void Began(const BackendId& id, WorkClass work);
   void Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Time now);
@@ -107,9 +112,11 @@
     Time rejecting_until{};
   };
   [[nodiscard]] double Cost(const Backend& backend) const;
+  [[nodiscard]] const Backend& Draw(std::vector<const Backend*>& open);
   static void Judge(Backend& backend, relay::SendEnd end, Time now);
 
   DataCentre here_;
+  RandomBits random_;
   std::map<BackendId, Backend> backends_;
   std::function<void(const BackendId&)> on_use_ = [](const BackendId&) {};
 };
--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -134,6 +134,9 @@
   [[nodiscard]] virtual Address address() const = 0;
   // No new connections; the ones that are open finish their requests.
   virtual void StopAccepting() = 0;
+  // Closes the connections that had a request and have none now. A caller whose
+  // next request crosses that sees that it was not read.
+  virtual void CloseIdle() = 0;
 };
 
 // application/problem+json with kind, detail, ran, and Retry-After.
--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -30,6 +30,7 @@
   Incarnation incarnation = 0;
   Address address;  // of its datagrams, and of HTTP between entries
   DataCentre data_centre;
+  double capacity = 1;  // of its host, in cores
   bool leaving = false;
   bool operator==(const Peer&) const = default;
 };
@@ -38,12 +39,16 @@
 // hearing from one makes it live.
 class PeerTable {
  public:
-  // A peer that was silent for so long is taken for gone. Peers send every
-  // kHeartbeat, so that three in a row were lost or the peer stands still.
-  static constexpr Duration kHeartbeat{200'000};
-  static constexpr Duration kSilence{700'000};
-  // Silent peers are forgotten after this, when nobody names them any more.
-  static constexpr Duration kForget{60'000'000};
+  // Peers say that they are there this often; a peer that was silent for two such
+  // spans is taken for gone.
+  static constexpr Duration kPresence{1'000'000};
+  static constexpr Duration kSilence{2'300'000};
+  // A data centre's backend servers are kept by one entry for each so many. Fewer
+  // keepers mean fewer datagrams to each entry, more of them less lost with one.
+  static constexpr std::size_t kBackendsPerKeeper = 6;
+  // Entries on hosts with less than this share of the largest one's capacity keep
+  // no backend servers and own no jobs: callers come to all alike.
+  static constexpr double kLeastCapacity = 0.5;
 
   explicit PeerTable(Peer self) : self_(std::move(self)) {}
 
@@ -51,6 +56,8 @@
   bool Named(const Peer& peer, Time now);
   // Heard from itself. True if it wasn't live before.
   bool Heard(const Peer& peer, Time now);
+  // It should have been heard from: not live until it is.
+  void Suspect(const NodeId& node);
   void Forget(const NodeId& node) { others_.erase(node); }
   void SetLeaving(bool leaving) { self_.leaving = leaving; }
 
@@ -61,20 +68,29 @@
   [[nodiscard]] std::vector<Peer> others() const;
   [[nodiscard]] std::vector<Peer> Live(Time now) const;  // with this one
 
-  // The live entry that keeps this backend server: of its data centre if there is
-  // one, and not leaving.
-  [[nodiscard]] std::optional<Peer> KeeperOf(const BackendInfo& backend, Time now) const;
+  // Live, staying, and with capacity for more than their callers.
+  [[nodiscard]] std::vector<Peer> Capable(Time now) const;
+  // The capable entry that wins the rendezvous hash for `key`; among those of
+  // `prefer`, if there is one.
+  [[nodiscard]] std::optional<Peer> OwnerOf(std::string_view key,
+                                            const std::optional<DataCentre>& prefer,
+                                            Time now) const;
+  // The keepers of a data centre that has `backends` backend servers.
+  [[nodiscard]] std::vector<Peer> KeepersOf(const DataCentre& data_centre, std::size_t backends,
+                                            Time now) const;
 
  private:
   struct Entry {
     Peer peer;
     std::optional<Time> heard_at;
-    Time named_at{};
   };
   Peer self_;
   std::map<NodeId, Entry> others_;
 };
 
+// The keeper of a backend server out of those of its data centre.
+[[nodiscard]] const Peer* KeeperAmong(std::span<const Peer> keepers, const BackendId& backend);
+
 // --- Messages ----------------------------------------------------------------------
 
 // A datagram that is not cut on its way. Unit: bytes.
@@ -113,7 +129,7 @@
   bool hello = false;       // asks for `known`
 };
 
-// CBOR. A message that does not fit a datagram loses its last lines, which come
+// MessagePack. A message that does not fit a datagram loses its last lines, which come
 // with the next one.
 [[nodiscard]] std::string Encode(const PeerMessage& message);
 // Errors: kBadRequest.
@@ -123,21 +139,27 @@
 
 class PlaceKeeper {
  public:
-  // What an entry reported is dropped when it has been silent for so long: its
-  // online streams have ended by then, and batch goes on elsewhere.
+  // What an entry reported is dropped when it has been silent for so long; they
+  // report every kHeartbeat. Its online streams have ended by then.
   static constexpr Duration kReportLife{2'000'000};
   // After it became keeper: what runs must be reported before places are granted,
   // or they would be granted twice.
   static constexpr Duration kSettle{500'000};
-  // Grants that only tell what others use wait this long for more changes.
-  static constexpr Duration kCoalesce{25'000};
+  // Grants that only tell what others use wait this long for more changes; longer
+  // to other data centres, whose entries come here only when theirs are full.
+  static constexpr Duration kCoalesce{10'000};
+  static constexpr Duration kCoalesceFar{30'000};
+  // Each entry that reports gets a grant at least this often, so that it knows
+  // that its keeper is there.
+  static constexpr Duration kHeartbeat{200'000};
 
   // Places kept free of batch at each backend server.
   explicit PlaceKeeper(int reserve) : reserve_(reserve) {}
 
   // The backend servers that this entry keeps now, with their places.
   void Keep(const std::map<BackendId, int>& places, Time now);
-  void OnReport(const NodeId& from, Incarnation incarnation, const PlaceReport& report, Time now);
+  // `near`: the entry is in this data centre.
+  void OnReport(const Peer& from, bool near, const PlaceReport& report, Time now);
   void Forget(const NodeId& entry, Time now);
 
   struct Outgoing {
@@ -168,6 +190,7 @@
     Time at{};
     std::uint64_t granted = 0;  // number of the last grant sent
     std::uint64_t acted = 0;    // of the last one acted on
+    bool near = true;
     bool urgent = false;        // `allowed` changed
     bool stale = false;         // others' use changed
     Time told_at{};
--- a/src/figmilld/settings.cc
+++ b/src/figmilld/settings.cc
@@ -193,6 +193,11 @@
   AddId(app, {"--data-centre", "FIGMILL_DATA_CENTRE", "data centre of this host"},
         gateway.data_centre.value)
       ->group("Identity");
+  app.add_option("--cores", gateway.cores, "processor time that this process has, in cores")
+      ->envname("FIGMILL_CORES")
+      ->check(CLI::Range(0.001, 1024.0))
+      ->capture_default_str()
+      ->group("Identity");
   const char* const group = "Addresses";
   AddAddress(app, {"--callers", "FIGMILL_CALLERS", "where callers connect"}, gateway.callers,
              Port::kAny)
--- a/src/fleet/place_book.cc
+++ b/src/fleet/place_book.cc
@@ -41,14 +41,29 @@
   return infos;
 }
 
+// In shares of its places.
 double PlaceBook::Cost(const Backend& backend) const {
-  const double share = static_cast<double>(OnlineOf(backend.use)) / backend.info.places;
   const bool local = backend.info.data_centre == here_;
-  return share + (local ? 0 : kHopShare);
-}
-
-Result<BackendAddress> PlaceBook::Choose(const PlaceQuery& query, Time now) const {
-  const Backend* best = nullptr;
+  return (OnlineOf(backend.use) + (local ? 0 : kHopRequests)) / backend.info.places;
+}
+
+// The best of some drawn by chance: out of those with a free place, if there are any.
+const PlaceBook::Backend& PlaceBook::Draw(std::vector<const Backend*>& open) {
+  const auto has_free_place = [](const Backend* each) {
+    return OnlineOf(each->use) < each->info.places;
+  };
+  auto end = std::partition(open.begin(), open.end(), has_free_place);
+  if (end == open.begin()) end = open.end();
+  const auto count = static_cast<std::size_t>(end - open.begin());
+  const std::size_t draws = std::min<std::size_t>(kDraws, count);
+  for (std::size_t i = 0; i < draws; ++i) std::swap(open[i], open[i + random_() % (count - i)]);
+  return **std::min_element(
+      open.begin(), open.begin() + static_cast<std::ptrdiff_t>(draws),
+      [this](const Backend* a, const Backend* b) { return Cost(*a) < Cost(*b); });
+}
+
+Result<BackendAddress> PlaceBook::Choose(const PlaceQuery& query, Time now) {
+  std::vector<const Backend*> open;
   bool any = false;
   for (const auto& [id, backend] : backends_) {
     if (backend.info.service != query.service || Contains(query.tried, id)) continue;
@@ -56,9 +71,12 @@
     any = true;
     if (now < backend.rejecting_until) continue;
     if (OnlineOf(backend.use) >= backend.info.places + kMaxWaiting) continue;
-    if (best == nullptr || Cost(backend) < Cost(*best)) best = &backend;
+    open.push_back(&backend);
+  }
+  if (!open.empty()) {
+    const Backend& best = Draw(open);
+    return BackendAddress{best.info.id, best.info.address};
   }
-  if (best != nullptr) return BackendAddress{best->info.id, best->info.address};
   if (any) return Error{ErrorKind::kOverloaded, "all backend servers are full", Ran::kNo};
   return Error{ErrorKind::kNoBackend, "no backend server is known", Ran::kNo};
 }
--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -8,6 +8,11 @@
 namespace figmill {
 namespace {
 
+// Another entry can take the request at once; the time is for its connection.
+constexpr Duration kOtherEntry{50'000};
+// A process that starts hears of the configuration within about this.
+constexpr Duration kFirstConfiguration{500'000};
+
 std::optional<Duration> DeadlineOf(std::string_view text) {
   std::int64_t ms = 0;
   const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), ms);
@@ -49,6 +54,10 @@
 }
 
 void CallerDoor::OnRequest(HttpRequest request, std::shared_ptr<HttpReply> reply) {
+  if (refusing_) {
+    return Refuse(request, *reply,
+                  {ErrorKind::kLeaving, "this entry is shutting down", Ran::kNo, kOtherEntry});
+  }
   if (!ready()) {
     return Refuse(
         request, *reply,
--- a/src/gateway/caller_door.h
+++ b/src/gateway/caller_door.h
@@ -18,7 +18,10 @@
 
   void Update(std::shared_ptr<const FleetView> view);
   void OnRequest(HttpRequest request, std::shared_ptr<HttpReply> reply);
+  // Answers end their connections from now on.
   void SetLeaving();
+  // Requests from now on could not be finished before the process ends.
+  void RefuseAll() { refusing_ = true; }
   [[nodiscard]] bool ready() const { return view_ && view_->routes; }
   [[nodiscard]] std::size_t in_flight() const { return in_flight_; }
 
@@ -34,6 +37,7 @@
   std::shared_ptr<const FleetView> view_;
   std::size_t in_flight_ = 0;
   bool leaving_ = false;
+  bool refusing_ = false;
 };
 
 }  // namespace figmill
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -22,6 +22,9 @@
 // then new connections come in, and callers keep using open ones.
 constexpr Duration kBalancerNotice{3'000'000};
 constexpr Duration kIdleCheck{50'000};
+// Requests that come later than this before the kill are refused, as they could be
+// cut: a stream lasts about a second, and waits for a place before.
+constexpr Duration kLastRequest{3'000'000};
 // Kept free of the time until the kill, for the last bytes.
 constexpr Duration kGraceMargin{700'000};
 
@@ -64,7 +67,7 @@
 
 Peer SelfOf(const GatewaySettings& settings) {
   const auto incarnation = static_cast<Incarnation>(Loop::WallNow().time_since_epoch().count());
-  return {settings.node, incarnation, settings.peers, settings.data_centre, false};
+  return {settings.node, incarnation, settings.peers, settings.data_centre, settings.cores, false};
 }
 
 class Gateway {
@@ -73,7 +76,7 @@
       : settings_(settings),
         client_(loop_),
         tables_(adapter.Connect(loop_, client_, settings.store)),
-        places_(settings.data_centre),
+        places_(settings.data_centre, SystemRandom()),
         peers_(SelfOf(settings)),
         tools_{loop_, client_, places_, adapter.names(), metrics_},
         link_(loop_, peers_, places_, metrics_,
@@ -161,10 +164,13 @@
     control_.Leave();
     jobs_.Leave([this] { jobs_left_ = true; });
     grace_timer_ = loop_.After(settings_.shutdown_grace - kGraceMargin, [this] { loop_.Stop(); });
+    last_request_timer_ =
+        loop_.After(settings_.shutdown_grace - kLastRequest, [this] { door_.RefuseAll(); });
     idle_timer_ = loop_.After(kBalancerNotice, [this] { StopWhenIdle(); });
   }
 
   void StopWhenIdle() {
+    callers_->CloseIdle();
     if (door_.in_flight() == 0 && desk_.in_flight() == 0 && jobs_left_) return loop_.Stop();
     idle_timer_ = loop_.After(kIdleCheck, [this] { StopWhenIdle(); });
   }
@@ -186,7 +192,7 @@
   std::unique_ptr<HttpServer> callers_, health_, metrics_server_;
   bool leaving_ = false;
   bool jobs_left_ = false;
-  Timer grace_timer_, idle_timer_;
+  Timer grace_timer_, idle_timer_, last_request_timer_;
   Control control_;
 };
 
--- a/src/gateway/job_desk.cc
+++ b/src/gateway/job_desk.cc
@@ -107,31 +107,42 @@
 }
 
 void JobDesk::Read(const JobReadCall& call, const JobHead& head, std::shared_ptr<Answer> answer) {
-  if (call.after < head.listed) {
-    jobs_.ReadResults(
-        call.job, call.after,
-        [this, call, total = head.total, answer](Result<std::vector<ItemResult>> results) {
-          if (!IsOk(results)) return answer->Refuse(ErrorOf(results));
-          std::vector<ItemResult>& found = ValueOf(results);
-          std::size_t bytes = 0;
-          std::size_t count = 0;
-          while (count < found.size() && (count == 0 || bytes < kMaxAnswerBytes)) {
-            bytes += found[count++].output.size();
-          }
-          found.resize(count);
-          answer->Send(
-              {200, "application/json", {}, adapter_.RenderResults(total, call.after, found)});
-        });
-    return;
-  }
-  if (!head.open() || call.wait.count() == 0 || leaving_) {
-    return answer->Send(
-        {200, "application/json", {}, adapter_.RenderResults(head.total, call.after, {})});
-  }
-  Wait(call, head, std::move(answer));
+  if (call.after < head.listed) return SendResults(call, head.total, std::move(answer));
+  const bool may_wait = head.open() && call.wait.count() > 0 && !leaving_;
+  if (may_wait) return Wait(call, std::move(answer));
+  AnswerNothing(call, std::move(answer));
+}
+
+void JobDesk::SendResults(const JobReadCall& call, std::uint32_t total,
+                          std::shared_ptr<Answer> answer) {
+  jobs_.ReadResults(call.job, call.after,
+                    [this, call, total, answer](Result<std::vector<ItemResult>> results) {
+                      if (!IsOk(results)) return answer->Refuse(ErrorOf(results));
+                      std::vector<ItemResult>& found = ValueOf(results);
+                      std::size_t bytes = 0;
+                      std::size_t count = 0;
+                      while (count < found.size() && (count == 0 || bytes < kMaxAnswerBytes)) {
+                        bytes += found[count++].output.size();
+                      }
+                      found.resize(count);
+                      answer->Send({200, "application/json", {},
+                                    adapter_.RenderResults(total, call.after, found)});
+                    });
+}
+
+// "No result yet" is said of the store's row, not of the copy here: another entry
+// may have shown this caller results that have not reached this one, and they would
+// be missed at their positions.
+void JobDesk::AnswerNothing(const JobReadCall& call, std::shared_ptr<Answer> answer) {
+  jobs_.Refresh(call.job, [this, call, answer](const Result<JobHead>& head) {
+    if (!IsOk(head)) return answer->Refuse(ErrorOf(head));
+    if (call.after < ValueOf(head).listed) return SendResults(call, ValueOf(head).total, answer);
+    answer->Send({200, "application/json", {},
+                  adapter_.RenderResults(ValueOf(head).total, call.after, {})});
+  });
 }
 
-void JobDesk::Wait(const JobReadCall& call, const JobHead& head, std::shared_ptr<Answer> answer) {
+void JobDesk::Wait(const JobReadCall& call, std::shared_ptr<Answer> answer) {
   const std::uint64_t number = ++next_number_;
   JobReadCall again = call;
   again.wait = Duration{0};
@@ -140,7 +151,7 @@
     if (now == nullptr) return answer->Refuse({ErrorKind::kNotFound, "no such job"});
     Read(again, *now, answer);
   };
-  waiting_.emplace(call.job, Waiting{call.after, finish, Loop::Now() + call.wait, number});
+  waiting_.emplace(call.job, Waiting{call.after, finish, number});
   loop_.Later(call.wait, [this, job = call.job, number] {
     const auto [first, last] = waiting_.equal_range(job);
     for (auto at = first; at != last; ++at) {
@@ -150,7 +161,6 @@
       return answer_now();
     }
   });
-  (void)head;
 }
 
 void JobDesk::OnChanged(const JobHead& head) {
--- a/src/gateway/job_desk.h
+++ b/src/gateway/job_desk.h
@@ -28,7 +28,6 @@
   struct Waiting {
     std::uint32_t after = 0;
     std::function<void()> answer;
-    Time until{};
     std::uint64_t number = 0;
   };
   // A reply that counts as in flight until it is sent.
@@ -38,7 +37,9 @@
   void On(const JobItemCall& call, std::shared_ptr<Answer> answer);
   void On(const JobEndCall& call, std::shared_ptr<Answer> answer);
   void Read(const JobReadCall& call, const JobHead& head, std::shared_ptr<Answer> answer);
-  void Wait(const JobReadCall& call, const JobHead& head, std::shared_ptr<Answer> answer);
+  void Wait(const JobReadCall& call, std::shared_ptr<Answer> answer);
+  void AnswerNothing(const JobReadCall& call, std::shared_ptr<Answer> answer);
+  void SendResults(const JobReadCall& call, std::uint32_t total, std::shared_ptr<Answer> answer);
 
   Loop& loop_;
   JobStore& jobs_;
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -1,5 +1,6 @@
 #include "gateway/job_store.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "gateway/hedged_commit.h"
@@ -111,8 +112,9 @@
     return done(Error{ErrorKind::kConflict, "a job with this id and other items was accepted"});
   }
   if (leaving_) return done(Error{ErrorKind::kLeaving, "this entry is shutting down", Ran::kNo});
-  head.owner = peers_.self().node;
-  head.owner_incarnation = peers_.self().incarnation;
+  const Peer owner = OwnerOfNew(head.id);
+  head.owner = owner.node;
+  head.owner_incarnation = owner.incarnation;
   head.token = FreshToken(random_);
   auto transactions =
       std::make_shared<std::vector<TableTransaction>>(ledger::Accept(head, submission.items));
@@ -123,6 +125,17 @@
             });
 }
 
+// This entry, unless its host is too small for more than its callers.
+Peer JobStore::OwnerOfNew(const JobId& job) const {
+  const Time now = Loop::Now();
+  const std::vector<Peer> capable = peers_.Capable(now);
+  const bool am_capable =
+      std::any_of(capable.begin(), capable.end(),
+                  [this](const Peer& peer) { return peer.node == peers_.self().node; });
+  if (am_capable) return peers_.self();
+  return peers_.OwnerOf(job.value, peers_.self().data_centre, now).value_or(peers_.self());
+}
+
 void JobStore::CommitAll(std::shared_ptr<std::vector<TableTransaction>> transactions,
                          std::size_t next, std::function<void(TableOutcome)> done) {
   HedgedCommit(
@@ -144,7 +157,7 @@
   std::visit(Overloaded{
                  [&](const TableCommitted& committed) {
                    clock_.Heard(committed.now);
-                   Own(head, committed.version, std::move(submission.items));
+                   if (IsMine(head)) Own(head, committed.version, std::move(submission.items));
                    Learn(head, committed.version);
                    done(Ok{});
                  },
@@ -162,7 +175,7 @@
                                        "a job with this id and other items was accepted"});
                    }
                    // An earlier copy of this very write took effect.
-                   if (ValueOf(there).token == head.token) {
+                   if (ValueOf(there).token == head.token && IsMine(head)) {
                      Own(head, row->version, std::move(submission.items));
                    }
                    LearnRow(*row);
@@ -210,29 +223,24 @@
     if (now - job.seen_at < kTakeOverAfter || now - started_at_ < kTakeOverAfter) return false;
   }
   if (was_mine) return true;
-  // One of those that are there, the same for all.
-  const Peer* best = nullptr;
-  std::uint64_t best_weight = 0;
-  const std::vector<Peer> live = peers_.Live(now);
-  for (const Peer& peer : live) {
-    if (peer.leaving) continue;
-    const std::uint64_t weight = RendezvousWeight(job.head.id.value, peer.node.value);
-    if (best == nullptr || weight > best_weight) {
-      best = &peer;
-      best_weight = weight;
-    }
-  }
-  return best != nullptr && best->node == peers_.self().node;
+  const std::optional<Peer> next = peers_.OwnerOf(job.head.id.value, std::nullopt, now);
+  return next && next->node == peers_.self().node;
 }
 
 void JobStore::CheckOwners() {
   if (leaving_) return;
   const Time now = Loop::Now();
   std::vector<JobId> take;
+  std::vector<JobId> load;
   for (const auto& [id, job] : known_) {
-    if (!owned_.contains(id) && ShouldTake(job, now)) take.push_back(id);
+    if (owned_.contains(id)) continue;
+    if (ShouldTake(job, now)) take.push_back(id);
+    // Given to this entry by the one that accepted it, or accepted here by a write
+    // whose answer was lost.
+    if (IsMine(job.head) && job.head.open() && !job.taking) load.push_back(id);
   }
   for (const JobId& id : take) Take(id);
+  for (const JobId& id : load) LoadAndOwn(id);
 }
 
 void JobStore::Take(const JobId& id) {
@@ -257,28 +265,31 @@
   known_[head.id].taking = false;
   if (const auto* committed = std::get_if<TableCommitted>(&outcome)) {
     Learn(head, committed->version);
-    LoadAndOwn(head, committed->version);
+    LoadAndOwn(head.id);
   } else if (const auto* rejected = std::get_if<TableRejected>(&outcome)) {
     const TableRow* row = RowIn(*rejected, ledger::HeadKey(head.id));
     if (row == nullptr) return;
     LearnRow(*row);
     const JobHead* now = Known(head.id);
-    if (now != nullptr && now->token == head.token) LoadAndOwn(*now, row->version);
+    if (now != nullptr && now->token == head.token) LoadAndOwn(head.id);
   }
   // Otherwise the next check tries again.
 }
 
-void JobStore::LoadAndOwn(const JobHead& head, RowVersion version) {
-  ReadItems(head.id, [this, head, version](Result<std::vector<JobItem>> items) {
-    const JobHead* now = Known(head.id);
-    if (now == nullptr || !IsMine(*now) || leaving_) return;
+void JobStore::LoadAndOwn(const JobId& id) {
+  known_[id].taking = true;
+  ReadItems(id, [this, id](Result<std::vector<JobItem>> items) {
+    const auto found = known_.find(id);
+    if (found == known_.end()) return;
+    found->second.taking = false;
+    if (!IsMine(found->second.head) || leaving_) return;
     if (!IsOk(items)) {
+      // The next check tries again.
       Log(LogLevel::kWarning, "job_items_unread",
-          {{"job", head.id.value}, {"why", ErrorOf(items).detail}});
-      loop_.Later(kRetryPause, [this, head, version] { LoadAndOwn(head, version); });
+          {{"job", id.value}, {"why", ErrorOf(items).detail}});
       return;
     }
-    Own(*now, known_[head.id].version, std::move(ValueOf(items)));
+    Own(found->second.head, found->second.version, std::move(ValueOf(items)));
   });
 }
 
@@ -378,6 +389,10 @@
 
 void JobStore::Find(const JobId& job, std::function<void(Result<JobHead>)> done) {
   if (const JobHead* known = Known(job)) return done(*known);
+  Refresh(job, std::move(done));
+}
+
+void JobStore::Refresh(const JobId& job, std::function<void(Result<JobHead>)> done) {
   const TableKey at = ledger::HeadKey(job);
   tables_.Read({at.table, at.part, at.key, at.key + '\0', 1},
                [this, job, done = std::move(done)](const Result<TablePage>& page) {
--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -48,6 +48,8 @@
   void End(const JobId& job, std::function<void(Result<Ok>)> done);
   // The job's row: from the mirror, else from the store. Errors: kNotFound, kStoreUnavailable.
   void Find(const JobId& job, std::function<void(Result<JobHead>)> done);
+  // As Find, always from the store: what is known here may be seconds old.
+  void Refresh(const JobId& job, std::function<void(Result<JobHead>)> done);
   // Errors: kStoreUnavailable.
   void ReadResults(const JobId& job, std::uint32_t from,
                    std::function<void(Result<std::vector<ItemResult>>)> done);
@@ -80,7 +82,8 @@
   void Take(const JobId& job);
   void OnTaken(const JobHead& head, const TableOutcome& outcome);
   void Own(JobHead head, RowVersion version, std::vector<JobItem> items);
-  void LoadAndOwn(const JobHead& head, RowVersion version);
+  void LoadAndOwn(const JobId& id);
+  [[nodiscard]] Peer OwnerOfNew(const JobId& job) const;
   void Drop(const JobId& job);
   void OnWritten(const JobId& job, const TableOutcome& outcome);
   void EndElsewhere(const JobId& job, const JobHead& head, RowVersion version, int tries,
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -21,13 +21,15 @@
     message.hello = true;
     socket_->Send(Encode(message), seed);
   }
-  heartbeat_ = loop_.Every(PeerTable::kHeartbeat, [this] { Heartbeat(); });
+  heartbeat_ = loop_.Every(kHeartbeat, [this] { Heartbeat(); });
+  presence_ = loop_.Every(PeerTable::kPresence, [this] { Presence(); });
   grant_timer_ = loop_.Every(PlaceKeeper::kCoalesce, [this] { SendGrants(); });
   return Ok{};
 }
 
 void PeerLink::Leave() {
   peers_.SetLeaving(true);
+  Presence();
   Heartbeat();
 }
 
@@ -62,7 +64,7 @@
         {{"peer", message.from.node.value},
          {"incarnation", std::to_string(message.from.incarnation)},
          {"address", ToString(message.from.address)}});
-    acted_.erase(message.from.node);
+    from_keeper_.erase(message.from.node);
     UpdateKeepers();
   }
   for (const Peer& peer : message.known) Named(peer);
@@ -72,20 +74,22 @@
     Send(message.from, std::move(answer));
   }
   if (message.report) {
-    keeper_.OnReport(message.from.node, message.from.incarnation, *message.report, now);
+    const bool near = message.from.data_centre == peers_.self().data_centre;
+    keeper_.OnReport(message.from, near, *message.report, now);
     SendGrants();
   }
   if (message.grant) OnGrant(message.from, *message.grant);
 }
 
 void PeerLink::OnGrant(const Peer& from, const PlaceGrant& grant) {
-  std::uint64_t& acted = acted_[from.node];
-  if (grant.number <= acted) return;
-  acted = grant.number;
+  FromKeeper& keeper = from_keeper_[from.node];
+  keeper.heard_at = Loop::Now();
+  if (grant.number <= keeper.acted) return;
+  keeper.acted = grant.number;
   bool changed = false;
   for (const PlaceGrant::Line& line : grant.lines) {
-    const auto keeper = keeper_of_.find(line.backend);
-    if (keeper == keeper_of_.end() || keeper->second.node != from.node) continue;
+    const auto mine = keeper_of_.find(line.backend);
+    if (mine == keeper_of_.end() || mine->second.node != from.node) continue;
     changed |= places_.Use(line.backend).batch_allowed != line.allowed;
     places_.SetGrant(line.backend, line.online_other, line.batch_other, line.allowed);
   }
@@ -99,11 +103,19 @@
 
 void PeerLink::UpdateKeepers() {
   const Time now = Loop::Now();
+  std::map<DataCentre, std::size_t> backends;
+  places_.ForEach([&backends](const BackendInfo& info, const PlaceUse& /*use*/) {
+    ++backends[info.data_centre];
+  });
+  std::map<DataCentre, std::vector<Peer>> keepers;
+  for (const auto& [data_centre, count] : backends) {
+    keepers[data_centre] = peers_.KeepersOf(data_centre, count, now);
+  }
   std::map<BackendId, int> mine;
   std::map<BackendId, Peer> next;
   places_.ForEach([&](const BackendInfo& info, const PlaceUse& /*use*/) {
-    const std::optional<Peer> keeper = peers_.KeeperOf(info, now);
-    if (!keeper) return;
+    const Peer* keeper = KeeperAmong(keepers[info.data_centre], info.id);
+    if (keeper == nullptr) return;
     next[info.id] = *keeper;
     const bool usable = info.state == BackendState::kReady;
     if (keeper->node == peers_.self().node) mine[info.id] = usable ? info.places : 0;
@@ -113,20 +125,42 @@
     if (!changed) return;
     places_.DropGrant(info.id);
     touched_.insert(info.id);
+    from_keeper_.try_emplace(keeper->node, FromKeeper{0, now});
   });
   keeper_of_ = std::move(next);
   keeper_.Keep(mine, now);
   if (!touched_.empty()) ScheduleFlush();
 }
 
+void PeerLink::SuspectSilentKeepers() {
+  const Time now = Loop::Now();
+  std::set<NodeId> keepers;
+  for (const auto& [backend, keeper] : keeper_of_) keepers.insert(keeper.node);
+  for (const NodeId& node : keepers) {
+    if (node == peers_.self().node) continue;
+    const auto found = from_keeper_.find(node);
+    if (found == from_keeper_.end() || now - found->second.heard_at < kKeeperSilence) continue;
+    Log(LogLevel::kWarning, "keeper_silent", {{"peer", node.value}});
+    peers_.Suspect(node);
+    from_keeper_.erase(found);
+  }
+}
+
 void PeerLink::Heartbeat() {
+  SuspectSilentKeepers();
   UpdateKeepers();
   std::map<NodeId, std::vector<PlaceReport::Line>> lines;
   for (const auto& [backend, keeper] : keeper_of_) lines[keeper.node].push_back(LineOf(backend));
   touched_.clear();
   owed_.clear();
-  SendReport(peers_.self(), std::move(lines[peers_.self().node]));
-  for (const Peer& peer : peers_.others()) SendReport(peer, std::move(lines[peer.node]));
+  for (auto& [node, each] : lines) {
+    const Peer* keeper = peers_.Find(node);
+    if (keeper != nullptr) SendReport(*keeper, std::move(each));
+  }
+}
+
+void PeerLink::Presence() {
+  for (const Peer& peer : peers_.others()) Send(peer, PeerMessage{});
 }
 
 PlaceReport::Line PeerLink::LineOf(const BackendId& backend) const {
@@ -167,11 +201,11 @@
 void PeerLink::SendReport(const Peer& keeper, std::vector<PlaceReport::Line> lines) {
   PlaceReport report;
   report.number = ++report_number_;
-  report.grant = acted_[keeper.node];
+  report.grant = from_keeper_[keeper.node].acted;
   report.wanted = hooks_.wanted();
   report.lines = std::move(lines);
   if (keeper.node == peers_.self().node) {
-    keeper_.OnReport(keeper.node, keeper.incarnation, report, Loop::Now());
+    keeper_.OnReport(keeper, /*near=*/true, report, Loop::Now());
     return SendGrants();
   }
   PeerMessage message;
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -20,6 +20,11 @@
     std::function<int()> wanted;  // batch items that could start now
     std::function<void()> grants_changed;
   };
+  // Entries report to their keepers at least this often.
+  static constexpr Duration kHeartbeat = PlaceKeeper::kHeartbeat;
+  // A keeper that sent no grant for so long is taken for gone: three were lost or
+  // it stands still.
+  static constexpr Duration kKeeperSilence{700'000};
   // Places kept free of batch at each backend server.
   static constexpr int kReserve = 0;
 
@@ -40,7 +45,9 @@
   void OnDatagram(std::string_view bytes);
   void OnGrant(const Peer& from, const PlaceGrant& grant);
   void Heartbeat();
+  void Presence();
   void UpdateKeepers();
+  void SuspectSilentKeepers();
   void ScheduleFlush();
   void Flush();
   void SendReport(const Peer& keeper, std::vector<PlaceReport::Line> lines);
@@ -56,12 +63,17 @@
   PlaceKeeper keeper_{kReserve};
   std::unique_ptr<UdpSocket> socket_;
   std::map<BackendId, Peer> keeper_of_;
-  std::map<NodeId, std::uint64_t> acted_;  // by keeper: the last grant acted on
+  // By keeper: the last grant acted on, and when one came or was first due.
+  struct FromKeeper {
+    std::uint64_t acted = 0;
+    Time heard_at{};
+  };
+  std::map<NodeId, FromKeeper> from_keeper_;
   std::set<BackendId> touched_;
   std::set<NodeId> owed_;  // keepers that wait for a report
   std::uint64_t report_number_ = 0;
   bool flush_scheduled_ = false;
-  Timer heartbeat_, grant_timer_;
+  Timer heartbeat_, presence_, grant_timer_;
 };
 
 }  // namespace figmill
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -84,6 +84,16 @@
 
 void RelayCall::Do(const relay::Send& action) {
   backend_ = action.backend.id.value;
+  const PlaceUse use = tools_.places.Use(action.backend.id);
+  Log(LogLevel::kInfo, "placed",
+      {{"request", run_.plan().request.value},
+       {"send", std::to_string(action.send)},
+       {"backend", backend_},
+       {"online", std::to_string(use.online)},
+       {"online_other", std::to_string(use.online_other)},
+       {"batch", std::to_string(use.batch)},
+       {"batch_other", std::to_string(use.batch_other)},
+       {"left_ms", Milliseconds(action.time_left)}});
   tools_.places.Began(action.backend.id, WorkClass::kOnline);
   cancel_ = tools_.client.Start(CallFor(action),
                                 [self = shared_from_this(), send = action.send](HttpEvent event) {
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -27,11 +27,17 @@
     replies_.emplace(id, reply);
   }
   void Remove(restinio::connection_id_t id, const Reply* reply);
+  void Know(restinio::connection_id_t id, const restinio::impl::connection_handle_t& connection) {
+    connections_.emplace(id, connection);
+  }
+  void CloseIdle();
 
  private:
   // A caller may send its next request before it has the answer to the first, so
   // a connection can have two.
   std::unordered_multimap<restinio::connection_id_t, std::weak_ptr<Reply>> replies_;
+  std::unordered_map<restinio::connection_id_t, std::weak_ptr<restinio::impl::connection_base_t>>
+      connections_;
 };
 
 struct Traits : restinio::default_single_thread_traits_t {
@@ -41,6 +47,12 @@
 using Connection = restinio::impl::connection_t<Traits>;
 using Builder = restinio::response_builder_t<restinio::chunked_output_t>;
 
+// RESTinio has no call that closes a connection. Taking the socket out of it, as an
+// upgrade to another protocol does, and letting it go closes it.
+void CloseNow(restinio::impl::connection_base_t& connection) {
+  static_cast<Connection&>(connection).move_upgrade_internals();
+}
+
 class Reply final : public HttpReply, public std::enable_shared_from_this<Reply> {
  public:
   Reply(restinio::request_handle_t request, std::shared_ptr<ConnectionListener> listener)
@@ -83,14 +95,11 @@
 
   void OnClosed(std::function<void()> closed) override { on_closed_ = std::move(closed); }
 
-  // RESTinio has no call that ends an answer without its last chunk. Taking the
-  // socket out of the connection, as an upgrade to another protocol does, and
-  // letting it go closes it.
   void Abort() override {
     if (finished_) return;
     Finish();
     const auto& connection = restinio::impl::access_req_connection(*request_);
-    if (connection) static_cast<Connection&>(*connection).move_upgrade_internals();
+    if (connection) CloseNow(*connection);
   }
 
   [[nodiscard]] std::size_t unsent() const override { return unsent_; }
@@ -144,6 +153,7 @@
 void ConnectionListener::state_changed(
     const restinio::connection_state::notice_t& notice) noexcept {
   if (!restinio::holds_alternative<restinio::connection_state::closed_t>(notice.cause())) return;
+  connections_.erase(notice.connection_id());
   const auto [first, last] = replies_.equal_range(notice.connection_id());
   std::vector<std::shared_ptr<Reply>> open;
   for (auto at = first; at != last; ++at) {
@@ -162,6 +172,18 @@
   }
 }
 
+void ConnectionListener::CloseIdle() {
+  std::vector<std::shared_ptr<restinio::impl::connection_base_t>> idle;
+  for (const auto& [id, connection] : connections_) {
+    if (replies_.contains(id)) continue;
+    if (auto open = connection.lock()) idle.push_back(std::move(open));
+  }
+  for (const auto& connection : idle) {
+    connections_.erase(connection->connection_id());
+    CloseNow(*connection);
+  }
+}
+
 HttpRequest Converted(const restinio::request_handle_t& request) {
   HttpRequest converted;
   const auto& head = request->header();
@@ -217,6 +239,7 @@
   void Open() { server_.open_sync(); }
   [[nodiscard]] Address address() const override { return address_; }
   void StopAccepting() override { server_.close_sync(); }
+  void CloseIdle() override { listener_->CloseIdle(); }
 
  private:
   // Lets a body slightly over the limit in, so that it gets a problem document
@@ -228,6 +251,7 @@
   restinio::request_handling_status_t Handle(restinio::request_handle_t request) {
     auto reply = std::make_shared<Reply>(request, listener_);
     listener_->Add(request->connection_id(), reply);
+    listener_->Know(request->connection_id(), restinio::impl::access_req_connection(*request));
     if (request->body().size() > kMaxBodyBytes) {
       reply->Send(ProblemOf(Error{ErrorKind::kTooLarge,
                                   "the body has " + std::to_string(request->body().size()) +
--- a/src/sharing/peer_codec.cc
+++ b/src/sharing/peer_codec.cc
@@ -1,4 +1,4 @@
-#include <nlohmann/json.hpp>
+#include <msgpack.hpp>
 #include <stdexcept>
 
 #include "figmill/sharing.h"
@@ -6,81 +6,137 @@
 namespace figmill {
 namespace {
 
-using Json = nlohmann::json;
+// MessagePack arrays, not maps: the names would be most of a datagram. Messages
+// are packed and unpacked in place: a process handles some hundred of them a second.
 
-// Arrays, not maps: the names would be most of a datagram.
-Json ToJson(const Peer& peer) {
-  return {peer.node.value, peer.incarnation, ToString(peer.address), peer.data_centre.value,
-          peer.leaving};
+using Packer = msgpack::packer<msgpack::sbuffer>;
+using Object = msgpack::object;
+
+void Pack(Packer& packer, const Peer& peer) {
+  packer.pack_array(6);
+  packer.pack(peer.node.value);
+  packer.pack(peer.incarnation);
+  packer.pack(ToString(peer.address));
+  packer.pack(peer.data_centre.value);
+  packer.pack(peer.capacity);
+  packer.pack(peer.leaving);
+}
+
+void Pack(Packer& packer, const PlaceReport& report) {
+  packer.pack_array(4);
+  packer.pack(report.number);
+  packer.pack(report.grant);
+  packer.pack(report.wanted);
+  packer.pack_array(static_cast<std::uint32_t>(report.lines.size()));
+  for (const PlaceReport::Line& line : report.lines) {
+    packer.pack_array(3);
+    packer.pack(line.backend.value);
+    packer.pack(line.online);
+    packer.pack(line.batch);
+  }
+}
+
+void Pack(Packer& packer, const PlaceGrant& grant) {
+  packer.pack_array(2);
+  packer.pack(grant.number);
+  packer.pack_array(static_cast<std::uint32_t>(grant.lines.size()));
+  for (const PlaceGrant::Line& line : grant.lines) {
+    packer.pack_array(4);
+    packer.pack(line.backend.value);
+    packer.pack(line.online_other);
+    packer.pack(line.batch_other);
+    packer.pack(line.allowed);
+  }
+}
+
+template <typename T>
+void PackOptional(Packer& packer, const std::optional<T>& value) {
+  if (value) {
+    Pack(packer, *value);
+  } else {
+    packer.pack_nil();
+  }
+}
+
+std::string Text(const PeerMessage& message) {
+  msgpack::sbuffer buffer;
+  Packer packer(buffer);
+  packer.pack_array(5);
+  Pack(packer, message.from);
+  PackOptional(packer, message.report);
+  PackOptional(packer, message.grant);
+  packer.pack_array(static_cast<std::uint32_t>(message.known.size()));
+  for (const Peer& peer : message.known) Pack(packer, peer);
+  packer.pack(message.hello);
+  return {buffer.data(), buffer.size()};
+}
+
+// The element of an array. Throws when there is none.
+const Object& At(const Object& array, std::uint32_t index) {
+  if (array.type != msgpack::type::ARRAY || index >= array.via.array.size) {
+    throw std::invalid_argument("element " + std::to_string(index) + " is missing");
+  }
+  return array.via.array.ptr[index];
+}
+
+template <typename T>
+T Get(const Object& array, std::uint32_t index) {
+  return At(array, index).as<T>();
+}
+
+std::uint32_t SizeOf(const Object& array) {
+  return array.type == msgpack::type::ARRAY ? array.via.array.size : 0;
 }
 
-Peer ReadPeer(const Json& json) {
+Peer ReadPeer(const Object& object) {
   Peer peer;
-  peer.node.value = json.at(0).get<std::string>();
-  peer.incarnation = json.at(1).get<Incarnation>();
-  Result<Address> address = ParseAddress(json.at(2).get<std::string>());
+  peer.node.value = Get<std::string>(object, 0);
+  peer.incarnation = Get<Incarnation>(object, 1);
+  Result<Address> address = ParseAddress(Get<std::string>(object, 2));
   if (!IsOk(address)) throw std::invalid_argument(ErrorOf(address).detail);
   peer.address = ValueOf(address);
-  peer.data_centre.value = json.at(3).get<std::string>();
-  peer.leaving = json.at(4).get<bool>();
+  peer.data_centre.value = Get<std::string>(object, 3);
+  peer.capacity = Get<double>(object, 4);
+  peer.leaving = Get<bool>(object, 5);
   return peer;
 }
 
-Json ToJson(const PlaceReport& report) {
-  Json lines = Json::array();
-  for (const PlaceReport::Line& line : report.lines) {
-    lines.push_back({line.backend.value, line.online, line.batch});
-  }
-  return {report.number, report.grant, report.wanted, std::move(lines)};
-}
-
-PlaceReport ReadReport(const Json& json) {
+PlaceReport ReadReport(const Object& object) {
   PlaceReport report;
-  report.number = json.at(0).get<std::uint64_t>();
-  report.grant = json.at(1).get<std::uint64_t>();
-  report.wanted = json.at(2).get<int>();
-  for (const Json& line : json.at(3)) {
+  report.number = Get<std::uint64_t>(object, 0);
+  report.grant = Get<std::uint64_t>(object, 1);
+  report.wanted = Get<int>(object, 2);
+  const Object& lines = At(object, 3);
+  for (std::uint32_t i = 0; i < SizeOf(lines); ++i) {
+    const Object& line = At(lines, i);
     report.lines.push_back(
-        {BackendId{line.at(0).get<std::string>()}, line.at(1).get<int>(), line.at(2).get<int>()});
+        {BackendId{Get<std::string>(line, 0)}, Get<int>(line, 1), Get<int>(line, 2)});
   }
   return report;
 }
 
-Json ToJson(const PlaceGrant& grant) {
-  Json lines = Json::array();
-  for (const PlaceGrant::Line& line : grant.lines) {
-    lines.push_back({line.backend.value, line.online_other, line.batch_other, line.allowed});
-  }
-  return {grant.number, std::move(lines)};
-}
-
-PlaceGrant ReadGrant(const Json& json) {
+PlaceGrant ReadGrant(const Object& object) {
   PlaceGrant grant;
-  grant.number = json.at(0).get<std::uint64_t>();
-  for (const Json& line : json.at(1)) {
-    grant.lines.push_back({BackendId{line.at(0).get<std::string>()}, line.at(1).get<int>(),
-                           line.at(2).get<int>(), line.at(3).get<int>()});
+  grant.number = Get<std::uint64_t>(object, 0);
+  const Object& lines = At(object, 1);
+  for (std::uint32_t i = 0; i < SizeOf(lines); ++i) {
+    const Object& line = At(lines, i);
+    grant.lines.push_back({BackendId{Get<std::string>(line, 0)}, Get<int>(line, 1),
+                           Get<int>(line, 2), Get<int>(line, 3)});
   }
   return grant;
 }
 
-std::string Text(const PeerMessage& message) {
-  Json known = Json::array();
-  for (const Peer& peer : message.known) known.push_back(ToJson(peer));
-  const Json json = {ToJson(message.from), message.report ? ToJson(*message.report) : Json(),
-                     message.grant ? ToJson(*message.grant) : Json(), std::move(known),
-                     message.hello};
-  const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
-  return {bytes.begin(), bytes.end()};
-}
-
-PeerMessage ReadMessage(const Json& json) {
+PeerMessage ReadMessage(const Object& object) {
   PeerMessage message;
-  message.from = ReadPeer(json.at(0));
-  if (!json.at(1).is_null()) message.report = ReadReport(json.at(1));
-  if (!json.at(2).is_null()) message.grant = ReadGrant(json.at(2));
-  for (const Json& peer : json.at(3)) message.known.push_back(ReadPeer(peer));
-  message.hello = json.at(4).get<bool>();
+  message.from = ReadPeer(At(object, 0));
+  if (!At(object, 1).is_nil()) message.report = ReadReport(At(object, 1));
+  if (!At(object, 2).is_nil()) message.grant = ReadGrant(At(object, 2));
+  const Object& known = At(object, 3);
+  for (std::uint32_t i = 0; i < SizeOf(known); ++i) {
+    message.known.push_back(ReadPeer(At(known, i)));
+  }
+  message.hello = Get<bool>(object, 4);
   return message;
 }
 
@@ -113,7 +169,8 @@
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
   try {
-    return ReadMessage(Json::from_cbor(bytes.begin(), bytes.end()));
+    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    return ReadMessage(handle.get());
   } catch (const std::exception& mistake) {
     return Error{ErrorKind::kBadRequest, std::string("peer message: ") + mistake.what()};
   }
--- a/src/sharing/peer_table.cc
+++ b/src/sharing/peer_table.cc
@@ -4,14 +4,13 @@
 
 namespace figmill {
 
-bool PeerTable::Named(const Peer& peer, Time now) {
+bool PeerTable::Named(const Peer& peer, Time /*now*/) {
   if (peer.node == self_.node) return false;
-  const auto [at, fresh] = others_.try_emplace(peer.node, Entry{peer, std::nullopt, now});
-  at->second.named_at = now;
+  const auto [at, fresh] = others_.try_emplace(peer.node, Entry{peer, std::nullopt});
   if (fresh) return true;
   // A later process in the same slot; what was heard of the earlier one is void.
   if (peer.incarnation <= at->second.peer.incarnation) return false;
-  at->second = Entry{peer, std::nullopt, now};
+  at->second = Entry{peer, std::nullopt};
   return true;
 }
 
@@ -26,6 +25,11 @@
   return !was_live;
 }
 
+void PeerTable::Suspect(const NodeId& node) {
+  const auto found = others_.find(node);
+  if (found != others_.end()) found->second.heard_at.reset();
+}
+
 bool PeerTable::IsLive(const NodeId& node, Time now) const {
   if (node == self_.node) return true;
   const auto found = others_.find(node);
@@ -54,23 +58,65 @@
   return peers;
 }
 
-std::optional<Peer> PeerTable::KeeperOf(const BackendInfo& backend, Time now) const {
-  const std::vector<Peer> live = Live(now);
-  const auto is_local = [&backend](const Peer& peer) {
-    return peer.data_centre == backend.data_centre && !peer.leaving;
-  };
-  const bool any_local = std::any_of(live.begin(), live.end(), is_local);
+std::vector<Peer> PeerTable::Capable(Time now) const {
+  std::vector<Peer> peers = Live(now);
+  std::erase_if(peers, [](const Peer& peer) { return peer.leaving; });
+  double largest = 0;
+  for (const Peer& peer : peers) largest = std::max(largest, peer.capacity);
+  std::erase_if(peers, [largest](const Peer& peer) {
+    return peer.capacity < largest * kLeastCapacity;
+  });
+  return peers;
+}
+
+namespace {
+
+void KeepOnly(std::vector<Peer>& peers, const DataCentre& data_centre) {
+  const auto is_there = [&](const Peer& peer) { return peer.data_centre == data_centre; };
+  if (std::none_of(peers.begin(), peers.end(), is_there)) return;
+  std::erase_if(peers, [&](const Peer& peer) { return !is_there(peer); });
+}
+
+// The heaviest first.
+void Rank(std::vector<Peer>& peers, std::string_view key) {
+  std::sort(peers.begin(), peers.end(), [key](const Peer& a, const Peer& b) {
+    return RendezvousWeight(key, a.node.value) > RendezvousWeight(key, b.node.value);
+  });
+}
+
+}  // namespace
+
+std::optional<Peer> PeerTable::OwnerOf(std::string_view key,
+                                       const std::optional<DataCentre>& prefer, Time now) const {
+  std::vector<Peer> peers = Capable(now);
+  if (prefer) KeepOnly(peers, *prefer);
+  if (peers.empty()) return std::nullopt;
+  Rank(peers, key);
+  return peers.front();
+}
+
+std::vector<Peer> PeerTable::KeepersOf(const DataCentre& data_centre, std::size_t backends,
+                                       Time now) const {
+  std::vector<Peer> peers = Capable(now);
+  KeepOnly(peers, data_centre);
+  Rank(peers, data_centre.value);
+  const std::size_t wanted = (backends + kBackendsPerKeeper - 1) / kBackendsPerKeeper;
+  if (peers.size() > std::max<std::size_t>(wanted, 1)) {
+    peers.resize(std::max<std::size_t>(wanted, 1));
+  }
+  return peers;
+}
+
+const Peer* KeeperAmong(std::span<const Peer> keepers, const BackendId& backend) {
   const Peer* best = nullptr;
   std::uint64_t best_weight = 0;
-  for (const Peer& peer : live) {
-    if (peer.leaving || (any_local && !is_local(peer))) continue;
-    const std::uint64_t weight = RendezvousWeight(backend.id.value, peer.node.value);
+  for (const Peer& peer : keepers) {
+    const std::uint64_t weight = RendezvousWeight(backend.value, peer.node.value);
     if (best != nullptr && weight <= best_weight) continue;
     best = &peer;
     best_weight = weight;
   }
-  if (best == nullptr) return std::nullopt;
-  return *best;
+  return best;
 }
 
 }  // namespace figmill
--- a/src/sharing/place_keeper.cc
+++ b/src/sharing/place_keeper.cc
@@ -15,27 +15,25 @@
   }
 }
 
-void PlaceKeeper::OnReport(const NodeId& from, Incarnation incarnation, const PlaceReport& report,
-                           Time now) {
-  EntryState& entry = entries_[from];
-  if (incarnation < entry.incarnation) return;
-  if (incarnation > entry.incarnation) {
-    Forget(from, now);
-    entries_[from] = EntryState{};
-    entries_[from].incarnation = incarnation;
-    return OnReport(from, incarnation, report, now);
+void PlaceKeeper::OnReport(const Peer& from, bool near, const PlaceReport& report, Time now) {
+  if (from.incarnation < entries_[from.node].incarnation) return;
+  if (from.incarnation > entries_[from.node].incarnation) {
+    Forget(from.node, now);
+    entries_[from.node].incarnation = from.incarnation;
   }
+  EntryState& entry = entries_[from.node];
   if (report.number <= entry.number) return;  // overtaken by a later one
   entry.number = report.number;
   entry.acted = std::max(entry.acted, report.grant);
   entry.wanted = report.wanted;
   entry.at = now;
+  entry.near = near;
   for (const PlaceReport::Line& line : report.lines) {
     const auto found = kept_.find(line.backend);
     if (found == kept_.end()) continue;
-    Share& share = found->second.shares[from];
+    Share& share = found->second.shares[from.node];
     if (share.online != line.online || share.batch != line.batch) {
-      MarkOthersStale(found->second, from);
+      MarkOthersStale(found->second, from.node);
     }
     share.online = line.online;
     share.batch = line.batch;
@@ -132,8 +130,9 @@
   }
   std::vector<Outgoing> due;
   for (auto& [node, entry] : entries_) {
-    const bool told_lately = now - entry.told_at < kCoalesce;
-    if (!entry.urgent && !(entry.stale && !told_lately)) continue;
+    const Duration told = now - entry.told_at;
+    const bool waited = told >= (entry.near ? kCoalesce : kCoalesceFar);
+    if (!entry.urgent && !(entry.stale && waited) && told < kHeartbeat) continue;
     PlaceGrant grant = GrantFor(node);
     grant.number = ++entry.granted;
     entry.urgent = false;
