Give online requests their place by asking its keeper once half is taken

Change: an entry asks the keeper of the engines for a free place; the keeper reserves it, lets batch give way, and queues the request (those in time first) only when all keepers asked are full. Where under half of an engine of the same data centre is known to be used, no question is asked. Silence of a keeper costs 25 ms and the request goes on unasked.

Ruled out: slow yielding (3 ms from placing to the stop), engines that go on after a close.

--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -82,6 +82,10 @@
   [[nodiscard]] const BackendInfo* Find(const BackendId& id) const;
   [[nodiscard]] std::vector<BackendInfo> OfService(const ServiceName& service) const;
 
+  // One of this data centre with less than `share` of its places in use, if there
+  // is one: so much is free that what other entries do meanwhile doesn't matter.
+  [[nodiscard]] std::optional<BackendAddress> ChooseRoomy(const PlaceQuery& query, double share,
+                                                          Time now);
   // Errors: kNoBackend (none is left to try), kOverloaded (all are full); ran no.
   [[nodiscard]] Result<BackendAddress> Choose(const PlaceQuery& query, Time now);
 
@@ -113,6 +117,7 @@
   };
   [[nodiscard]] double Cost(const Backend& backend) const;
   [[nodiscard]] const Backend& Draw(std::vector<const Backend*>& open);
+  [[nodiscard]] std::vector<const Backend*> Usable(const PlaceQuery& query, Time now) const;
   static void Judge(Backend& backend, relay::SendEnd end, Time now);
 
   DataCentre here_;
--- a/include/figmill/gateway.h
+++ b/include/figmill/gateway.h
@@ -82,7 +82,7 @@
 struct GatewaySettings {
   NodeId node;
   DataCentre data_centre;
-  double cores = 1;  // of this process's host that it may use
+  double cores = 1;                    // of this process's host that it may use
   Address callers{"127.0.0.1", 8080};  // where callers' connections come in
   Address health{"127.0.0.1", 8081};   // readiness, for the balancer
   Address peers{"127.0.0.1", 8082};    // HTTP and datagrams of other entries
--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -10,11 +10,13 @@
 // No I/O: the caller passes the time in and sends what comes out.
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 #include "figmill/base.h"
@@ -96,6 +98,30 @@
 // A datagram that is not cut on its way. Unit: bytes.
 inline constexpr std::size_t kMaxPeerMessageBytes = 1400;
 
+// From an entry to a keeper: a place for one online request. The answer comes at
+// once, and once more if the request waits in the keeper's queue.
+struct PlaceAsk {
+  std::uint64_t number = 0;  // rises with each ask of this incarnation
+  ServiceName service;
+  Duration goal_left{0};         // until its first answer is late
+  Duration time_left{0};         // until its caller gives up
+  bool last_chance = false;      // its caller was refused before: better late than refused again
+  bool may_queue = false;        // wait there if there is no place now
+  std::vector<BackendId> tried;  // not there
+};
+
+struct PlaceAnswer {
+  enum class Kind : std::uint8_t {
+    kPlaced,  // `backend` has a place; it is kept for the request for a while
+    kQueued,  // another answer follows
+    kFull,    // there will be none in time
+  };
+  std::uint64_t number = 0;
+  Kind kind = Kind::kFull;
+  BackendId backend;
+  Duration wait{0};  // expected until there would be a place
+};
+
 // From an entry to a keeper. Absolute numbers: the latest one counts.
 struct PlaceReport {
   struct Line {
@@ -105,7 +131,9 @@
   };
   std::uint64_t number = 0;  // rises with each report of this incarnation
   std::uint64_t grant = 0;   // the last grant that this entry has acted on
-  int wanted = 0;            // batch items that could start now
+  // Asks whose answers this entry has acted on since its last report.
+  std::vector<std::uint64_t> asked;
+  int wanted = 0;  // batch items that could start now
   std::vector<Line> lines;
 };
 
@@ -125,6 +153,8 @@
   Peer from;
   std::optional<PlaceReport> report;
   std::optional<PlaceGrant> grant;
+  std::optional<PlaceAsk> ask;
+  std::optional<PlaceAnswer> answer;
   std::vector<Peer> known;  // peers that the sender knows; on first contact
   bool hello = false;       // asks for `known`
 };
@@ -137,6 +167,38 @@
 
 // --- Keeper ------------------------------------------------------------------------
 
+// A backend server as its keeper sees it.
+struct KeptBackend {
+  ServiceName service;
+  int places = 0;  // 0: nothing new goes there
+  bool operator==(const KeptBackend&) const = default;
+};
+
+// Online requests that wait for a place, those first that can still be in time,
+// by the end of their time; then the others, likewise.
+class AskQueue {
+ public:
+  struct Entry {
+    NodeId from;
+    PlaceAsk ask;
+    Time goal_at{};
+    Time gone_at{};
+  };
+  void Add(Entry entry) { entries_.push_back(std::move(entry)); }
+  void Forget(const NodeId& from);
+  // Takes out those that waited in vain: their callers are gone, or their goal has
+  // passed and they would rather be told.
+  [[nodiscard]] std::vector<Entry> TakeExpired(Time now);
+  // Takes out the first one, by its order, for which `serve` finds a place.
+  [[nodiscard]] std::optional<Entry> TakeFirst(Time now,
+                                               const std::function<bool(const Entry&)>& serve);
+  [[nodiscard]] std::size_t CountOf(const ServiceName& service) const;
+  [[nodiscard]] bool empty() const { return entries_.empty(); }
+
+ private:
+  std::vector<Entry> entries_;
+};
+
 class PlaceKeeper {
  public:
   // What an entry reported is dropped when it has been silent for so long; they
@@ -147,30 +209,42 @@
   static constexpr Duration kSettle{500'000};
   // Grants that only tell what others use wait this long for more changes; longer
   // to other data centres, whose entries come here only when theirs are full.
-  static constexpr Duration kCoalesce{10'000};
-  static constexpr Duration kCoalesceFar{30'000};
+  static constexpr Duration kCoalesce{25'000};
+  static constexpr Duration kCoalesceFar{100'000};
   // Each entry that reports gets a grant at least this often, so that it knows
   // that its keeper is there.
   static constexpr Duration kHeartbeat{200'000};
+  // A place that was given and not reported in use is free again after this: the
+  // answer or the report was lost, or the entry is gone.
+  static constexpr Duration kReservationLife{400'000};
+  // From the send to the first event when a place is free. Streams take some 40 ms;
+  // the rest is for a busy host.
+  static constexpr Duration kFirstEvent{90'000};
+  // What one run takes, until some have ended here.
+  static constexpr Duration kUsualRun{700'000};
 
-  // Places kept free of batch at each backend server.
+  // `reserve`: places kept free of batch at each backend server.
   explicit PlaceKeeper(int reserve) : reserve_(reserve) {}
 
-  // The backend servers that this entry keeps now, with their places.
-  void Keep(const std::map<BackendId, int>& places, Time now);
+  // The backend servers that this entry keeps now.
+  void Keep(const std::map<BackendId, KeptBackend>& backends, Time now);
   // `near`: the entry is in this data centre.
   void OnReport(const Peer& from, bool near, const PlaceReport& report, Time now);
+  void OnAsk(const NodeId& from, const PlaceAsk& ask, Time now);
   void Forget(const NodeId& entry, Time now);
 
   struct Outgoing {
     NodeId to;
-    PlaceGrant grant;
+    std::optional<PlaceGrant> grant;
+    std::optional<PlaceAnswer> answer;
   };
   // What has to be sent now. Call it after each event and once a kCoalesce.
   [[nodiscard]] std::vector<Outgoing> Due(Time now);
 
   // Batch items that an entry may have running there, as granted last.
   [[nodiscard]] int Allowed(const BackendId& backend, const NodeId& entry) const;
+  // Until a request that is queued now would get a place.
+  [[nodiscard]] Duration WaitFor(const ServiceName& service, std::size_t position) const;
 
  private:
   struct Share {
@@ -178,10 +252,16 @@
     int batch = 0;
     int allowed = 0;
   };
+  struct Reservation {
+    NodeId entry;
+    std::uint64_t ask = 0;
+    Time until{};
+  };
   struct Kept {
-    int places = 0;
+    KeptBackend backend;
     Time since{};
     std::map<NodeId, Share> shares;
+    std::vector<Reservation> reserved;
   };
   struct EntryState {
     Incarnation incarnation = 0;
@@ -191,12 +271,18 @@
     std::uint64_t granted = 0;  // number of the last grant sent
     std::uint64_t acted = 0;    // of the last one acted on
     bool near = true;
-    bool urgent = false;        // `allowed` changed
-    bool stale = false;         // others' use changed
+    bool urgent = false;  // `allowed` changed
+    bool stale = false;   // others' use changed
     Time told_at{};
   };
 
+  [[nodiscard]] static int OnlineOf(const Kept& kept);
   void Divide(Kept& kept, Time now);
+  bool Place(const NodeId& from, const PlaceAsk& ask, Time now);
+  void ServeQueue(Time now);
+  void ExpireReservations(Time now);
+  void Answer(const NodeId& to, PlaceAnswer answer);
+  void CountEnded(int ended, Time now);
   [[nodiscard]] bool InFlight(const NodeId& entry) const;
   [[nodiscard]] PlaceGrant GrantFor(const NodeId& entry) const;
   void MarkOthersStale(const Kept& kept, const NodeId& but);
@@ -204,6 +290,75 @@
   int reserve_;
   std::map<BackendId, Kept> kept_;
   std::map<NodeId, EntryState> entries_;
+  AskQueue queue_;
+  std::vector<Outgoing> answers_;
+  // Online runs that ended, to know how fast places fall free.
+  double ended_per_s_ = 0;
+  int ended_ = 0;
+  Time ended_since_{};
+};
+
+// --- Search ------------------------------------------------------------------------
+
+// How an entry finds a place for one online request by asking keepers: first for a
+// place that is free, then, when all are taken, for one in the queue that moves on
+// soonest.
+namespace search {
+
+struct Answered {
+  PlaceAnswer answer;
+};
+struct TimedOut {};
+using Event = std::variant<Answered, TimedOut>;
+
+struct AskKeeper {
+  NodeId keeper;
+  PlaceAsk ask;
+  Duration patience{0};  // then TimedOut
+};
+// The keeper has queued it and answers again.
+struct Wait {
+  Duration patience{0};  // then TimedOut
+};
+struct Take {
+  BackendId backend;
+};
+// No keeper answers: choose by what is known here.
+struct TakeUnasked {};
+struct GiveUp {
+  Duration wait{0};  // until there may be a place
+};
+using Action = std::variant<AskKeeper, Wait, Take, TakeUnasked, GiveUp>;
+
+}  // namespace search
+
+class PlaceSearch {
+ public:
+  // A keeper answers within some ms, across data centres too; without an answer
+  // it is gone or stands still, and the request goes on without it.
+  static constexpr Duration kAnswerPatience{25'000};
+  // Keepers asked before the request is refused. Each costs a round trip.
+  static constexpr std::size_t kMaxAsked = 3;
+
+  // `keepers`: in the order in which they are asked.
+  PlaceSearch(PlaceAsk ask, std::vector<NodeId> keepers, Time now);
+
+  [[nodiscard]] search::Action Start(Time now);
+  [[nodiscard]] search::Action On(const search::Event& event, Time now);
+  [[nodiscard]] std::uint64_t number() const { return ask_.number; }
+
+ private:
+  [[nodiscard]] search::Action AskNext(Time now);
+  [[nodiscard]] search::Action Ask(const NodeId& keeper, Time now);
+
+  PlaceAsk ask_;
+  std::vector<NodeId> keepers_;
+  std::size_t next_ = 0;
+  // The full keeper whose queue moves on soonest.
+  std::optional<NodeId> soonest_;
+  Duration shortest_wait_ = Duration::max();
+  Time goal_at_{};
+  Time gone_at_{};
 };
 
 }  // namespace figmill
--- a/src/fleet/place_book.cc
+++ b/src/fleet/place_book.cc
@@ -62,23 +62,39 @@
       [this](const Backend* a, const Backend* b) { return Cost(*a) < Cost(*b); });
 }
 
-Result<BackendAddress> PlaceBook::Choose(const PlaceQuery& query, Time now) {
-  std::vector<const Backend*> open;
-  bool any = false;
+std::vector<const PlaceBook::Backend*> PlaceBook::Usable(const PlaceQuery& query, Time now) const {
+  std::vector<const Backend*> usable;
   for (const auto& [id, backend] : backends_) {
     if (backend.info.service != query.service || Contains(query.tried, id)) continue;
     if (backend.info.state != BackendState::kReady || now < backend.ejected_until) continue;
-    any = true;
-    if (now < backend.rejecting_until) continue;
-    if (OnlineOf(backend.use) >= backend.info.places + kMaxWaiting) continue;
-    open.push_back(&backend);
+    usable.push_back(&backend);
   }
-  if (!open.empty()) {
-    const Backend& best = Draw(open);
-    return BackendAddress{best.info.id, best.info.address};
+  return usable;
+}
+
+std::optional<BackendAddress> PlaceBook::ChooseRoomy(const PlaceQuery& query, double share,
+                                                     Time now) {
+  std::vector<const Backend*> open = Usable(query, now);
+  std::erase_if(open, [&](const Backend* each) {
+    return each->info.data_centre != here_ || now < each->rejecting_until ||
+           OnlineOf(each->use) >= share * each->info.places;
+  });
+  if (open.empty()) return std::nullopt;
+  const Backend& best = Draw(open);
+  return BackendAddress{best.info.id, best.info.address};
+}
+
+Result<BackendAddress> PlaceBook::Choose(const PlaceQuery& query, Time now) {
+  std::vector<const Backend*> open = Usable(query, now);
+  if (open.empty()) return Error{ErrorKind::kNoBackend, "no backend server is known", Ran::kNo};
+  std::erase_if(open, [now](const Backend* each) {
+    return now < each->rejecting_until || OnlineOf(each->use) >= each->info.places + kMaxWaiting;
+  });
+  if (open.empty()) {
+    return Error{ErrorKind::kOverloaded, "all backend servers are full", Ran::kNo};
   }
-  if (any) return Error{ErrorKind::kOverloaded, "all backend servers are full", Ran::kNo};
-  return Error{ErrorKind::kNoBackend, "no backend server is known", Ran::kNo};
+  const Backend& best = Draw(open);
+  return BackendAddress{best.info.id, best.info.address};
 }
 
 void PlaceBook::Began(const BackendId& id, WorkClass work) {
--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -13,6 +13,9 @@
 // A process that starts hears of the configuration within about this.
 constexpr Duration kFirstConfiguration{500'000};
 
+// A caller that leaves less than this part of the route's time has waited before.
+constexpr double kSecondTry = 0.9;
+
 std::optional<Duration> DeadlineOf(std::string_view text) {
   std::int64_t ms = 0;
   const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), ms);
@@ -114,6 +117,8 @@
   relayed.target = request.path;
   if (!request.query.empty()) relayed.target += "?" + request.query;
   relayed.prompt_parts = std::string(request.HeaderOr(tools_.names.prompt_parts));
+  relayed.goal_at = Loop::Now() + route.goal;
+  relayed.last_chance = plan.limit - Loop::Now() < route.timeout * kSecondTry;
   relayed.service = ChooseShare(route, random_());
   relayed.route = route.name;
   relayed.config_version = view_->routes->version();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -78,9 +78,11 @@
         tables_(adapter.Connect(loop_, client_, settings.store)),
         places_(settings.data_centre, SystemRandom()),
         peers_(SelfOf(settings)),
-        tools_{loop_, client_, places_, adapter.names(), metrics_},
         link_(loop_, peers_, places_, metrics_,
-              {[this] { return runner_.wanted(); }, [this] { runner_.Pump(); }}),
+              {[this] { return runner_.wanted(); }, [this] { runner_.Pump(); },
+               [this](const PlaceAnswer& answer) { finder_.OnAnswer(answer); }}),
+        finder_(loop_, places_, link_),
+        tools_{loop_, client_, places_, finder_, adapter.names(), metrics_},
         jobs_(loop_, *tables_, peers_, clock_, SystemRandom(),
               {[this](OwnedJob& job) { runner_.OnOwned(job); },
                [this](const JobId& job) { runner_.OnDropped(job); },
@@ -183,8 +185,9 @@
   StoreClock clock_;
   PlaceBook places_;
   PeerTable peers_;
-  RelayTools tools_;
   PeerLink link_;
+  PlaceFinder finder_;
+  RelayTools tools_;
   JobStore jobs_;
   BatchRunner runner_;
   JobDesk desk_;
--- a/src/gateway/job_desk.cc
+++ b/src/gateway/job_desk.cc
@@ -115,19 +115,19 @@
 
 void JobDesk::SendResults(const JobReadCall& call, std::uint32_t total,
                           std::shared_ptr<Answer> answer) {
-  jobs_.ReadResults(call.job, call.after,
-                    [this, call, total, answer](Result<std::vector<ItemResult>> results) {
-                      if (!IsOk(results)) return answer->Refuse(ErrorOf(results));
-                      std::vector<ItemResult>& found = ValueOf(results);
-                      std::size_t bytes = 0;
-                      std::size_t count = 0;
-                      while (count < found.size() && (count == 0 || bytes < kMaxAnswerBytes)) {
-                        bytes += found[count++].output.size();
-                      }
-                      found.resize(count);
-                      answer->Send({200, "application/json", {},
-                                    adapter_.RenderResults(total, call.after, found)});
-                    });
+  jobs_.ReadResults(
+      call.job, call.after, [this, call, total, answer](Result<std::vector<ItemResult>> results) {
+        if (!IsOk(results)) return answer->Refuse(ErrorOf(results));
+        std::vector<ItemResult>& found = ValueOf(results);
+        std::size_t bytes = 0;
+        std::size_t count = 0;
+        while (count < found.size() && (count == 0 || bytes < kMaxAnswerBytes)) {
+          bytes += found[count++].output.size();
+        }
+        found.resize(count);
+        answer->Send(
+            {200, "application/json", {}, adapter_.RenderResults(total, call.after, found)});
+      });
 }
 
 // "No result yet" is said of the store's row, not of the copy here: another entry
@@ -137,8 +137,8 @@
   jobs_.Refresh(call.job, [this, call, answer](const Result<JobHead>& head) {
     if (!IsOk(head)) return answer->Refuse(ErrorOf(head));
     if (call.after < ValueOf(head).listed) return SendResults(call, ValueOf(head).total, answer);
-    answer->Send({200, "application/json", {},
-                  adapter_.RenderResults(ValueOf(head).total, call.after, {})});
+    answer->Send(
+        {200, "application/json", {}, adapter_.RenderResults(ValueOf(head).total, call.after, {})});
   });
 }
 
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -129,9 +129,9 @@
 Peer JobStore::OwnerOfNew(const JobId& job) const {
   const Time now = Loop::Now();
   const std::vector<Peer> capable = peers_.Capable(now);
-  const bool am_capable =
-      std::any_of(capable.begin(), capable.end(),
-                  [this](const Peer& peer) { return peer.node == peers_.self().node; });
+  const bool am_capable = std::any_of(capable.begin(), capable.end(), [this](const Peer& peer) {
+    return peer.node == peers_.self().node;
+  });
   if (am_capable) return peers_.self();
   return peers_.OwnerOf(job.value, peers_.self().data_centre, now).value_or(peers_.self());
 }
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -1,5 +1,6 @@
 #include "gateway/peer_link.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figmill {
@@ -78,7 +79,12 @@
     keeper_.OnReport(message.from, near, *message.report, now);
     SendGrants();
   }
+  if (message.ask) {
+    keeper_.OnAsk(message.from.node, *message.ask, now);
+    SendGrants();
+  }
   if (message.grant) OnGrant(message.from, *message.grant);
+  if (message.answer) hooks_.answered(*message.answer);
 }
 
 void PeerLink::OnGrant(const Peer& from, const PlaceGrant& grant) {
@@ -111,21 +117,23 @@
   for (const auto& [data_centre, count] : backends) {
     keepers[data_centre] = peers_.KeepersOf(data_centre, count, now);
   }
-  std::map<BackendId, int> mine;
+  std::map<BackendId, KeptBackend> mine;
   std::map<BackendId, Peer> next;
   places_.ForEach([&](const BackendInfo& info, const PlaceUse& /*use*/) {
     const Peer* keeper = KeeperAmong(keepers[info.data_centre], info.id);
     if (keeper == nullptr) return;
     next[info.id] = *keeper;
     const bool usable = info.state == BackendState::kReady;
-    if (keeper->node == peers_.self().node) mine[info.id] = usable ? info.places : 0;
+    if (keeper->node == peers_.self().node) {
+      mine[info.id] = {info.service, usable ? info.places : 0};
+    }
     const auto before = keeper_of_.find(info.id);
     const bool changed = before == keeper_of_.end() || before->second.node != keeper->node ||
                          before->second.incarnation != keeper->incarnation;
     if (!changed) return;
     places_.DropGrant(info.id);
     touched_.insert(info.id);
-    from_keeper_.try_emplace(keeper->node, FromKeeper{0, now});
+    from_keeper_.try_emplace(keeper->node, FromKeeper{0, now, {}});
   });
   keeper_of_ = std::move(next);
   keeper_.Keep(mine, now);
@@ -201,7 +209,9 @@
 void PeerLink::SendReport(const Peer& keeper, std::vector<PlaceReport::Line> lines) {
   PlaceReport report;
   report.number = ++report_number_;
-  report.grant = from_keeper_[keeper.node].acted;
+  FromKeeper& from_keeper = from_keeper_[keeper.node];
+  report.grant = from_keeper.acted;
+  report.asked = std::exchange(from_keeper.asks_acted, {});
   report.wanted = hooks_.wanted();
   report.lines = std::move(lines);
   if (keeper.node == peers_.self().node) {
@@ -218,13 +228,68 @@
     const Peer* peer = peers_.Find(outgoing.to);
     if (peer == nullptr) continue;
     if (peer->node == peers_.self().node) {
-      OnGrant(*peer, outgoing.grant);
+      if (outgoing.grant) OnGrant(*peer, *outgoing.grant);
+      if (outgoing.answer) {
+        // Not within the ask itself.
+        loop_.Post([this, answer = *outgoing.answer] { hooks_.answered(answer); });
+      }
       continue;
     }
     PeerMessage message;
     message.grant = std::move(outgoing.grant);
+    message.answer = std::move(outgoing.answer);
     Send(*peer, std::move(message));
   }
 }
 
+// --- Asks -------------------------------------------------------------------------
+
+void PeerLink::Ask(const NodeId& keeper, const PlaceAsk& ask) {
+  if (keeper == peers_.self().node) {
+    keeper_.OnAsk(keeper, ask, Loop::Now());
+    return SendGrants();
+  }
+  const Peer* peer = peers_.Find(keeper);
+  if (peer == nullptr) return;
+  PeerMessage message;
+  message.ask = ask;
+  Send(*peer, std::move(message));
+}
+
+void PeerLink::ActedOn(const NodeId& keeper, std::uint64_t ask) {
+  from_keeper_[keeper].asks_acted.push_back(ask);
+  owed_.insert(keeper);
+  ScheduleFlush();
+}
+
+std::vector<NodeId> PeerLink::KeepersFor(const ServiceName& service,
+                                         std::span<const BackendId> tried) const {
+  struct Share {
+    int places = 0;
+    int free = 0;
+    bool near = false;
+  };
+  std::map<NodeId, Share> shares;
+  places_.ForEach([&](const BackendInfo& info, const PlaceUse& use) {
+    const auto keeper = keeper_of_.find(info.id);
+    const bool usable = info.service == service && info.state == BackendState::kReady &&
+                        std::find(tried.begin(), tried.end(), info.id) == tried.end();
+    if (keeper == keeper_of_.end() || !usable) return;
+    Share& share = shares[keeper->second.node];
+    share.places += info.places;
+    share.free += std::max(0, info.places - use.online - use.online_other);
+    share.near = info.data_centre == peers_.self().data_centre;
+  });
+  std::vector<std::pair<double, NodeId>> order;
+  for (const auto& [node, share] : shares) {
+    const double free = static_cast<double>(share.free) / share.places;
+    order.emplace_back(free + (share.near && share.free > 0 ? kNearShare : 0), node);
+  }
+  std::sort(order.begin(), order.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::vector<NodeId> keepers;
+  for (auto& [free, node] : order) keepers.push_back(std::move(node));
+  return keepers;
+}
+
 }  // namespace figmill
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -19,12 +19,16 @@
   struct Hooks {
     std::function<int()> wanted;  // batch items that could start now
     std::function<void()> grants_changed;
+    std::function<void(const PlaceAnswer&)> answered;
   };
   // Entries report to their keepers at least this often.
   static constexpr Duration kHeartbeat = PlaceKeeper::kHeartbeat;
   // A keeper that sent no grant for so long is taken for gone: three were lost or
   // it stands still.
   static constexpr Duration kKeeperSilence{700'000};
+  // How much more of another data centre's places must be free before its keeper is
+  // asked first. Unit: share of all places.
+  static constexpr double kNearShare = 0.15;
   // Places kept free of batch at each backend server.
   static constexpr int kReserve = 0;
 
@@ -40,6 +44,13 @@
   // This entry's use of a backend server, or what it wants, has changed.
   void Touch(const BackendId& backend);
   void WantedChanged();
+  void Ask(const NodeId& keeper, const PlaceAsk& ask);
+  // This entry has acted on the keeper's answer, or wants no place any more.
+  void ActedOn(const NodeId& keeper, std::uint64_t ask);
+  // Keepers of a service's backend servers in the order in which to ask them for a
+  // place: by the share that is free of what they keep, this data centre first.
+  [[nodiscard]] std::vector<NodeId> KeepersFor(const ServiceName& service,
+                                               std::span<const BackendId> tried) const;
 
  private:
   void OnDatagram(std::string_view bytes);
@@ -67,6 +78,7 @@
   struct FromKeeper {
     std::uint64_t acted = 0;
     Time heard_at{};
+    std::vector<std::uint64_t> asks_acted;  // not reported yet
   };
   std::map<NodeId, FromKeeper> from_keeper_;
   std::set<BackendId> touched_;
--- /dev/null
+++ b/src/gateway/place_finder.cc
@@ -0,0 +1,107 @@
+#include "gateway/place_finder.h"
+
+#include <utility>
+
+namespace figmill {
+
+class PlaceFinder::Search : public std::enable_shared_from_this<Search> {
+ public:
+  Search(PlaceFinder& finder, const Need& need, PlaceSearch search, Done done)
+      : finder_(finder),
+        service_(need.query.service),
+        tried_(need.query.tried.begin(), need.query.tried.end()),
+        search_(std::move(search)),
+        done_(std::move(done)) {}
+  ~Search() {
+    finder_.searches_.erase(search_.number());
+    // A keeper may hold a place for this request that nobody will use.
+    if (done_ && !keeper_.empty()) finder_.link_.ActedOn(keeper_, search_.number());
+  }
+  Search(const Search&) = delete;
+  Search& operator=(const Search&) = delete;
+
+  void Start() { Do(search_.Start(Loop::Now())); }
+  void OnAnswer(const PlaceAnswer& answer) {
+    if (done_) Do(search_.On(search::Answered{answer}, Loop::Now()));
+  }
+
+ private:
+  void Do(const search::Action& action) {
+    std::visit([this](const auto& each) { On(each); }, action);
+  }
+  void On(const search::AskKeeper& ask) {
+    keeper_ = ask.keeper;
+    Arm(ask.patience);
+    finder_.link_.Ask(ask.keeper, ask.ask);
+  }
+  void On(const search::Wait& wait) { Arm(wait.patience); }
+  void On(const search::Take& take) {
+    finder_.link_.ActedOn(keeper_, search_.number());
+    const BackendInfo* info = finder_.places_.Find(take.backend);
+    if (info == nullptr) return On(search::TakeUnasked{});
+    Finish(BackendAddress{info->id, info->address});
+  }
+  void On(const search::TakeUnasked& /*action*/) {
+    PlaceQuery query;
+    query.service = service_;
+    query.tried = tried_;
+    Finish(finder_.places_.Choose(query, Loop::Now()));
+  }
+  void On(const search::GiveUp& give_up) {
+    Finish(Error{ErrorKind::kOverloaded, "all places are taken", Ran::kNo, give_up.wait});
+  }
+  void Finish(Result<BackendAddress> result) {
+    timer_.Reset();
+    std::exchange(done_, nullptr)(std::move(result));
+  }
+  void Arm(Duration patience) {
+    timer_ = finder_.loop_.After(patience, [weak = weak_from_this()] {
+      const auto self = weak.lock();
+      if (self && self->done_) self->Do(self->search_.On(search::TimedOut{}, Loop::Now()));
+    });
+  }
+
+  PlaceFinder& finder_;
+  ServiceName service_;
+  std::vector<BackendId> tried_;
+  PlaceSearch search_;
+  Done done_;
+  NodeId keeper_;
+  Timer timer_;
+};
+
+PlaceFinder::PlaceFinder(Loop& loop, PlaceBook& places, PeerLink& link)
+    : loop_(loop), places_(places), link_(link) {}
+
+std::shared_ptr<PlaceFinder::Search> PlaceFinder::Find(const Need& need, Done done) {
+  const Time now = Loop::Now();
+  if (const auto roomy = places_.ChooseRoomy(need.query, kRoomy, now)) {
+    done(*roomy);
+    return nullptr;
+  }
+  std::vector<NodeId> keepers = link_.KeepersFor(need.query.service, need.query.tried);
+  if (keepers.empty()) {
+    done(places_.Choose(need.query, now));
+    return nullptr;
+  }
+  PlaceAsk ask;
+  ask.number = ++next_ask_;
+  ask.service = need.query.service;
+  ask.goal_left = need.goal_left;
+  ask.time_left = need.query.time_left;
+  ask.last_chance = need.last_chance;
+  ask.tried.assign(need.query.tried.begin(), need.query.tried.end());
+  auto search = std::make_shared<Search>(
+      *this, need, PlaceSearch(std::move(ask), std::move(keepers), now), std::move(done));
+  searches_[next_ask_] = search;
+  search->Start();
+  return search;
+}
+
+void PlaceFinder::OnAnswer(const PlaceAnswer& answer) {
+  const auto found = searches_.find(answer.number);
+  if (found == searches_.end()) return;
+  if (const auto search = found->second.lock()) search->OnAnswer(answer);
+}
+
+}  // namespace figmill
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -56,15 +56,21 @@
 }
 
 void RelayCall::Do(const relay::AskPlace& action) {
-  PlaceQuery query;
-  query.service = request_.service;
-  query.tried = action.tried;
-  query.prompt_parts = request_.prompt_parts;
-  query.repeatable = run_.plan().idempotent;
-  query.time_left = run_.plan().limit - Loop::Now();
-  const Result<BackendAddress> place = tools_.places.Choose(query, Loop::Now());
-  if (!IsOk(place)) return Step(relay::NoPlace{ErrorOf(place)});
-  Step(relay::Placed{ValueOf(place)});
+  const Time now = Loop::Now();
+  PlaceFinder::Need need;
+  need.query.service = request_.service;
+  need.query.tried = action.tried;
+  need.query.prompt_parts = request_.prompt_parts;
+  need.query.repeatable = run_.plan().idempotent;
+  need.query.time_left = run_.plan().limit - now;
+  need.goal_left = std::max(request_.goal_at - now, Duration{0});
+  need.last_chance = request_.last_chance || action.resumes;
+  search_ = tools_.finder.Find(need, [weak = weak_from_this()](Result<BackendAddress> place) {
+    const auto self = weak.lock();
+    if (!self) return;
+    if (!IsOk(place)) return self->Step(relay::NoPlace{ErrorOf(place)});
+    self->Step(relay::Placed{ValueOf(place)});
+  });
 }
 
 HttpCall RelayCall::CallFor(const relay::Send& action) const {
@@ -203,6 +209,7 @@
 void RelayCall::Finished(std::string_view outcome, const std::string& why) {
   if (!finished_) return;
   timer_.Reset();
+  search_.reset();
   const Time now = Loop::Now();
   Log(LogLevel::kInfo, "request",
       {{"request", run_.plan().request.value},
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -11,6 +11,7 @@
 #include "figmill/fleet.h"
 #include "figmill/gateway.h"
 #include "figmill/relay.h"
+#include "gateway/place_finder.h"
 
 namespace figmill {
 
@@ -19,6 +20,7 @@
   Loop& loop;
   ExchangeClient& client;
   PlaceBook& places;
+  PlaceFinder& finder;
   const WireNames& names;
   Metrics& metrics;
 };
@@ -33,6 +35,8 @@
   ServiceName service;
   std::string route;
   std::uint64_t config_version = 0;
+  Time goal_at{};            // its first answer is late after this
+  bool last_chance = false;  // its caller has been refused before
 };
 
 class RelayCall : public std::enable_shared_from_this<RelayCall> {
@@ -70,6 +74,7 @@
   std::shared_ptr<HttpReply> reply_;
   std::function<void()> finished_;
   CancelCall cancel_;
+  std::shared_ptr<PlaceFinder::Search> search_;
   Timer timer_;
   Time timer_at_{};
   Time wanted_at_{};
--- a/src/sharing/peer_codec.cc
+++ b/src/sharing/peer_codec.cc
@@ -23,9 +23,10 @@
 }
 
 void Pack(Packer& packer, const PlaceReport& report) {
-  packer.pack_array(4);
+  packer.pack_array(5);
   packer.pack(report.number);
   packer.pack(report.grant);
+  packer.pack(report.asked);
   packer.pack(report.wanted);
   packer.pack_array(static_cast<std::uint32_t>(report.lines.size()));
   for (const PlaceReport::Line& line : report.lines) {
@@ -49,6 +50,26 @@
   }
 }
 
+void Pack(Packer& packer, const PlaceAsk& ask) {
+  packer.pack_array(7);
+  packer.pack(ask.number);
+  packer.pack(ask.service.value);
+  packer.pack(ask.goal_left.count());
+  packer.pack(ask.time_left.count());
+  packer.pack(ask.last_chance);
+  packer.pack(ask.may_queue);
+  packer.pack_array(static_cast<std::uint32_t>(ask.tried.size()));
+  for (const BackendId& id : ask.tried) packer.pack(id.value);
+}
+
+void Pack(Packer& packer, const PlaceAnswer& answer) {
+  packer.pack_array(4);
+  packer.pack(answer.number);
+  packer.pack(static_cast<int>(answer.kind));
+  packer.pack(answer.backend.value);
+  packer.pack(answer.wait.count());
+}
+
 template <typename T>
 void PackOptional(Packer& packer, const std::optional<T>& value) {
   if (value) {
@@ -61,10 +82,12 @@
 std::string Text(const PeerMessage& message) {
   msgpack::sbuffer buffer;
   Packer packer(buffer);
-  packer.pack_array(5);
+  packer.pack_array(7);
   Pack(packer, message.from);
   PackOptional(packer, message.report);
   PackOptional(packer, message.grant);
+  PackOptional(packer, message.ask);
+  PackOptional(packer, message.answer);
   packer.pack_array(static_cast<std::uint32_t>(message.known.size()));
   for (const Peer& peer : message.known) Pack(packer, peer);
   packer.pack(message.hello);
@@ -105,8 +128,9 @@
   PlaceReport report;
   report.number = Get<std::uint64_t>(object, 0);
   report.grant = Get<std::uint64_t>(object, 1);
-  report.wanted = Get<int>(object, 2);
-  const Object& lines = At(object, 3);
+  report.asked = Get<std::vector<std::uint64_t>>(object, 2);
+  report.wanted = Get<int>(object, 3);
+  const Object& lines = At(object, 4);
   for (std::uint32_t i = 0; i < SizeOf(lines); ++i) {
     const Object& line = At(lines, i);
     report.lines.push_back(
@@ -127,16 +151,46 @@
   return grant;
 }
 
+PlaceAsk ReadAsk(const Object& object) {
+  PlaceAsk ask;
+  ask.number = Get<std::uint64_t>(object, 0);
+  ask.service.value = Get<std::string>(object, 1);
+  ask.goal_left = Duration(Get<std::int64_t>(object, 2));
+  ask.time_left = Duration(Get<std::int64_t>(object, 3));
+  ask.last_chance = Get<bool>(object, 4);
+  ask.may_queue = Get<bool>(object, 5);
+  const Object& tried = At(object, 6);
+  for (std::uint32_t i = 0; i < SizeOf(tried); ++i) {
+    ask.tried.push_back(BackendId{Get<std::string>(tried, i)});
+  }
+  return ask;
+}
+
+PlaceAnswer ReadAnswer(const Object& object) {
+  PlaceAnswer answer;
+  answer.number = Get<std::uint64_t>(object, 0);
+  const int kind = Get<int>(object, 1);
+  if (kind < 0 || kind > static_cast<int>(PlaceAnswer::Kind::kFull)) {
+    throw std::invalid_argument("unknown kind of answer");
+  }
+  answer.kind = static_cast<PlaceAnswer::Kind>(kind);
+  answer.backend.value = Get<std::string>(object, 2);
+  answer.wait = Duration(Get<std::int64_t>(object, 3));
+  return answer;
+}
+
 PeerMessage ReadMessage(const Object& object) {
   PeerMessage message;
   message.from = ReadPeer(At(object, 0));
   if (!At(object, 1).is_nil()) message.report = ReadReport(At(object, 1));
   if (!At(object, 2).is_nil()) message.grant = ReadGrant(At(object, 2));
-  const Object& known = At(object, 3);
+  if (!At(object, 3).is_nil()) message.ask = ReadAsk(At(object, 3));
+  if (!At(object, 4).is_nil()) message.answer = ReadAnswer(At(object, 4));
+  const Object& known = At(object, 5);
   for (std::uint32_t i = 0; i < SizeOf(known); ++i) {
     message.known.push_back(ReadPeer(At(known, i)));
   }
-  message.hello = Get<bool>(object, 4);
+  message.hello = Get<bool>(object, 6);
   return message;
 }
 
--- a/src/sharing/peer_table.cc
+++ b/src/sharing/peer_table.cc
@@ -63,9 +63,8 @@
   std::erase_if(peers, [](const Peer& peer) { return peer.leaving; });
   double largest = 0;
   for (const Peer& peer : peers) largest = std::max(largest, peer.capacity);
-  std::erase_if(peers, [largest](const Peer& peer) {
-    return peer.capacity < largest * kLeastCapacity;
-  });
+  std::erase_if(peers,
+                [largest](const Peer& peer) { return peer.capacity < largest * kLeastCapacity; });
   return peers;
 }
 
--- /dev/null
+++ b/src/sharing/place_asks.cc
@@ -0,0 +1,148 @@
+// The keeper's side of asks: who gets a place, who waits, who is told that there is none.
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "figmill/sharing.h"
+
+namespace figmill {
+namespace {
+
+// Over this span ended runs are counted before the rate is taken.
+constexpr Duration kRateSpan{500'000};
+// Weight of the newest span in the rate.
+constexpr double kNewest = 0.4;
+
+bool Contains(const std::vector<BackendId>& ids, const BackendId& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+bool GoesBefore(const AskQueue::Entry& a, const AskQueue::Entry& b, Time now) {
+  const bool a_in_time = now < a.goal_at;
+  const bool b_in_time = now < b.goal_at;
+  if (a_in_time != b_in_time) return a_in_time;
+  return a_in_time ? a.goal_at < b.goal_at : a.gone_at < b.gone_at;
+}
+
+}  // namespace
+
+void AskQueue::Forget(const NodeId& from) {
+  std::erase_if(entries_, [&from](const Entry& entry) { return entry.from == from; });
+}
+
+std::vector<AskQueue::Entry> AskQueue::TakeExpired(Time now) {
+  std::vector<Entry> expired;
+  std::erase_if(entries_, [&](const Entry& entry) {
+    const bool in_vain = now >= entry.gone_at || (now >= entry.goal_at && !entry.ask.last_chance);
+    if (in_vain) expired.push_back(entry);
+    return in_vain;
+  });
+  return expired;
+}
+
+std::optional<AskQueue::Entry> AskQueue::TakeFirst(Time now,
+                                                   const std::function<bool(const Entry&)>& serve) {
+  std::sort(entries_.begin(), entries_.end(),
+            [now](const Entry& a, const Entry& b) { return GoesBefore(a, b, now); });
+  const auto found = std::find_if(entries_.begin(), entries_.end(), serve);
+  if (found == entries_.end()) return std::nullopt;
+  Entry taken = std::move(*found);
+  entries_.erase(found);
+  return taken;
+}
+
+std::size_t AskQueue::CountOf(const ServiceName& service) const {
+  return static_cast<std::size_t>(
+      std::count_if(entries_.begin(), entries_.end(),
+                    [&](const Entry& entry) { return entry.ask.service == service; }));
+}
+
+void PlaceKeeper::OnAsk(const NodeId& from, const PlaceAsk& ask, Time now) {
+  if (queue_.CountOf(ask.service) == 0 && Place(from, ask, now)) return;
+  const Duration wait = WaitFor(ask.service, queue_.CountOf(ask.service) + 1);
+  const Duration budget =
+      ask.last_chance ? ask.time_left - 2 * kUsualRun : ask.goal_left - kFirstEvent;
+  if (!ask.may_queue || wait > budget) {
+    return Answer(from, {ask.number, PlaceAnswer::Kind::kFull, {}, wait});
+  }
+  Answer(from, {ask.number, PlaceAnswer::Kind::kQueued, {}, wait});
+  queue_.Add({from, ask, now + ask.goal_left - kFirstEvent, now + ask.time_left});
+}
+
+// The backend server with most free places; batch gives way wherever it is.
+bool PlaceKeeper::Place(const NodeId& from, const PlaceAsk& ask, Time now) {
+  std::map<BackendId, Kept>::iterator best = kept_.end();
+  int best_free = 0;
+  int best_batch = 0;
+  for (auto at = kept_.begin(); at != kept_.end(); ++at) {
+    const Kept& kept = at->second;
+    if (kept.backend.service != ask.service || Contains(ask.tried, at->first)) continue;
+    const int free = kept.backend.places - OnlineOf(kept);
+    if (free <= 0) continue;
+    int batch = 0;
+    for (const auto& [node, share] : kept.shares) batch += share.batch;
+    const bool better =
+        best == kept_.end() || free > best_free || (free == best_free && batch < best_batch);
+    if (!better) continue;
+    best = at;
+    best_free = free;
+    best_batch = batch;
+  }
+  if (best == kept_.end()) return false;
+  best->second.reserved.push_back({from, ask.number, now + kReservationLife});
+  MarkOthersStale(best->second, from);
+  Divide(best->second, now);
+  Answer(from, {ask.number, PlaceAnswer::Kind::kPlaced, best->first, Duration{0}});
+  return true;
+}
+
+void PlaceKeeper::ServeQueue(Time now) {
+  for (const AskQueue::Entry& entry : queue_.TakeExpired(now)) {
+    const Duration wait = WaitFor(entry.ask.service, queue_.CountOf(entry.ask.service));
+    Answer(entry.from, {entry.ask.number, PlaceAnswer::Kind::kFull, {}, wait});
+  }
+  while (!queue_.empty()) {
+    const auto served = queue_.TakeFirst(now, [this, now](const AskQueue::Entry& entry) {
+      return Place(entry.from, entry.ask, now);
+    });
+    if (!served) return;
+  }
+}
+
+void PlaceKeeper::ExpireReservations(Time now) {
+  for (auto& [id, kept] : kept_) {
+    const auto lost =
+        std::erase_if(kept.reserved, [now](const Reservation& each) { return now >= each.until; });
+    if (lost > 0) Divide(kept, now);
+  }
+}
+
+void PlaceKeeper::Answer(const NodeId& to, PlaceAnswer answer) {
+  answers_.push_back({to, std::nullopt, std::move(answer)});
+}
+
+void PlaceKeeper::CountEnded(int ended, Time now) {
+  ended_ += ended;
+  if (ended_since_ == Time{}) ended_since_ = now;
+  const Duration span = now - ended_since_;
+  if (span < kRateSpan) return;
+  const double rate = ended_ / std::chrono::duration<double>(span).count();
+  ended_per_s_ = ended_per_s_ == 0 ? rate : ended_per_s_ * (1 - kNewest) + rate * kNewest;
+  ended_ = 0;
+  ended_since_ = now;
+}
+
+Duration PlaceKeeper::WaitFor(const ServiceName& service, std::size_t position) const {
+  int places = 0;
+  for (const auto& [id, kept] : kept_) {
+    if (kept.backend.service == service) places += kept.backend.places;
+  }
+  if (places == 0) return kUsualRun;
+  // All places taken: one falls free each usual run over their number.
+  const double usual = places / std::chrono::duration<double>(kUsualRun).count();
+  const double rate = std::max(ended_per_s_, usual / 2);
+  return Duration(static_cast<Duration::rep>(1e6 * static_cast<double>(position) / rate));
+}
+
+}  // namespace figmill
--- a/src/sharing/place_keeper.cc
+++ b/src/sharing/place_keeper.cc
@@ -1,18 +1,26 @@
 #include <algorithm>
+#include <utility>
 
 #include "figmill/sharing.h"
 
 namespace figmill {
 
-void PlaceKeeper::Keep(const std::map<BackendId, int>& places, Time now) {
-  std::erase_if(kept_, [&places](const auto& each) { return !places.contains(each.first); });
-  for (const auto& [id, count] : places) {
+int PlaceKeeper::OnlineOf(const Kept& kept) {
+  int online = static_cast<int>(kept.reserved.size());
+  for (const auto& [node, share] : kept.shares) online += share.online;
+  return online;
+}
+
+void PlaceKeeper::Keep(const std::map<BackendId, KeptBackend>& backends, Time now) {
+  std::erase_if(kept_, [&backends](const auto& each) { return !backends.contains(each.first); });
+  for (const auto& [id, backend] : backends) {
     const auto [at, fresh] = kept_.try_emplace(id);
     if (fresh) at->second.since = now;
-    if (at->second.places == count) continue;
-    at->second.places = count;
+    if (at->second.backend == backend) continue;
+    at->second.backend = backend;
     Divide(at->second, now);
   }
+  ServeQueue(now);
 }
 
 void PlaceKeeper::OnReport(const Peer& from, bool near, const PlaceReport& report, Time now) {
@@ -28,6 +36,13 @@
   entry.wanted = report.wanted;
   entry.at = now;
   entry.near = near;
+  // What it did with its places is in this report's lines.
+  for (auto& [id, kept] : kept_) {
+    std::erase_if(kept.reserved, [&](const Reservation& each) {
+      return each.entry == from.node &&
+             std::find(report.asked.begin(), report.asked.end(), each.ask) != report.asked.end();
+    });
+  }
   for (const PlaceReport::Line& line : report.lines) {
     const auto found = kept_.find(line.backend);
     if (found == kept_.end()) continue;
@@ -35,18 +50,22 @@
     if (share.online != line.online || share.batch != line.batch) {
       MarkOthersStale(found->second, from.node);
     }
+    if (line.online < share.online) CountEnded(share.online - line.online, now);
     share.online = line.online;
     share.batch = line.batch;
     Divide(found->second, now);
   }
+  ServeQueue(now);
 }
 
 void PlaceKeeper::Forget(const NodeId& entry, Time now) {
   for (auto& [id, kept] : kept_) {
+    std::erase_if(kept.reserved, [&](const Reservation& each) { return each.entry == entry; });
     if (kept.shares.erase(entry) == 0) continue;
     MarkOthersStale(kept, entry);
     Divide(kept, now);
   }
+  queue_.Forget(entry);
   entries_.erase(entry);
 }
 
@@ -66,8 +85,7 @@
 // when that is too much, the one that runs most gives up first. What is free goes
 // one by one to the entry that runs least there and wants more.
 void PlaceKeeper::Divide(Kept& kept, Time now) {
-  int free = kept.places - reserve_;
-  for (const auto& [node, share] : kept.shares) free -= share.online;
+  const int free = kept.backend.places - reserve_ - OnlineOf(kept);
   std::map<NodeId, int> next;
   int used = 0;
   for (const auto& [node, share] : kept.shares) {
@@ -121,14 +139,16 @@
 std::vector<PlaceKeeper::Outgoing> PlaceKeeper::Due(Time now) {
   std::vector<NodeId> silent;
   for (const auto& [node, entry] : entries_) {
-    if (now - entry.at >= kReportLife) silent.push_back(node);
+    if (entry.number > 0 && now - entry.at >= kReportLife) silent.push_back(node);
   }
   for (const NodeId& node : silent) Forget(node, now);
   for (auto& [id, kept] : kept_) {
     const bool just_settled = now - kept.since >= kSettle && now - kept.since < 4 * kSettle;
     if (just_settled) Divide(kept, now);
   }
-  std::vector<Outgoing> due;
+  ExpireReservations(now);
+  ServeQueue(now);
+  std::vector<Outgoing> due = std::exchange(answers_, {});
   for (auto& [node, entry] : entries_) {
     const Duration told = now - entry.told_at;
     const bool waited = told >= (entry.near ? kCoalesce : kCoalesceFar);
@@ -138,7 +158,7 @@
     entry.urgent = false;
     entry.stale = false;
     entry.told_at = now;
-    due.push_back({node, std::move(grant)});
+    due.push_back({node, std::move(grant), std::nullopt});
   }
   return due;
 }
