Keep what runs of an item have given, for another owner to go on from

Change: the text of running items goes into rows with the job's other writes, each second and before a hand-over; a new owner resumes after the last event that was kept.

--- a/include/figmill/ledger.h
+++ b/include/figmill/ledger.h
@@ -73,6 +73,7 @@
 inline constexpr std::string_view kJobTable = "jobs";
 inline constexpr std::string_view kItemTable = "job_items";
 inline constexpr std::string_view kResultTable = "job_results";
+inline constexpr std::string_view kProgressTable = "job_progress";
 
 // Parts that jobs are spread over: a part takes 300 transactions a second, so
 // that these take all that the store as a whole allows, and a process that starts
@@ -108,11 +109,53 @@
 // cuts is left out. Errors: kBadRequest.
 [[nodiscard]] Result<std::vector<ItemResult>> DecodeResults(const std::vector<TableRow>& rows);
 
+// What an item's runs have given so far, in pieces that are only added to.
+struct ProgressPiece {
+  std::size_t item = 0;
+  std::uint32_t number = 0;  // of the item's pieces, from 0
+  std::string text;          // more of it
+  std::string last_id;       // of the last event in it
+  std::uint64_t events = 0;  // in all pieces up to this one
+};
+[[nodiscard]] TableRange ProgressRange(const JobId& job);
+[[nodiscard]] TablePut ProgressRow(const JobId& job, const ProgressPiece& piece);
+// In order of items and pieces; rows that are none are left out.
+[[nodiscard]] std::vector<ProgressPiece> DecodeProgress(const std::vector<TableRow>& rows);
+
 // For JobHead::digest.
 [[nodiscard]] std::uint64_t DigestOf(const JobSubmission& submission);
 
 }  // namespace ledger
 
+// --- Items ------------------------------------------------------------------------
+
+// The text of one item, gathered over any number of runs that go on where the
+// last one broke off.
+class ItemText {
+ public:
+  // Bytes of an event stream.
+  void Feed(std::string_view bytes);
+  // The run broke off: an event that was begun comes again.
+  void BreakOff() { pieces_.DropTail(); }
+  // Whether the run ended between events.
+  [[nodiscard]] bool at_event_end() const { return !pieces_.in_event(); }
+  [[nodiscard]] const std::optional<std::string>& last_id() const { return pieces_.last_id(); }
+  [[nodiscard]] std::uint64_t events() const { return pieces_.count(); }
+  // The data of all events, each on a line of its own.
+  [[nodiscard]] const std::string& text() const { return text_; }
+
+  // What came since the last piece, as the next one; nothing if nothing came.
+  [[nodiscard]] std::optional<ledger::ProgressPiece> TakePiece(std::size_t item);
+  // Puts a piece back that an earlier owner has kept; in order.
+  void Restore(const ledger::ProgressPiece& piece);
+
+ private:
+  EventPieces pieces_;
+  std::string text_;
+  std::size_t kept_ = 0;  // bytes of the text in pieces
+  std::uint32_t next_piece_ = 0;
+};
+
 // --- Owner ------------------------------------------------------------------------
 
 // A job as its owner keeps it: which items are listed, which results wait to be
@@ -122,6 +165,7 @@
   // Results in one write; a transaction takes 100 entries and 1 MB.
   static constexpr std::size_t kMaxResultsPerWrite = 12;
   static constexpr std::size_t kMaxBytesPerWrite = 500'000;
+  static constexpr std::size_t kMaxPiecesPerWrite = 40;
 
   OwnedJob(JobHead head, RowVersion version, std::vector<JobItem> items);
 
@@ -134,6 +178,8 @@
 
   // The item has its final result; only the first counts.
   void Finish(std::size_t item, ItemResult result);
+  // To be kept with the next write, so that another owner can go on from there.
+  void Keep(ledger::ProgressPiece piece);
   // The sender ends the job.
   void End() { wants_end_ = !head_.ended; }
   // The next write, if there is something to write and none is under way.
@@ -147,14 +193,19 @@
   void OnFailed() { in_flight_ = false; }
 
   [[nodiscard]] bool writing() const { return in_flight_; }
-  [[nodiscard]] bool settled() const { return !write_ && pending_.empty() && !wants_end_; }
+  [[nodiscard]] bool settled() const {
+    return !write_ && pending_.empty() && progress_.empty() && !wants_end_;
+  }
 
  private:
   struct Write {
     JobHead head;
     std::vector<std::pair<std::size_t, ItemResult>> results;
+    std::vector<ledger::ProgressPiece> progress;
     RowVersion condition = 0;
   };
+  void TakeResults(Write& write);
+  void TakeProgress(Write& write);
   [[nodiscard]] TableTransaction TransactionFor(const Write& write) const;
   void Adopt(const JobHead& head, RowVersion version);
 
@@ -163,35 +214,13 @@
   std::vector<JobItem> items_;
   std::map<std::string, std::size_t> index_;
   std::vector<std::pair<std::size_t, ItemResult>> pending_;  // in order of completion
+  std::vector<ledger::ProgressPiece> progress_;
   std::vector<bool> finished_;
   bool wants_end_ = false;
   bool in_flight_ = false;
   std::optional<Write> write_;
 };
 
-// --- Items ------------------------------------------------------------------------
-
-// The text of one item, gathered over any number of runs that go on where the
-// last one broke off.
-class ItemText {
- public:
-  // Bytes of an event stream.
-  void Feed(std::string_view bytes);
-  // The run broke off: an event that was begun comes again.
-  void BreakOff() { pieces_.DropTail(); }
-  // Whether the run ended between events.
-  [[nodiscard]] bool at_event_end() const { return !pieces_.in_event(); }
-  [[nodiscard]] const std::optional<std::string>& last_id() const { return pieces_.last_id(); }
-  [[nodiscard]] std::uint64_t events() const { return pieces_.count(); }
-  // The data of all events, each on a line of its own.
-  [[nodiscard]] const std::string& text() const { return text_; }
-  void Reset() { *this = ItemText{}; }
-
- private:
-  EventPieces pieces_;
-  std::string text_;
-};
-
 // --- Order of work ---------------------------------------------------------------
 
 // Which item of all jobs runs next. Earliest due first keeps the most jobs whole
--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -159,6 +159,11 @@
   [[nodiscard]] bool in_event() const { return !tail_.empty(); }
   [[nodiscard]] const std::optional<std::string>& last_id() const { return last_id_; }
   [[nodiscard]] std::uint64_t count() const { return count_; }
+  // Goes on after events that came otherwise.
+  void GoOnAfter(std::string last_id, std::uint64_t count) {
+    last_id_ = std::move(last_id);
+    count_ = count;
+  }
 
  private:
   std::string tail_;
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -1,6 +1,7 @@
 #include "gateway/batch_runner.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace figmill {
@@ -24,13 +25,18 @@
                          std::function<void()> wanted_changed)
     : tools_(tools), jobs_(jobs), clock_(clock), wanted_changed_(std::move(wanted_changed)) {
   sweep_timer_ = tools_.loop.Every(kSweepPeriod, [this] { Sweep(); });
+  keep_timer_ = tools_.loop.Every(kKeepPeriod, [this] { KeepProgress(); });
 }
 
 int BatchRunner::wanted() const {
   return static_cast<int>(backlog_.Startable(clock_.Now()));
 }
 
-void BatchRunner::OnOwned(OwnedJob& job) {
+void BatchRunner::OnOwned(OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
+  for (const ledger::ProgressPiece& piece : progress) {
+    if (piece.item >= job.items().size() || !job.IsOpen(piece.item)) continue;
+    progress_[{job.head().id, piece.item}].text.Restore(piece);
+  }
   for (std::size_t i = 0; i < job.items().size(); ++i) {
     if (job.IsOpen(i)) Queue({job.head().id, i}, Duration{0});
   }
@@ -48,6 +54,30 @@
   std::erase_if(progress_, [&job](const auto& each) { return each.first.job == job; });
 }
 
+void BatchRunner::OnHandedOver(OwnedJob& job) {
+  KeepProgressOf(job);
+  OnDropped(job.head().id);
+}
+
+void BatchRunner::KeepProgressOf(OwnedJob& job) {
+  const JobId& id = job.head().id;
+  for (auto at = progress_.lower_bound({id, 0}); at != progress_.end() && at->first.job == id;
+       ++at) {
+    if (auto piece = at->second.text.TakePiece(at->first.item)) job.Keep(*std::move(piece));
+  }
+}
+
+void BatchRunner::KeepProgress() {
+  std::set<JobId> jobs;
+  for (const auto& [key, progress] : progress_) jobs.insert(key.job);
+  for (const JobId& id : jobs) {
+    OwnedJob* job = jobs_.Owned(id);
+    if (job == nullptr || job->writing()) continue;
+    KeepProgressOf(*job);
+    jobs_.Write(*job);
+  }
+}
+
 Duration BatchRunner::WorkLeft(const Progress& progress) const {
   if (usual_events_ <= 0) return usual_run_;
   const double done = static_cast<double>(progress.text.events()) / usual_events_;
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -26,6 +26,9 @@
   static constexpr Duration kFirstByteSilence{2'500'000};
   static constexpr Duration kNextByteSilence{1'000'000};
   static constexpr Duration kSweepPeriod{250'000};
+  // What runs have given is kept this often, for another owner to go on from. A
+  // host that dies loses as much of each run; a write costs a call and its bytes.
+  static constexpr Duration kKeepPeriod{1'000'000};
   // A run's expected length before any was seen.
   static constexpr Duration kUsualRun{5'000'000};
 
@@ -33,7 +36,9 @@
               std::function<void()> wanted_changed);
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
-  void OnOwned(OwnedJob& job);
+  void OnOwned(OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress);
+  // Stops what runs of the job and keeps what has been done.
+  void OnHandedOver(OwnedJob& job);
   void OnDropped(const JobId& job);
   // Starts and stops runs as what is allowed now says.
   void Pump();
@@ -78,6 +83,8 @@
   void EndRun(const ItemKey& key, relay::SendEnd end);
   void Finish(const ItemKey& key, ResultState state, std::string_view why);
   void Sweep();
+  void KeepProgress();
+  void KeepProgressOf(OwnedJob& job);
   [[nodiscard]] Duration WorkLeft(const Progress& progress) const;
 
   RelayTools& tools_;
@@ -91,7 +98,7 @@
   std::uint64_t next_number_ = 0;
   Duration usual_run_ = kUsualRun;
   double usual_events_ = 0;
-  Timer sweep_timer_;
+  Timer sweep_timer_, keep_timer_;
 };
 
 }  // namespace figmill
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -84,8 +84,11 @@
         finder_(loop_, places_, link_),
         tools_{loop_, client_, places_, finder_, adapter.names(), metrics_},
         jobs_(loop_, *tables_, peers_, clock_, SystemRandom(),
-              {[this](OwnedJob& job) { runner_.OnOwned(job); },
+              {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
+                 runner_.OnOwned(job, progress);
+               },
                [this](const JobId& job) { runner_.OnDropped(job); },
+               [this](OwnedJob& job) { runner_.OnHandedOver(job); },
                [this](const JobHead& head) { desk_.OnChanged(head); }}),
         runner_(tools_, jobs_, clock_, [this] { link_.WantedChanged(); }),
         desk_(loop_, jobs_, clock_, adapter),
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -157,7 +157,7 @@
   std::visit(Overloaded{
                  [&](const TableCommitted& committed) {
                    clock_.Heard(committed.now);
-                   if (IsMine(head)) Own(head, committed.version, std::move(submission.items));
+                   if (IsMine(head)) Own(head, committed.version, std::move(submission.items), {});
                    Learn(head, committed.version);
                    done(Ok{});
                  },
@@ -176,7 +176,7 @@
                    }
                    // An earlier copy of this very write took effect.
                    if (ValueOf(there).token == head.token && IsMine(head)) {
-                     Own(head, row->version, std::move(submission.items));
+                     Own(head, row->version, std::move(submission.items), {});
                    }
                    LearnRow(*row);
                    done(Ok{});
@@ -193,7 +193,8 @@
 
 // --- Ownership ------------------------------------------------------------------------
 
-void JobStore::Own(JobHead head, RowVersion version, std::vector<JobItem> items) {
+void JobStore::Own(JobHead head, RowVersion version, std::vector<JobItem> items,
+                   const std::vector<ledger::ProgressPiece>& progress) {
   if (leaving_ || owned_.contains(head.id)) return;
   if (items.size() != head.total) {
     Log(LogLevel::kError, "job_items_missing",
@@ -210,7 +211,7 @@
        {"listed", std::to_string(head.listed)}});
   const auto at =
       owned_.emplace(id, std::make_unique<OwnedJob>(std::move(head), version, std::move(items)));
-  hooks_.owned(*at.first->second);
+  hooks_.owned(*at.first->second, progress);
 }
 
 bool JobStore::ShouldTake(const KnownJob& job, Time now) const {
@@ -279,20 +280,26 @@
 void JobStore::LoadAndOwn(const JobId& id) {
   known_[id].taking = true;
   ReadItems(id, [this, id](Result<std::vector<JobItem>> items) {
+    if (IsOk(items)) return LoadProgress(id, std::move(ValueOf(items)));
+    // The next check tries again.
+    Log(LogLevel::kWarning, "job_items_unread", {{"job", id.value}, {"why", ErrorOf(items).detail}});
     const auto found = known_.find(id);
-    if (found == known_.end()) return;
-    found->second.taking = false;
-    if (!IsMine(found->second.head) || leaving_) return;
-    if (!IsOk(items)) {
-      // The next check tries again.
-      Log(LogLevel::kWarning, "job_items_unread",
-          {{"job", id.value}, {"why", ErrorOf(items).detail}});
-      return;
-    }
-    Own(found->second.head, found->second.version, std::move(ValueOf(items)));
+    if (found != known_.end()) found->second.taking = false;
   });
 }
 
+void JobStore::LoadProgress(const JobId& id, std::vector<JobItem> items) {
+  ReadAll(ledger::ProgressRange(id), std::make_shared<std::vector<TableRow>>(),
+          [this, id, items = std::move(items)](const Result<std::vector<TableRow>>& rows) mutable {
+            const auto found = known_.find(id);
+            if (found == known_.end()) return;
+            found->second.taking = false;
+            if (!IsOk(rows) || !IsMine(found->second.head) || leaving_) return;
+            Own(found->second.head, found->second.version, std::move(items),
+                ledger::DecodeProgress(ValueOf(rows)));
+          });
+}
+
 // --- Results --------------------------------------------------------------------------
 
 void JobStore::Write(OwnedJob& job) {
@@ -417,24 +424,28 @@
       });
 }
 
-void JobStore::ReadItems(const JobId& job, std::function<void(Result<std::vector<JobItem>>)> done) {
-  ReadAllItems(ledger::ItemRange(job), std::make_shared<std::vector<TableRow>>(), std::move(done));
+void JobStore::ReadItems(const JobId& job,
+                         std::function<void(Result<std::vector<JobItem>>)> done) {
+  ReadAll(ledger::ItemRange(job), std::make_shared<std::vector<TableRow>>(),
+          [done = std::move(done)](const Result<std::vector<TableRow>>& rows) {
+            if (!IsOk(rows)) return done(ErrorOf(rows));
+            Result<std::vector<JobItem>> items = ledger::DecodeItems(ValueOf(rows));
+            if (!IsOk(items)) return done(Error{ErrorKind::kStoreUnavailable, ErrorOf(items).detail});
+            done(std::move(items));
+          });
 }
 
-void JobStore::ReadAllItems(TableRange range, std::shared_ptr<std::vector<TableRow>> rows,
-                            std::function<void(Result<std::vector<JobItem>>)> done) {
+void JobStore::ReadAll(TableRange range, std::shared_ptr<std::vector<TableRow>> rows,
+                       std::function<void(Result<std::vector<TableRow>>)> done) {
   tables_.Read(range,
                [this, range, rows, done = std::move(done)](const Result<TablePage>& page) mutable {
                  if (!IsOk(page)) return done(ErrorOf(page));
                  rows->insert(rows->end(), ValueOf(page).rows.begin(), ValueOf(page).rows.end());
                  if (ValueOf(page).truncated && !rows->empty()) {
                    range.from = rows->back().at.key + '\0';
-                   return ReadAllItems(std::move(range), rows, std::move(done));
+                   return ReadAll(std::move(range), rows, std::move(done));
                  }
-                 Result<std::vector<JobItem>> items = ledger::DecodeItems(*rows);
-                 if (!IsOk(items))
-                   return done(Error{ErrorKind::kStoreUnavailable, ErrorOf(items).detail});
-                 done(std::move(items));
+                 done(std::move(*rows));
                });
 }
 
@@ -446,9 +457,10 @@
   std::vector<JobId> mine;
   for (const auto& [id, job] : owned_) mine.push_back(id);
   for (const JobId& id : mine) {
-    hooks_.dropped(id);
-    // What is finished is written first; OnWritten releases the job after that.
+    // What is finished and what has been done of the rest is written first;
+    // OnWritten releases the job after that.
     OwnedJob& job = *owned_[id];
+    hooks_.handed_over(job);
     if (job.settled()) {
       Release(id);
     } else {
--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -27,10 +27,13 @@
   static constexpr Duration kRetryPause{100'000};
 
   struct Hooks {
-    // A job is owned now and its items are known.
-    std::function<void(OwnedJob&)> owned;
+    // A job is owned now and its items are known, with what earlier owners have
+    // kept of them.
+    std::function<void(OwnedJob&, const std::vector<ledger::ProgressPiece>&)> owned;
     // It is not, or it has ended: stop what runs of it.
     std::function<void(const JobId&)> dropped;
+    // It is about to be handed over: stop what runs of it and keep its progress.
+    std::function<void(OwnedJob&)> handed_over;
     std::function<void(const JobHead&)> changed;
   };
 
@@ -81,15 +84,17 @@
   [[nodiscard]] bool ShouldTake(const KnownJob& job, Time now) const;
   void Take(const JobId& job);
   void OnTaken(const JobHead& head, const TableOutcome& outcome);
-  void Own(JobHead head, RowVersion version, std::vector<JobItem> items);
+  void Own(JobHead head, RowVersion version, std::vector<JobItem> items,
+           const std::vector<ledger::ProgressPiece>& progress);
+  void ReadAll(TableRange range, std::shared_ptr<std::vector<TableRow>> rows,
+               std::function<void(Result<std::vector<TableRow>>)> done);
+  void LoadProgress(const JobId& id, std::vector<JobItem> items);
   void LoadAndOwn(const JobId& id);
   [[nodiscard]] Peer OwnerOfNew(const JobId& job) const;
   void Drop(const JobId& job);
   void OnWritten(const JobId& job, const TableOutcome& outcome);
   void EndElsewhere(const JobId& job, const JobHead& head, RowVersion version, int tries,
                     std::function<void(Result<Ok>)> done);
-  void ReadAllItems(TableRange range, std::shared_ptr<std::vector<TableRow>> rows,
-                    std::function<void(Result<std::vector<JobItem>>)> done);
   void Release(const JobId& job);
   void FinishLeaving();
   [[nodiscard]] bool IsMine(const JobHead& head) const;
--- a/src/ledger/item_text.cc
+++ b/src/ledger/item_text.cc
@@ -29,6 +29,22 @@
 
 }  // namespace
 
+std::optional<ledger::ProgressPiece> ItemText::TakePiece(std::size_t item) {
+  if (text_.size() == kept_ || !pieces_.last_id()) return std::nullopt;
+  ledger::ProgressPiece piece{item, next_piece_++, text_.substr(kept_), *pieces_.last_id(),
+                              pieces_.count()};
+  kept_ = text_.size();
+  return piece;
+}
+
+void ItemText::Restore(const ledger::ProgressPiece& piece) {
+  if (piece.number != next_piece_) return;
+  ++next_piece_;
+  text_ += piece.text;
+  kept_ = text_.size();
+  pieces_.GoOnAfter(piece.last_id, piece.events);
+}
+
 void ItemText::Feed(std::string_view bytes) {
   const std::string events = pieces_.Feed(bytes);
   std::string_view rest = events;
--- a/src/ledger/owned_job.cc
+++ b/src/ledger/owned_job.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 #include "figmill/ledger.h"
 
@@ -21,27 +22,47 @@
   pending_.emplace_back(item, std::move(result));
 }
 
+void OwnedJob::Keep(ledger::ProgressPiece piece) {
+  progress_.push_back(std::move(piece));
+}
+
 std::optional<TableTransaction> OwnedJob::NextWrite(const RandomBits& random) {
   if (in_flight_) return std::nullopt;
   if (!write_) {
-    if (pending_.empty() && !wants_end_) return std::nullopt;
-    write_ = Write{head_, {}, version_};
+    if (pending_.empty() && progress_.empty() && !wants_end_) return std::nullopt;
+    write_ = Write{head_, {}, {}, version_};
     write_->head.token = FreshToken(random);
     write_->head.ended = head_.ended || wants_end_;
-    std::size_t bytes = 0;
-    while (!pending_.empty() && write_->results.size() < kMaxResultsPerWrite &&
-           bytes < kMaxBytesPerWrite) {
-      bytes += pending_.front().second.output.size();
-      write_->head.done[pending_.front().first] = 'x';
-      ++write_->head.listed;
-      write_->results.push_back(std::move(pending_.front()));
-      pending_.erase(pending_.begin());
-    }
+    TakeResults(*write_);
+    TakeProgress(*write_);
   }
   in_flight_ = true;
   return TransactionFor(*write_);
 }
 
+void OwnedJob::TakeResults(Write& write) {
+  std::size_t bytes = 0;
+  while (!pending_.empty() && write.results.size() < kMaxResultsPerWrite &&
+         bytes < kMaxBytesPerWrite) {
+    bytes += pending_.front().second.output.size();
+    write.head.done[pending_.front().first] = 'x';
+    ++write.head.listed;
+    write.results.push_back(std::move(pending_.front()));
+    pending_.erase(pending_.begin());
+  }
+}
+
+// Not for items that are finished: nobody goes on with them.
+void OwnedJob::TakeProgress(Write& write) {
+  std::vector<ledger::ProgressPiece> left;
+  for (ledger::ProgressPiece& piece : std::exchange(progress_, {})) {
+    if (!IsOpen(piece.item)) continue;
+    const bool fits = write.progress.size() < kMaxPiecesPerWrite && write.results.size() < 4;
+    (fits ? write.progress : left).push_back(std::move(piece));
+  }
+  progress_ = std::move(left);
+}
+
 // A write that is sent again is the same to the letter: an earlier copy, whose
 // answer was lost, may still take effect, and then this one finds its own token.
 TableTransaction OwnedJob::TransactionFor(const Write& write) const {
@@ -55,6 +76,9 @@
     }
     ++position;
   }
+  for (const ledger::ProgressPiece& piece : write.progress) {
+    transaction.puts.push_back(ledger::ProgressRow(head_.id, piece));
+  }
   return transaction;
 }
 
@@ -80,6 +104,8 @@
     if (!ours) {
       pending_.insert(pending_.begin(), std::make_move_iterator(write_->results.begin()),
                       std::make_move_iterator(write_->results.end()));
+      progress_.insert(progress_.begin(), std::make_move_iterator(write_->progress.begin()),
+                       std::make_move_iterator(write_->progress.end()));
     }
     write_.reset();
   }
--- a/src/ledger/rows.cc
+++ b/src/ledger/rows.cc
@@ -221,6 +221,30 @@
   return results;
 }
 
+TableRange ProgressRange(const JobId& job) {
+  return {std::string(kProgressTable), PartOf(job), job.value + "/", job.value + "0"};
+}
+
+TablePut ProgressRow(const JobId& job, const ProgressPiece& piece) {
+  return {{std::string(kProgressTable), PartOf(job),
+           fmt::format("{}/{:08}.{:04}", job.value, piece.item, piece.number)},
+          ToBytes({piece.item, piece.number, Binary(piece.text), piece.last_id, piece.events})};
+}
+
+std::vector<ProgressPiece> DecodeProgress(const std::vector<TableRow>& rows) {
+  std::vector<ProgressPiece> pieces;
+  for (const TableRow& row : rows) {
+    Result<ProgressPiece> piece =
+        Decoded<ProgressPiece>(row.value, "progress", [](const Json& json) {
+          return ProgressPiece{json.at(0).get<std::size_t>(), json.at(1).get<std::uint32_t>(),
+                               BytesOf(json.at(2)), json.at(3).get<std::string>(),
+                               json.at(4).get<std::uint64_t>()};
+        });
+    if (IsOk(piece)) pieces.push_back(std::move(ValueOf(piece)));
+  }
+  return pieces;
+}
+
 std::uint64_t DigestOf(const JobSubmission& submission) {
   std::string text = submission.id.value;
   for (const JobItem& item : submission.items) {
