Leave places that nobody uses to the online requests about to come

Change: the keeper gives an online request a place that nobody uses before one that batch uses, and grants batch only what is free beyond the online of the next 150 ms, at the rate at which it comes.

--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -68,6 +68,8 @@
   // A backend server of another data centre costs as much as this many online
   // requests more. Unit: requests.
   static constexpr double kHopRequests = 0.5;
+  // So does stopping a batch item, which must read its text again when it goes on.
+  static constexpr double kDisplacedRequests = 2;
   // What is known of others' use is some ms old, and all entries know the same. If
   // each took the least used backend server, those of one such span would all meet
   // there. So each takes the better of this many that it draws by chance.
--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -220,6 +220,10 @@
   // From the send to the first event when a place is free. Streams take some 40 ms;
   // the rest is for a busy host.
   static constexpr Duration kFirstEvent{90'000};
+  // Free places that batch leaves to the online requests that come within this
+  // time, at the rate at which they come. Filled at once, each would be taken back
+  // by the next request, and the stopped run would have to read its text again.
+  static constexpr Duration kOnlineAhead{150'000};
   // What one run takes, until some have ended here.
   static constexpr Duration kUsualRun{700'000};
 
@@ -277,12 +281,16 @@
   };
 
   [[nodiscard]] static int OnlineOf(const Kept& kept);
+  // Run there, or allowed to.
+  [[nodiscard]] static int BatchOf(const Kept& kept);
   void Divide(Kept& kept, Time now);
   bool Place(const NodeId& from, const PlaceAsk& ask, Time now);
   void ServeQueue(Time now);
   void ExpireReservations(Time now);
   void Answer(const NodeId& to, PlaceAnswer answer);
-  void CountEnded(int ended, Time now);
+  void CountStarted(int started, Time now);
+  // Places of the service that nobody uses, beyond what is left to online.
+  [[nodiscard]] int SpareFor(const ServiceName& service) const;
   [[nodiscard]] bool InFlight(const NodeId& entry) const;
   [[nodiscard]] PlaceGrant GrantFor(const NodeId& entry) const;
   void MarkOthersStale(const Kept& kept, const NodeId& but);
@@ -292,10 +300,10 @@
   std::map<NodeId, EntryState> entries_;
   AskQueue queue_;
   std::vector<Outgoing> answers_;
-  // Online runs that ended, to know how fast places fall free.
-  double ended_per_s_ = 0;
-  int ended_ = 0;
-  Time ended_since_{};
+  // Online runs that began: as fast places fall free in the long run.
+  double started_per_s_ = 0;
+  int started_ = 0;
+  Time started_since_{};
 };
 
 // --- Search ------------------------------------------------------------------------
--- a/src/fleet/place_book.cc
+++ b/src/fleet/place_book.cc
@@ -44,7 +44,10 @@
 // In shares of its places.
 double PlaceBook::Cost(const Backend& backend) const {
   const bool local = backend.info.data_centre == here_;
-  return (OnlineOf(backend.use) + (local ? 0 : kHopRequests)) / backend.info.places;
+  const PlaceUse& use = backend.use;
+  const bool displaces = OnlineOf(use) + use.batch + use.batch_other >= backend.info.places;
+  return (OnlineOf(use) + (local ? 0 : kHopRequests) + (displaces ? kDisplacedRequests : 0)) /
+         backend.info.places;
 }
 
 // The best of some drawn by chance: out of those with a free place, if there are any.
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -282,7 +282,8 @@
   ReadItems(id, [this, id](Result<std::vector<JobItem>> items) {
     if (IsOk(items)) return LoadProgress(id, std::move(ValueOf(items)));
     // The next check tries again.
-    Log(LogLevel::kWarning, "job_items_unread", {{"job", id.value}, {"why", ErrorOf(items).detail}});
+    Log(LogLevel::kWarning, "job_items_unread",
+        {{"job", id.value}, {"why", ErrorOf(items).detail}});
     const auto found = known_.find(id);
     if (found != known_.end()) found->second.taking = false;
   });
@@ -424,13 +425,13 @@
       });
 }
 
-void JobStore::ReadItems(const JobId& job,
-                         std::function<void(Result<std::vector<JobItem>>)> done) {
+void JobStore::ReadItems(const JobId& job, std::function<void(Result<std::vector<JobItem>>)> done) {
   ReadAll(ledger::ItemRange(job), std::make_shared<std::vector<TableRow>>(),
           [done = std::move(done)](const Result<std::vector<TableRow>>& rows) {
             if (!IsOk(rows)) return done(ErrorOf(rows));
             Result<std::vector<JobItem>> items = ledger::DecodeItems(ValueOf(rows));
-            if (!IsOk(items)) return done(Error{ErrorKind::kStoreUnavailable, ErrorOf(items).detail});
+            if (!IsOk(items))
+              return done(Error{ErrorKind::kStoreUnavailable, ErrorOf(items).detail});
             done(std::move(items));
           });
 }
--- a/src/sharing/place_asks.cc
+++ b/src/sharing/place_asks.cc
@@ -9,8 +9,8 @@
 namespace figmill {
 namespace {
 
-// Over this span ended runs are counted before the rate is taken.
-constexpr Duration kRateSpan{500'000};
+// Over this span runs are counted before the rate is taken.
+constexpr Duration kRateSpan{200'000};
 // Weight of the newest span in the rate.
 constexpr double kNewest = 0.4;
 
@@ -70,24 +70,21 @@
   queue_.Add({from, ask, now + ask.goal_left - kFirstEvent, now + ask.time_left});
 }
 
-// The backend server with most free places; batch gives way wherever it is.
+// One that nobody uses, on the backend server with most of them. If all are used,
+// batch gives way where online has the fewest. A run that is stopped must read its
+// prompt and its text again when it goes on, at the cost of all that run there.
 bool PlaceKeeper::Place(const NodeId& from, const PlaceAsk& ask, Time now) {
   std::map<BackendId, Kept>::iterator best = kept_.end();
-  int best_free = 0;
-  int best_batch = 0;
+  std::pair<int, int> best_rank;
   for (auto at = kept_.begin(); at != kept_.end(); ++at) {
     const Kept& kept = at->second;
     if (kept.backend.service != ask.service || Contains(ask.tried, at->first)) continue;
-    const int free = kept.backend.places - OnlineOf(kept);
-    if (free <= 0) continue;
-    int batch = 0;
-    for (const auto& [node, share] : kept.shares) batch += share.batch;
-    const bool better =
-        best == kept_.end() || free > best_free || (free == best_free && batch < best_batch);
-    if (!better) continue;
+    const int free_of_online = kept.backend.places - OnlineOf(kept);
+    if (free_of_online <= 0) continue;
+    const std::pair<int, int> rank{std::max(0, free_of_online - BatchOf(kept)), free_of_online};
+    if (best != kept_.end() && rank <= best_rank) continue;
     best = at;
-    best_free = free;
-    best_batch = batch;
+    best_rank = rank;
   }
   if (best == kept_.end()) return false;
   best->second.reserved.push_back({from, ask.number, now + kReservationLife});
@@ -122,15 +119,25 @@
   answers_.push_back({to, std::nullopt, std::move(answer)});
 }
 
-void PlaceKeeper::CountEnded(int ended, Time now) {
-  ended_ += ended;
-  if (ended_since_ == Time{}) ended_since_ = now;
-  const Duration span = now - ended_since_;
+void PlaceKeeper::CountStarted(int started, Time now) {
+  started_ += started;
+  if (started_since_ == Time{}) started_since_ = now;
+  const Duration span = now - started_since_;
   if (span < kRateSpan) return;
-  const double rate = ended_ / std::chrono::duration<double>(span).count();
-  ended_per_s_ = ended_per_s_ == 0 ? rate : ended_per_s_ * (1 - kNewest) + rate * kNewest;
-  ended_ = 0;
-  ended_since_ = now;
+  const double rate = started_ / std::chrono::duration<double>(span).count();
+  started_per_s_ = started_per_s_ * (1 - kNewest) + rate * kNewest;
+  started_ = 0;
+  started_since_ = now;
+}
+
+int PlaceKeeper::SpareFor(const ServiceName& service) const {
+  int free = 0;
+  for (const auto& [id, kept] : kept_) {
+    if (kept.backend.service != service) continue;
+    free += std::max(0, kept.backend.places - OnlineOf(kept) - BatchOf(kept));
+  }
+  const double ahead = started_per_s_ * std::chrono::duration<double>(kOnlineAhead).count();
+  return free - static_cast<int>(std::ceil(ahead));
 }
 
 Duration PlaceKeeper::WaitFor(const ServiceName& service, std::size_t position) const {
@@ -141,7 +148,7 @@
   if (places == 0) return kUsualRun;
   // All places taken: one falls free each usual run over their number.
   const double usual = places / std::chrono::duration<double>(kUsualRun).count();
-  const double rate = std::max(ended_per_s_, usual / 2);
+  const double rate = std::max(started_per_s_, usual / 2);
   return Duration(static_cast<Duration::rep>(1e6 * static_cast<double>(position) / rate));
 }
 
--- a/src/sharing/place_keeper.cc
+++ b/src/sharing/place_keeper.cc
@@ -11,6 +11,12 @@
   return online;
 }
 
+int PlaceKeeper::BatchOf(const Kept& kept) {
+  int batch = 0;
+  for (const auto& [node, share] : kept.shares) batch += std::max(share.batch, share.allowed);
+  return batch;
+}
+
 void PlaceKeeper::Keep(const std::map<BackendId, KeptBackend>& backends, Time now) {
   std::erase_if(kept_, [&backends](const auto& each) { return !backends.contains(each.first); });
   for (const auto& [id, backend] : backends) {
@@ -50,7 +56,7 @@
     if (share.online != line.online || share.batch != line.batch) {
       MarkOthersStale(found->second, from.node);
     }
-    if (line.online < share.online) CountEnded(share.online - line.online, now);
+    if (line.online > share.online) CountStarted(line.online - share.online, now);
     share.online = line.online;
     share.batch = line.batch;
     Divide(found->second, now);
@@ -101,7 +107,8 @@
     --used;
   }
   const bool settled = now - kept.since >= kSettle;
-  while (settled && used < free) {
+  int spare = settled ? SpareFor(kept.backend.service) : 0;
+  while (spare-- > 0 && used < free) {
     std::map<NodeId, int>::iterator least = next.end();
     for (auto at = next.begin(); at != next.end(); ++at) {
       const EntryState& entry = entries_[at->first];
@@ -142,10 +149,9 @@
     if (entry.number > 0 && now - entry.at >= kReportLife) silent.push_back(node);
   }
   for (const NodeId& node : silent) Forget(node, now);
-  for (auto& [id, kept] : kept_) {
-    const bool just_settled = now - kept.since >= kSettle && now - kept.since < 4 * kSettle;
-    if (just_settled) Divide(kept, now);
-  }
+  CountStarted(0, now);
+  // What is spare changes with time, not only with reports.
+  for (auto& [id, kept] : kept_) Divide(kept, now);
   ExpireReservations(now);
   ServeQueue(now);
   std::vector<Outgoing> due = std::exchange(answers_, {});
