Reach the store by way of peers, and hear of its return in time

DRAIN: an engine that had said 3.4 s before that it leaves got a request, since the keeper that gave the place was cut off from the store. CONFIG twice: 404 by an older version 2 s after the new one was accepted; the feed call that was out while the store went silent held the follower for 3.5 s.

Change: calls that the store refuses, or that get no answer, go by way of another entry; feeds are short for 10 s after a failure; a place at a backend server that is listed as leaving is not taken.

--- a/include/figmill/gateway.h
+++ b/include/figmill/gateway.h
@@ -14,7 +14,6 @@
 #include <vector>
 
 #include "figmill/base.h"
-#include "figmill/exchange.h"
 #include "figmill/fleet.h"
 #include "figmill/ledger.h"
 #include "figmill/routes.h"
@@ -52,13 +51,30 @@
 };
 using JobCall = std::variant<JobReadCall, JobItemCall, JobEndCall>;
 
+// One call to the platform's table service.
+struct TableCall {
+  std::string method = "GET";
+  std::string target;  // path and query
+  std::vector<Header> headers;
+  std::string body;
+  Duration timeout{1'000'000};
+  bool waits = false;  // the store holds it until something changes
+};
+
+// Carries calls to the table service.
+class TableCalls {
+ public:
+  virtual ~TableCalls() = default;
+  // Any status is a value. Errors: kBackendFailed with `ran` no (never sent) or unknown.
+  virtual void Fetch(TableCall call, std::function<void(Result<HttpResponse>)> done) = 0;
+};
+
 class PlatformAdapter {
  public:
   virtual ~PlatformAdapter() = default;
   [[nodiscard]] virtual const WireNames& names() const = 0;
-  // A client of the table service at `address`.
-  [[nodiscard]] virtual std::unique_ptr<SharedTables> Connect(Loop& loop, ExchangeClient& client,
-                                                              const Address& address) const = 0;
+  // A client of the table service.
+  [[nodiscard]] virtual std::unique_ptr<SharedTables> Connect(TableCalls& calls) const = 0;
   // Where the operator's configuration lies.
   [[nodiscard]] virtual TableKey config_row() const = 0;
   // Errors: kBadRequest, with the place.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -14,6 +14,7 @@
 #include "gateway/job_store.h"
 #include "gateway/member_watch.h"
 #include "gateway/peer_link.h"
+#include "gateway/store_caller.h"
 
 namespace figmill {
 namespace {
@@ -39,7 +40,8 @@
   Control(const GatewaySettings& settings, const PlatformAdapter& adapter, const Peer& self,
           Hooks hooks)
       : client_(loop_),
-        tables_(adapter.Connect(loop_, client_, settings.store)),
+        store_(loop_, client_, settings.store),
+        tables_(adapter.Connect(store_)),
         fleet_(loop_, *tables_, adapter, std::move(hooks.publish)),
         members_(loop_, *tables_, self, std::move(hooks.members)),
         thread_([this] {
@@ -55,10 +57,14 @@
   void Leave() {
     loop_.Post([this] { members_.Leave(); });
   }
+  void SetPeers(std::vector<Address> peers) {
+    loop_.Post([this, peers = std::move(peers)]() mutable { store_.SetPeers(std::move(peers)); });
+  }
 
  private:
   Loop loop_;
   ExchangeClient client_;
+  StoreCaller store_;
   std::unique_ptr<SharedTables> tables_;
   FleetWatch fleet_;
   MemberWatch members_;
@@ -75,7 +81,8 @@
   Gateway(const GatewaySettings& settings, const PlatformAdapter& adapter)
       : settings_(settings),
         client_(loop_),
-        tables_(adapter.Connect(loop_, client_, settings.store)),
+        store_(loop_, client_, settings.store),
+        tables_(adapter.Connect(store_)),
         places_(settings.data_centre, SystemRandom()),
         peers_(SelfOf(settings)),
         link_(loop_, peers_, places_, metrics_,
@@ -111,6 +118,10 @@
                 [this](const HttpRequest& /*request*/, const std::shared_ptr<HttpReply>& reply) {
                   TellReadiness(*reply);
                 }) ||
+        !Listen(settings_.peers, peers_server_,
+                [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
+                  OnPeerRequest(std::move(request), std::move(reply));
+                }) ||
         !Listen(settings_.metrics, metrics_server_,
                 [this](const HttpRequest& /*request*/, const std::shared_ptr<HttpReply>& reply) {
                   reply->Send({200, "text/plain; version=0.0.4", {}, metrics_.PrometheusText()});
@@ -118,6 +129,7 @@
       return RowOf(ErrorKind::kInternal).exit_code;
     }
     jobs_.Start();
+    peers_timer_ = loop_.Every(PeerTable::kPresence, [this] { TellPeers(); });
     Log(LogLevel::kInfo, "started",
         {{"node", settings_.node.value},
          {"incarnation", std::to_string(peers_.self().incarnation)}});
@@ -139,6 +151,23 @@
              [this](const NodeId& node) { loop_.Post([this, node] { link_.Unlisted(node); }); }}};
   }
 
+  void OnPeerRequest(HttpRequest request, std::shared_ptr<HttpReply> reply) {
+    if (StoreCaller::IsForwarded(request)) {
+      return store_.Forward(std::move(request), std::move(reply));
+    }
+    reply->Send(ProblemOf({ErrorKind::kNotFound, "no such path: " + request.path}));
+  }
+
+  // By way of whom the store may be reached.
+  void TellPeers() {
+    std::vector<Address> peers;
+    for (const Peer& peer : peers_.Capable(Loop::Now())) {
+      if (peer.node != peers_.self().node) peers.push_back(peer.address);
+    }
+    store_.SetPeers(peers);
+    control_.SetPeers(std::move(peers));
+  }
+
   void Update(const std::shared_ptr<const FleetView>& view) {
     door_.Update(view);
     runner_.SetRoutes(view->routes);
@@ -184,6 +213,7 @@
   Metrics metrics_;
   Loop loop_;
   ExchangeClient client_;
+  StoreCaller store_;
   std::unique_ptr<SharedTables> tables_;
   StoreClock clock_;
   PlaceBook places_;
@@ -195,10 +225,10 @@
   BatchRunner runner_;
   JobDesk desk_;
   CallerDoor door_;
-  std::unique_ptr<HttpServer> callers_, health_, metrics_server_;
+  std::unique_ptr<HttpServer> callers_, health_, peers_server_, metrics_server_;
   bool leaving_ = false;
   bool jobs_left_ = false;
-  Timer grace_timer_, idle_timer_, last_request_timer_;
+  Timer grace_timer_, idle_timer_, last_request_timer_, peers_timer_;
   Control control_;
 };
 
--- a/src/gateway/place_finder.cc
+++ b/src/gateway/place_finder.cc
@@ -38,8 +38,14 @@
   void On(const search::Take& take) {
     finder_.link_.ActedOn(keeper_, search_.number());
     const BackendInfo* info = finder_.places_.Find(take.backend);
-    if (info == nullptr) return On(search::TakeUnasked{});
-    Finish(BackendAddress{info->id, info->address});
+    if (info != nullptr && info->state == BackendState::kReady) {
+      return Finish(BackendAddress{info->id, info->address});
+    }
+    // The keeper has not heard yet that it leaves.
+    Log(LogLevel::kInfo, "place_refused",
+        {{"backend", take.backend.value}, {"keeper", keeper_.value}, {"why", "it is leaving"}});
+    tried_.push_back(take.backend);
+    On(search::TakeUnasked{});
   }
   void On(const search::TakeUnasked& /*action*/) {
     PlaceQuery query;
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -32,7 +32,8 @@
                          });
           },
           [this](const mirror::FollowFrom& from) {
-            tables_.Follow(table_, from.version, kWait, [self = self_](const FeedOutcome& outcome) {
+            const Duration wait = Loop::Now() < troubled_until_ ? kTroubledWait : kWait;
+            tables_.Follow(table_, from.version, wait, [self = self_](const FeedOutcome& outcome) {
               if (*self == nullptr) return;
               if (const auto* changes = std::get_if<TableChanges>(&outcome)) {
                 (*self)->Heard(changes->now);
@@ -57,6 +58,7 @@
 }
 
 void TableFollower::Answered(bool ok, const std::string& why) {
+  if (!ok) troubled_until_ = Loop::Now() + kTroubled;
   if (ok != connected_) {
     connected_ = ok;
     changed_at_ = Loop::Now();
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -19,6 +19,11 @@
   // a change must be in force, so that a connection which went silent costs no more
   // than this; it costs each process a call every two seconds.
   static constexpr Duration kWait{2'000'000};
+  // The same for some time after a call failed: while a store goes silent and
+  // returns, each call that was out meanwhile has to run into its time-out before
+  // the next one can hear what has changed.
+  static constexpr Duration kTroubledWait{300'000};
+  static constexpr Duration kTroubled{10'000'000};
 
   // `on_change` as for TableMirror; `settled` after each answer, when what the
   // mirror holds may have changed.
@@ -47,6 +52,7 @@
   StoreClock* clock_;
   bool connected_ = false;
   Time changed_at_{};
+  Time troubled_until_{};
   Timer pause_;
   std::shared_ptr<TableFollower*> self_;  // null once this is gone
 };
