--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -41,6 +41,7 @@
   int online_other = 0;  // by other entries
   int batch_other = 0;
   int batch_allowed = 0;  // batch items that this entry may have there
+  Duration usual_run{0};  // of this entry's online requests there; 0: none has ended
 };
 
 struct PlaceQuery {
@@ -92,7 +93,8 @@
   [[nodiscard]] Result<BackendAddress> Choose(const PlaceQuery& query, Time now);
 
   void Began(const BackendId& id, WorkClass work);
-  void Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Time now);
+  // `took`: from its send to its end.
+  void Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Duration took, Time now);
   // What the backend server's keeper says: what other entries have there, and how
   // many batch items this one may have.
   void SetGrant(const BackendId& id, int online_other, int batch_other, int batch_allowed);
--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -1,7 +1,7 @@
 #pragma once
 
 // The shell around the decisions: event loops, HTTP, JSON-RPC, datagrams, the
-// platform's clients, metrics, traces, logs and the supervisor tree. Asio,
+// platform's clients, traces and the supervisor tree. Asio,
 // RESTinio, curl and jsonrpccpp stay behind this header.
 
 #include <atomic>
@@ -20,14 +20,13 @@
 #include <vector>
 
 #include "figmill/base.h"
+#include "figmill/observe.h"
 #include "figmill/platform.h"
 
 namespace figmill {
 
 // --- Event loop ----------------------------------------------------------------
 
-class Metrics;
-
 namespace detail {
 struct LoopCore;
 struct TimerCore;
@@ -259,66 +258,6 @@
   Duration timeout_;
 };
 
-// --- Metrics -------------------------------------------------------------------------
-
-class Counter {
- public:
-  void Add(std::uint64_t n = 1) { value_.fetch_add(n, std::memory_order_relaxed); }
-  [[nodiscard]] std::uint64_t value() const { return value_.load(std::memory_order_relaxed); }
-
- private:
-  std::atomic<std::uint64_t> value_{0};
-};
-
-class Gauge {
- public:
-  void Set(double value) { value_.store(value, std::memory_order_relaxed); }
-  [[nodiscard]] double value() const { return value_.load(std::memory_order_relaxed); }
-
- private:
-  std::atomic<double> value_{0};
-};
-
-// Quantiles of a stream in constant memory (Boost.Accumulators, P-square).
-class Distribution {
- public:
-  Distribution();
-  ~Distribution();
-  void Add(double value);
-  struct Summary {
-    std::uint64_t count = 0;
-    double sum = 0, p50 = 0, p95 = 0, p99 = 0;
-  };
-  [[nodiscard]] Summary summary() const;
-
- private:
-  struct Core;
-  std::unique_ptr<Core> core_;
-};
-
-// All metrics of a process. A name is Prometheus style with its unit, such as
-// figmill_online_first_token_seconds; labels are part of the identity. The
-// references stay valid as long as the registry.
-class Metrics {
- public:
-  Counter& counter(std::string_view name, std::string_view help, std::string_view labels = {});
-  Gauge& gauge(std::string_view name, std::string_view help, std::string_view labels = {});
-  Distribution& distribution(std::string_view name, std::string_view help,
-                             std::string_view labels = {});
-  [[nodiscard]] std::string PrometheusText() const;
-
- private:
-  template <typename M>
-  struct Family {
-    std::string help;
-    std::map<std::string, std::unique_ptr<M>, std::less<>> by_labels;
-  };
-  mutable std::mutex mutex_;
-  std::map<std::string, Family<Counter>, std::less<>> counters_;
-  std::map<std::string, Family<Gauge>, std::less<>> gauges_;
-  std::map<std::string, Family<Distribution>, std::less<>> distributions_;
-};
-
 // --- Traces --------------------------------------------------------------------------
 
 // W3C trace context.
@@ -360,19 +299,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-// --- Logs ----------------------------------------------------------------------------
-
-struct LogField {
-  std::string_view key;
-  std::string value;
-};
-enum class LogLevel : std::uint8_t { kInfo, kWarning, kError };
-
-// One glog line an event: event=NAME key=value ..., values quoted where needed.
-void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
-// To standard error; lines under `least` are left out.
-void StartLogging(const char* program, LogLevel least = LogLevel::kInfo);
-
 // --- Supervisor tree -----------------------------------------------------------------
 
 // Starts its children in order and restarts one that fails, at most
--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -128,6 +128,7 @@
     BackendId backend;
     int online = 0;
     int batch = 0;
+    Duration usual_run{0};  // of its online requests there; 0: none has ended
   };
   std::uint64_t number = 0;  // rises with each report of this incarnation
   std::uint64_t grant = 0;   // the last grant that this entry has acted on
@@ -192,7 +193,8 @@
   // Takes out the first one, by its order, for which `serve` finds a place.
   [[nodiscard]] std::optional<Entry> TakeFirst(Time now,
                                                const std::function<bool(const Entry&)>& serve);
-  [[nodiscard]] std::size_t CountOf(const ServiceName& service) const;
+  // Those of the same service that would be served before it.
+  [[nodiscard]] std::size_t CountBefore(const Entry& entry, Time now) const;
   [[nodiscard]] bool empty() const { return entries_.empty(); }
 
  private:
@@ -224,7 +226,7 @@
   // time, at the rate at which they come. Filled at once, each would be taken back
   // by the next request, and the stopped run would have to read its text again.
   static constexpr Duration kOnlineAhead{150'000};
-  // What one run takes, until some have ended here.
+  // What one online run takes, until some have ended.
   static constexpr Duration kUsualRun{700'000};
 
   // `reserve`: places kept free of batch at each backend server.
@@ -242,7 +244,9 @@
     std::optional<PlaceGrant> grant;
     std::optional<PlaceAnswer> answer;
   };
-  // What has to be sent now. Call it after each event and once a kCoalesce.
+  // What time alone changes; call it once a kCoalesce.
+  void Tick(Time now);
+  // What has to be sent now; call it after each event and each Tick.
   [[nodiscard]] std::vector<Outgoing> Due(Time now);
 
   // Batch items that an entry may have running there, as granted last.
@@ -289,9 +293,9 @@
   void ExpireReservations(Time now);
   void Answer(const NodeId& to, PlaceAnswer answer);
   void CountStarted(int started, Time now);
+  void LearnRun(const ServiceName& service, Duration usual);
   // Places of the service that nobody uses, beyond what is left to online.
   [[nodiscard]] int SpareFor(const ServiceName& service) const;
-  [[nodiscard]] bool InFlight(const NodeId& entry) const;
   [[nodiscard]] PlaceGrant GrantFor(const NodeId& entry) const;
   void MarkOthersStale(const Kept& kept, const NodeId& but);
 
@@ -300,6 +304,7 @@
   std::map<NodeId, EntryState> entries_;
   AskQueue queue_;
   std::vector<Outgoing> answers_;
+  std::map<ServiceName, Duration> usual_run_;
   // Online runs that began: as fast places fall free in the long run.
   double started_per_s_ = 0;
   int started_ = 0;
--- a/include/figmill/tables.h
+++ b/include/figmill/tables.h
@@ -131,6 +131,9 @@
   // After a failed call, before the next. A store that is down is asked ten times
   // a second in total by ten entries; it costs a call and finds its return in time.
   static constexpr Duration kRetryPause{250'000};
+  // Removed rows whose versions are remembered; beyond them the oldest go. A row
+  // comes late by seconds, in which far fewer are removed.
+  static constexpr std::size_t kMaxRemoved = 4096;
 
   // What a change did: the row now has this value, or is gone.
   struct Change {
@@ -168,6 +171,7 @@
   OnChange on_change_;
   std::map<TableKey, TableRow> rows_;
   std::map<TableKey, RowVersion> removed_;  // versions at which rows went
+  std::multimap<RowVersion, TableKey> removed_order_;
   RowVersion version_ = 0;
   bool complete_ = false;
   // While listing: the rows seen, where it stands, and the oldest page's version.
--- a/src/fleet/place_book.cc
+++ b/src/fleet/place_book.cc
@@ -9,6 +9,9 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
+// The last so many runs make up most of what is usual.
+constexpr int kRunsForUsual = 8;
+
 int OnlineOf(const PlaceUse& use) {
   return use.online + use.online_other;
 }
@@ -108,12 +111,17 @@
   on_use_(id);
 }
 
-void PlaceBook::Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Time now) {
+void PlaceBook::Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Duration took,
+                      Time now) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
   Backend& backend = found->second;
   int& mine = work == WorkClass::kOnline ? backend.use.online : backend.use.batch;
   mine = std::max(0, mine - 1);
+  if (work == WorkClass::kOnline && end == relay::SendEnd::kAnswered) {
+    Duration& usual = backend.use.usual_run;
+    usual = usual.count() == 0 ? took : usual + (took - usual) / kRunsForUsual;
+  }
   Judge(backend, end, now);
   on_use_(id);
 }
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -165,7 +165,7 @@
   const OwnedJob* job = jobs_.Owned(key.job);
   const JobItem& item = job->items()[key.item];
   Progress& progress = progress_[key];
-  ++progress.runs;
+  if (++progress.runs == 1) progress.first_run_at = Loop::Now();
   HttpCall call;
   call.method = "POST";
   call.to = backend.address;
@@ -273,13 +273,15 @@
   const Run run = std::move(found->second);
   runs_.erase(found);
   run.cancel();
-  tools_.places.Ended(run.backend.id, WorkClass::kBatch, end, Loop::Now());
+  const Time now = Loop::Now();
+  tools_.places.Ended(run.backend.id, WorkClass::kBatch, end, now - run.started_at, now);
 }
 
 void BatchRunner::Requeue(const ItemKey& key, relay::SendEnd end, std::string_view why,
                           Duration pause) {
   Progress& progress = progress_[key];
   progress.text.BreakOff();
+  tools_.metrics.ItemStopped(end);
   Log(LogLevel::kInfo, "item_stopped",
       {{"job", key.job.value},
        {"item", Text(key.item)},
@@ -298,6 +300,7 @@
   const std::string& id = job->items()[key.item].id;
   const Progress progress = std::move(progress_[key]);
   progress_.erase(key);
+  tools_.metrics.ItemEnded(state == ResultState::kComplete, Loop::Now() - progress.first_run_at);
   Log(LogLevel::kInfo, "item_finished",
       {{"job", key.job.value},
        {"item", id},
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -57,6 +57,7 @@
     ItemText text;
     int failures = 0;
     int runs = 0;
+    Time first_run_at{};
   };
   struct Run {
     BackendAddress backend;
--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -81,6 +81,7 @@
 }
 
 void CallerDoor::Refuse(const HttpRequest& request, HttpReply& reply, const Error& error) const {
+  tools_.metrics.RequestEnded("refused", Duration{0}, Duration{0});
   Log(LogLevel::kInfo, "request",
       {{"request", std::string(request.HeaderOr(tools_.names.request_id))},
        {"outcome", "refused"},
--- a/src/gateway/caller_door.h
+++ b/src/gateway/caller_door.h
@@ -24,6 +24,10 @@
   void RefuseAll() { refusing_ = true; }
   [[nodiscard]] bool ready() const { return view_ && view_->routes; }
   [[nodiscard]] std::size_t in_flight() const { return in_flight_; }
+  // 0: none is known yet.
+  [[nodiscard]] std::uint64_t config_version() const {
+    return ready() ? view_->routes->version() : 0;
+  }
 
  private:
   void Relay(const Route& route, HttpRequest request, std::shared_ptr<HttpReply> reply);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -89,7 +89,7 @@
               {[this] { return runner_.wanted(); }, [this] { runner_.Pump(); },
                [this](const PlaceAnswer& answer) { finder_.OnAnswer(answer); }}),
         finder_(loop_, places_, link_),
-        tools_{loop_, client_, places_, finder_, adapter.names(), metrics_},
+        tools_{loop_, client_, places_, finder_, adapter.names(), gateway_metrics_},
         jobs_(loop_, *tables_, peers_, clock_, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
                  runner_.OnOwned(job, progress);
@@ -124,6 +124,7 @@
                 }) ||
         !Listen(settings_.metrics, metrics_server_,
                 [this](const HttpRequest& /*request*/, const std::shared_ptr<HttpReply>& reply) {
+                  UpdateGauges();
                   reply->Send({200, "text/plain; version=0.0.4", {}, metrics_.PrometheusText()});
                 })) {
       return RowOf(ErrorKind::kInternal).exit_code;
@@ -158,6 +159,28 @@
     reply->Send(ProblemOf({ErrorKind::kNotFound, "no such path: " + request.path}));
   }
 
+  void UpdateGauges() {
+    const auto set = [this](std::string_view name, std::string_view help, double value) {
+      metrics_.gauge(name, help).Set(value);
+    };
+    set("figmill_requests_in_flight", "Requests without a final answer yet",
+        static_cast<double>(door_.in_flight()));
+    set("figmill_items_running", "Batch items that run", static_cast<double>(runner_.running()));
+    set("figmill_items_waiting", "Batch items that could run", runner_.wanted());
+    set("figmill_jobs_owned", "Batch jobs that this entry owns",
+        static_cast<double>(jobs_.owned()));
+    set("figmill_peers_live", "Entries that are there, with this one",
+        static_cast<double>(peers_.Live(Loop::Now()).size()));
+    set("figmill_backends_known", "Backend servers in the list",
+        static_cast<double>(places_.size()));
+    set("figmill_config_version", "Version of the configuration in force",
+        static_cast<double>(door_.config_version()));
+    set("figmill_connections_opened", "Connections opened since the start",
+        static_cast<double>(client_.opened()));
+    set("figmill_log_lines_dropped", "Log lines left out or lost since the start",
+        static_cast<double>(LogLinesDropped()));
+  }
+
   // By way of whom the store may be reached.
   void TellPeers() {
     std::vector<Address> peers;
@@ -211,6 +234,7 @@
 
   const GatewaySettings& settings_;
   Metrics metrics_;
+  GatewayMetrics gateway_metrics_{metrics_};
   Loop loop_;
   ExchangeClient client_;
   StoreCaller store_;
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -24,7 +24,10 @@
   }
   heartbeat_ = loop_.Every(kHeartbeat, [this] { Heartbeat(); });
   presence_ = loop_.Every(PeerTable::kPresence, [this] { Presence(); });
-  grant_timer_ = loop_.Every(PlaceKeeper::kCoalesce, [this] { SendGrants(); });
+  grant_timer_ = loop_.Every(PlaceKeeper::kCoalesce, [this] {
+    keeper_.Tick(Loop::Now());
+    SendGrants();
+  });
   return Ok{};
 }
 
@@ -173,7 +176,7 @@
 
 PlaceReport::Line PeerLink::LineOf(const BackendId& backend) const {
   const PlaceUse use = places_.Use(backend);
-  return {backend, use.online, use.batch};
+  return {backend, use.online, use.batch, use.usual_run};
 }
 
 void PeerLink::Touch(const BackendId& backend) {
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -100,6 +100,7 @@
        {"batch", std::to_string(use.batch)},
        {"batch_other", std::to_string(use.batch_other)},
        {"left_ms", Milliseconds(action.time_left)}});
+  sent_at_ = Loop::Now();
   tools_.places.Began(action.backend.id, WorkClass::kOnline);
   cancel_ = tools_.client.Start(CallFor(action),
                                 [self = shared_from_this(), send = action.send](HttpEvent event) {
@@ -131,7 +132,9 @@
 
 void RelayCall::Do(const relay::SendOver& action) {
   if (const CancelCall cancel = std::exchange(cancel_, nullptr)) cancel();
-  tools_.places.Ended(action.backend.id, WorkClass::kOnline, action.end, Loop::Now());
+  const Time now = Loop::Now();
+  tools_.places.Ended(action.backend.id, WorkClass::kOnline, action.end, now - sent_at_, now);
+  tools_.metrics.SendEnded(action.end);
   if (action.end == relay::SendEnd::kAnswered) return;
   Log(LogLevel::kInfo, "send_over",
       {{"request", run_.plan().request.value},
@@ -139,7 +142,7 @@
        {"backend", action.backend.id.value},
        {"end", std::string(relay::ToString(action.end))},
        {"why", action.why},
-       {"after_ms", Milliseconds(Loop::Now() - started_at_)}});
+       {"after_ms", Milliseconds(now - started_at_)}});
 }
 
 HttpResponse RelayCall::ResponseOf(HttpHead head, std::string body) const {
@@ -211,6 +214,8 @@
   timer_.Reset();
   search_.reset();
   const Time now = Loop::Now();
+  const Duration first = first_byte_at_ == Time{} ? Duration{0} : first_byte_at_ - started_at_;
+  tools_.metrics.RequestEnded(outcome, now - started_at_, first);
   Log(LogLevel::kInfo, "request",
       {{"request", run_.plan().request.value},
        {"route", request_.route},
@@ -220,7 +225,7 @@
        {"backend", backend_},
        {"backends", std::to_string(run_.backends_used())},
        {"events", std::to_string(run_.events_passed())},
-       {"first_ms", first_byte_at_ == Time{} ? "" : Milliseconds(first_byte_at_ - started_at_)},
+       {"first_ms", first.count() == 0 ? "" : Milliseconds(first)},
        {"ms", Milliseconds(now - started_at_)},
        {"why", why}});
   reply_->OnClosed(nullptr);
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -11,6 +11,7 @@
 #include "figmill/fleet.h"
 #include "figmill/gateway.h"
 #include "figmill/relay.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/place_finder.h"
 
 namespace figmill {
@@ -22,7 +23,7 @@
   PlaceBook& places;
   PlaceFinder& finder;
   const WireNames& names;
-  Metrics& metrics;
+  GatewayMetrics& metrics;
 };
 
 // One request as its caller sent it.
@@ -80,6 +81,7 @@
   Time wanted_at_{};
   bool timer_armed_ = false;
   Time started_at_{};
+  Time sent_at_{};
   Time first_byte_at_{};
   int status_ = 0;
   std::string backend_;
--- a/src/runtime/log_line.h
+++ b/src/observe/log_line.h
@@ -4,7 +4,7 @@
 #include <string>
 #include <string_view>
 
-#include "figmill/runtime.h"
+#include "figmill/observe.h"
 
 namespace figmill::detail {
 
--- a/src/runtime/metrics.cc
+++ b/src/observe/metrics.cc
@@ -5,10 +5,11 @@
 #include <boost/accumulators/statistics/extended_p_square.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
+#include <boost/histogram.hpp>
 #include <charconv>
 #include <cmath>
 
-#include "figmill/runtime.h"
+#include "figmill/observe.h"
 
 namespace figmill {
 namespace {
@@ -80,6 +81,19 @@
   AppendSample(out, name + "_count", labels, std::to_string(summary.count));
 }
 
+void AppendHistogram(std::string& out, const std::string& name, const std::string& labels,
+                     const Histogram::Counts& counts) {
+  const auto bucket = [&](const std::string& up_to, std::uint64_t count) {
+    std::string all = "le=\"" + up_to + "\"";
+    if (!labels.empty()) all.insert(0, labels + ",");
+    AppendSample(out, name + "_bucket", all, std::to_string(count));
+  };
+  for (const Histogram::Bucket& each : counts.buckets) bucket(NumberText(each.up_to), each.count);
+  bucket("+Inf", counts.count);
+  AppendSample(out, name + "_sum", labels, NumberText(counts.sum));
+  AppendSample(out, name + "_count", labels, std::to_string(counts.count));
+}
+
 // The metric of this name and labels, made when it is new.
 template <typename Families>
 auto& FindOrMake(Families& families, std::string_view name, std::string_view help,
@@ -93,7 +107,13 @@
   auto metric = by_labels.find(labels);
   if (metric == by_labels.end()) {
     using Pointer = typename std::remove_reference_t<decltype(by_labels)>::mapped_type;
-    auto made = std::make_unique<typename Pointer::element_type>();
+    using Metric = typename Pointer::element_type;
+    Pointer made;
+    if constexpr (std::is_same_v<Metric, Histogram>) {
+      made = std::make_unique<Metric>(kLatencyBounds);
+    } else {
+      made = std::make_unique<Metric>();
+    }
     metric = by_labels.emplace(std::string(labels), std::move(made)).first;
   }
   return *metric->second;
@@ -141,6 +161,42 @@
   return summary;
 }
 
+struct Histogram::Core {
+  using Axis = boost::histogram::axis::variable<double>;
+  explicit Core(std::span<const double> upper)
+      : bounds(upper.begin(), upper.end()),
+        counts(boost::histogram::make_histogram(Axis(bounds.begin(), bounds.end()))) {}
+  std::vector<double> bounds;
+  mutable std::mutex mutex;
+  boost::histogram::histogram<std::tuple<Axis>> counts;
+  double sum = 0;
+};
+
+Histogram::Histogram(std::span<const double> bounds) : core_(std::make_unique<Core>(bounds)) {}
+Histogram::~Histogram() = default;
+
+void Histogram::Add(double value) {
+  if (!std::isfinite(value)) return;
+  const std::scoped_lock lock(core_->mutex);
+  core_->counts(value);
+  core_->sum += value;
+}
+
+Histogram::Counts Histogram::counts() const {
+  const std::scoped_lock lock(core_->mutex);
+  Counts counts;
+  counts.sum = core_->sum;
+  // Index -1 holds what lies below the first bound, the last one what lies above all.
+  const int ranges = static_cast<int>(core_->bounds.size());
+  for (int i = -1; i < ranges; ++i) {
+    counts.count += static_cast<std::uint64_t>(static_cast<double>(core_->counts.at(i)));
+    if (i + 1 < ranges) {
+      counts.buckets.push_back({core_->bounds[static_cast<std::size_t>(i + 1)], counts.count});
+    }
+  }
+  return counts;
+}
+
 Counter& Metrics::counter(std::string_view name, std::string_view help, std::string_view labels) {
   const std::scoped_lock lock(mutex_);
   return FindOrMake(counters_, name, help, labels);
@@ -157,6 +213,12 @@
   return FindOrMake(distributions_, name, help, labels);
 }
 
+Histogram& Metrics::histogram(std::string_view name, std::string_view help,
+                              std::string_view labels) {
+  const std::scoped_lock lock(mutex_);
+  return FindOrMake(histograms_, name, help, labels);
+}
+
 std::string Metrics::PrometheusText() const {
   const std::scoped_lock lock(mutex_);
   std::string out;
@@ -178,6 +240,12 @@
       AppendSummary(out, name, labels, metric->summary());
     }
   }
+  for (const auto& [name, family] : histograms_) {
+    AppendHead(out, name, family.help, "histogram");
+    for (const auto& [labels, metric] : family.by_labels) {
+      AppendHistogram(out, name, labels, metric->counts());
+    }
+  }
   return out;
 }
 
--- a/src/sharing/peer_codec.cc
+++ b/src/sharing/peer_codec.cc
@@ -30,10 +30,11 @@
   packer.pack(report.wanted);
   packer.pack_array(static_cast<std::uint32_t>(report.lines.size()));
   for (const PlaceReport::Line& line : report.lines) {
-    packer.pack_array(3);
+    packer.pack_array(4);
     packer.pack(line.backend.value);
     packer.pack(line.online);
     packer.pack(line.batch);
+    packer.pack(line.usual_run.count());
   }
 }
 
@@ -133,8 +134,8 @@
   const Object& lines = At(object, 4);
   for (std::uint32_t i = 0; i < SizeOf(lines); ++i) {
     const Object& line = At(lines, i);
-    report.lines.push_back(
-        {BackendId{Get<std::string>(line, 0)}, Get<int>(line, 1), Get<int>(line, 2)});
+    report.lines.push_back({BackendId{Get<std::string>(line, 0)}, Get<int>(line, 1),
+                            Get<int>(line, 2), Duration(Get<std::int64_t>(line, 3))});
   }
   return report;
 }
--- a/src/sharing/place_asks.cc
+++ b/src/sharing/place_asks.cc
@@ -13,6 +13,8 @@
 constexpr Duration kRateSpan{200'000};
 // Weight of the newest span in the rate.
 constexpr double kNewest = 0.4;
+// The last so many reports make up most of what a run usually takes.
+constexpr int kReportsForUsual = 16;
 
 bool Contains(const std::vector<BackendId>& ids, const BackendId& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
@@ -52,22 +54,25 @@
   return taken;
 }
 
-std::size_t AskQueue::CountOf(const ServiceName& service) const {
+std::size_t AskQueue::CountBefore(const Entry& entry, Time now) const {
   return static_cast<std::size_t>(
-      std::count_if(entries_.begin(), entries_.end(),
-                    [&](const Entry& entry) { return entry.ask.service == service; }));
+      std::count_if(entries_.begin(), entries_.end(), [&](const Entry& other) {
+        return other.ask.service == entry.ask.service && !GoesBefore(entry, other, now);
+      }));
 }
 
 void PlaceKeeper::OnAsk(const NodeId& from, const PlaceAsk& ask, Time now) {
-  if (queue_.CountOf(ask.service) == 0 && Place(from, ask, now)) return;
-  const Duration wait = WaitFor(ask.service, queue_.CountOf(ask.service) + 1);
+  const AskQueue::Entry entry{from, ask, now + ask.goal_left - kFirstEvent, now + ask.time_left};
+  const std::size_t before = queue_.CountBefore(entry, now);
+  if (before == 0 && Place(from, ask, now)) return;
+  const Duration wait = WaitFor(ask.service, before + 1);
   const Duration budget =
       ask.last_chance ? ask.time_left - 2 * kUsualRun : ask.goal_left - kFirstEvent;
   if (!ask.may_queue || wait > budget) {
     return Answer(from, {ask.number, PlaceAnswer::Kind::kFull, {}, wait});
   }
   Answer(from, {ask.number, PlaceAnswer::Kind::kQueued, {}, wait});
-  queue_.Add({from, ask, now + ask.goal_left - kFirstEvent, now + ask.time_left});
+  queue_.Add(entry);
 }
 
 // One that nobody uses, on the backend server with most of them. If all are used,
@@ -96,7 +101,7 @@
 
 void PlaceKeeper::ServeQueue(Time now) {
   for (const AskQueue::Entry& entry : queue_.TakeExpired(now)) {
-    const Duration wait = WaitFor(entry.ask.service, queue_.CountOf(entry.ask.service));
+    const Duration wait = WaitFor(entry.ask.service, queue_.CountBefore(entry, now) + 1);
     Answer(entry.from, {entry.ask.number, PlaceAnswer::Kind::kFull, {}, wait});
   }
   while (!queue_.empty()) {
@@ -140,16 +145,21 @@
   return free - static_cast<int>(std::ceil(ahead));
 }
 
+void PlaceKeeper::LearnRun(const ServiceName& service, Duration usual) {
+  const auto [at, fresh] = usual_run_.try_emplace(service, usual);
+  if (!fresh) at->second += (usual - at->second) / kReportsForUsual;
+}
+
+// All places are taken: one falls free each usual run over their number.
 Duration PlaceKeeper::WaitFor(const ServiceName& service, std::size_t position) const {
   int places = 0;
   for (const auto& [id, kept] : kept_) {
     if (kept.backend.service == service) places += kept.backend.places;
   }
-  if (places == 0) return kUsualRun;
-  // All places taken: one falls free each usual run over their number.
-  const double usual = places / std::chrono::duration<double>(kUsualRun).count();
-  const double rate = std::max(started_per_s_, usual / 2);
-  return Duration(static_cast<Duration::rep>(1e6 * static_cast<double>(position) / rate));
+  const auto usual = usual_run_.find(service);
+  const Duration run = usual == usual_run_.end() ? kUsualRun : usual->second;
+  if (places == 0) return run;
+  return run * static_cast<Duration::rep>(position) / places;
 }
 
 }  // namespace figmill
--- a/src/sharing/place_keeper.cc
+++ b/src/sharing/place_keeper.cc
@@ -30,15 +30,17 @@
 }
 
 void PlaceKeeper::OnReport(const Peer& from, bool near, const PlaceReport& report, Time now) {
-  if (from.incarnation < entries_[from.node].incarnation) return;
-  if (from.incarnation > entries_[from.node].incarnation) {
-    Forget(from.node, now);
-    entries_[from.node].incarnation = from.incarnation;
-  }
+  const Incarnation known = entries_[from.node].incarnation;
+  if (from.incarnation < known) return;
+  // A later process has nothing of what the earlier one used. One that is new here
+  // may have asked before its first report.
+  if (known != 0 && from.incarnation > known) Forget(from.node, now);
   EntryState& entry = entries_[from.node];
+  entry.incarnation = from.incarnation;
   if (report.number <= entry.number) return;  // overtaken by a later one
   entry.number = report.number;
   entry.acted = std::max(entry.acted, report.grant);
+  const bool wants_more = report.wanted > entry.wanted;
   entry.wanted = report.wanted;
   entry.at = now;
   entry.near = near;
@@ -53,9 +55,10 @@
     const auto found = kept_.find(line.backend);
     if (found == kept_.end()) continue;
     Share& share = found->second.shares[from.node];
-    if (share.online != line.online || share.batch != line.batch) {
-      MarkOthersStale(found->second, from.node);
-    }
+    if (line.usual_run.count() > 0) LearnRun(found->second.backend.service, line.usual_run);
+    const bool changed = share.online != line.online || share.batch != line.batch;
+    if (!changed && !wants_more) continue;
+    if (changed) MarkOthersStale(found->second, from.node);
     if (line.online > share.online) CountStarted(line.online - share.online, now);
     share.online = line.online;
     share.batch = line.batch;
@@ -81,49 +84,43 @@
   }
 }
 
-// A grant is under way that the entry has not acted on yet.
-bool PlaceKeeper::InFlight(const NodeId& entry) const {
-  const auto found = entries_.find(entry);
-  return found != entries_.end() && found->second.acted < found->second.granted;
-}
-
 // Divides what online leaves of one backend server. An entry keeps what it runs;
 // when that is too much, the one that runs most gives up first. What is free goes
 // one by one to the entry that runs least there and wants more.
 void PlaceKeeper::Divide(Kept& kept, Time now) {
-  const int free = kept.backend.places - reserve_ - OnlineOf(kept);
-  std::map<NodeId, int> next;
+  struct Holder {
+    Share* share = nullptr;
+    EntryState* entry = nullptr;
+    int holds = 0;
+  };
+  std::vector<Holder> holders;
   int used = 0;
-  for (const auto& [node, share] : kept.shares) {
-    const int held = InFlight(node) ? std::max(share.batch, share.allowed) : share.batch;
-    next[node] = held;
-    used += held;
-  }
-  while (used > std::max(free, 0)) {
-    const auto most = std::max_element(
-        next.begin(), next.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
-    if (most == next.end() || most->second == 0) break;
-    --most->second;
-    --used;
+  for (auto& [node, share] : kept.shares) {
+    EntryState& entry = entries_[node];
+    // A grant that is under way may be acted on any moment.
+    const bool in_flight = entry.acted < entry.granted;
+    const int holds = in_flight ? std::max(share.batch, share.allowed) : share.batch;
+    holders.push_back({&share, &entry, holds});
+    used += holds;
   }
+  const auto fewer = [](const Holder& a, const Holder& b) { return a.holds < b.holds; };
+  const int free = std::max(0, kept.backend.places - reserve_ - OnlineOf(kept));
+  for (; used > free; --used) --std::max_element(holders.begin(), holders.end(), fewer)->holds;
   const bool settled = now - kept.since >= kSettle;
-  int spare = settled ? SpareFor(kept.backend.service) : 0;
-  while (spare-- > 0 && used < free) {
-    std::map<NodeId, int>::iterator least = next.end();
-    for (auto at = next.begin(); at != next.end(); ++at) {
-      const EntryState& entry = entries_[at->first];
-      const int extra = at->second - kept.shares[at->first].batch;
-      if (entry.wanted <= extra) continue;
-      if (least == next.end() || at->second < least->second) least = at;
+  int spare = settled && used < free ? SpareFor(kept.backend.service) : 0;
+  for (; spare > 0 && used < free; --spare, ++used) {
+    Holder* least = nullptr;
+    for (Holder& each : holders) {
+      if (each.entry->wanted <= each.holds - each.share->batch) continue;
+      if (least == nullptr || fewer(each, *least)) least = &each;
     }
-    if (least == next.end()) break;
-    ++least->second;
-    ++used;
+    if (least == nullptr) break;
+    ++least->holds;
   }
-  for (auto& [node, share] : kept.shares) {
-    if (share.allowed == next[node]) continue;
-    share.allowed = next[node];
-    entries_[node].urgent = true;
+  for (const Holder& each : holders) {
+    if (each.share->allowed == each.holds) continue;
+    each.share->allowed = each.holds;
+    each.entry->urgent = true;
   }
 }
 
@@ -143,17 +140,20 @@
   return grant;
 }
 
-std::vector<PlaceKeeper::Outgoing> PlaceKeeper::Due(Time now) {
+void PlaceKeeper::Tick(Time now) {
   std::vector<NodeId> silent;
   for (const auto& [node, entry] : entries_) {
     if (entry.number > 0 && now - entry.at >= kReportLife) silent.push_back(node);
   }
   for (const NodeId& node : silent) Forget(node, now);
+  ExpireReservations(now);
   CountStarted(0, now);
   // What is spare changes with time, not only with reports.
   for (auto& [id, kept] : kept_) Divide(kept, now);
-  ExpireReservations(now);
   ServeQueue(now);
+}
+
+std::vector<PlaceKeeper::Outgoing> PlaceKeeper::Due(Time now) {
   std::vector<Outgoing> due = std::exchange(answers_, {});
   for (auto& [node, entry] : entries_) {
     const Duration told = now - entry.told_at;
--- a/src/tables/table_mirror.cc
+++ b/src/tables/table_mirror.cc
@@ -119,6 +119,11 @@
   if (found == rows_.end() || found->second.version > version) return;
   rows_.erase(found);
   removed_[at] = version;
+  removed_order_.emplace(version, at);
+  if (removed_order_.size() > kMaxRemoved) {
+    removed_.erase(removed_order_.begin()->second);
+    removed_order_.erase(removed_order_.begin());
+  }
   on_change_({at, nullptr, by_listing});
 }
 
--- a/test/runtime-metrics-test.cc
+++ b/test/observe-test.cc
@@ -3,7 +3,7 @@
 #include <random>
 
 #include "figmill/runtime.h"
-#include "runtime/log_line.h"
+#include "observe/log_line.h"
 
 namespace figmill {
 namespace {
--- /dev/null
+++ b/test/owned-job-test.cc
@@ -0,0 +1,192 @@
+#include <doctest/doctest.h>
+
+#include <string>
+
+#include "figmill/ledger.h"
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+RandomBits Bits() {
+  return [n = std::uint64_t{0}]() mutable { return ++n * 0x9E3779B97F4A7C15U; };
+}
+
+// A job of three items that was accepted at version 5.
+struct Fixture {
+  Fixture() : job(Head(), 5, {{"i0", "/p", {}, "", 0}, {"i1", "/p", {}, "", 0}, {"i2", "/p", {}, "", 0}}) {}
+  static JobHead Head() {
+    JobHead head;
+    head.id = JobId{"job"};
+    head.total = 3;
+    head.done = "...";
+    head.owner = NodeId{"me"};
+    head.owner_incarnation = 1;
+    head.token = Token{"accepted"};
+    return head;
+  }
+  std::optional<TableTransaction> Next() { return job.NextWrite(random); }
+  // The job's row as a write puts it.
+  static JobHead HeadIn(const TableTransaction& write) {
+    for (const TablePut& put : write.puts) {
+      if (put.at.table == ledger::kJobTable) return ValueOf(ledger::DecodeHead(put.value));
+    }
+    FAIL("the write has no job row");
+    return {};
+  }
+  RandomBits random = Bits();
+  OwnedJob job;
+};
+
+ItemResult Done(const std::string& item) {
+  return {item, ResultState::kComplete, "text of " + item};
+}
+
+}  // namespace
+
+TEST_CASE("results go to the next positions, under the condition of the job's row") {
+  Fixture f;
+  f.job.Finish(2, Done("i2"));
+  const auto write = f.Next();
+  REQUIRE(write);
+  CHECK(write->conditions.front().version == 5);
+  CHECK(Fixture::HeadIn(*write).done == "..x");
+  CHECK(Fixture::HeadIn(*write).listed == 1);
+  CHECK_FALSE(f.Next());  // one at a time
+  f.job.OnCommitted(6);
+  f.job.Finish(0, Done("i0"));
+  const auto second = f.Next();
+  REQUIRE(second);
+  CHECK(second->conditions.front().version == 6);
+  CHECK(second->conditions.front().at == ledger::HeadKey(JobId{"job"}));
+  CHECK(Fixture::HeadIn(*second).listed == 2);
+}
+
+TEST_CASE("an item has one result, the first") {
+  Fixture f;
+  f.job.Finish(1, Done("i1"));
+  f.job.Finish(1, {"i1", ResultState::kDead, ""});
+  CHECK(Fixture::HeadIn(*f.Next()).listed == 1);
+  f.job.OnCommitted(6);
+  CHECK_FALSE(f.Next());
+}
+
+// Symptom: an item stands at two positions.
+// Sequence: the answer to a write is lost; the write is sent again with one more
+// result in it; both take effect, one after the other.
+// Cause: the second one was another write. It has to be the same to the letter, and
+// then finds its own token.
+TEST_CASE("a write whose answer was lost is sent again unchanged, and known when it took effect") {
+  Fixture f;
+  f.job.Finish(0, Done("i0"));
+  const auto first = f.Next();
+  f.job.OnFailed();
+  f.job.Finish(1, Done("i1"));
+  const auto again = f.Next();
+  REQUIRE(again);
+  CHECK(again->puts.size() == first->puts.size());
+  CHECK(Fixture::HeadIn(*again).token == Fixture::HeadIn(*first).token);
+  // The first copy had taken effect: the second one is rejected with the row.
+  f.job.OnFailed();
+  CHECK(f.job.OnHead(Fixture::HeadIn(*first), 6));
+  const auto next = f.Next();
+  REQUIRE(next);
+  CHECK(next->conditions.front().version == 6);
+  CHECK(Fixture::HeadIn(*next).listed == 2);
+}
+
+// Symptom: results of a job are lost that its sender ends at the same moment.
+TEST_CASE("results wait when another write came before theirs") {
+  Fixture f;
+  f.job.Finish(0, Done("i0"));
+  (void)f.Next();
+  JobHead ended = Fixture::Head();
+  ended.ended = true;
+  ended.token = Token{"end"};
+  CHECK(f.job.OnHead(ended, 6));
+  f.job.OnFailed();
+  const auto next = f.Next();
+  REQUIRE(next);
+  CHECK(next->conditions.front().version == 6);
+  CHECK(Fixture::HeadIn(*next).ended);
+  CHECK(Fixture::HeadIn(*next).done == "x..");
+}
+
+// Symptom: two owners write results of one job.
+// Sequence: this one was paused, another took the job over, this one wakes.
+TEST_CASE("an owner that was replaced is told by the row") {
+  Fixture f;
+  f.job.Finish(0, Done("i0"));
+  (void)f.Next();
+  JobHead taken = Fixture::Head();
+  taken.owner = NodeId{"other"};
+  CHECK_FALSE(f.job.OnHead(taken, 7));
+}
+
+TEST_CASE("a row that is older than what is known changes nothing") {
+  Fixture f;
+  f.job.Finish(0, Done("i0"));
+  (void)f.Next();
+  f.job.OnCommitted(8);
+  CHECK(f.job.OnHead(Fixture::Head(), 7));
+  CHECK(f.job.IsListed(0));
+}
+
+TEST_CASE("what runs have given is kept with the next write, but for finished items") {
+  Fixture f;
+  ItemText text;
+  text.Feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+  f.job.Keep(*text.TakePiece(0));
+  CHECK_FALSE(text.TakePiece(0));  // nothing new
+  f.job.Keep({1, 0, "gone", "1", 1});
+  f.job.Finish(1, Done("i1"));
+  const auto write = f.Next();
+  REQUIRE(write);
+  std::vector<TableRow> rows;
+  for (const TablePut& put : write->puts) {
+    if (put.at.table == ledger::kProgressTable) rows.push_back({put.at, put.value, 1, false});
+  }
+  const auto pieces = ledger::DecodeProgress(rows);
+  REQUIRE(pieces.size() == 1);
+  ItemText restored;
+  restored.Restore(pieces[0]);
+  CHECK(restored.text() == "a\nb");
+  CHECK(restored.last_id() == "2");
+  CHECK(restored.events() == 2);
+}
+
+TEST_CASE("an item's text goes on where its run broke off") {
+  ItemText text;
+  text.Feed("id: 1\ndata: a\n\nid: 2\nda");
+  CHECK_FALSE(text.at_event_end());
+  text.BreakOff();
+  CHECK(text.last_id() == "1");
+  text.Feed("id: 2\ndata: b\n\n");
+  CHECK(text.text() == "a\nb");
+  CHECK(text.at_event_end());
+}
+
+TEST_CASE("the earliest due runs first, but for those that can't be in time any more") {
+  ItemBacklog backlog;
+  const auto all = [](const ItemBacklog::Entry&) { return true; };
+  const auto entry = [](const char* job, int due_s) {
+    return ItemBacklog::Entry{JobId{job}, 0, std::chrono::seconds(due_s), std::chrono::seconds(5)};
+  };
+  backlog.Add(entry("late", 12));
+  backlog.Add(entry("later", 30));
+  backlog.Add(entry("soon", 20));
+  const StoreTime now = std::chrono::seconds(10);
+  CHECK(backlog.Take(now, all)->job.value == "soon");
+  CHECK(backlog.Take(now, all)->job.value == "later");
+  CHECK(backlog.Take(now, all)->job.value == "late");
+  CHECK_FALSE(backlog.Take(now, all));
+}
+
+TEST_CASE("an item that failed waits before it runs again") {
+  ItemBacklog backlog;
+  const auto all = [](const ItemBacklog::Entry&) { return true; };
+  backlog.Add({JobId{"j"}, 0, std::chrono::seconds(30), {}, std::chrono::seconds(11)});
+  CHECK_FALSE(backlog.Take(std::chrono::seconds(10), all));
+  CHECK(backlog.Startable(std::chrono::seconds(10)) == 0);
+  CHECK(backlog.Take(std::chrono::seconds(11), all));
+}
--- /dev/null
+++ b/test/place-sim.h
@@ -0,0 +1,380 @@
+#pragma once
+
+// Entries, keepers and engines in simulated time, with datagrams that take a while,
+// to replay the load that placing has to answer.
+
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "figmill/sharing.h"
+
+namespace figmill::sim {
+
+struct Load {
+  int entries = 36;
+  int engines = 50;
+  int places = 7;
+  int data_centres = 5;
+  double online_per_s = 258;  // in the mean
+  double low = 0.39;          // of the mean, for 3.6 s
+  double high = 1.91;         // for 2.4 s
+  Duration online_run{550'000};
+  Duration batch_run{3'600'000};
+  double batch_per_s = 26;
+  Duration datagram{1'500'000 / 1000};
+  Duration length{30'000'000};
+};
+
+struct Outcome {
+  int online = 0;
+  int late = 0;      // waited for a place for over 200 ms
+  int refused = 0;
+  int items = 0;     // batch items that were finished
+  int stops = 0;     // runs of batch items stopped for online
+  int overfull = 0;  // times that batch made online wait
+};
+
+class Simulation {
+ public:
+  // `asks`: entries ask keepers; otherwise they choose by what they were told.
+  Simulation(const Load& load, bool asks, unsigned seed) : load_(load), asks_(asks), random_(seed) {
+    for (int i = 0; i < load.engines; ++i) {
+      Engine& engine = engines_.emplace_back();
+      engine.info.id = BackendId{"engine-" + std::to_string(i)};
+      engine.info.service = ServiceName{"llm"};
+      engine.info.data_centre = CentreOf(i);
+      engine.info.places = load.places;
+      index_[engine.info.id] = i;
+    }
+    for (int i = 0; i < load.entries; ++i) {
+      Peer peer{NodeId{"entry-" + std::to_string(i)}, 1, {}, CentreOf(i), 1, false};
+      entries_.push_back(std::make_unique<Entry>(peer, [this] { return random_(); }));
+      node_[peer.node] = i;
+    }
+    ChooseKeepers();
+  }
+
+  Outcome Run() {
+    At(Duration{0}, [this] { Arrive(); });
+    At(Duration{0}, [this] { ArriveItem(); });
+    for (std::size_t i = 0; i < entries_.size(); ++i) Tick(static_cast<int>(i));
+    for (const auto& [id, keeper] : keeper_of_) {
+      if (ticked_.insert({keeper, keeper}).second) KeeperTick(keeper);
+    }
+    ticked_.clear();
+    while (!events_.empty() && events_.top().at < Time{load_.length}) {
+      const Event event = events_.top();
+      events_.pop();
+      now_ = event.at;
+      event.task();
+    }
+    return outcome_;
+  }
+
+ private:
+  struct Event {
+    Time at{};
+    std::uint64_t order = 0;
+    std::function<void()> task;
+    bool operator<(const Event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  struct OnlineRun {
+    int entry = 0;
+    Time sent_at{};
+  };
+  struct BatchRun {
+    int entry = 0;
+    std::uint64_t number = 0;
+    Duration left{0};
+    Time since{};
+  };
+  struct Engine {
+    BackendInfo info;
+    int online = 0;
+    std::deque<OnlineRun> waiting;
+    std::vector<BatchRun> batch;
+  };
+  struct Entry {
+    Entry(const Peer& self, RandomBits bits) : peer(self), book(self.data_centre, std::move(bits)) {}
+    Peer peer;
+    PlaceBook book;
+    PlaceKeeper keeper{0};
+    std::deque<Duration> items;  // waiting, by the work that is left
+    std::map<int, std::uint64_t> acted;
+    std::map<int, std::vector<std::uint64_t>> asked;
+    std::uint64_t reports = 0;
+    std::map<std::uint64_t, std::shared_ptr<PlaceSearch>> searches;
+    std::map<std::uint64_t, std::pair<int, Time>> pending;  // keeper, arrival
+  };
+
+  DataCentre CentreOf(int i) const {
+    return DataCentre{"dc-" + std::to_string(i % load_.data_centres)};
+  }
+
+  void At(Duration after, std::function<void()> task) {
+    events_.push({now_ + after, ++order_, std::move(task)});
+  }
+
+  void ChooseKeepers() {
+    PeerTable table(entries_.front()->peer);
+    for (const auto& entry : entries_) table.Heard(entry->peer, now_);
+    std::map<int, std::map<BackendId, KeptBackend>> kept;
+    for (const Engine& engine : engines_) {
+      const auto keepers = table.KeepersOf(engine.info.data_centre,
+                                           engines_.size() / load_.data_centres, now_);
+      const int keeper = node_.at(KeeperAmong(keepers, engine.info.id)->node);
+      keeper_of_[engine.info.id] = keeper;
+      kept[keeper][engine.info.id] = {engine.info.service, engine.info.places};
+      for (const auto& entry : entries_) entry->book.Learn(engine.info);
+    }
+    for (const auto& [keeper, backends] : kept) entries_[keeper]->keeper.Keep(backends, now_);
+  }
+
+  double Rate() const {
+    const double phase = std::fmod(std::chrono::duration<double>(now_.time_since_epoch()).count(), 6);
+    return load_.online_per_s * (phase < 3.6 ? load_.low : load_.high);
+  }
+
+  void Arrive() {
+    const int entry = static_cast<int>(random_() % entries_.size());
+    Place(entry);
+    const double gap = std::exponential_distribution<double>(Rate())(random_);
+    At(Duration(static_cast<Duration::rep>(gap * 1e6)), [this] { Arrive(); });
+  }
+
+  void ArriveItem() {
+    Entry& entry = *entries_[random_() % entries_.size()];
+    entry.items.push_back(load_.batch_run);
+    const double gap = std::exponential_distribution<double>(load_.batch_per_s)(random_);
+    At(Duration(static_cast<Duration::rep>(gap * 1e6)), [this] { ArriveItem(); });
+  }
+
+  // --- Online ---
+
+  void Place(int e) {
+    ++outcome_.online;
+    Entry& entry = *entries_[e];
+    PlaceQuery query;
+    query.service = ServiceName{"llm"};
+    if (const auto roomy = asks_ ? entry.book.ChooseRoomy(query, 0.5, now_) : std::nullopt) {
+      return SendOnline(e, roomy->id, now_);
+    }
+    if (!asks_) {
+      const Result<BackendAddress> chosen = entry.book.Choose(query, now_);
+      if (!IsOk(chosen)) return void(++outcome_.refused);
+      return SendOnline(e, ValueOf(chosen).id, now_);
+    }
+    PlaceAsk ask;
+    ask.number = ++asks_made_;
+    ask.service = query.service;
+    ask.goal_left = Duration{300'000};
+    ask.time_left = Duration{5'000'000};
+    auto search = std::make_shared<PlaceSearch>(ask, Order(e), now_);
+    entry.searches[ask.number] = search;
+    entry.pending[ask.number] = {0, now_};
+    Do(e, ask.number, search->Start(now_));
+  }
+
+  // Keepers by the share that is known to be free.
+  std::vector<NodeId> Order(int e) {
+    std::map<int, std::pair<int, int>> shares;
+    entries_[e]->book.ForEach([&](const BackendInfo& info, const PlaceUse& use) {
+      auto& [free, places] = shares[keeper_of_.at(info.id)];
+      free += std::max(0, info.places - use.online - use.online_other);
+      places += info.places;
+    });
+    std::vector<std::pair<double, int>> order;
+    for (const auto& [keeper, share] : shares) {
+      order.emplace_back(-static_cast<double>(share.first) / share.second, keeper);
+    }
+    std::sort(order.begin(), order.end());
+    std::vector<NodeId> nodes;
+    for (const auto& [free, keeper] : order) nodes.push_back(entries_[keeper]->peer.node);
+    return nodes;
+  }
+
+  void Do(int e, std::uint64_t number, const search::Action& action) {
+    Entry& entry = *entries_[e];
+    if (const auto* ask = std::get_if<search::AskKeeper>(&action)) {
+      const int keeper = node_.at(ask->keeper);
+      entry.pending[number].first = keeper;
+      At(load_.datagram, [this, e, keeper, each = ask->ask] {
+        entries_[keeper]->keeper.OnAsk(entries_[e]->peer.node, each, now_);
+        SendDue(keeper);
+      });
+    } else if (const auto* take = std::get_if<search::Take>(&action)) {
+      const auto [keeper, arrived] = entry.pending[number];
+      entry.asked[keeper].push_back(number);
+      entry.searches.erase(number);
+      SendOnline(e, take->backend, arrived);
+    } else if (std::holds_alternative<search::GiveUp>(action)) {
+      entry.searches.erase(number);
+      ++outcome_.refused;
+    }
+  }
+
+  void SendOnline(int e, const BackendId& id, Time arrived) {
+    entries_[e]->book.Began(id, WorkClass::kOnline);
+    Report(e, keeper_of_.at(id));
+    At(load_.datagram / 2, [this, e, id, arrived] {
+      Engine& engine = engines_[index_.at(id)];
+      engine.waiting.push_back({e, arrived});
+      if (engine.online + static_cast<int>(engine.batch.size()) >= load_.places &&
+          engine.online < load_.places) {
+        ++outcome_.overfull;
+      }
+      Admit(index_.at(id));
+    });
+  }
+
+  void Admit(int i) {
+    Engine& engine = engines_[i];
+    while (!engine.waiting.empty() &&
+           engine.online + static_cast<int>(engine.batch.size()) < load_.places) {
+      const OnlineRun run = engine.waiting.front();
+      engine.waiting.pop_front();
+      if (now_ - run.sent_at > Duration{200'000}) ++outcome_.late;
+      ++engine.online;
+      At(load_.online_run, [this, i, e = run.entry] {
+        --engines_[i].online;
+        entries_[e]->book.Ended(engines_[i].info.id, WorkClass::kOnline, relay::SendEnd::kAnswered,
+                                load_.online_run, now_);
+        Report(e, keeper_of_.at(engines_[i].info.id));
+        Admit(i);
+      });
+    }
+  }
+
+  // --- Messages ---
+
+  void Report(int e, int keeper) {
+    Entry& entry = *entries_[e];
+    PlaceReport report;
+    report.number = ++entry.reports;
+    report.grant = entry.acted[keeper];
+    report.asked = std::exchange(entry.asked[keeper], {});
+    report.wanted = static_cast<int>(entry.items.size());
+    entry.book.ForEach([&](const BackendInfo& info, const PlaceUse& use) {
+      if (keeper_of_.at(info.id) == keeper) {
+        report.lines.push_back({info.id, use.online, use.batch, use.usual_run});
+      }
+    });
+    At(load_.datagram, [this, e, keeper, report] {
+      const bool near = entries_[e]->peer.data_centre == entries_[keeper]->peer.data_centre;
+      entries_[keeper]->keeper.OnReport(entries_[e]->peer, near, report, now_);
+      SendDue(keeper);
+    });
+  }
+
+  void SendDue(int keeper) {
+    for (const PlaceKeeper::Outgoing& out : entries_[keeper]->keeper.Due(now_)) {
+      const int e = node_.at(out.to);
+      At(load_.datagram, [this, e, keeper, out] {
+        if (out.grant) OnGrant(e, keeper, *out.grant);
+        if (out.answer) OnAnswer(e, *out.answer);
+      });
+    }
+  }
+
+  void OnAnswer(int e, const PlaceAnswer& answer) {
+    const auto found = entries_[e]->searches.find(answer.number);
+    if (found == entries_[e]->searches.end()) return;
+    const auto search = found->second;
+    Do(e, answer.number, search->On(search::Answered{answer}, now_));
+  }
+
+  void OnGrant(int e, int keeper, const PlaceGrant& grant) {
+    Entry& entry = *entries_[e];
+    if (grant.number <= entry.acted[keeper]) return;
+    entry.acted[keeper] = grant.number;
+    for (const PlaceGrant::Line& line : grant.lines) {
+      entry.book.SetGrant(line.backend, line.online_other, line.batch_other, line.allowed);
+      const PlaceUse use = entry.book.Use(line.backend);
+      for (int i = use.batch; i > line.allowed; --i) StopBatch(e, line.backend);
+      for (int i = use.batch; i < line.allowed && !entry.items.empty(); ++i) {
+        StartBatch(e, line.backend);
+      }
+    }
+    Report(e, keeper);
+  }
+
+  void Tick(int e) {
+    for (const auto& [id, keeper] : keeper_of_) {
+      if (ticked_.insert({e, keeper}).second) Report(e, keeper);
+    }
+    ticked_.clear();
+    At(PlaceKeeper::kHeartbeat, [this, e] { Tick(e); });
+  }
+
+  void KeeperTick(int e) {
+    entries_[e]->keeper.Tick(now_);
+    SendDue(e);
+    At(PlaceKeeper::kCoalesce, [this, e] { KeeperTick(e); });
+  }
+
+  // --- Batch ---
+
+  void StartBatch(int e, const BackendId& id) {
+    Entry& entry = *entries_[e];
+    const std::uint64_t number = ++batch_runs_;
+    const Duration left = entry.items.front();
+    entry.items.pop_front();
+    entry.book.Began(id, WorkClass::kBatch);
+    const int i = index_.at(id);
+    engines_[i].batch.push_back({e, number, left, now_});
+    At(left, [this, i, number] { EndBatch(i, number); });
+  }
+
+  void EndBatch(int i, std::uint64_t number) {
+    Engine& engine = engines_[i];
+    for (auto at = engine.batch.begin(); at != engine.batch.end(); ++at) {
+      if (at->number != number) continue;
+      const int e = at->entry;
+      engine.batch.erase(at);
+      ++outcome_.items;
+      entries_[e]->book.Ended(engine.info.id, WorkClass::kBatch, relay::SendEnd::kAnswered, {}, now_);
+      Report(e, keeper_of_.at(engine.info.id));
+      return Admit(i);
+    }
+  }
+
+  void StopBatch(int e, const BackendId& id) {
+    const int i = index_.at(id);
+    Engine& engine = engines_[i];
+    for (auto at = engine.batch.begin(); at != engine.batch.end(); ++at) {
+      if (at->entry != e) continue;
+      ++outcome_.stops;
+      entries_[e]->items.push_back(at->left - (now_ - at->since));
+      engine.batch.erase(at);
+      entries_[e]->book.Ended(id, WorkClass::kBatch, relay::SendEnd::kAbandoned, {}, now_);
+      return Admit(i);
+    }
+  }
+
+  Load load_;
+  bool asks_;
+  std::mt19937_64 random_;
+  Time now_{};
+  std::uint64_t order_ = 0;
+  std::uint64_t asks_made_ = 0;
+  std::uint64_t batch_runs_ = 0;
+  std::priority_queue<Event> events_;
+  std::vector<Engine> engines_;
+  std::vector<std::unique_ptr<Entry>> entries_;
+  std::map<BackendId, int> index_;
+  std::map<NodeId, int> node_;
+  std::map<BackendId, int> keeper_of_;
+  std::set<std::pair<int, int>> ticked_;
+  Outcome outcome_;
+};
+
+}  // namespace figmill::sim
--- /dev/null
+++ b/test/sharing-test.cc
@@ -0,0 +1,308 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "figmill/sharing.h"
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+constexpr Time kStart{Duration{10'000'000}};
+constexpr Time kSettled = kStart + PlaceKeeper::kSettle;
+const ServiceName kLlm{"llm"};
+const BackendId kEngine{"engine"};
+const BackendId kOther{"other"};
+
+Peer PeerNamed(const std::string& node, const std::string& centre = "dc", double capacity = 1) {
+  return {NodeId{node}, 1, Address{"10.0.0.1", 1}, DataCentre{centre}, capacity, false};
+}
+
+PlaceAsk Ask(std::uint64_t number, bool may_queue = false) {
+  PlaceAsk ask;
+  ask.number = number;
+  ask.service = kLlm;
+  ask.goal_left = Duration{300'000};
+  ask.time_left = Duration{5'000'000};
+  ask.may_queue = may_queue;
+  return ask;
+}
+
+// A keeper of engines with four places each.
+struct Fixture {
+  explicit Fixture(std::vector<BackendId> engines = {kEngine}) {
+    std::map<BackendId, KeptBackend> kept;
+    for (const BackendId& engine : engines) kept[engine] = {kLlm, 4};
+    keeper.Keep(kept, kStart);
+  }
+
+  void Report(const std::string& node, int online, int batch, int wanted = 0, Time now = kSettled,
+              std::vector<std::uint64_t> asked = {}, const BackendId& engine = kEngine) {
+    PlaceReport report;
+    report.number = ++numbers[node];
+    report.grant = acted[node];
+    report.asked = std::move(asked);
+    report.wanted = wanted;
+    report.lines = {{engine, online, batch}};
+    keeper.OnReport(PeerNamed(node), true, report, now);
+    Collect(now);
+  }
+  void AskFor(const std::string& node, const PlaceAsk& ask, Time now = kSettled) {
+    keeper.OnAsk(NodeId{node}, ask, now);
+    Collect(now);
+  }
+  void Tick(Time now) {
+    keeper.Tick(now);
+    Collect(now);
+  }
+  void Collect(Time now) {
+    for (PlaceKeeper::Outgoing& out : keeper.Due(now)) {
+      if (out.answer) answers.push_back(*out.answer);
+      if (out.grant) acted[out.to.value] = out.grant->number;
+    }
+  }
+  int Allowed(const std::string& node) { return keeper.Allowed(kEngine, NodeId{node}); }
+
+  PlaceKeeper keeper{0};
+  std::map<std::string, std::uint64_t> numbers, acted;
+  std::vector<PlaceAnswer> answers;
+};
+
+}  // namespace
+
+TEST_CASE("batch gets what online leaves, and gives it back when online comes") {
+  Fixture f;
+  f.Report("a", 1, 0, 5);
+  CHECK(f.Allowed("a") == 3);
+  f.Report("a", 1, 3, 2);
+  f.Report("b", 2, 0);
+  CHECK(f.Allowed("a") == 1);
+}
+
+TEST_CASE("places are shared by those who want them, the one with fewest first") {
+  Fixture f;
+  f.Report("a", 0, 0, 9, kStart);
+  f.Report("b", 0, 0, 9, kStart);
+  f.Tick(kSettled);
+  CHECK(f.Allowed("a") == 2);
+  CHECK(f.Allowed("b") == 2);
+}
+
+// Symptom: an engine runs twice as many batch items as it has places.
+// Sequence: its keeper dies, another one takes over and has heard of nobody yet.
+// Cause: places were granted before the entries had said what they run.
+TEST_CASE("a new keeper grants nothing until all have had time to report") {
+  Fixture f;
+  f.Report("a", 0, 0, 9, kStart);
+  CHECK(f.Allowed("a") == 0);
+  f.Report("b", 0, 4, 0, kStart + Duration{100'000});
+  f.Tick(kSettled);
+  CHECK(f.Allowed("a") == 0);
+  CHECK(f.Allowed("b") == 4);
+}
+
+// Symptom: two entries run batch in the same place.
+// Sequence: a grant is on its way to one of them when the keeper divides again.
+// Cause: what was granted and not yet reported was taken for free.
+TEST_CASE("a grant that is under way counts as used") {
+  Fixture f;
+  f.keeper.OnReport(PeerNamed("a"), true, {1, 0, {}, 4, {{kEngine, 0, 0}}}, kSettled);
+  (void)f.keeper.Due(kSettled);  // the grant leaves; no report of it has come back
+  f.keeper.OnReport(PeerNamed("b"), true, {1, 0, {}, 4, {{kEngine, 0, 0}}}, kSettled);
+  CHECK(f.Allowed("a") == 4);
+  CHECK(f.Allowed("b") == 0);
+}
+
+TEST_CASE("a report that was overtaken changes nothing") {
+  Fixture f;
+  f.keeper.OnReport(PeerNamed("a"), true, {2, 0, {}, 0, {{kEngine, 3, 0}}}, kSettled);
+  f.keeper.OnReport(PeerNamed("a"), true, {1, 0, {}, 0, {{kEngine, 0, 0}}}, kSettled);
+  f.Report("b", 0, 0, 9);
+  CHECK(f.Allowed("b") == 1);
+}
+
+TEST_CASE("what a silent entry used is free again, and so is what its earlier process used") {
+  Fixture f;
+  f.Report("a", 4, 0);
+  f.Report("b", 0, 0, 9);
+  CHECK(f.Allowed("b") == 0);
+  SUBCASE("silent") {
+    f.Report("b", 0, 0, 9, kSettled + PlaceKeeper::kReportLife);
+    f.Tick(kSettled + PlaceKeeper::kReportLife);
+  }
+  SUBCASE("started again") {
+    Peer restarted = PeerNamed("a");
+    restarted.incarnation = 2;
+    f.keeper.OnReport(restarted, true, {1, 0, {}, 0, {{kEngine, 0, 0}}}, kSettled);
+    f.Report("b", 0, 0, 9);
+    f.Tick(kSettled);
+  }
+  CHECK(f.Allowed("b") == 4);
+}
+
+TEST_CASE("an ask gets a place that nobody uses before one that batch uses") {
+  Fixture f({kEngine, kOther});
+  f.Report("a", 0, 4, 0, kSettled, {}, kEngine);
+  f.Report("a", 3, 0, 0, kSettled, {}, kOther);
+  f.AskFor("b", Ask(1));
+  REQUIRE(f.answers.size() == 1);
+  CHECK(f.answers[0].kind == PlaceAnswer::Kind::kPlaced);
+  CHECK(f.answers[0].backend == kOther);
+  // All are used now: batch gives way.
+  f.AskFor("b", Ask(2));
+  CHECK(f.answers[1].backend == kEngine);
+  CHECK(f.Allowed("a") == 3);
+}
+
+TEST_CASE("a place that was given is kept until it is reported in use, or lost") {
+  Fixture f;
+  f.Report("a", 3, 0);
+  f.AskFor("b", Ask(1));
+  f.AskFor("c", Ask(2));
+  REQUIRE(f.answers.size() == 2);
+  CHECK(f.answers[1].kind == PlaceAnswer::Kind::kFull);
+  SUBCASE("in use") {
+    f.Report("b", 1, 0, 0, kSettled, {1});
+    f.AskFor("c", Ask(3));
+    CHECK(f.answers[2].kind == PlaceAnswer::Kind::kFull);
+  }
+  SUBCASE("lost") {
+    const Time later = kSettled + PlaceKeeper::kReservationLife;
+    f.Tick(later);
+    f.AskFor("c", Ask(3), later);
+    CHECK(f.answers[2].kind == PlaceAnswer::Kind::kPlaced);
+  }
+}
+
+TEST_CASE("a queued ask is answered when a place falls free, those who can be in time first") {
+  Fixture f;
+  f.Report("a", 4, 0);
+  PlaceAsk waited = Ask(1, /*may_queue=*/true);
+  waited.last_chance = true;
+  waited.goal_left = Duration{0};
+  f.AskFor("b", waited);
+  f.AskFor("b", Ask(2, /*may_queue=*/true));
+  REQUIRE(f.answers.size() == 2);
+  CHECK(f.answers[0].kind == PlaceAnswer::Kind::kQueued);
+  CHECK(f.answers[1].kind == PlaceAnswer::Kind::kQueued);
+  f.Report("a", 3, 0);
+  REQUIRE(f.answers.size() == 3);
+  CHECK(f.answers[2].number == 2);
+  f.Report("b", 1, 0, 0, kSettled, {2});
+  f.Report("a", 2, 0);
+  REQUIRE(f.answers.size() == 4);
+  CHECK(f.answers[3].number == 1);
+}
+
+// Symptom: a request waits until its caller has given up, though it was clear from
+// the start that there would be no place in time.
+TEST_CASE("an ask that would wait beyond its goal is told so at once, with the time") {
+  Fixture f;
+  f.Report("a", 4, 0);
+  for (std::uint64_t i = 1; i <= 20; ++i) f.AskFor("b", Ask(i, /*may_queue=*/true));
+  CHECK(f.answers.back().kind == PlaceAnswer::Kind::kFull);
+  CHECK(f.answers.back().wait > Duration{100'000});
+  const auto queued = std::count_if(f.answers.begin(), f.answers.end(), [](const auto& answer) {
+    return answer.kind == PlaceAnswer::Kind::kQueued;
+  });
+  CHECK(queued > 0);
+  CHECK(queued < 5);
+}
+
+TEST_CASE("a search asks keepers in turn, then waits where the wait is shortest") {
+  PlaceSearch search(Ask(7), {NodeId{"a"}, NodeId{"b"}}, kStart);
+  const auto asked = [](const search::Action& action) {
+    const auto* ask = std::get_if<search::AskKeeper>(&action);
+    return ask == nullptr ? std::string() : ask->keeper.value + (ask->ask.may_queue ? "+" : "");
+  };
+  const auto full = [](Duration wait) {
+    return search::Answered{{7, PlaceAnswer::Kind::kFull, {}, wait}};
+  };
+  CHECK(asked(search.Start(kStart)) == "a");
+  CHECK(asked(search.On(full(Duration{50'000}), kStart)) == "b");
+  CHECK(asked(search.On(full(Duration{90'000}), kStart)) == "a+");
+  SUBCASE("queued, then placed") {
+    CHECK(std::holds_alternative<search::Wait>(
+        search.On(search::Answered{{7, PlaceAnswer::Kind::kQueued, {}, {}}}, kStart)));
+    const auto taken =
+        search.On(search::Answered{{7, PlaceAnswer::Kind::kPlaced, kEngine, {}}}, kStart);
+    REQUIRE(std::holds_alternative<search::Take>(taken));
+    CHECK(std::get<search::Take>(taken).backend == kEngine);
+  }
+  SUBCASE("full there too") {
+    const auto given_up = search.On(full(Duration{50'000}), kStart);
+    REQUIRE(std::holds_alternative<search::GiveUp>(given_up));
+    CHECK(std::get<search::GiveUp>(given_up).wait == Duration{50'000});
+  }
+}
+
+TEST_CASE("a search whose keepers are silent goes on without them") {
+  PlaceSearch search(Ask(7), {NodeId{"a"}}, kStart);
+  (void)search.Start(kStart);
+  CHECK(std::holds_alternative<search::TakeUnasked>(search.On(search::TimedOut{}, kStart)));
+}
+
+TEST_CASE("a message comes back as it was, and a long one loses lines, not its sender") {
+  PeerMessage message;
+  message.from = PeerNamed("a");
+  message.report = PlaceReport{3, 2, {5, 6}, 7, {{kEngine, 1, 2}}};
+  message.ask = Ask(9, true);
+  message.answer = PlaceAnswer{9, PlaceAnswer::Kind::kQueued, kEngine, Duration{5}};
+  auto back = DecodePeerMessage(Encode(message));
+  REQUIRE(IsOk(back));
+  CHECK(ValueOf(back).from == message.from);
+  CHECK(ValueOf(back).report->asked == std::vector<std::uint64_t>{5, 6});
+  CHECK(ValueOf(back).report->lines[0].batch == 2);
+  CHECK(ValueOf(back).ask->may_queue);
+  CHECK(ValueOf(back).answer->wait == Duration{5});
+  for (int i = 0; i < 400; ++i) message.known.push_back(PeerNamed("p" + std::to_string(i)));
+  const std::string text = Encode(message);
+  CHECK(text.size() <= kMaxPeerMessageBytes);
+  back = DecodePeerMessage(text);
+  REQUIRE(IsOk(back));
+  CHECK(ValueOf(back).from == message.from);
+}
+
+TEST_CASE("what is no message is refused") {
+  CHECK_FALSE(IsOk(DecodePeerMessage("")));
+  CHECK_FALSE(IsOk(DecodePeerMessage("hello")));
+  CHECK_FALSE(IsOk(DecodePeerMessage(std::string(200, '\xff'))));
+}
+
+TEST_CASE("a peer is live once it was heard, until it is silent or suspected") {
+  PeerTable table(PeerNamed("self"));
+  CHECK(table.Named(PeerNamed("a"), kStart));
+  CHECK_FALSE(table.IsLive(NodeId{"a"}, kStart));
+  CHECK(table.Heard(PeerNamed("a"), kStart));
+  CHECK(table.IsLive(NodeId{"a"}, kStart));
+  CHECK_FALSE(table.IsLive(NodeId{"a"}, kStart + PeerTable::kSilence));
+  table.Suspect(NodeId{"a"});
+  CHECK_FALSE(table.IsLive(NodeId{"a"}, kStart));
+  CHECK(table.Heard(PeerNamed("a"), kStart));
+}
+
+TEST_CASE("a late datagram of an earlier process does not bring it back") {
+  PeerTable table(PeerNamed("self"));
+  Peer later = PeerNamed("a");
+  later.incarnation = 5;
+  table.Heard(later, kStart);
+  CHECK_FALSE(table.Heard(PeerNamed("a"), kStart));
+  CHECK(table.Find(NodeId{"a"})->incarnation == 5);
+}
+
+TEST_CASE("keepers are of the data centre, stay, and are not on small hosts") {
+  PeerTable table(PeerNamed("self", "far"));
+  table.Heard(PeerNamed("small", "dc", 0.1), kStart);
+  Peer leaving = PeerNamed("leaving");
+  leaving.leaving = true;
+  table.Heard(leaving, kStart);
+  table.Heard(PeerNamed("a"), kStart);
+  table.Heard(PeerNamed("b"), kStart);
+  const auto keepers = table.KeepersOf(DataCentre{"dc"}, 30, kStart);
+  REQUIRE(keepers.size() == 2);
+  for (const Peer& keeper : keepers) CHECK((keeper.node.value == "a" || keeper.node.value == "b"));
+  CHECK(table.KeepersOf(DataCentre{"dc"}, 5, kStart).size() == 1);
+  // None is there: others keep them.
+  CHECK_FALSE(table.KeepersOf(DataCentre{"gone"}, 5, kStart).empty());
+}
--- /dev/null
+++ b/test/store-paths-test.cc
@@ -0,0 +1,69 @@
+#include <doctest/doctest.h>
+
+#include "figmill/store_paths.h"
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+constexpr Time kStart{Duration{1'000'000}};
+const Address kPeer{"10.0.0.2", 80};
+const Address kOtherPeer{"10.0.0.3", 80};
+
+StorePaths WithPeers() {
+  StorePaths paths;
+  paths.SetPeers({kPeer, kOtherPeer});
+  return paths;
+}
+
+}  // namespace
+
+TEST_CASE("calls go directly as long as they are answered") {
+  StorePaths paths = WithPeers();
+  const auto path = paths.Begin(false, kStart);
+  CHECK_FALSE(path.peer);
+  paths.End(path, StorePaths::Outcome::kAnswered, kStart);
+  CHECK_FALSE(paths.Begin(false, kStart).peer);
+}
+
+// Symptom: a host goes on with an old configuration while all others have the new
+// one, and the jobs that it owns stand still.
+// Sequence: the store turns this one host away. Cause: it asked nobody else.
+TEST_CASE("a host that the store turns away goes by way of a peer, and tries directly later") {
+  StorePaths paths = WithPeers();
+  const auto refused = paths.Begin(false, kStart);
+  paths.End(refused, StorePaths::Outcome::kRefused, kStart);
+  const auto other = paths.BeginOther(refused, kStart);
+  REQUIRE(other);
+  CHECK(other->peer);
+  paths.End(*other, StorePaths::Outcome::kAnswered, kStart);
+  CHECK(paths.Begin(false, kStart).peer);
+  CHECK_FALSE(paths.Begin(false, kStart + StorePaths::kAvoidDirect).peer);
+}
+
+TEST_CASE("a call that is out for long without an answer sends the next ones another way") {
+  StorePaths paths = WithPeers();
+  (void)paths.Begin(false, kStart);
+  CHECK_FALSE(paths.Begin(false, kStart + Duration{50'000}).peer);
+  CHECK(paths.Begin(false, kStart + StorePaths::kLooksSilent).peer);
+}
+
+TEST_CASE("a call that the store holds is no sign of silence") {
+  StorePaths paths = WithPeers();
+  (void)paths.Begin(/*waits=*/true, kStart);
+  CHECK_FALSE(paths.Begin(false, kStart + 2 * StorePaths::kLooksSilent).peer);
+}
+
+TEST_CASE("a peer whose call failed is left out; with none left the call goes directly") {
+  StorePaths paths = WithPeers();
+  const auto refused = paths.Begin(false, kStart);
+  paths.End(refused, StorePaths::Outcome::kRefused, kStart);
+  const auto first = paths.Begin(false, kStart);
+  const auto second = paths.Begin(false, kStart);
+  REQUIRE(first.peer);
+  REQUIRE(second.peer);
+  CHECK(*first.peer != *second.peer);
+  paths.End(first, StorePaths::Outcome::kRefused, kStart);
+  paths.End(second, StorePaths::Outcome::kLost, kStart);
+  CHECK_FALSE(paths.Begin(false, kStart).peer);
+}
