--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -56,6 +56,7 @@
 
   void Run();  // until Stop
   void Stop();
+  void Restart();  // so that Run may be called again
   void Post(std::function<void()> task);
   [[nodiscard]] Timer After(Duration delay, std::function<void()> task);
   // As After, for what is never called off.
--- a/src/observe/log.cc
+++ b/src/observe/log.cc
@@ -57,8 +57,7 @@
 class OutputSink final : public google::LogSink {
  public:
   void send(google::LogSeverity severity, const char* /*path*/, const char* /*file*/, int /*line*/,
-            const google::LogMessageTime& time, const char* message,
-            std::size_t length) override {
+            const google::LogMessageTime& time, const char* message, std::size_t length) override {
     const std::scoped_lock lock(mutex_);
     const std::size_t before = held_.size();
     if (before >= kMaxHeld) {
--- a/src/runtime/loop.cc
+++ b/src/runtime/loop.cc
@@ -51,6 +51,9 @@
 void Loop::Stop() {
   core_->io.stop();
 }
+void Loop::Restart() {
+  core_->io.restart();
+}
 void Loop::Post(std::function<void()> task) {
   asio::post(core_->io, std::move(task));
 }
--- /dev/null
+++ b/test/exchange-test.cc
@@ -0,0 +1,207 @@
+#include "figmill/exchange.h"
+
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <asio/ip/tcp.hpp>
+#include <asio/read_until.hpp>
+#include <asio/write.hpp>
+#include <atomic>
+#include <string>
+#include <thread>
+#include <vector>
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr Duration kBound{5'000'000};  // a test that takes longer has failed
+
+// What a connection does with a request: sends a text, and perhaps closes then.
+struct Step {
+  std::string answer;
+  bool close = false;
+};
+
+// A server that answers the requests of each connection by its script.
+class ScriptedServer {
+ public:
+  explicit ScriptedServer(std::vector<std::vector<Step>> script)
+      : acceptor_(io_, tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0)),
+        script_(std::move(script)),
+        thread_([this] { Serve(); }) {}
+  ~ScriptedServer() {
+    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);  // ends a waiting accept
+    thread_.join();
+  }
+  ScriptedServer(const ScriptedServer&) = delete;
+  ScriptedServer& operator=(const ScriptedServer&) = delete;
+
+  [[nodiscard]] Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
+  [[nodiscard]] int requests() const { return requests_; }
+
+ private:
+  void Serve() {
+    std::vector<tcp::socket> open;
+    for (const std::vector<Step>& steps : script_) {
+      tcp::socket socket(io_);
+      asio::error_code failure;
+      acceptor_.accept(socket, failure);
+      if (failure) return;
+      if (ServeOne(socket, steps)) open.push_back(std::move(socket));
+    }
+  }
+
+  // Whether the connection stays open.
+  bool ServeOne(tcp::socket& socket, const std::vector<Step>& steps) {
+    for (const Step& step : steps) {
+      asio::error_code failure;
+      std::string request;
+      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\nx", failure);
+      if (failure) return false;
+      ++requests_;
+      asio::write(socket, asio::buffer(step.answer), failure);
+      if (step.close) return false;
+    }
+    return true;
+  }
+
+  asio::io_context io_;
+  tcp::acceptor acceptor_;
+  std::vector<std::vector<Step>> script_;
+  std::atomic<int> requests_{0};
+  std::thread thread_;
+};
+
+std::string Answer(const std::string& body, const std::string& headers = "") {
+  return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
+         "\r\n\r\n" + body;
+}
+
+struct Caller {
+  // "200:body", or "failed" with whether it was sent.
+  std::string Call(const Address& to, bool fresh = false) {
+    std::string got;
+    HttpCall call;
+    call.method = "POST";
+    call.to = to;
+    call.body = "x";
+    call.fresh_connection = fresh;
+    call.total_timeout = timeout;
+    client.Fetch(std::move(call), [&](const Result<HttpResponse>& result) {
+      if (IsOk(result)) {
+        got = std::to_string(ValueOf(result).status) + ":" + ValueOf(result).body;
+      } else {
+        got = ErrorOf(result).ran == Ran::kNo ? "failed, not sent" : "failed, sent";
+      }
+      loop.Stop();
+    });
+    const Timer bound = loop.After(kBound, [this] { loop.Stop(); });
+    loop.Run();
+    loop.Restart();
+    return got;
+  }
+  Duration timeout{0};  // 0: none
+  Loop loop;
+  ExchangeClient client{loop};
+};
+
+}  // namespace
+
+TEST_CASE("a kept connection serves the next call") {
+  ScriptedServer server({{{Answer("a")}, {Answer("b")}}});
+  Caller caller;
+  CHECK(caller.Call(server.address()) == "200:a");
+  CHECK(caller.Call(server.address()) == "200:b");
+  CHECK(caller.client.opened() == 1);
+}
+
+// Symptom: a request that may not be repeated runs twice.
+// Sequence: a kept connection is closed by the peer just as a request goes out on it.
+// Cause: a client that sends again by itself on a new connection.
+TEST_CASE("a request is never sent again by the client itself") {
+  ScriptedServer server({{{Answer("a")}, {"", /*close=*/true}}, {{Answer("again")}}});
+  Caller caller;
+  CHECK(caller.Call(server.address()) == "200:a");
+  CHECK(caller.Call(server.address()) == "failed, sent");
+  CHECK(server.requests() == 2);
+}
+
+// Symptom: a caller gets the answer to another caller's request.
+// Sequence: a backend server sends a second answer after the first one; the connection
+// is used again; the second answer is taken for that of the next request.
+TEST_CASE("a connection on which more came than the answer is not used again") {
+  ScriptedServer server({{{Answer("a") + Answer("stray")}}, {{Answer("b")}}});
+  Caller caller;
+  CHECK(caller.Call(server.address()) == "200:a");
+  CHECK(caller.Call(server.address()) == "200:b");
+  CHECK(caller.client.opened() == 2);
+}
+
+TEST_CASE("a connection that the peer ends with its answer is not used again") {
+  ScriptedServer server({{{Answer("a", "Connection: close\r\n")}}, {{Answer("b")}}});
+  Caller caller;
+  CHECK(caller.Call(server.address()) == "200:a");
+  CHECK(caller.Call(server.address()) == "200:b");
+}
+
+TEST_CASE("an answer without a length ends with its connection") {
+  ScriptedServer server({{{"HTTP/1.1 200 OK\r\n\r\nabc", /*close=*/true}}});
+  Caller caller;
+  CHECK(caller.Call(server.address()) == "200:abc");
+}
+
+TEST_CASE("an answer that is cut short fails") {
+  std::string cut = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc";
+  SUBCASE("by its length") {}
+  SUBCASE("by its last chunk") {
+    cut = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n";
+  }
+  SUBCASE("within its head") {
+    cut = "HTTP/1.1 200 OK\r\nStamp";
+  }
+  ScriptedServer server({{{cut, /*close=*/true}}});
+  Caller caller;
+  CHECK(caller.Call(server.address()) == "failed, sent");
+}
+
+TEST_CASE("bytes that are no answer fail the call") {
+  ScriptedServer server({{{"nonsense\r\n\r\n"}}});
+  Caller caller;
+  CHECK(caller.Call(server.address()) == "failed, sent");
+}
+
+TEST_CASE("where nobody listens nothing was sent") {
+  Address nobody;
+  {
+    asio::io_context io;
+    const tcp::acceptor acceptor(io, tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0));
+    nobody = {"127.0.0.1", acceptor.local_endpoint().port()};
+  }
+  Caller caller;
+  CHECK(caller.Call(nobody) == "failed, not sent");
+}
+
+TEST_CASE("a call without an answer fails in time, as sent") {
+  ScriptedServer server({{{""}}});
+  Caller caller;
+  caller.timeout = Duration{100'000};
+  CHECK(caller.Call(server.address()) == "failed, sent");
+}
+
+TEST_CASE("a call that was cancelled tells nothing more") {
+  ScriptedServer server({{{Answer("a")}}, {{Answer("b")}}});
+  Caller caller;
+  bool told = false;
+  HttpCall call;
+  call.to = server.address();
+  const CancelCall cancel =
+      caller.client.Start(std::move(call), [&told](const HttpEvent&) { told = true; });
+  cancel();
+  cancel();
+  const Timer end = caller.loop.After(Duration{100'000}, [&] { caller.loop.Stop(); });
+  caller.loop.Run();
+  CHECK_FALSE(told);
+}
--- /dev/null
+++ b/test/gateway-fakes.h
@@ -0,0 +1,147 @@
+#pragma once
+
+// A table service in memory, whose answers the test can lose, refuse or age, and a
+// loop that runs until a condition holds.
+
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "figmill/runtime.h"
+#include "figmill/tables.h"
+
+namespace figmill::fake {
+
+// Runs the loop until `done` holds; fails the test when that takes too long.
+inline void RunUntil(Loop& loop, const std::function<bool()>& done,
+                     Duration bound = Duration{5'000'000}) {
+  const Time end = Loop::Now() + bound;
+  const Timer poll = loop.Every(Duration{1'000}, [&] {
+    if (done() || Loop::Now() >= end) loop.Stop();
+  });
+  loop.Run();
+  loop.Restart();
+  REQUIRE(done());
+}
+
+// Gives the loop some time, for what must not happen.
+inline void RunFor(Loop& loop, Duration time) {
+  const Timer end = loop.After(time, [&loop] { loop.Stop(); });
+  loop.Run();
+  loop.Restart();
+}
+
+// One store, which several clients may share.
+struct TableData {
+  std::map<TableKey, TableRow> rows;
+  std::vector<TableRow> history;
+  RowVersion version = 0;
+};
+
+class Tables final : public SharedTables {
+ public:
+  Tables(Loop& loop, TableData& data) : loop_(loop), data_(data) {}
+
+  // What the next commits do.
+  int lose_answers = 0;  // take effect, and no answer comes
+  bool refuse = false;   // say that nothing was done
+  bool silent = false;   // nothing is done, and no answer comes
+  bool deaf = false;     // feeds tell of nothing
+  // What the feed was asked to wait, newest last.
+  std::vector<Duration> waits;
+  int reads = 0;
+
+  void Commit(TableTransaction transaction, std::function<void(TableOutcome)> done) override {
+    if (refuse) return Later([done] { done(NotWritten{"refused"}); });
+    if (silent) return Later([done] { done(FateUnknown{"no answer"}); }, kSilence);
+    TableOutcome outcome = Apply(transaction);
+    if (lose_answers > 0) {
+      --lose_answers;
+      return Later([done] { done(FateUnknown{"no answer"}); }, kSilence);
+    }
+    Later([done, outcome] { done(outcome); });
+  }
+
+  void Read(TableRange range, std::function<void(Result<TablePage>)> done) override {
+    ++reads;
+    if (refuse || silent) return Later([done] { done(Down()); });
+    TablePage page;
+    for (const auto& [at, row] : data_.rows) {
+      if (at.table != range.table || at.part != range.part || at.key < range.from) continue;
+      if (!range.to.empty() && at.key >= range.to) continue;
+      page.truncated = page.rows.size() >= range.limit;
+      if (page.truncated) break;
+      page.rows.push_back(row);
+    }
+    page.version = data_.version;
+    page.now = Loop::Now().time_since_epoch();
+    Later([done, page] { done(page); });
+  }
+
+  void ListParts(std::string /*table*/, std::string /*after*/,
+                 std::function<void(Result<std::vector<std::string>>)> done) override {
+    Later([done] { done(std::vector<std::string>{}); });
+  }
+
+  void Follow(std::string table, RowVersion after, Duration wait,
+              std::function<void(FeedOutcome)> done) override {
+    waits.push_back(wait);
+    Poll(std::move(table), after, Loop::Now() + wait, std::move(done));
+  }
+
+ private:
+  static constexpr Duration kSilence{300'000};
+
+  static Error Down() { return {ErrorKind::kStoreUnavailable, "down"}; }
+
+  void Later(std::function<void()> task, Duration delay = Duration{500}) {
+    loop_.Later(delay, std::move(task));
+  }
+
+  void Poll(std::string table, RowVersion after, Time end, std::function<void(FeedOutcome)> done) {
+    if (refuse || silent) return Later([done] { done(Down()); });
+    TableChanges changes;
+    if (!deaf) {
+      for (const TableRow& row : data_.history) {
+        if (row.at.table == table && row.version > after) changes.rows.push_back(row);
+      }
+    }
+    if (changes.rows.empty() && Loop::Now() < end) {
+      return Later([this, table, after, end, done] { Poll(table, after, end, done); },
+                   Duration{2'000});
+    }
+    changes.version = deaf ? after : data_.version;
+    changes.now = Loop::Now().time_since_epoch();
+    Later([done, changes] { done(changes); });
+  }
+
+  TableOutcome Apply(const TableTransaction& transaction) {
+    TableRejected rejected;
+    bool holds = true;
+    for (const TableCondition& condition : transaction.conditions) {
+      const auto found = data_.rows.find(condition.at);
+      const RowVersion version = found == data_.rows.end() ? 0 : found->second.version;
+      holds &= version == condition.version;
+      if (found != data_.rows.end()) rejected.current.push_back(found->second);
+    }
+    if (!holds) return rejected;
+    ++data_.version;
+    for (const TablePut& put : transaction.puts) {
+      data_.rows[put.at] = {put.at, put.value, data_.version, false};
+      data_.history.push_back(data_.rows[put.at]);
+    }
+    for (const TableKey& at : transaction.removes) {
+      data_.rows.erase(at);
+      data_.history.push_back({at, "", data_.version, true});
+    }
+    return TableCommitted{data_.version, Loop::Now().time_since_epoch()};
+  }
+
+  Loop& loop_;
+  TableData& data_;
+};
+
+}  // namespace figmill::fake
--- a/test/owned-job-test.cc
+++ b/test/owned-job-test.cc
@@ -14,7 +14,9 @@
 
 // A job of three items that was accepted at version 5.
 struct Fixture {
-  Fixture() : job(Head(), 5, {{"i0", "/p", {}, "", 0}, {"i1", "/p", {}, "", 0}, {"i2", "/p", {}, "", 0}}) {}
+  Fixture()
+      : job(Head(), 5,
+            {{"i0", "/p", {}, "", 0}, {"i1", "/p", {}, "", 0}, {"i2", "/p", {}, "", 0}}) {}
   static JobHead Head() {
     JobHead head;
     head.id = JobId{"job"};
--- a/test/place-load-test.cc
+++ b/test/place-load-test.cc
@@ -23,7 +23,8 @@
   const sim::Load load;
   const sim::Outcome unasked = sim::Simulation(load, /*asks=*/false, 7).Run();
   const sim::Outcome asked = sim::Simulation(load, /*asks=*/true, 7).Run();
-  MESSAGE("late or refused: " << LateShare(unasked) << " unasked, " << LateShare(asked) << " asked");
+  MESSAGE("late or refused: " << LateShare(unasked) << " unasked, " << LateShare(asked)
+                              << " asked");
   CHECK(LateShare(asked) < 0.005);
   CHECK(LateShare(unasked) > 2 * LateShare(asked));
 }
--- a/test/place-sim.h
+++ b/test/place-sim.h
@@ -34,7 +34,7 @@
 
 struct Outcome {
   int online = 0;
-  int late = 0;      // waited for a place for over 200 ms
+  int late = 0;  // waited for a place for over 200 ms
   int refused = 0;
   int items = 0;     // batch items that were finished
   int stops = 0;     // runs of batch items stopped for online
@@ -104,7 +104,8 @@
     std::vector<BatchRun> batch;
   };
   struct Entry {
-    Entry(const Peer& self, RandomBits bits) : peer(self), book(self.data_centre, std::move(bits)) {}
+    Entry(const Peer& self, RandomBits bits)
+        : peer(self), book(self.data_centre, std::move(bits)) {}
     Peer peer;
     PlaceBook book;
     PlaceKeeper keeper{0};
@@ -129,8 +130,8 @@
     for (const auto& entry : entries_) table.Heard(entry->peer, now_);
     std::map<int, std::map<BackendId, KeptBackend>> kept;
     for (const Engine& engine : engines_) {
-      const auto keepers = table.KeepersOf(engine.info.data_centre,
-                                           engines_.size() / load_.data_centres, now_);
+      const auto keepers =
+          table.KeepersOf(engine.info.data_centre, engines_.size() / load_.data_centres, now_);
       const int keeper = node_.at(KeeperAmong(keepers, engine.info.id)->node);
       keeper_of_[engine.info.id] = keeper;
       kept[keeper][engine.info.id] = {engine.info.service, engine.info.places};
@@ -140,7 +141,8 @@
   }
 
   double Rate() const {
-    const double phase = std::fmod(std::chrono::duration<double>(now_.time_since_epoch()).count(), 6);
+    const double phase =
+        std::fmod(std::chrono::duration<double>(now_.time_since_epoch()).count(), 6);
     return load_.online_per_s * (phase < 3.6 ? load_.low : load_.high);
   }
 
@@ -341,7 +343,8 @@
       const int e = at->entry;
       engine.batch.erase(at);
       ++outcome_.items;
-      entries_[e]->book.Ended(engine.info.id, WorkClass::kBatch, relay::SendEnd::kAnswered, {}, now_);
+      entries_[e]->book.Ended(engine.info.id, WorkClass::kBatch, relay::SendEnd::kAnswered, {},
+                              now_);
       Report(e, keeper_of_.at(engine.info.id));
       return Admit(i);
     }
--- a/test/routes-test.cc
+++ b/test/routes-test.cc
@@ -1,7 +1,7 @@
-#include <doctest/doctest.h>
-
 #include "figmill/routes.h"
 
+#include <doctest/doctest.h>
+
 using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
 
 namespace {
@@ -26,7 +26,8 @@
 }  // namespace
 
 TEST_CASE("the longest prefix of the host wins") {
-  const RouteTable table(ConfigOf({RouteTo("all", "/"), RouteTo("a", "/a/"), RouteTo("ab", "/a/b/")}));
+  const RouteTable table(
+      ConfigOf({RouteTo("all", "/"), RouteTo("a", "/a/"), RouteTo("ab", "/a/b/")}));
   CHECK(table.Find("farm.example", "/a/b/c")->name == "ab");
   CHECK(table.Find("FARM.example:8080", "/a/x")->name == "a");
   CHECK(table.Find("farm.example", "/ab")->name == "all");
--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -1,10 +1,10 @@
+#include "figmill/sharing.h"
+
 #include <doctest/doctest.h>
 
 #include <string>
 #include <vector>
 
-#include "figmill/sharing.h"
-
 using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
 
 namespace {
--- a/test/table-mirror-test.cc
+++ b/test/table-mirror-test.cc
@@ -21,10 +21,10 @@
 
 struct Fixture {
   std::vector<std::string> seen;  // "key=value", or "key gone"
-  TableMirror mirror{"t", {""}, [this](const TableMirror::Change& change) {
-                       seen.push_back(change.at.key +
-                                      (change.row == nullptr ? " gone" : "=" + change.row->value));
-                     }};
+  TableMirror mirror{
+      "t", {""}, [this](const TableMirror::Change& change) {
+        seen.push_back(change.at.key + (change.row == nullptr ? " gone" : "=" + change.row->value));
+      }};
   std::string ValueOfKey(const std::string& key) {
     const TableRow* row = mirror.Find({"t", "", key});
     return row == nullptr ? "none" : row->value;
