Keep the cost of an entry apart from the size of the fleet

Each entry told each other that it is there, kept the use of all engines, and worked out all keepers five times a second.

Change: an entry uses the engines of four keepers of its data centre and eight of others, laid around a ring; it watches sixteen peers and takes the row of a silent one out of the store, which tells all; keepers are worked out when peers or engines change; changes of the list and of jobs are taken together.

--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -42,12 +42,6 @@
     : tools_(tools), adapter_(adapter), jobs_(jobs), random_(std::move(random)) {}
 
 void CallerDoor::Update(std::shared_ptr<const FleetView> view) {
-  if (view_) {
-    for (const auto& [id, info] : view_->backends) {
-      if (!view->backends.contains(id)) tools_.places.Forget(id);
-    }
-  }
-  for (const auto& [id, info] : view->backends) tools_.places.Learn(info);
   view_ = std::move(view);
 }
 
@@ -64,7 +58,7 @@
   if (!ready()) {
     return Refuse(
         request, *reply,
-        {ErrorKind::kNoBackend, "no configuration is known yet", Ran::kNo, Duration{500'000}});
+        {ErrorKind::kNoBackend, "no configuration is known yet", Ran::kNo, kFirstConfiguration});
   }
   if (const std::optional<Result<JobCall>> call = adapter_.ParseJobCall(request)) {
     if (!IsOk(*call)) return Refuse(request, *reply, ErrorOf(*call));
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -6,11 +6,13 @@
 
 FleetWatch::FleetWatch(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter,
                        std::function<void(std::shared_ptr<const FleetView>)> publish)
-    : adapter_(adapter),
+    : loop_(loop),
+      adapter_(adapter),
       publish_(std::move(publish)),
       config_(
           loop, tables, adapter.config_row().table, {adapter.config_row().part},
-          [this](const TableMirror::Change& change) { OnConfig(change); }, [this] { Publish(); }),
+          [this](const TableMirror::Change& change) { OnConfig(change); },
+          [this] { SchedulePublish(); }),
       backends_(
           loop, tables, adapter.backend_table(), {""},
           [this](const TableMirror::Change& change) { OnBackend(change); }, [this] { Publish(); }) {
@@ -68,6 +70,14 @@
   changed_ = true;
 }
 
+void FleetWatch::SchedulePublish() {
+  if (!changed_ || std::exchange(publish_scheduled_, true)) return;
+  loop_.Later(kPublishPause, [this] {
+    publish_scheduled_ = false;
+    Publish();
+  });
+}
+
 void FleetWatch::Publish() {
   if (!std::exchange(changed_, false)) return;
   view_.backends_version = backends_.mirror().version();
--- a/src/gateway/fleet_watch.h
+++ b/src/gateway/fleet_watch.h
@@ -14,6 +14,10 @@
 
 class FleetWatch {
  public:
+  // Changes within this time are published together: at the start of a fleet each
+  // backend server writes its own row.
+  static constexpr Duration kPublishPause{20'000};
+
   // `publish` is called on `loop` with each new view.
   FleetWatch(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter,
              std::function<void(std::shared_ptr<const FleetView>)> publish);
@@ -23,12 +27,15 @@
  private:
   void OnConfig(const TableMirror::Change& change);
   void OnBackend(const TableMirror::Change& change);
+  void SchedulePublish();
   void Publish();
 
+  Loop& loop_;
   const PlatformAdapter& adapter_;
   std::function<void(std::shared_ptr<const FleetView>)> publish_;
   FleetView view_;
   bool changed_ = false;
+  bool publish_scheduled_ = false;
   TableFollower config_;
   TableFollower backends_;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -23,6 +23,8 @@
 // then new connections come in, and callers keep using open ones.
 constexpr Duration kBalancerNotice{3'000'000};
 constexpr Duration kIdleCheck{50'000};
+// Entries by way of which the store may be reached; some may be turned away as well.
+constexpr std::size_t kStorePeers = 12;
 // Requests that come later than this before the kill are refused, as they could be
 // cut: a stream lasts about a second, and waits for a place before.
 constexpr Duration kLastRequest{3'000'000};
@@ -57,6 +59,9 @@
   void Leave() {
     loop_.Post([this] { members_.Leave(); });
   }
+  void RemoveMember(const Peer& peer) {
+    loop_.Post([this, peer] { members_.Remove(peer); });
+  }
   void SetPeers(std::vector<Address> peers) {
     loop_.Post([this, peers = std::move(peers)]() mutable { store_.SetPeers(std::move(peers)); });
   }
@@ -87,7 +92,8 @@
         peers_(SelfOf(settings)),
         link_(loop_, peers_, places_, metrics_,
               {[this] { return runner_.wanted(); }, [this] { runner_.Pump(); },
-               [this](const PlaceAnswer& answer) { finder_.OnAnswer(answer); }}),
+               [this](const PlaceAnswer& answer) { finder_.OnAnswer(answer); },
+               [this](const Peer& peer) { control_.RemoveMember(peer); }}),
         finder_(loop_, places_, link_),
         tools_{loop_, client_, places_, finder_, adapter.names(), gateway_metrics_},
         jobs_(loop_, *tables_, peers_, clock_, SystemRandom(),
@@ -186,6 +192,7 @@
     std::vector<Address> peers;
     for (const Peer& peer : peers_.Capable(Loop::Now())) {
       if (peer.node != peers_.self().node) peers.push_back(peer.address);
+      if (peers.size() == kStorePeers) break;
     }
     store_.SetPeers(peers);
     control_.SetPeers(std::move(peers));
@@ -194,6 +201,10 @@
   void Update(const std::shared_ptr<const FleetView>& view) {
     door_.Update(view);
     runner_.SetRoutes(view->routes);
+    std::vector<BackendInfo> backends;
+    backends.reserve(view->backends.size());
+    for (const auto& [id, info] : view->backends) backends.push_back(info);
+    link_.SetBackends(std::move(backends));
   }
 
   bool Listen(const Address& at, std::unique_ptr<HttpServer>& server, HttpHandler handler) {
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -34,6 +34,7 @@
 
 void JobStore::Start() {
   started_at_ = Loop::Now();
+  follower_.SetPace(kFeedPace);
   follower_.Start();
   check_timer_ = loop_.Every(kCheckPeriod, [this] { CheckOwners(); });
 }
--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -24,6 +24,9 @@
   // back for its own.
   static constexpr Duration kTakeOverAfter{800'000};
   static constexpr Duration kCheckPeriod{100'000};
+  // The rows of jobs change with each result, and each entry hears of all. An owner
+  // knows its own at once; for the others this is soon enough.
+  static constexpr Duration kFeedPace{150'000};
   static constexpr Duration kRetryPause{100'000};
 
   struct Hooks {
--- a/src/gateway/member_watch.cc
+++ b/src/gateway/member_watch.cc
@@ -47,8 +47,22 @@
   });
 }
 
+void MemberWatch::Remove(const Peer& peer) {
+  const TableRow* row = follower_.mirror().Find(KeyOf(peer.node));
+  if (row == nullptr) return;
+  const Result<PeerMessage> listed = DecodePeerMessage(row->value);
+  if (IsOk(listed) && ValueOf(listed).from.incarnation > peer.incarnation) return;
+  // When it fails another watcher takes the row away, or this one a little later.
+  tables_.Commit({{{KeyOf(peer.node), row->version}}, {}, {KeyOf(peer.node)}},
+                 [](const TableOutcome& /*outcome*/) {});
+}
+
 void MemberWatch::OnRow(const TableMirror::Change& change) {
-  if (change.row == nullptr) return hooks_.unlisted(NodeId{change.at.key});
+  if (change.row == nullptr) {
+    // Somebody could not hear this process; it is there all the same.
+    if (change.at.key == self_.node.value) return WriteOwn();
+    return hooks_.unlisted(NodeId{change.at.key});
+  }
   const Result<PeerMessage> message = DecodePeerMessage(change.row->value);
   if (!IsOk(message)) {
     Log(LogLevel::kWarning, "member_row_refused",
--- a/src/gateway/member_watch.h
+++ b/src/gateway/member_watch.h
@@ -23,6 +23,9 @@
   void Start();
   // Takes this process's own row away.
   void Leave();
+  // Takes away the row of a peer that was found silent, unless a later process has
+  // written it.
+  void Remove(const Peer& peer);
 
  private:
   void WriteOwn();
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -19,11 +19,11 @@
   for (const Address& seed : seeds) {
     PeerMessage message;
     message.from = peers_.self();
-    message.hello = true;
+    message.wants = PeerMessage::Wants::kKnown;
     socket_->Send(Encode(message), seed);
   }
   heartbeat_ = loop_.Every(kHeartbeat, [this] { Heartbeat(); });
-  presence_ = loop_.Every(PeerTable::kPresence, [this] { Presence(); });
+  watch_timer_ = loop_.Every(PeerTable::kPresence / 2, [this] { WatchPeers(); });
   grant_timer_ = loop_.Every(PlaceKeeper::kCoalesce, [this] {
     keeper_.Tick(Loop::Now());
     SendGrants();
@@ -33,19 +33,24 @@
 
 void PeerLink::Leave() {
   peers_.SetLeaving(true);
-  Presence();
+  for (const Peer& peer : peers_.others()) Send(peer, PeerMessage{});
   Heartbeat();
 }
 
 void PeerLink::Named(const Peer& peer) {
-  if (!peers_.Named(peer, Loop::Now())) return;
+  if (!peers_.Named(peer)) return;
   PeerMessage message;
-  message.hello = true;
+  message.wants = PeerMessage::Wants::kKnown;
   Send(peer, std::move(message));
 }
 
 void PeerLink::Unlisted(const NodeId& node) {
-  if (!peers_.IsLive(node, Loop::Now())) peers_.Forget(node);
+  peers_.Unlisted(node);
+}
+
+void PeerLink::SetBackends(std::vector<BackendInfo> backends) {
+  keepers_.SetBackends(std::move(backends));
+  UpdateKeepers();
 }
 
 void PeerLink::Send(const Peer& to, PeerMessage message) {
@@ -72,9 +77,9 @@
     UpdateKeepers();
   }
   for (const Peer& peer : message.known) Named(peer);
-  if (message.hello) {
+  if (message.wants != PeerMessage::Wants::kNothing) {
     PeerMessage answer;
-    answer.known = peers_.others();
+    if (message.wants == PeerMessage::Wants::kKnown) answer.known = peers_.others();
     Send(message.from, std::move(answer));
   }
   if (message.report) {
@@ -112,35 +117,29 @@
 
 void PeerLink::UpdateKeepers() {
   const Time now = Loop::Now();
-  std::map<DataCentre, std::size_t> backends;
-  places_.ForEach([&backends](const BackendInfo& info, const PlaceUse& /*use*/) {
-    ++backends[info.data_centre];
-  });
-  std::map<DataCentre, std::vector<Peer>> keepers;
-  for (const auto& [data_centre, count] : backends) {
-    keepers[data_centre] = peers_.KeepersOf(data_centre, count, now);
+  if (!keepers_.Update(peers_, now)) return;
+  SyncPlaces();
+  for (const auto& [id, keeper] : keepers_.used()) {
+    const auto before = keeper_of_.find(id);
+    const bool changed = before == keeper_of_.end() || before->second.node != keeper.node ||
+                         before->second.incarnation != keeper.incarnation;
+    if (!changed) continue;
+    places_.DropGrant(id);
+    touched_.insert(id);
+    from_keeper_.try_emplace(keeper.node, FromKeeper{0, now, {}});
   }
-  std::map<BackendId, KeptBackend> mine;
-  std::map<BackendId, Peer> next;
+  keeper_of_ = keepers_.used();
+  keeper_.Keep(keepers_.kept(), now);
+  if (!touched_.empty()) ScheduleFlush();
+}
+
+void PeerLink::SyncPlaces() {
+  std::vector<BackendId> gone;
   places_.ForEach([&](const BackendInfo& info, const PlaceUse& /*use*/) {
-    const Peer* keeper = KeeperAmong(keepers[info.data_centre], info.id);
-    if (keeper == nullptr) return;
-    next[info.id] = *keeper;
-    const bool usable = info.state == BackendState::kReady;
-    if (keeper->node == peers_.self().node) {
-      mine[info.id] = {info.service, usable ? info.places : 0};
-    }
-    const auto before = keeper_of_.find(info.id);
-    const bool changed = before == keeper_of_.end() || before->second.node != keeper->node ||
-                         before->second.incarnation != keeper->incarnation;
-    if (!changed) return;
-    places_.DropGrant(info.id);
-    touched_.insert(info.id);
-    from_keeper_.try_emplace(keeper->node, FromKeeper{0, now, {}});
+    if (!keepers_.used().contains(info.id)) gone.push_back(info.id);
   });
-  keeper_of_ = std::move(next);
-  keeper_.Keep(mine, now);
-  if (!touched_.empty()) ScheduleFlush();
+  for (const BackendId& id : gone) places_.Forget(id);
+  for (const BackendInfo& info : keepers_.used_infos()) places_.Learn(info);
 }
 
 void PeerLink::SuspectSilentKeepers() {
@@ -170,8 +169,18 @@
   }
 }
 
-void PeerLink::Presence() {
-  for (const Peer& peer : peers_.others()) Send(peer, PeerMessage{});
+void PeerLink::WatchPeers() {
+  const PeerTable::Watch watch = peers_.WatchOthers(Loop::Now());
+  for (const Peer& peer : watch.to_ask) {
+    PeerMessage message;
+    message.wants = PeerMessage::Wants::kAnswer;
+    Send(peer, std::move(message));
+  }
+  for (const Peer& peer : watch.silent) {
+    Log(LogLevel::kWarning, "peer_silent",
+        {{"peer", peer.node.value}, {"incarnation", std::to_string(peer.incarnation)}});
+    hooks_.silent(peer);
+  }
 }
 
 PlaceReport::Line PeerLink::LineOf(const BackendId& backend) const {
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -20,6 +20,8 @@
     std::function<int()> wanted;  // batch items that could start now
     std::function<void()> grants_changed;
     std::function<void(const PlaceAnswer&)> answered;
+    // It was found silent: its row is to be taken out of the store.
+    std::function<void(const Peer&)> silent;
   };
   // Entries report to their keepers at least this often.
   static constexpr Duration kHeartbeat = PlaceKeeper::kHeartbeat;
@@ -41,6 +43,8 @@
   // The store lists this peer.
   void Named(const Peer& peer);
   void Unlisted(const NodeId& node);
+  // The backend servers that there are now.
+  void SetBackends(std::vector<BackendInfo> backends);
   // This entry's use of a backend server, or what it wants, has changed.
   void Touch(const BackendId& backend);
   void WantedChanged();
@@ -56,8 +60,9 @@
   void OnDatagram(std::string_view bytes);
   void OnGrant(const Peer& from, const PlaceGrant& grant);
   void Heartbeat();
-  void Presence();
+  void WatchPeers();
   void UpdateKeepers();
+  void SyncPlaces();
   void SuspectSilentKeepers();
   void ScheduleFlush();
   void Flush();
@@ -73,7 +78,8 @@
   Hooks hooks_;
   PlaceKeeper keeper_{kReserve};
   std::unique_ptr<UdpSocket> socket_;
-  std::map<BackendId, Peer> keeper_of_;
+  KeeperMap keepers_;
+  std::map<BackendId, Peer> keeper_of_;  // of the backend servers that are used
   // By keeper: the last grant acted on, and when one came or was first due.
   struct FromKeeper {
     std::uint64_t acted = 0;
@@ -85,7 +91,7 @@
   std::set<NodeId> owed_;  // keepers that wait for a report
   std::uint64_t report_number_ = 0;
   bool flush_scheduled_ = false;
-  Timer heartbeat_, presence_, grant_timer_;
+  Timer heartbeat_, watch_timer_, grant_timer_;
 };
 
 }  // namespace figmill
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -66,7 +66,9 @@
         {{"table", table_}, {"version", std::to_string(mirror_.version())}, {"why", why}});
   }
   settled_();
-  Step();
+  const bool follows = std::holds_alternative<mirror::FollowFrom>(mirror_.Next());
+  if (pace_.count() == 0 || !follows) return Step();
+  pause_ = loop_.After(pace_, [this] { Step(); });
 }
 
 }  // namespace figmill
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -33,6 +33,8 @@
   ~TableFollower();
 
   void Start() { Step(); }
+  // Changes that come within this time are asked for together. 0: at once.
+  void SetPace(Duration pace) { pace_ = pace; }
   [[nodiscard]] const TableMirror& mirror() const { return mirror_; }
   void Learn(const TableRow& row) { mirror_.Learn(row); }
   // Whether the last call was answered, and since when that is so.
@@ -49,6 +51,7 @@
   std::string table_;
   TableMirror mirror_;
   std::function<void()> settled_;
+  Duration pace_{0};
   StoreClock* clock_;
   bool connected_ = false;
   Time changed_at_{};
--- a/src/sharing/peer_codec.cc
+++ b/src/sharing/peer_codec.cc
@@ -91,7 +91,7 @@
   PackOptional(packer, message.answer);
   packer.pack_array(static_cast<std::uint32_t>(message.known.size()));
   for (const Peer& peer : message.known) Pack(packer, peer);
-  packer.pack(message.hello);
+  packer.pack(static_cast<int>(message.wants));
   return {buffer.data(), buffer.size()};
 }
 
@@ -191,7 +191,11 @@
   for (std::uint32_t i = 0; i < SizeOf(known); ++i) {
     message.known.push_back(ReadPeer(At(known, i)));
   }
-  message.hello = Get<bool>(object, 6);
+  const int wants = Get<int>(object, 6);
+  if (wants < 0 || wants > static_cast<int>(PeerMessage::Wants::kKnown)) {
+    throw std::invalid_argument("unknown wish");
+  }
+  message.wants = static_cast<PeerMessage::Wants>(wants);
   return message;
 }
 
--- a/src/sharing/peer_table.cc
+++ b/src/sharing/peer_table.cc
@@ -1,40 +1,66 @@
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include "figmill/sharing.h"
 
 namespace figmill {
 
-bool PeerTable::Named(const Peer& peer, Time /*now*/) {
+bool PeerTable::Named(const Peer& peer) {
   if (peer.node == self_.node) return false;
-  const auto [at, fresh] = others_.try_emplace(peer.node, Entry{peer, std::nullopt});
-  if (fresh) return true;
+  const auto [at, fresh] = others_.try_emplace(peer.node, Entry{peer});
   // A later process in the same slot; what was heard of the earlier one is void.
-  if (peer.incarnation <= at->second.peer.incarnation) return false;
-  at->second = Entry{peer, std::nullopt};
-  return true;
+  const bool later = peer.incarnation > at->second.peer.incarnation;
+  if (later) at->second = Entry{peer};
+  at->second.listed = true;
+  if (fresh || later) ++generation_;
+  return fresh || later;
+}
+
+void PeerTable::Unlisted(const NodeId& node) {
+  const auto found = others_.find(node);
+  if (found == others_.end()) return;
+  found->second.listed = false;
+  // What was never heard is known by the list alone.
+  if (!found->second.heard_at) others_.erase(found);
+  ++generation_;
 }
 
 bool PeerTable::Heard(const Peer& peer, Time now) {
   if (peer.node == self_.node) return false;
-  Named(peer, now);
-  Entry& entry = others_[peer.node];
+  const auto [at, fresh] = others_.try_emplace(peer.node, Entry{peer});
+  Entry& entry = at->second;
   if (peer.incarnation < entry.peer.incarnation) return false;  // a late datagram
-  const bool was_live = entry.heard_at && now - *entry.heard_at < kSilence;
+  if (peer.incarnation > entry.peer.incarnation) entry = Entry{peer};
+  const bool first = !entry.heard_at || entry.suspected;
+  if (first || entry.peer != peer) ++generation_;
   entry.peer = peer;
   entry.heard_at = now;
-  return !was_live;
+  entry.asked_at.reset();
+  entry.suspected = false;
+  return first;
 }
 
 void PeerTable::Suspect(const NodeId& node) {
   const auto found = others_.find(node);
-  if (found != others_.end()) found->second.heard_at.reset();
+  if (found == others_.end() || found->second.suspected) return;
+  found->second.suspected = true;
+  ++generation_;
 }
 
 bool PeerTable::IsLive(const NodeId& node, Time now) const {
   if (node == self_.node) return true;
   const auto found = others_.find(node);
-  if (found == others_.end() || !found->second.heard_at) return false;
-  return now - *found->second.heard_at < kSilence;
+  if (found == others_.end() || found->second.suspected) return false;
+  const Entry& entry = found->second;
+  if (entry.listed) return true;
+  return entry.heard_at && now - *entry.heard_at < kSilence;
+}
+
+std::uint64_t PeerTable::Generation(Time now) {
+  const std::size_t live = Live(now).size();
+  if (std::exchange(live_at_generation_, live) != live) ++generation_;
+  return generation_;
 }
 
 const Peer* PeerTable::Find(const NodeId& node) const {
@@ -58,6 +84,28 @@
   return peers;
 }
 
+// Those that come after this one in the shared order.
+PeerTable::Watch PeerTable::WatchOthers(Time now) {
+  Watch watch;
+  std::vector<Entry*> ring;
+  for (auto& [node, entry] : others_) ring.push_back(&entry);
+  const std::size_t count = std::min(kWatched, ring.size());
+  const auto start = others_.lower_bound(self_.node);
+  auto index = static_cast<std::size_t>(std::distance(others_.begin(), start));
+  for (std::size_t i = 0; i < count; ++i, ++index) {
+    Entry& entry = *ring[index % ring.size()];
+    if (entry.heard_at && now - *entry.heard_at < kPresence) continue;
+    if (!entry.asked_at) entry.asked_at = now;
+    watch.to_ask.push_back(entry.peer);
+    const Time since =
+        std::max(entry.heard_at.value_or(*entry.asked_at), *entry.asked_at - kPresence);
+    if (entry.suspected || now - since < kSilence) continue;
+    watch.silent.push_back(entry.peer);
+  }
+  for (const Peer& peer : watch.silent) Suspect(peer.node);
+  return watch;
+}
+
 std::vector<Peer> PeerTable::Capable(Time now) const {
   std::vector<Peer> peers = Live(now);
   std::erase_if(peers, [](const Peer& peer) { return peer.leaving; });
