--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -46,8 +46,7 @@
 }
 
 void CallerDoor::SetLeaving() {
-  leaving_ = true;
-  RelayCall::SetLeaving(true);
+  tools_.leaving = true;
 }
 
 void CallerDoor::OnRequest(HttpRequest request, std::shared_ptr<HttpReply> reply) {
@@ -84,7 +83,7 @@
        {"config", view_ && view_->routes ? std::to_string(view_->routes->version()) : "none"},
        {"why", error.detail}});
   HttpResponse response = RefusalOf(error);
-  response.close = leaving_;
+  response.close = tools_.leaving;
   reply.Send(std::move(response));
 }
 
--- a/src/gateway/caller_door.h
+++ b/src/gateway/caller_door.h
@@ -40,7 +40,6 @@
   RandomBits random_;
   std::shared_ptr<const FleetView> view_;
   std::size_t in_flight_ = 0;
-  bool leaving_ = false;
   bool refusing_ = false;
 };
 
--- a/src/gateway/job_desk.cc
+++ b/src/gateway/job_desk.cc
@@ -178,7 +178,7 @@
 }
 
 void JobDesk::On(const JobItemCall& call, std::shared_ptr<Answer> answer) {
-  jobs_.ReadItems(call.job, [this, call, answer](const Result<std::vector<JobItem>>& items) {
+  jobs_.ReadItems(call.job, [call, answer](const Result<std::vector<JobItem>>& items) {
     if (!IsOk(items)) return answer->Refuse(ErrorOf(items));
     for (const JobItem& item : ValueOf(items)) {
       if (item.id != call.item) continue;
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -293,6 +293,7 @@
     share.near = info.data_centre == peers_.self().data_centre;
   });
   std::vector<std::pair<double, NodeId>> order;
+  order.reserve(shares.size());
   for (const auto& [node, share] : shares) {
     const double free = static_cast<double>(share.free) / share.places;
     order.emplace_back(free + (share.near && share.free > 0 ? kNearShare : 0), node);
@@ -300,6 +301,7 @@
   std::sort(order.begin(), order.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
   std::vector<NodeId> keepers;
+  keepers.reserve(order.size());
   for (auto& [free, node] : order) keepers.push_back(std::move(node));
   return keepers;
 }
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -28,8 +28,6 @@
 
 }  // namespace
 
-bool RelayCall::leaving_ = false;
-
 RelayCall::RelayCall(RelayTools& tools, RelayPlan plan, RelayedRequest request,
                      std::shared_ptr<HttpReply> reply, std::function<void()> finished)
     : tools_(tools),
@@ -152,7 +150,7 @@
   std::erase_if(head.headers, [](const Header& header) { return IsOfOneConnection(header.name); });
   response.headers = std::move(head.headers);
   response.body = std::move(body);
-  response.close = leaving_;
+  response.close = tools_.leaving;
   return response;
 }
 
@@ -178,7 +176,7 @@
 
 void RelayCall::Do(const relay::Refuse& action) {
   HttpResponse response = RefusalOf(action.error);
-  response.close = leaving_;
+  response.close = tools_.leaving;
   status_ = response.status;
   reply_->Send(std::move(response));
   Finished("refused", action.error.detail);
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -24,6 +24,7 @@
   PlaceFinder& finder;
   const WireNames& names;
   GatewayMetrics& metrics;
+  bool leaving = false;  // answers from now on end their connections
 };
 
 // One request as its caller sent it.
@@ -46,8 +47,6 @@
             std::shared_ptr<HttpReply> reply, std::function<void()> finished);
 
   void Start();
-  // Answers from now on end their connections.
-  static void SetLeaving(bool leaving) { leaving_ = leaving; }
 
  private:
   void Step(const relay::Event& event);
@@ -67,8 +66,6 @@
   [[nodiscard]] HttpResponse ResponseOf(HttpHead head, std::string body) const;
   void ArmTimer();
 
-  static bool leaving_;
-
   RelayTools& tools_;
   RelayRun run_;
   RelayedRequest request_;
--- a/src/ledger/rows.cc
+++ b/src/ledger/rows.cc
@@ -120,6 +120,7 @@
 
 std::vector<std::string> Parts() {
   std::vector<std::string> parts;
+  parts.reserve(kParts);
   for (int i = 0; i < kParts; ++i) parts.push_back("j" + std::to_string(i));
   return parts;
 }
--- a/src/observe/metrics.cc
+++ b/src/observe/metrics.cc
@@ -191,7 +191,7 @@
   for (int i = -1; i < ranges; ++i) {
     counts.count += static_cast<std::uint64_t>(static_cast<double>(core_->counts.at(i)));
     if (i + 1 < ranges) {
-      counts.buckets.push_back({core_->bounds[static_cast<std::size_t>(i + 1)], counts.count});
+      counts.buckets.push_back({core_->bounds[static_cast<std::size_t>(i) + 1], counts.count});
     }
   }
   return counts;
--- a/test/ledger-rows-test.cc
+++ b/test/ledger-rows-test.cc
@@ -18,6 +18,7 @@
 
 std::vector<TableRow> RowsOf(const std::vector<TablePut>& puts) {
   std::vector<TableRow> rows;
+  rows.reserve(puts.size());
   for (const TablePut& put : puts) rows.push_back({put.at, put.value, 1, false});
   return rows;
 }
@@ -62,6 +63,7 @@
   JobHead head;
   head.id = JobId{"job-1"};
   std::vector<JobItem> items;
+  items.reserve(40);
   for (int i = 0; i < 40; ++i) {
     items.push_back({"i" + std::to_string(i), "/p/", {{"Model", "m"}}, RandomBytes(30'000), 7});
   }
--- a/test/place-sim.h
+++ b/test/place-sim.h
@@ -195,11 +195,13 @@
       places += info.places;
     });
     std::vector<std::pair<double, int>> order;
+    order.reserve(shares.size());
     for (const auto& [keeper, share] : shares) {
       order.emplace_back(-static_cast<double>(share.first) / share.second, keeper);
     }
     std::sort(order.begin(), order.end());
     std::vector<NodeId> nodes;
+    nodes.reserve(order.size());
     for (const auto& [free, keeper] : order) nodes.push_back(entries_[keeper]->peer.node);
     return nodes;
   }
--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -341,10 +341,12 @@
   constexpr int kEntries = 80;
   constexpr int kBackends = 800;
   std::vector<Peer> peers;
+  peers.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i) {
     peers.push_back(PeerNamed("e" + std::to_string(100 + i), "dc" + std::to_string(i % 4)));
   }
   std::vector<BackendInfo> backends;
+  backends.reserve(kBackends);
   for (int i = 0; i < kBackends; ++i) {
     backends.push_back({BackendId{"b" + std::to_string(i)}, kLlm, Address{"10.0.0.1", 1},
                         DataCentre{"dc" + std::to_string(i % 4)}, 8, BackendState::kReady});
