Close the connection of an answer that breaks off after its head

A resumable stream that broke on its second engine was logged as broken off after 51 ms while its caller waited 6 s: RESTinio's request gives its connection to the first builder, so HttpReply::Abort found none. And '--seeds=' without a value took the next flag for its value, so a host to which no other is named did not start. Ruled out: the stand-in (it aborts its side), the relay (its log is right), load (3 of 3 alone).

Change: a reply keeps its connection; an empty list of seeds is allowed; a fleet whose gateway never gets ready ends its processes.

--- a/src/figmilld/settings.cc
+++ b/src/figmilld/settings.cc
@@ -215,9 +215,11 @@
              Port::kFixed)
       ->group(group);
   const Setting seeds{"--seeds", "FIGMILL_SEEDS", "peer addresses of some gateways, may be stale"};
-  Add(app, seeds, "IP:PORT,...", [&gateway, seeds](const std::string& text) {
-    gateway.seeds = ReadAddresses(seeds, text);
-  })->group(group);
+  Add(app, seeds, "IP:PORT,...",
+      [&gateway, seeds](const std::string& text) { gateway.seeds = ReadAddresses(seeds, text); })
+      ->group(group)
+      // Filled in from a list that may be empty: `--seeds=` would take the next flag for its value.
+      ->expected(0, 1);
   AddMilliseconds(app,
                   {"--shutdown-grace-ms", "FIGMILL_SHUTDOWN_GRACE_MS",
                    "from the order to stop until the process is killed"},
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -30,6 +30,7 @@
   void Know(restinio::connection_id_t id, const restinio::impl::connection_handle_t& connection) {
     connections_.emplace(id, connection);
   }
+  void Close(restinio::impl::connection_base_t& connection);
   void CloseIdle();
 
  private:
@@ -56,7 +57,9 @@
 class Reply final : public HttpReply, public std::enable_shared_from_this<Reply> {
  public:
   Reply(restinio::request_handle_t request, std::shared_ptr<ConnectionListener> listener)
-      : request_(std::move(request)), listener_(std::move(listener)) {}
+      : request_(std::move(request)),
+        connection_(restinio::impl::access_req_connection(*request_)),
+        listener_(std::move(listener)) {}
 
   void Send(HttpResponse response) override {
     if (finished_) return;
@@ -98,8 +101,7 @@
   void Abort() override {
     if (finished_) return;
     Finish();
-    const auto& connection = restinio::impl::access_req_connection(*request_);
-    if (connection) CloseNow(*connection);
+    if (const auto connection = connection_.lock()) listener_->Close(*connection);
   }
 
   [[nodiscard]] std::size_t unsent() const override { return unsent_; }
@@ -143,6 +145,9 @@
   }
 
   restinio::request_handle_t request_;
+  // Of its own: the request gives its connection away to the first builder, and an
+  // answer that breaks off after its head would find none to close.
+  std::weak_ptr<restinio::impl::connection_base_t> connection_;
   std::shared_ptr<ConnectionListener> listener_;
   std::unique_ptr<Builder> builder_;
   std::function<void()> on_closed_;
@@ -172,16 +177,18 @@
   }
 }
 
+void ConnectionListener::Close(restinio::impl::connection_base_t& connection) {
+  connections_.erase(connection.connection_id());
+  CloseNow(connection);
+}
+
 void ConnectionListener::CloseIdle() {
   std::vector<std::shared_ptr<restinio::impl::connection_base_t>> idle;
   for (const auto& [id, connection] : connections_) {
     if (replies_.contains(id)) continue;
     if (auto open = connection.lock()) idle.push_back(std::move(open));
   }
-  for (const auto& connection : idle) {
-    connections_.erase(connection->connection_id());
-    CloseNow(*connection);
-  }
+  for (const auto& connection : idle) Close(*connection);
 }
 
 HttpRequest Converted(const restinio::request_handle_t& request) {
--- a/test/gateways.py
+++ b/test/gateways.py
@@ -127,8 +127,12 @@
         return gateway
 
     def __enter__(self):
-        for gateway in self.gateways:
-            wait_for(f"{gateway.name} is ready", gateway.ready)
+        try:
+            for gateway in self.gateways:
+                wait_for(f"{gateway.name} is ready", gateway.ready)
+        except AssertionError:
+            self.__exit__(AssertionError)
+            raise
         # Keepers grant nothing before they have settled.
         time.sleep(1)
         return self
--- a/test/runtime-http-test.cc
+++ b/test/runtime-http-test.cc
@@ -242,3 +242,28 @@
   CHECK(back.retry_after == Duration{1'500'000});
   CHECK(ErrorFromProblem(500, "<html>").ran == Ran::kUnknown);
 }
+
+// Symptom: a caller waits until its own deadline for the rest of a stream whose entry
+// logged seconds before that it had broken it off.
+// Sequence: the head and some bytes are out, then the reply is aborted.
+// Cause: the builder of a chunked answer takes the connection out of the request, so
+// that the abort found none to close.
+TEST_CASE("an answer that is broken off midway closes its connection at once") {
+  Pair pair([](const HttpRequest& /*request*/, const std::shared_ptr<HttpReply>& reply) {
+    reply->Begin({200, "text/event-stream", {}, ""});
+    reply->Write("data: 1\n\n");
+    reply->Abort();
+  });
+  std::optional<HttpFailure> failure;
+  const Time begun = Loop::Now();
+  const CancelCall cancel = pair.client.Start(CallTo(pair.server->address()), [&](HttpEvent event) {
+    CHECK_FALSE(std::holds_alternative<HttpEnd>(event));
+    if (const auto* failed = std::get_if<HttpFailure>(&event)) {
+      failure = *failed;
+      pair.loop.Stop();
+    }
+  });
+  pair.loop.Run();
+  REQUIRE(failure);
+  CHECK(Loop::Now() - begun < std::chrono::seconds(1));
+}
