Judge backend servers by faults and silence, give hopeless items up, cut no last bytes

Two faults found by reading: an item whose route was removed, or whose life was over, stayed open for ever; three failures in a row was the only sign of a sick backend server, which one that fails two in five seldom shows to one entry of forty, and a job of items that fail everywhere emptied the service.

Change: a connection is idle once its answer is written out, and a leaving process waits for that. Items are given up at the end of their life, or when a configuration later than the one that accepted them has no route. Ends are counted as a share of faults, by each entry and by the keeper over all entries (never half of a service); a backend server with open sends and no byte is left out; what may be repeated goes on elsewhere after a silence, unless this host itself stood still.

Ruled out: the relay (its log says whole), the engine (its run ended well).

--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -32,6 +32,37 @@
   bool operator==(const BackendInfo&) const = default;
 };
 
+// --- Health ------------------------------------------------------------------------
+
+// Judges a backend server by how its work ends. Its own health answer is no help:
+// one that fails part of its requests may answer it well.
+class FaultRate {
+ public:
+  // Weight of the newest end.
+  static constexpr double kNewest = 0.2;
+  // Left out above this: three faults in a row, or most of the last few ends. Answers
+  // that are lost now and then (one in twenty) come to a third of it by chance.
+  static constexpr double kTooHigh = 0.45;
+  // After it was left out: one more fault leaves it out again.
+  static constexpr double kProbation = 0.35;
+  // Below this it is sound, and a later ejection is short again.
+  static constexpr double kSound = 0.1;
+  static constexpr Duration kFirstEjection{500'000};
+  static constexpr Duration kLongestEjection{8'000'000};
+
+  void Count(bool fault, Time now);
+  [[nodiscard]] bool IsEjected(Time now) const { return now < ejected_until_; }
+
+ private:
+  double rate_ = 0;
+  int ejections_ = 0;
+  Time ejected_until_{};
+};
+
+// Whether an end says that the backend server is at fault. A batch item that fails may
+// be one that fails everywhere.
+[[nodiscard]] bool IsFault(WorkClass work, relay::SendEnd end);
+
 // --- PlaceBook -------------------------------------------------------------------
 
 // How much of a backend server is taken, as far as this entry knows.
@@ -42,6 +73,10 @@
   int batch_other = 0;
   int batch_allowed = 0;  // batch items that this entry may have there
   Duration usual_run{0};  // of this entry's online requests there; 0: none has ended
+  // Ends of this entry's sends there since its start; those without a verdict, as when
+  // the caller left, are in neither.
+  std::uint64_t answers = 0;
+  std::uint64_t faults = 0;
 };
 
 struct PlaceQuery {
@@ -59,10 +94,12 @@
   // is 90 ms in the mean, so that a second one still makes a first event in
   // 300 ms, and a third doesn't.
   static constexpr int kMaxWaiting = 2;
-  // Failures in a row until a backend server is left out.
-  static constexpr int kFailuresToEject = 3;
-  static constexpr Duration kFirstEjection{500'000};
-  static constexpr Duration kLongestEjection{8'000'000};
+  // A backend server with open sends that gives no sign of life for this long, and
+  // four times its usual pause, looks dead: requests to one that is gone dark would
+  // wait for their deadlines. Engines give an event each 10 to 40 ms, and a request
+  // waits some 200 ms for its place.
+  static constexpr Duration kSilence{400'000};
+  static constexpr int kSilentPauses = 4;
   // After "not run" the backend server is full or leaving; the next request goes
   // elsewhere for about as long as a place needs to fall free.
   static constexpr Duration kRejectedPause{100'000};
@@ -92,12 +129,16 @@
   // Errors: kNoBackend (none is left to try), kOverloaded (all are full); ran no.
   [[nodiscard]] Result<BackendAddress> Choose(const PlaceQuery& query, Time now);
 
-  void Began(const BackendId& id, WorkClass work);
+  void Began(const BackendId& id, WorkClass work, Time now);
+  // Any byte of an answer came from it.
+  void Heard(const BackendId& id, Time now);
   // `took`: from its send to its end.
   void Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Duration took, Time now);
   // What the backend server's keeper says: what other entries have there, and how
   // many batch items this one may have.
-  void SetGrant(const BackendId& id, int online_other, int batch_other, int batch_allowed);
+  // `ejected`: left out for what others have seen of it.
+  void SetGrant(const BackendId& id, int online_other, int batch_other, int batch_allowed,
+                bool ejected);
   // Nobody knows what others have there: no batch item begins there.
   void DropGrant(const BackendId& id);
   // Called after each change of this entry's own use.
@@ -105,7 +146,7 @@
   // Calls `visit` for each backend server.
   void ForEach(
       const std::function<void(const BackendInfo& info, const PlaceUse& use)>& visit) const;
-  // Ready, and not left out for its failures.
+  // Ready, and left out neither for its failures nor for its silence.
   [[nodiscard]] bool IsUsable(const BackendId& id, Time now) const;
   [[nodiscard]] PlaceUse Use(const BackendId& id) const;
   [[nodiscard]] std::size_t size() const { return backends_.size(); }
@@ -114,15 +155,20 @@
   struct Backend {
     BackendInfo info;
     PlaceUse use;
-    int failures = 0;
-    int ejections = 0;
-    Time ejected_until{};
+    FaultRate fault_rate;
+    bool ejected_by_keeper = false;
     Time rejecting_until{};
+    Time sign_at{};           // last byte, or the first send since there was none open
+    Duration usual_pause{0};  // between signs of life
+
+    [[nodiscard]] int open() const { return use.online + use.batch; }
+    [[nodiscard]] bool LooksDead(Time now) const;
+    [[nodiscard]] bool IsSound(Time now) const;
   };
   [[nodiscard]] double Cost(const Backend& backend) const;
   [[nodiscard]] const Backend& Draw(std::vector<const Backend*>& open);
   [[nodiscard]] std::vector<const Backend*> Usable(const PlaceQuery& query, Time now) const;
-  static void Judge(Backend& backend, relay::SendEnd end, Time now);
+  static void Judge(Backend& backend, WorkClass work, relay::SendEnd end, Time now);
 
   DataCentre here_;
   RandomBits random_;
--- a/include/figmill/ledger.h
+++ b/include/figmill/ledger.h
@@ -57,9 +57,10 @@
   Incarnation owner_incarnation = 0;
   bool ended = false;  // by its sender
   StoreTime submitted{0};
-  StoreTime due{0};          // all results
-  StoreTime expires{0};      // items may be given up after this
-  std::uint64_t digest = 0;  // of the submission: the same id with other items is refused
+  StoreTime due{0};                  // all results
+  StoreTime expires{0};              // items may be given up after this
+  std::uint64_t digest = 0;          // of the submission: the same id with other items is refused
+  std::uint64_t config_version = 0;  // in force when it was accepted
   // Marks the write, so that one whose answer was lost is known again.
   Token token;
 
@@ -156,6 +157,14 @@
   std::uint32_t next_piece_ = 0;
 };
 
+// Why the open items of a job will not be run any more; nothing while they may be.
+// An item without a route is given up only by a configuration later than the one
+// that accepted the job: an owner that lags behind may not have heard of the route
+// yet, and what is listed as dead stays dead.
+[[nodiscard]] std::optional<std::string_view> WhyGivenUp(const JobHead& head, bool has_route,
+                                                         std::uint64_t config_version,
+                                                         StoreTime now);
+
 // --- Owner ------------------------------------------------------------------------
 
 // A job as its owner keeps it: which items are listed, which results wait to be
@@ -238,6 +247,7 @@
 
   void Add(Entry entry) { entries_.push_back(std::move(entry)); }
   void RemoveJob(const JobId& job);
+  void RemoveItem(const JobId& job, std::size_t item);
   // Takes out the next one that may start now and fits.
   [[nodiscard]] std::optional<Entry> Take(StoreTime now,
                                           const std::function<bool(const Entry&)>& fits);
--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -180,6 +180,9 @@
   // Backend servers that may say "not run" before the caller is told so: each
   // costs a round trip, and by then the service as a whole is full.
   static constexpr std::size_t kMaxRejections = 3;
+  // A timer that fires this late says that this host stood still: what the backend
+  // server sent meanwhile has not been read yet, and it is not silent.
+  static constexpr Duration kOverslept{100'000};
 
   explicit RelayRun(RelayPlan plan) : plan_(std::move(plan)) {}
 
@@ -227,6 +230,7 @@
   std::string held_;
   EventPieces pieces_;
   Time heard_at_{};
+  Time timer_at_{};
 };
 
 }  // namespace figmill
--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -137,6 +137,8 @@
   // Closes the connections that had a request and have none now. A caller whose
   // next request crosses that sees that it was not read.
   virtual void CloseIdle() = 0;
+  // Requests whose answers have not been written out yet.
+  [[nodiscard]] virtual std::size_t open_replies() const = 0;
 };
 
 // application/problem+json with kind, detail, ran, and Retry-After.
--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -16,6 +16,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -190,6 +191,9 @@
     int online = 0;
     int batch = 0;
     Duration usual_run{0};  // of its online requests there; 0: none has ended
+    // How its sends there have ended since the entry's start.
+    std::uint64_t answers = 0;
+    std::uint64_t faults = 0;
   };
   std::uint64_t number = 0;  // rises with each report of this incarnation
   std::uint64_t grant = 0;   // the last grant that this entry has acted on
@@ -205,7 +209,8 @@
     BackendId backend;
     int online_other = 0;  // used by all entries but the receiver
     int batch_other = 0;
-    int allowed = 0;  // batch items that the receiver may have running there
+    int allowed = 0;       // batch items that the receiver may have running there
+    bool ejected = false;  // left out for its faults, which one entry alone sees too few of
   };
   std::uint64_t number = 0;
   std::vector<Line> lines;
@@ -304,6 +309,17 @@
   // What has to be sent now; call it after each event and each Tick.
   [[nodiscard]] std::vector<Outgoing> Due(Time now);
 
+  // A backend server was left out for all entries, or taken back.
+  struct Ejection {
+    BackendId backend;
+    ServiceName service;
+    bool ejected = false;
+    int sick = 0;  // of the service's backend servers that this entry keeps
+    int kept = 0;
+  };
+  // Those since the last call.
+  [[nodiscard]] std::vector<Ejection> TakeEjections() { return std::exchange(ejections_, {}); }
+
   // Batch items that an entry may have running there, as granted last.
   [[nodiscard]] int Allowed(const BackendId& backend, const NodeId& entry) const;
   // Until a request that is queued now would get a place.
@@ -314,6 +330,8 @@
     int online = 0;
     int batch = 0;
     int allowed = 0;
+    std::uint64_t answers = 0;
+    std::uint64_t faults = 0;
   };
   struct Reservation {
     NodeId entry;
@@ -325,6 +343,8 @@
     Time since{};
     std::map<NodeId, Share> shares;
     std::vector<Reservation> reserved;
+    FaultRate fault_rate;
+    bool ejected = false;
   };
   struct EntryState {
     Incarnation incarnation = 0;
@@ -348,6 +368,9 @@
   void ExpireReservations(Time now);
   void Answer(const NodeId& to, PlaceAnswer answer);
   void CountStarted(int started, Time now);
+  static void CountEnds(Kept& kept, Share& share, const PlaceReport::Line& line, Time now);
+  // Leaves out and takes back in, for all entries at once.
+  void UpdateEjections(Time now);
   void LearnRun(const ServiceName& service, Duration usual);
   // Places of the service that nobody uses, beyond what is left to online.
   [[nodiscard]] int SpareFor(const ServiceName& service) const;
@@ -359,6 +382,7 @@
   std::map<NodeId, EntryState> entries_;
   AskQueue queue_;
   std::vector<Outgoing> answers_;
+  std::vector<Ejection> ejections_;
   std::map<ServiceName, Duration> usual_run_;
   // Online runs that began: as fast places fall free in the long run.
   double started_per_s_ = 0;
--- /dev/null
+++ b/src/fleet/fault_rate.cc
@@ -0,0 +1,35 @@
+#include <algorithm>
+
+#include "figmill/fleet.h"
+
+namespace figmill {
+
+void FaultRate::Count(bool fault, Time now) {
+  // What ends meanwhile was sent before: it says nothing new.
+  if (IsEjected(now)) return;
+  rate_ += ((fault ? 1.0 : 0.0) - rate_) * kNewest;
+  if (rate_ < kSound) ejections_ = 0;
+  if (rate_ < kTooHigh) return;
+  const Duration length = kFirstEjection * (1 << std::min(ejections_, 4));
+  ejected_until_ = now + std::min<Duration>(length, kLongestEjection);
+  ++ejections_;
+  rate_ = kProbation;
+}
+
+bool IsFault(WorkClass work, relay::SendEnd end) {
+  switch (end) {
+    case relay::SendEnd::kFailed:
+      return work == WorkClass::kOnline;
+    case relay::SendEnd::kUnreachable:
+    case relay::SendEnd::kBroken:
+    case relay::SendEnd::kSilent:
+      return true;
+    case relay::SendEnd::kAnswered:
+    case relay::SendEnd::kRejected:
+    case relay::SendEnd::kAbandoned:
+      return false;
+  }
+  return false;
+}
+
+}  // namespace figmill
--- a/src/fleet/place_book.cc
+++ b/src/fleet/place_book.cc
@@ -9,19 +9,23 @@
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
-// The last so many runs make up most of what is usual.
+// The last so many runs, or pauses, make up most of what is usual.
 constexpr int kRunsForUsual = 8;
+constexpr int kPausesForUsual = 16;
 
 int OnlineOf(const PlaceUse& use) {
   return use.online + use.online_other;
 }
 
-bool IsFault(relay::SendEnd end) {
-  return end == relay::SendEnd::kFailed || end == relay::SendEnd::kUnreachable ||
-         end == relay::SendEnd::kBroken || end == relay::SendEnd::kSilent;
+}  // namespace
+
+bool PlaceBook::Backend::LooksDead(Time now) const {
+  return open() > 0 && now - sign_at > kSilence + usual_pause * kSilentPauses;
 }
 
-}  // namespace
+bool PlaceBook::Backend::IsSound(Time now) const {
+  return !ejected_by_keeper && !fault_rate.IsEjected(now) && !LooksDead(now);
+}
 
 void PlaceBook::Learn(const BackendInfo& info) {
   backends_[info.id].info = info;
@@ -72,9 +76,13 @@
   std::vector<const Backend*> usable;
   for (const auto& [id, backend] : backends_) {
     if (backend.info.service != query.service || Contains(query.tried, id)) continue;
-    if (backend.info.state != BackendState::kReady || now < backend.ejected_until) continue;
-    usable.push_back(&backend);
+    if (backend.info.state == BackendState::kReady) usable.push_back(&backend);
   }
+  // When half of them or more look sick, the fault may lie on this side, and those
+  // that are left could not carry the load: then all are used.
+  const auto sound = [now](const Backend* each) { return each->IsSound(now); };
+  const auto end = std::stable_partition(usable.begin(), usable.end(), sound);
+  if (2 * (end - usable.begin()) > usable.end() - usable.begin()) usable.erase(end, usable.end());
   return usable;
 }
 
@@ -103,14 +111,23 @@
   return BackendAddress{best.info.id, best.info.address};
 }
 
-void PlaceBook::Began(const BackendId& id, WorkClass work) {
+void PlaceBook::Began(const BackendId& id, WorkClass work, Time now) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
-  PlaceUse& use = found->second.use;
-  ++(work == WorkClass::kOnline ? use.online : use.batch);
+  Backend& backend = found->second;
+  if (backend.open() == 0) backend.sign_at = now;
+  ++(work == WorkClass::kOnline ? backend.use.online : backend.use.batch);
   on_use_(id);
 }
 
+void PlaceBook::Heard(const BackendId& id, Time now) {
+  const auto found = backends_.find(id);
+  if (found == backends_.end()) return;
+  Backend& backend = found->second;
+  backend.usual_pause += (now - backend.sign_at - backend.usual_pause) / kPausesForUsual;
+  backend.sign_at = now;
+}
+
 void PlaceBook::Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Duration took,
                       Time now) {
   const auto found = backends_.find(id);
@@ -122,30 +139,26 @@
     Duration& usual = backend.use.usual_run;
     usual = usual.count() == 0 ? took : usual + (took - usual) / kRunsForUsual;
   }
-  Judge(backend, end, now);
+  Judge(backend, work, end, now);
   on_use_(id);
 }
 
-void PlaceBook::Judge(Backend& backend, relay::SendEnd end, Time now) {
-  if (end == relay::SendEnd::kAnswered) {
-    backend.failures = 0;
-    backend.ejections = 0;
-  }
+void PlaceBook::Judge(Backend& backend, WorkClass work, relay::SendEnd end, Time now) {
   if (end == relay::SendEnd::kRejected) backend.rejecting_until = now + kRejectedPause;
-  if (!IsFault(end) || ++backend.failures < kFailuresToEject) return;
-  const Duration length = kFirstEjection * (1 << std::min(backend.ejections, 4));
-  backend.ejected_until = now + std::min<Duration>(length, kLongestEjection);
-  ++backend.ejections;
-  backend.failures = kFailuresToEject - 1;  // one more failure ejects again
+  const bool fault = IsFault(work, end);
+  if (!fault && end != relay::SendEnd::kAnswered) return;
+  ++(fault ? backend.use.faults : backend.use.answers);
+  backend.fault_rate.Count(fault, now);
 }
 
-void PlaceBook::SetGrant(const BackendId& id, int online_other, int batch_other,
-                         int batch_allowed) {
+void PlaceBook::SetGrant(const BackendId& id, int online_other, int batch_other, int batch_allowed,
+                         bool ejected) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
   found->second.use.online_other = online_other;
   found->second.use.batch_other = batch_other;
   found->second.use.batch_allowed = batch_allowed;
+  found->second.ejected_by_keeper = ejected;
 }
 
 void PlaceBook::DropGrant(const BackendId& id) {
@@ -153,6 +166,7 @@
   if (found == backends_.end()) return;
   PlaceUse& use = found->second.use;
   use.batch_allowed = std::min(use.batch_allowed, use.batch);
+  found->second.ejected_by_keeper = false;
 }
 
 void PlaceBook::ForEach(
@@ -164,7 +178,7 @@
   const auto found = backends_.find(id);
   if (found == backends_.end()) return false;
   const Backend& backend = found->second;
-  return backend.info.state == BackendState::kReady && now >= backend.ejected_until &&
+  return backend.info.state == BackendState::kReady && backend.IsSound(now) &&
          now >= backend.rejecting_until;
 }
 
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -28,6 +28,11 @@
   keep_timer_ = tools_.loop.Every(kKeepPeriod, [this] { KeepProgress(); });
 }
 
+void BatchRunner::SetRoutes(std::shared_ptr<const RouteTable> routes) {
+  routes_ = std::move(routes);
+  check_routes_ = true;
+}
+
 int BatchRunner::wanted() const {
   return static_cast<int>(backlog_.Startable(clock_.Now()));
 }
@@ -40,6 +45,7 @@
   for (std::size_t i = 0; i < job.items().size(); ++i) {
     if (job.IsOpen(i)) Queue({job.head().id, i}, Duration{0});
   }
+  check_routes_ = true;
   wanted_changed_();
   Pump();
 }
@@ -195,7 +201,7 @@
   run.number = ++next_number_;
   run.started_at = run.heard_at = Loop::Now();
   run.due = due;
-  tools_.places.Began(backend.id, WorkClass::kBatch);
+  tools_.places.Began(backend.id, WorkClass::kBatch, run.started_at);
   run.cancel = tools_.client.Start(
       std::move(call),
       [this, key, number = run.number](HttpEvent event) { OnHttp(key, number, std::move(event)); });
@@ -206,6 +212,9 @@
   if (found == runs_.end() || found->second.number != number) return;
   Run& run = found->second;
   run.heard_at = Loop::Now();
+  if (!std::holds_alternative<HttpFailure>(event)) {
+    tools_.places.Heard(run.backend.id, run.heard_at);
+  }
   std::visit(Overloaded{
                  [&](const HttpHead& head) { OnHead(key, head); },
                  [&](const HttpBytes& bytes) {
@@ -314,6 +323,32 @@
 }
 
 void BatchRunner::Sweep() {
+  StopSilent();
+  GiveUpHopeless();
+  Pump();
+}
+
+void BatchRunner::GiveUpHopeless() {
+  const bool check_routes = std::exchange(check_routes_, false) && routes_;
+  std::vector<std::pair<ItemKey, std::string_view>> hopeless;
+  for (const auto& [key, progress] : progress_) {
+    const OwnedJob* job = jobs_.Owned(key.job);
+    if (job == nullptr) continue;
+    const JobHead& head = job->head();
+    const bool has_route =
+        !check_routes || routes_->Find(head.host, job->items()[key.item].target) != nullptr;
+    const std::uint64_t version = routes_ ? routes_->version() : 0;
+    const auto why = WhyGivenUp(head, has_route, version, clock_.Now());
+    if (why) hopeless.emplace_back(key, *why);
+  }
+  for (const auto& [key, why] : hopeless) {
+    backlog_.RemoveItem(key.job, key.item);
+    EndRun(key, relay::SendEnd::kAbandoned);
+    Finish(key, ResultState::kDead, why);
+  }
+}
+
+void BatchRunner::StopSilent() {
   const Time now = Loop::Now();
   std::vector<ItemKey> silent;
   for (const auto& [key, run] : runs_) {
@@ -323,7 +358,6 @@
   for (const ItemKey& key : silent) {
     Requeue(key, relay::SendEnd::kSilent, "no bytes in time", Duration{0});
   }
-  Pump();
 }
 
 }  // namespace figmill
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -35,7 +35,7 @@
   BatchRunner(RelayTools& tools, JobStore& jobs, StoreClock& clock,
               std::function<void()> wanted_changed);
 
-  void SetRoutes(std::shared_ptr<const RouteTable> routes) { routes_ = std::move(routes); }
+  void SetRoutes(std::shared_ptr<const RouteTable> routes);
   void OnOwned(OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress);
   // Stops what runs of the job and keeps what has been done.
   void OnHandedOver(OwnedJob& job);
@@ -84,6 +84,10 @@
   void EndRun(const ItemKey& key, relay::SendEnd end);
   void Finish(const ItemKey& key, ResultState state, std::string_view why);
   void Sweep();
+  void StopSilent();
+  // Lists items as dead that can't be done any more. Without this a job whose route
+  // was removed stays open for ever, and its caller waits for it.
+  void GiveUpHopeless();
   void KeepProgress();
   void KeepProgressOf(OwnedJob& job);
   [[nodiscard]] Duration WorkLeft(const Progress& progress) const;
@@ -97,6 +101,7 @@
   std::map<ItemKey, Progress> progress_;
   std::map<ItemKey, Run> runs_;
   std::uint64_t next_number_ = 0;
+  bool check_routes_ = false;  // of open items: the configuration or the jobs have changed
   Duration usual_run_ = kUsualRun;
   double usual_events_ = 0;
   Timer sweep_timer_, keep_timer_;
--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -13,6 +13,11 @@
 // A process that starts hears of the configuration within about this.
 constexpr Duration kFirstConfiguration{500'000};
 
+// A request that may be repeated is tried elsewhere after a silence of so many times the
+// time in which its first answer is due. Most first events come in a tenth of that time.
+constexpr int kSilentGoals = 3;
+// The same within a stream, in pauses that are still in time.
+constexpr int kSilentGaps = 2;
 // A caller that leaves less than this part of the route's time has waited before.
 constexpr double kSecondTry = 0.9;
 
@@ -68,7 +73,7 @@
     return Refuse(request, *reply, {ErrorKind::kNotFound, "no route for this host and path"});
   }
   if (route->kind == RouteKind::kBatch) {
-    return jobs_.Submit(*route, std::move(request), std::move(reply));
+    return jobs_.Submit(*route, view_->routes->version(), std::move(request), std::move(reply));
   }
   Relay(*route, std::move(request), std::move(reply));
 }
@@ -99,6 +104,8 @@
     patience = std::min(patience, *deadline);
   }
   plan.limit = Loop::Now() + patience;
+  plan.first_byte_patience = route.goal * kSilentGoals;
+  plan.next_byte_patience = route.event_gap * kSilentGaps;
   const std::string_view after = request.HeaderOr(tools_.names.last_event_id);
   if (!after.empty()) plan.after_event = std::string(after);
   return plan;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -239,7 +239,8 @@
 
   void StopWhenIdle() {
     callers_->CloseIdle();
-    if (door_.in_flight() == 0 && desk_.in_flight() == 0 && jobs_left_) return loop_.Stop();
+    const bool idle = door_.in_flight() == 0 && desk_.in_flight() == 0;
+    if (idle && callers_->open_replies() == 0 && jobs_left_) return loop_.Stop();
     idle_timer_ = loop_.After(kIdleCheck, [this] { StopWhenIdle(); });
   }
 
--- a/src/gateway/job_desk.cc
+++ b/src/gateway/job_desk.cc
@@ -65,7 +65,8 @@
   leaving_ = true;
 }
 
-void JobDesk::Submit(const Route& route, HttpRequest request, std::shared_ptr<HttpReply> reply) {
+void JobDesk::Submit(const Route& route, std::uint64_t config_version, HttpRequest request,
+                     std::shared_ptr<HttpReply> reply) {
   Result<JobSubmission> submission = adapter_.ParseSubmission(request);
   const std::string id(request.HeaderOr(adapter_.names().request_id));
   auto answer = std::make_shared<Answer>(*this, "submit", id, std::move(reply));
@@ -84,6 +85,7 @@
   head.due = head.submitted + route.job_due;
   head.expires = head.submitted + route.job_life;
   head.digest = ledger::DigestOf(job);
+  head.config_version = config_version;
   jobs_.Accept(std::move(head), std::move(job), [this, answer](const Result<Ok>& accepted) {
     if (!IsOk(accepted)) return answer->Refuse(ErrorOf(accepted));
     answer->Send({kAccepted, "application/json", {}, adapter_.RenderAccepted()});
--- a/src/gateway/job_desk.h
+++ b/src/gateway/job_desk.h
@@ -17,7 +17,9 @@
  public:
   JobDesk(Loop& loop, JobStore& jobs, StoreClock& clock, const PlatformAdapter& adapter);
 
-  void Submit(const Route& route, HttpRequest request, std::shared_ptr<HttpReply> reply);
+  // `config_version`: of the configuration that `route` is from.
+  void Submit(const Route& route, std::uint64_t config_version, HttpRequest request,
+              std::shared_ptr<HttpReply> reply);
   void Call(const JobCall& call, std::shared_ptr<HttpReply> reply);
   // The job has new results, or has ended.
   void OnChanged(const JobHead& head);
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -26,6 +26,7 @@
   watch_timer_ = loop_.Every(PeerTable::kPresence / 2, [this] { WatchPeers(); });
   grant_timer_ = loop_.Every(PlaceKeeper::kCoalesce, [this] {
     keeper_.Tick(Loop::Now());
+    LogEjections();
     SendGrants();
   });
   return Ok{};
@@ -105,7 +106,7 @@
     const auto mine = keeper_of_.find(line.backend);
     if (mine == keeper_of_.end() || mine->second.node != from.node) continue;
     changed |= places_.Use(line.backend).batch_allowed != line.allowed;
-    places_.SetGrant(line.backend, line.online_other, line.batch_other, line.allowed);
+    places_.SetGrant(line.backend, line.online_other, line.batch_other, line.allowed, line.ejected);
   }
   if (!changed) return;
   owed_.insert(from.node);
@@ -185,7 +186,7 @@
 
 PlaceReport::Line PeerLink::LineOf(const BackendId& backend) const {
   const PlaceUse use = places_.Use(backend);
-  return {backend, use.online, use.batch, use.usual_run};
+  return {backend, use.online, use.batch, use.usual_run, use.answers, use.faults};
 }
 
 void PeerLink::Touch(const BackendId& backend) {
@@ -254,6 +255,16 @@
   }
 }
 
+void PeerLink::LogEjections() {
+  for (const PlaceKeeper::Ejection& each : keeper_.TakeEjections()) {
+    Log(LogLevel::kWarning, each.ejected ? "backend_ejected" : "backend_readmitted",
+        {{"backend", each.backend.value},
+         {"service", each.service.value},
+         {"sick", std::to_string(each.sick)},
+         {"kept", std::to_string(each.kept)}});
+  }
+}
+
 // --- Asks -------------------------------------------------------------------------
 
 void PeerLink::Ask(const NodeId& keeper, const PlaceAsk& ask) {
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -68,6 +68,7 @@
   void Flush();
   void SendReport(const Peer& keeper, std::vector<PlaceReport::Line> lines);
   void SendGrants();
+  void LogEjections();
   void Send(const Peer& to, PeerMessage message);
   [[nodiscard]] PlaceReport::Line LineOf(const BackendId& backend) const;
 
--- a/src/gateway/place_finder.cc
+++ b/src/gateway/place_finder.cc
@@ -38,12 +38,15 @@
   void On(const search::Take& take) {
     finder_.link_.ActedOn(keeper_, search_.number());
     const BackendInfo* info = finder_.places_.Find(take.backend);
-    if (info != nullptr && info->state == BackendState::kReady) {
+    if (info != nullptr && finder_.places_.IsUsable(take.backend, Loop::Now())) {
       return Finish(BackendAddress{info->id, info->address});
     }
-    // The keeper has not heard yet that it leaves.
+    // The keeper has not heard yet that it leaves, or that it is silent to this entry.
+    const bool leaves = info == nullptr || info->state != BackendState::kReady;
     Log(LogLevel::kInfo, "place_refused",
-        {{"backend", take.backend.value}, {"keeper", keeper_.value}, {"why", "it is leaving"}});
+        {{"backend", take.backend.value},
+         {"keeper", keeper_.value},
+         {"why", leaves ? "it is leaving" : "it fails or is silent here"}});
     tried_.push_back(take.backend);
     On(search::TakeUnasked{});
   }
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -99,7 +99,7 @@
        {"batch_other", std::to_string(use.batch_other)},
        {"left_ms", Milliseconds(action.time_left)}});
   sent_at_ = Loop::Now();
-  tools_.places.Began(action.backend.id, WorkClass::kOnline);
+  tools_.places.Began(action.backend.id, WorkClass::kOnline, sent_at_);
   cancel_ = tools_.client.Start(CallFor(action),
                                 [self = shared_from_this(), send = action.send](HttpEvent event) {
                                   self->OnHttp(send, std::move(event));
@@ -108,6 +108,9 @@
 
 void RelayCall::OnHttp(SendNumber send, HttpEvent event) {
   const WireNames& names = tools_.names;
+  if (!std::holds_alternative<HttpFailure>(event)) {
+    tools_.places.Heard(BackendId{backend_}, Loop::Now());
+  }
   std::visit(Overloaded{
                  [&](HttpHead& head) {
                    const bool not_run =
--- a/src/ledger/item_backlog.cc
+++ b/src/ledger/item_backlog.cc
@@ -24,6 +24,11 @@
   std::erase_if(entries_, [&job](const Entry& entry) { return entry.job == job; });
 }
 
+void ItemBacklog::RemoveItem(const JobId& job, std::size_t item) {
+  std::erase_if(entries_,
+                [&](const Entry& entry) { return entry.job == job && entry.item == item; });
+}
+
 std::optional<ItemBacklog::Entry> ItemBacklog::Take(StoreTime now,
                                                     const std::function<bool(const Entry&)>& fits) {
   auto best = entries_.end();
--- a/src/ledger/rows.cc
+++ b/src/ledger/rows.cc
@@ -87,6 +87,7 @@
   head.due = StoreTime(json.at("due").get<std::int64_t>());
   head.expires = StoreTime(json.at("expires").get<std::int64_t>());
   head.digest = json.at("digest").get<std::uint64_t>();
+  head.config_version = json.value("config", std::uint64_t{0});
   head.token.value = json.at("token").get<std::string>();
   if (head.done.size() != head.total) throw std::invalid_argument("'done' has the wrong length");
   return head;
@@ -148,6 +149,7 @@
                   {"due", head.due.count()},
                   {"expires", head.expires.count()},
                   {"digest", head.digest},
+                  {"config", head.config_version},
                   {"token", head.token.value}});
 }
 
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -154,6 +154,7 @@
 void RelayRun::On(Time now, const relay::TimerFired& /*event*/) {
   if (now >= plan_.limit) return OnTimeUp();
   if (state_ != State::kSent && state_ != State::kAnswering) return;
+  if (now - timer_at_ >= kOverslept) heard_at_ = now;
   const Duration patience =
       state_ == State::kSent ? plan_.first_byte_patience : plan_.next_byte_patience;
   const bool silent = patience.count() > 0 && now - heard_at_ >= patience;
@@ -227,7 +228,8 @@
   if (state_ == State::kSent) patience = plan_.first_byte_patience;
   if (state_ == State::kAnswering) patience = plan_.next_byte_patience;
   if (patience.count() > 0 && MaySendAgain(Ran::kUnknown)) at = std::min(at, heard_at_ + patience);
-  actions_.emplace_back(relay::SetTimer{std::max(at, now)});
+  timer_at_ = std::max(at, now);
+  actions_.emplace_back(relay::SetTimer{timer_at_});
 }
 
 }  // namespace figmill
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -32,6 +32,7 @@
   }
   void Close(restinio::impl::connection_base_t& connection);
   void CloseIdle();
+  [[nodiscard]] std::size_t open_replies() const { return replies_.size(); }
 
  private:
   // A caller may send its next request before it has the answer to the first, so
@@ -67,7 +68,7 @@
     auto builder = request_->create_response(StatusLine(response.status));
     AppendHeaders(builder, response);
     builder.set_body(std::move(response.body));
-    builder.done();
+    builder.done(WhenWritten());
   }
 
   void Begin(HttpResponse head) override {
@@ -93,7 +94,7 @@
     if (finished_) return;
     assert(builder_);
     Finish();
-    builder_->done();
+    builder_->done(WhenWritten());
   }
 
   void OnClosed(std::function<void()> closed) override { on_closed_ = std::move(closed); }
@@ -101,6 +102,7 @@
   void Abort() override {
     if (finished_) return;
     Finish();
+    listener_->Remove(request_->connection_id(), this);
     if (const auto connection = connection_.lock()) listener_->Close(*connection);
   }
 
@@ -141,7 +143,13 @@
   void Finish() {
     finished_ = true;
     on_closed_ = nullptr;
-    listener_->Remove(request_->connection_id(), this);
+  }
+  // The answer's last bytes may wait for the peer long after the reply has ended. Until
+  // they are out the connection is in use: closed as an idle one, it would cut them.
+  restinio::write_status_cb_t WhenWritten() {
+    return [self = shared_from_this()](const asio::error_code& /*failure*/) {
+      self->listener_->Remove(self->request_->connection_id(), self.get());
+    };
   }
 
   restinio::request_handle_t request_;
@@ -247,6 +255,7 @@
   [[nodiscard]] Address address() const override { return address_; }
   void StopAccepting() override { server_.close_sync(); }
   void CloseIdle() override { listener_->CloseIdle(); }
+  [[nodiscard]] std::size_t open_replies() const override { return listener_->open_replies(); }
 
  private:
   // Lets a body slightly over the limit in, so that it gets a problem document
--- a/src/sharing/peer_codec.cc
+++ b/src/sharing/peer_codec.cc
@@ -30,11 +30,13 @@
   packer.pack(report.wanted);
   packer.pack_array(static_cast<std::uint32_t>(report.lines.size()));
   for (const PlaceReport::Line& line : report.lines) {
-    packer.pack_array(4);
+    packer.pack_array(6);
     packer.pack(line.backend.value);
     packer.pack(line.online);
     packer.pack(line.batch);
     packer.pack(line.usual_run.count());
+    packer.pack(line.answers);
+    packer.pack(line.faults);
   }
 }
 
@@ -43,11 +45,12 @@
   packer.pack(grant.number);
   packer.pack_array(static_cast<std::uint32_t>(grant.lines.size()));
   for (const PlaceGrant::Line& line : grant.lines) {
-    packer.pack_array(4);
+    packer.pack_array(5);
     packer.pack(line.backend.value);
     packer.pack(line.online_other);
     packer.pack(line.batch_other);
     packer.pack(line.allowed);
+    packer.pack(line.ejected);
   }
 }
 
@@ -135,7 +138,8 @@
   for (std::uint32_t i = 0; i < SizeOf(lines); ++i) {
     const Object& line = At(lines, i);
     report.lines.push_back({BackendId{Get<std::string>(line, 0)}, Get<int>(line, 1),
-                            Get<int>(line, 2), Duration(Get<std::int64_t>(line, 3))});
+                            Get<int>(line, 2), Duration(Get<std::int64_t>(line, 3)),
+                            Get<std::uint64_t>(line, 4), Get<std::uint64_t>(line, 5)});
   }
   return report;
 }
@@ -147,7 +151,7 @@
   for (std::uint32_t i = 0; i < SizeOf(lines); ++i) {
     const Object& line = At(lines, i);
     grant.lines.push_back({BackendId{Get<std::string>(line, 0)}, Get<int>(line, 1),
-                           Get<int>(line, 2), Get<int>(line, 3)});
+                           Get<int>(line, 2), Get<int>(line, 3), Get<bool>(line, 4)});
   }
   return grant;
 }
--- a/src/sharing/place_asks.cc
+++ b/src/sharing/place_asks.cc
@@ -84,6 +84,7 @@
   for (auto at = kept_.begin(); at != kept_.end(); ++at) {
     const Kept& kept = at->second;
     if (kept.backend.service != ask.service || Contains(ask.tried, at->first)) continue;
+    if (kept.ejected) continue;
     const int free_of_online = kept.backend.places - OnlineOf(kept);
     if (free_of_online <= 0) continue;
     const std::pair<int, int> rank{std::max(0, free_of_online - BatchOf(kept)), free_of_online};
--- a/src/sharing/place_keeper.cc
+++ b/src/sharing/place_keeper.cc
@@ -56,6 +56,7 @@
     if (found == kept_.end()) continue;
     Share& share = found->second.shares[from.node];
     if (line.usual_run.count() > 0) LearnRun(found->second.backend.service, line.usual_run);
+    CountEnds(found->second, share, line, now);
     const bool changed = share.online != line.online || share.batch != line.batch;
     if (!changed && !wants_more) continue;
     if (changed) MarkOthersStale(found->second, from.node);
@@ -104,7 +105,8 @@
     used += holds;
   }
   const auto fewer = [](const Holder& a, const Holder& b) { return a.holds < b.holds; };
-  const int free = std::max(0, kept.backend.places - reserve_ - OnlineOf(kept));
+  const int places = kept.ejected ? 0 : kept.backend.places;
+  const int free = std::max(0, places - reserve_ - OnlineOf(kept));
   for (; used > free; --used) --std::max_element(holders.begin(), holders.end(), fewer)->holds;
   const bool settled = now - kept.since >= kSettle;
   int spare = settled && used < free ? SpareFor(kept.backend.service) : 0;
@@ -129,7 +131,7 @@
   for (const auto& [id, kept] : kept_) {
     const auto mine = kept.shares.find(entry);
     if (mine == kept.shares.end()) continue;
-    PlaceGrant::Line line{id, 0, 0, mine->second.allowed};
+    PlaceGrant::Line line{id, 0, 0, mine->second.allowed, kept.ejected};
     for (const auto& [node, share] : kept.shares) {
       if (node == entry) continue;
       line.online_other += share.online;
@@ -147,6 +149,7 @@
   }
   for (const NodeId& node : silent) Forget(node, now);
   ExpireReservations(now);
+  UpdateEjections(now);
   CountStarted(0, now);
   // What is spare changes with time, not only with reports.
   for (auto& [id, kept] : kept_) Divide(kept, now);
--- a/test/job-desk-test.cc
+++ b/test/job-desk-test.cc
@@ -49,7 +49,7 @@
     request.body = R"({"requests":[{"id":"i0","path":"/b/0","headers":{},"body":"YQ=="},)"
                    R"({"id":"i1","path":"/b/1","headers":{},"body":"Yg=="}]})";
     auto reply = std::make_shared<FakeReply>();
-    desk.Submit(route, std::move(request), reply);
+    desk.Submit(route, 1, std::move(request), reply);
     return Await(*reply);
   }
   HttpResponse Call(const JobCall& call) {
@@ -151,7 +151,7 @@
   request.headers = {{a.adapter->names().request_id, "job"}};
   request.body = R"({"requests":[{"id":"i0"}]})";
   auto reply = std::make_shared<FakeReply>();
-  a.desk.Submit(a.route, std::move(request), reply);
+  a.desk.Submit(a.route, 1, std::move(request), reply);
   const HttpResponse answer = a.Await(*reply);
   CHECK(answer.status == 400);
   CHECK(answer.body.find("'path' is missing") != std::string::npos);
--- a/test/place-sim.h
+++ b/test/place-sim.h
@@ -227,7 +227,7 @@
   }
 
   void SendOnline(int e, const BackendId& id, Time arrived) {
-    entries_[e]->book.Began(id, WorkClass::kOnline);
+    entries_[e]->book.Began(id, WorkClass::kOnline, now_);
     Report(e, keeper_of_.at(id));
     At(load_.datagram / 2, [this, e, id, arrived] {
       Engine& engine = engines_[index_.at(id)];
@@ -301,7 +301,8 @@
     if (grant.number <= entry.acted[keeper]) return;
     entry.acted[keeper] = grant.number;
     for (const PlaceGrant::Line& line : grant.lines) {
-      entry.book.SetGrant(line.backend, line.online_other, line.batch_other, line.allowed);
+      entry.book.SetGrant(line.backend, line.online_other, line.batch_other, line.allowed,
+                          line.ejected);
       const PlaceUse use = entry.book.Use(line.backend);
       for (int i = use.batch; i > line.allowed; --i) StopBatch(e, line.backend);
       for (int i = use.batch; i < line.allowed && !entry.items.empty(); ++i) {
@@ -332,7 +333,7 @@
     const std::uint64_t number = ++batch_runs_;
     const Duration left = entry.items.front();
     entry.items.pop_front();
-    entry.book.Began(id, WorkClass::kBatch);
+    entry.book.Began(id, WorkClass::kBatch, now_);
     const int i = index_.at(id);
     engines_[i].batch.push_back({e, number, left, now_});
     At(left, [this, i, number] { EndBatch(i, number); });
--- a/test/relay-run-test.cc
+++ b/test/relay-run-test.cc
@@ -221,3 +221,28 @@
   REQUIRE(Last<relay::PassAnswer>(sent.actions) != nullptr);
   CHECK(Last<relay::PassAnswer>(sent.actions)->head.status == 500);
 }
+
+// Symptom: after a host was paused, all the streams that it relayed are sent again.
+// Sequence: the host stands still for a second; when it wakes, its timers fire before it
+// has read what the backend servers sent meanwhile.
+TEST_CASE("a host that stood still does not take its backend servers for silent") {
+  RelayPlan plan = IdempotentPlan();
+  plan.first_byte_patience = Duration{300'000};
+  Sent sent(plan);
+  sent.Step(relay::TimerFired{}, kStart + Duration{1'300'000});
+  CHECK(Last<relay::SendOver>(sent.actions) == nullptr);
+  // From then on silence counts again.
+  sent.Step(relay::TimerFired{}, kStart + Duration{1'600'000});
+  REQUIRE(Last<relay::SendOver>(sent.actions) != nullptr);
+  CHECK(Last<relay::SendOver>(sent.actions)->end == relay::SendEnd::kSilent);
+  CHECK(Last<relay::AskPlace>(sent.actions) != nullptr);
+}
+
+TEST_CASE("silence is no reason to send again what may not be repeated") {
+  RelayPlan plan = Plan();
+  plan.first_byte_patience = Duration{300'000};
+  Sent sent(plan);
+  sent.Step(relay::TimerFired{}, kStart + Duration{300'000});
+  CHECK(Last<relay::SendOver>(sent.actions) == nullptr);
+  CHECK(Last<relay::AskPlace>(sent.actions) == nullptr);
+}
--- a/test/runtime-http-test.cc
+++ b/test/runtime-http-test.cc
@@ -267,3 +267,28 @@
   REQUIRE(failure);
   CHECK(Loop::Now() - begun < std::chrono::seconds(1));
 }
+
+// Symptom: in a planned restart an answer loses its last bytes, though the log says that it
+// was given whole.
+// Sequence: the reply ends while its last bytes wait for a slow peer; the connections that
+// have no request are closed just then.
+// Cause: a reply counted as over when it was handed to the connection, not when written.
+TEST_CASE("an answer that is still being written keeps its connection from being closed as idle") {
+  const std::string body(32U << 20, 'x');  // more than a socket takes at once
+  HttpServer* server = nullptr;
+  Loop* loop = nullptr;
+  Pair pair([&](const HttpRequest& /*request*/, const std::shared_ptr<HttpReply>& reply) {
+    reply->Send({200, "text/plain", {}, body});
+    loop->Post([&server] { server->CloseIdle(); });
+  });
+  server = pair.server.get();
+  loop = &pair.loop;
+  std::size_t got = 0;
+  pair.client.Fetch(CallTo(pair.server->address()), [&](const Result<HttpResponse>& answer) {
+    if (IsOk(answer)) got = ValueOf(answer).body.size();
+    pair.loop.Stop();
+  });
+  pair.loop.Run();
+  CHECK(got == body.size());
+  CHECK(server->open_replies() == 0);
+}
