Tell from logs what became of a request: figmill explain

Cause: an on-call engineer had lines of many hosts and no way through them; the line of a stopped item named it by its position, not its id, so its story broke off there.

Change: 'figmill explain ID [FILE...]' joins the lines of a request, item or job with what happened on the same hosts around it and says how it ended; the placement line gives the age of what it was decided from, a refusal its time to come back.

--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -77,6 +77,7 @@
   // the caller left, are in neither.
   std::uint64_t answers = 0;
   std::uint64_t faults = 0;
+  Time known_at{};  // when the keeper said what others use; the start of time: never
 };
 
 struct PlaceQuery {
@@ -136,9 +137,14 @@
   void Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Duration took, Time now);
   // What the backend server's keeper says: what other entries have there, and how
   // many batch items this one may have.
-  // `ejected`: left out for what others have seen of it.
-  void SetGrant(const BackendId& id, int online_other, int batch_other, int batch_allowed,
-                bool ejected);
+  // And whether it is left out for what others have seen of it.
+  struct Grant {
+    int online_other = 0;
+    int batch_other = 0;
+    int batch_allowed = 0;
+    bool ejected = false;
+  };
+  void SetGrant(const BackendId& id, const Grant& grant, Time now);
   // Nobody knows what others have there: no batch item begins there.
   void DropGrant(const BackendId& id);
   // Called after each change of this entry's own use.
--- a/include/figmill/observe.h
+++ b/include/figmill/observe.h
@@ -5,14 +5,17 @@
 
 #include <array>
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <initializer_list>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "figmill/base.h"
@@ -124,6 +127,19 @@
 inline constexpr int kLogBurst = 1'000;
 void Log(LogLevel level, std::string_view event, std::initializer_list<LogField> fields = {});
 
+// A line as Log wrote it, perhaps behind a name that a collector put before it.
+struct LoggedLine {
+  std::string source;  // the word before the time; empty: none
+  std::chrono::sys_time<std::chrono::microseconds> at;
+  std::string event;
+  std::vector<std::pair<std::string, std::string>> fields;
+
+  // Empty when the line has no such field.
+  [[nodiscard]] std::string_view Field(std::string_view key) const;
+};
+// Nothing for a line that is none of ours.
+[[nodiscard]] std::optional<LoggedLine> ParseLogLine(std::string_view line);
+
 // Lines go to standard output, as hosts have no disks and whoever starts us keeps
 // them; those under `least` are left out. A reader that falls behind loses lines,
 // which are counted, and never holds the process up.
--- a/src/figmill/main.cc
+++ b/src/figmill/main.cc
@@ -3,6 +3,7 @@
 #include <iostream>
 
 #include "figmill/config_file.h"
+#include "figmill/explain.h"
 #include "figmill/interactive.h"
 #include "figmill/session.h"
 #include "figmill/settings.h"
@@ -30,6 +31,8 @@
       return ApplyFile(settings);
     case ToolTask::kDiff:
       return DiffFile(settings);
+    case ToolTask::kExplain:
+      return RunExplain(settings);
     case ToolTask::kStatements:
       break;
   }
--- a/src/figmill/settings.cc
+++ b/src/figmill/settings.cc
@@ -60,7 +60,8 @@
       ->envname("FIGMILL_TIMEOUT");
 }
 
-ToolTask TaskOf(bool check, const CLI::App& apply, const CLI::App& diff) {
+ToolTask TaskOf(bool check, const CLI::App& apply, const CLI::App& diff, const CLI::App& explain) {
+  if (explain.parsed()) return ToolTask::kExplain;
   if (check) return ToolTask::kCheckSettings;
   if (apply.parsed()) return ToolTask::kApply;
   if (diff.parsed()) return ToolTask::kDiff;
@@ -84,6 +85,10 @@
       ->check(CLI::NonNegativeNumber);
   CLI::App* diff = app.add_subcommand("diff", "what applying a JSON document would change");
   diff->add_option("file", settings.file, "the document")->required();
+  CLI::App* explain =
+      app.add_subcommand("explain", "tells from log lines what became of a request, item or job");
+  explain->add_option("id", settings.explained, "id of the request, item or job")->required();
+  explain->add_option("files", settings.log_files, "log files; without, standard input is read");
   app.require_subcommand(0, 1);
   app.fallthrough();
   try {
@@ -92,7 +97,7 @@
     const int code = app.exit(failure);
     std::exit(code == 0 ? 0 : kBadSettings);  // NOLINT(concurrency-mt-unsafe): one thread yet
   }
-  settings.task = TaskOf(check, *apply, *diff);
+  settings.task = TaskOf(check, *apply, *diff, *explain);
   return settings;
 }
 
--- a/src/figmill/settings.h
+++ b/src/figmill/settings.h
@@ -9,7 +9,7 @@
 
 namespace figmill {
 
-enum class ToolTask : std::uint8_t { kStatements, kApply, kDiff, kCheckSettings };
+enum class ToolTask : std::uint8_t { kStatements, kApply, kDiff, kExplain, kCheckSettings };
 
 struct ToolSettings {
   ToolTask task = ToolTask::kStatements;
@@ -17,6 +17,8 @@
   std::vector<std::string> statements;  // of -c; empty: read from standard input
   std::string file;                     // of apply and diff
   std::string if_version;               // of apply; empty: none
+  std::string explained;                // id of a request, item or job, of explain
+  std::vector<std::string> log_files;   // of explain; empty: standard input
   std::string author;                   // who orders, for the log
   std::string history;                  // file of the interactive history
   Duration timeout{60'000'000};         // of one request
--- a/src/fleet/place_book.cc
+++ b/src/fleet/place_book.cc
@@ -151,14 +151,15 @@
   backend.fault_rate.Count(fault, now);
 }
 
-void PlaceBook::SetGrant(const BackendId& id, int online_other, int batch_other, int batch_allowed,
-                         bool ejected) {
+void PlaceBook::SetGrant(const BackendId& id, const Grant& grant, Time now) {
   const auto found = backends_.find(id);
   if (found == backends_.end()) return;
-  found->second.use.online_other = online_other;
-  found->second.use.batch_other = batch_other;
-  found->second.use.batch_allowed = batch_allowed;
-  found->second.ejected_by_keeper = ejected;
+  PlaceUse& use = found->second.use;
+  use.online_other = grant.online_other;
+  use.batch_other = grant.batch_other;
+  use.batch_allowed = grant.batch_allowed;
+  use.known_at = now;
+  found->second.ejected_by_keeper = grant.ejected;
 }
 
 void PlaceBook::DropGrant(const BackendId& id) {
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -115,6 +115,11 @@
       [&backend](const ServiceShare& share) { return share.service == backend.service; });
 }
 
+std::string BatchRunner::IdOf(const ItemKey& key) const {
+  const OwnedJob* job = jobs_.Owned(key.job);
+  return job == nullptr ? Text(key.item) : job->items()[key.item].id;
+}
+
 void BatchRunner::Pump() {
   StopExcess();
   StartAllowed();
@@ -293,7 +298,7 @@
   tools_.metrics.ItemStopped(end);
   Log(LogLevel::kInfo, "item_stopped",
       {{"job", key.job.value},
-       {"item", Text(key.item)},
+       {"item", IdOf(key)},
        {"backend", runs_[key].backend.id.value},
        {"end", std::string(relay::ToString(end))},
        {"events", Text(progress.text.events())},
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -70,6 +70,7 @@
   };
 
   void Queue(const ItemKey& key, Duration pause);
+  [[nodiscard]] std::string IdOf(const ItemKey& key) const;
   [[nodiscard]] const Route* RouteOf(const JobHead& head, const JobItem& item) const;
   [[nodiscard]] bool Fits(const ItemKey& key, const BackendInfo& backend) const;
   void StopExcess();
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -106,7 +106,9 @@
     const auto mine = keeper_of_.find(line.backend);
     if (mine == keeper_of_.end() || mine->second.node != from.node) continue;
     changed |= places_.Use(line.backend).batch_allowed != line.allowed;
-    places_.SetGrant(line.backend, line.online_other, line.batch_other, line.allowed, line.ejected);
+    places_.SetGrant(line.backend,
+                     {line.online_other, line.batch_other, line.allowed, line.ejected},
+                     keeper.heard_at);
   }
   if (!changed) return;
   owed_.insert(from.node);
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -17,6 +17,11 @@
   return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
 }
 
+// Of what the keeper has told; empty: nothing yet.
+std::string AgeMs(Time known_at) {
+  return known_at == Time{} ? std::string() : Milliseconds(Loop::Now() - known_at);
+}
+
 bool IsOfOneConnection(std::string_view name) {
   for (const std::string_view each :
        {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "TE",
@@ -97,6 +102,7 @@
        {"online_other", std::to_string(use.online_other)},
        {"batch", std::to_string(use.batch)},
        {"batch_other", std::to_string(use.batch_other)},
+       {"use_age_ms", AgeMs(use.known_at)},
        {"left_ms", Milliseconds(action.time_left)}});
   sent_at_ = Loop::Now();
   tools_.places.Began(action.backend.id, WorkClass::kOnline, sent_at_);
@@ -181,6 +187,7 @@
   HttpResponse response = RefusalOf(action.error);
   response.close = tools_.leaving;
   status_ = response.status;
+  retry_after_ = action.error.retry_after.value_or(Duration{0});
   reply_->Send(std::move(response));
   Finished("refused", action.error.detail);
 }
@@ -228,6 +235,7 @@
        {"events", std::to_string(run_.events_passed())},
        {"first_ms", first.count() == 0 ? "" : Milliseconds(first)},
        {"ms", Milliseconds(now - started_at_)},
+       {"retry_after_ms", retry_after_.count() == 0 ? "" : Milliseconds(retry_after_)},
        {"why", why}});
   reply_->OnClosed(nullptr);
   std::exchange(finished_, nullptr)();
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -81,6 +81,7 @@
   Time sent_at_{};
   Time first_byte_at_{};
   int status_ = 0;
+  Duration retry_after_{0};  // said in a refusal
   std::string backend_;
 };
 
--- a/test/place-sim.h
+++ b/test/place-sim.h
@@ -301,8 +301,8 @@
     if (grant.number <= entry.acted[keeper]) return;
     entry.acted[keeper] = grant.number;
     for (const PlaceGrant::Line& line : grant.lines) {
-      entry.book.SetGrant(line.backend, line.online_other, line.batch_other, line.allowed,
-                          line.ejected);
+      entry.book.SetGrant(line.backend,
+                          {line.online_other, line.batch_other, line.allowed, line.ejected}, now_);
       const PlaceUse use = entry.book.Use(line.backend);
       for (int i = use.batch; i > line.allowed; --i) StopBatch(e, line.backend);
       for (int i = use.batch; i < line.allowed && !entry.items.empty(); ++i) {
