--- /dev/null
+++ b/soak/callers.py
@@ -0,0 +1,137 @@
+"""Callers of a soak run. They keep their connections open until the process is gone, and
+write down what they got."""
+
+import asyncio
+import json
+import random
+
+import gateways
+from record import Job, Probe, Request
+
+DEADLINE = 3.0   # seconds, of an online request
+ATTEMPTS = 4     # to submit a job
+PATHS = {"resumable": "/notes/1", "once": "/flags/1", "idempotent": "/photos/1"}
+
+
+class Callers:
+    def __init__(self, fleet, record, seed, clock):
+        self.fleet, self.record, self.clock = fleet, record, clock
+        self.dice = random.Random(seed ^ 0x5EED)
+        self.open = True
+        self.submitting = True
+        self.numbers = 0
+
+    def number(self):
+        self.numbers += 1
+        return self.numbers
+
+    def gateway(self):
+        return self.dice.choice(self.fleet.gateways)
+
+    async def online(self):
+        """One caller: a request after another on its connection, at another gateway when it
+        breaks or is asked to go."""
+        while self.open:
+            gateway = self.gateway()
+            connection = gateways.Connection(gateway.callers)
+            for _ in range(self.dice.randint(5, 40)):
+                request = await self.ask(connection, gateway)
+                if not self.open or connection.writer is None:
+                    break
+                if not request.whole:
+                    break
+                await asyncio.sleep(self.dice.uniform(0, 0.1))
+            connection.close()
+            await asyncio.sleep(0.05)
+
+    async def ask(self, connection, gateway, kind=None):
+        kind = kind or self.dice.choice(tuple(PATHS))
+        name, tokens = f"{kind[0]}{self.number()}", self.dice.randint(3, 40)
+        expected = (f"answer to {name}" if kind == "idempotent" else list(range(1, tokens + 1)))
+        request = Request(name, kind, gateway.name, self.clock(), DEADLINE, expected)
+        headers = {"Request-Id": name, "Deadline-Ms": int(DEADLINE * 1000), "Model": "m",
+                   "Tokens": f"10,{tokens}"}
+        answer = await connection.request("POST", PATHS[kind], headers, b"x", timeout=DEADLINE + 3)
+        request.ended_at = self.clock()
+        request.status, request.whole = answer.status, answer.whole
+        if answer.status == 200 and kind == "idempotent":
+            request.got = answer.body.decode()
+        elif answer.status == 200:
+            request.got = answer.events()
+            request.data = [line[6:] for line in answer.body.decode().splitlines()
+                            if line.startswith("data: ")]
+        elif answer.body:
+            try:
+                request.ran = json.loads(answer.body).get("ran", "")
+            except ValueError:
+                request.ran = ""  # cut on its way; its status stands
+        self.record.requests.append(request)
+        return request
+
+    async def call(self, gateway, method, path, body=None, headers=None, timeout=4):
+        """Status and body; 0 when there was no answer."""
+        try:
+            status, _, answer = await asyncio.to_thread(
+                gateways.call, gateway.callers, method, path, body, headers, timeout)
+            return status, answer
+        except (OSError, gateways.http.client.HTTPException):
+            return 0, b""
+
+    async def jobs(self):
+        followers = []
+        while self.submitting:
+            followers.append(asyncio.ensure_future(self.one_job()))
+            await asyncio.sleep(self.dice.uniform(0.3, 1.2))
+        await asyncio.gather(*followers)
+
+    async def one_job(self):
+        name, count, tokens = f"j{self.number()}", self.dice.randint(2, 8), self.dice.randint(5, 120)
+        poison = {self.dice.randrange(count)} if self.dice.random() < 0.3 else set()
+        outputs = {}
+        for n in range(count):
+            item = f"poison-{name}-{n}" if n in poison else f"{name}-{n}"
+            outputs[item] = None if n in poison else gateways.output_of(item, tokens)
+        job = Job(name, outputs)
+        self.record.jobs.append(job)
+        body = gateways.job(name, count, tokens, poison)
+        for _ in range(ATTEMPTS):
+            status, _ = await self.call(self.gateway(), "POST", f"/reports/{name}", body,
+                                        {"Request-Id": name, "Content-Type": "application/json"})
+            job.statuses.append(status)
+            if status == 202:
+                break
+            await asyncio.sleep(0.3)
+        if job.accepted and self.dice.random() < 0.2:
+            await asyncio.sleep(self.dice.uniform(0, 1))
+            job.end_asked = True
+            status, _ = await self.call(self.gateway(), "DELETE", f"/-/lots/{name}")
+            if status == 200:
+                job.ended_at = self.clock()
+        while self.open and job.accepted:
+            await self.read(job, self.dice.choice((0, 0, 1, count)))
+            await asyncio.sleep(0.5)
+
+    async def read(self, job, after):
+        status, body = await self.call(self.gateway(), "GET", f"/-/lots/{job.id}?after={after}")
+        if status != 200:
+            return 0
+        results = json.loads(body)["results"]
+        job.reads.append((after, results))
+        return len(results)
+
+    async def read_all(self, job):
+        position = 0
+        while count := await self.read(job, position):
+            position += count
+        return position
+
+    async def probes(self):
+        while self.open:
+            for gateway in self.fleet.gateways:
+                for name in list(self.record.routes):
+                    sent_at, process = self.clock(), gateway.process.pid
+                    status, _ = await self.call(gateway, "POST", f"/{name}/1",
+                                                headers={"Request-Id": f"probe{self.number()}"},
+                                                timeout=1)
+                    self.record.probes.append(Probe(name, gateway.name, process, sent_at, status))
+            await asyncio.sleep(0.25)
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,186 @@
+"""The faults of a soak run: drawn from its seed, brought about from outside the processes."""
+
+import asyncio
+import dataclasses
+import json
+import random
+import subprocess
+
+import gateways
+from record import Trouble
+
+
+@dataclasses.dataclass
+class Fault:
+    at: float  # seconds from the start of traffic
+    kind: str
+    for_s: float
+    pick: int  # which gateway, engine or variant
+
+
+KINDS = ("kill", "pause", "leave", "kill_all", "store_refuse", "store_silent", "store_reset",
+         "store_lose", "store_late", "store_compact", "store_deaf", "engine_crash", "engine_drain",
+         "engine_sick", "link_delay", "link_cut", "link_silent", "link_partition", "configure")
+
+
+def draw(seed, seconds):
+    """Some faults in series, some on top of each other."""
+    dice = random.Random(seed)
+    count = dice.randint(4, 9)
+    return sorted((Fault(dice.uniform(0.5, 0.8 * seconds), dice.choice(KINDS),
+                         dice.uniform(0.5, 3.0), dice.randrange(1 << 16)) for _ in range(count)),
+                  key=lambda fault: fault.at)
+
+
+class Proxy:
+    """The fault proxy with a link to each address."""
+
+    def __init__(self, build, addresses):
+        arguments = [build / "figmill-fault-proxy"]
+        for address in addresses:
+            arguments += ["--listen", "127.0.0.1:0", "--forward", address]
+        self.process = subprocess.Popen(arguments, stdout=subprocess.PIPE, text=True)
+        ready = json.loads(self.process.stdout.readline())
+        self.admin, self.links = ready["admin"], ready["links"]
+
+    def rule(self, **members):
+        status, _, answer = gateways.call(self.admin, "POST", "/rules", json.dumps(members))
+        assert status == 201, answer
+        return json.loads(answer)["id"]
+
+    def clear(self, rule):
+        gateways.call(self.admin, "DELETE", f"/rules/{rule}")
+
+    def stop(self):
+        self.process.kill()
+        self.process.wait()
+
+
+class Faults:
+    def __init__(self, fleet, proxy, record, clock):
+        self.fleet, self.proxy, self.record, self.clock = fleet, proxy, record, clock
+        self.names = []  # routes that were added
+        # Links of the proxy lead to these engines, the last one from one gateway to the store.
+        self.linked = []
+        # A process that is being stopped and started isn't struck again meanwhile.
+        self.busy = set()
+
+    def trouble(self, what, target=""):
+        trouble = Trouble(what, target, self.clock())
+        self.record.troubles.append(trouble)
+        return trouble
+
+    async def strike(self, fault):
+        what, _, how = fault.kind.partition("_")
+        await {"kill": self.kill, "pause": self.pause, "leave": self.leave, "store": self.store,
+               "engine": self.engine, "link": self.link, "configure": self.configure}[what](fault, how)
+
+    async def do(self, order, **more):
+        return await asyncio.to_thread(self.fleet.world.do, order, **more)
+
+    def take(self, fault):
+        """A gateway that nobody else stops at present."""
+        free = [g for g in self.fleet.gateways if g.name not in self.busy]
+        if not free:
+            return None
+        gateway = free[fault.pick % len(free)]
+        self.busy.add(gateway.name)
+        return gateway
+
+    async def restart(self, gateway, trouble):
+        await asyncio.to_thread(gateway.process.wait)
+        gateway.start()
+        await asyncio.to_thread(gateways.wait_for, f"{gateway.name} is ready", gateway.ready)
+        trouble.ended = self.clock() + 1
+        self.busy.discard(gateway.name)
+
+    async def kill(self, fault, how):
+        victims = [g for g in self.fleet.gateways if g.name not in self.busy] if how == "all" else [
+            self.take(fault)]
+        for gateway in filter(None, victims):
+            self.busy.add(gateway.name)
+            trouble = self.trouble("kill", gateway.name)
+            gateway.signal(gateways.KILL)
+            asyncio.ensure_future(self.restart(gateway, trouble))
+
+    async def pause(self, fault, _how):
+        gateway = self.take(fault)
+        if gateway is None:
+            return
+        trouble = self.trouble("pause", gateway.name)
+        gateway.signal(gateways.STOP)
+        await asyncio.sleep(fault.for_s)
+        gateway.signal(gateways.CONT)
+        trouble.ended = self.clock() + 1
+        self.busy.discard(gateway.name)
+
+    async def leave(self, fault, _how):
+        gateway = self.take(fault)
+        if gateway is None:
+            return
+        trouble = self.trouble("leave", gateway.name)
+        gateway.signal(gateways.TERM)
+        await self.restart(gateway, trouble)
+
+    async def store(self, fault, how):
+        trouble = self.trouble("store")
+        if how == "compact":
+            await self.do("compact")
+        elif how == "deaf":
+            await self.do("deaf", seconds=fault.for_s)
+            await asyncio.sleep(fault.for_s)
+        elif how in ("lose", "late"):
+            await self.do("store", **{how: 0.3})
+            await asyncio.sleep(fault.for_s)
+            await self.do("store", **{how: 0.0})
+        else:
+            await self.do("store", mode=how)
+            await asyncio.sleep(fault.for_s)
+            await self.do("store", mode="ok")
+        trouble.ended = self.clock() + 1
+
+    async def engine(self, fault, how):
+        index = fault.pick % 4
+        trouble = self.trouble("engine", str(index))
+        if how == "sick":
+            await self.do("engine", index=index, cut=0.3, extra=0.3)
+            await asyncio.sleep(fault.for_s)
+            await self.do("engine", index=index, cut=0.0, extra=0.0)
+        elif how == "crash" and index == 3:  # one of the four may go; another one comes
+            await self.do("engine", index=index, act="crash")
+            await asyncio.sleep(fault.for_s)
+            await self.do("engine", index=index, act="leave")
+            await self.do("add", service="llm")
+        elif how == "drain" and index == 2:
+            drained = await self.do("engine", index=index, act="drain")
+            self.record.drained.setdefault(drained["id"], self.clock())
+            await self.do("add", service="llm")
+        trouble.ended = self.clock() + 1
+
+    async def link(self, fault, how):
+        link = fault.pick % len(self.proxy.links)
+        to_store = link == len(self.proxy.links) - 1
+        trouble = self.trouble("link", self.fleet.gateways[-1].name if to_store else "")
+        members = {"delay": {"fault": "delay", "delay_ms": 300},
+                   "cut": {"fault": "cut", "after_bytes": 400, "times": 5},
+                   "silent": {"fault": "half-open", "after_bytes": 200, "times": 5},
+                   "partition": {"fault": "partition",
+                                 "direction": ("to-server", "to-caller")[fault.pick // 7 % 2]}}[how]
+        rule = await asyncio.to_thread(self.proxy.rule, link=link, **members)
+        await asyncio.sleep(fault.for_s)
+        await asyncio.to_thread(self.proxy.clear, rule)
+        trouble.ended = self.clock() + 1
+
+    async def configure(self, _fault, _how):
+        name = f"added{len(self.names)}"
+        self.names.append(name)
+        await self.do("configure", extra=self.names)
+        self.record.routes[name] = self.clock()
+
+    async def heal(self):
+        """Ends what still goes on: processes are woken and started, all else is over by itself."""
+        for gateway in self.fleet.gateways:
+            gateway.signal(gateways.CONT)
+        await self.do("store", mode="ok", lose=0.0, late=0.0)
+        for index in range(4):
+            await self.do("engine", index=index, cut=0.0, extra=0.0)
--- /dev/null
+++ b/soak/promises.py
@@ -0,0 +1,139 @@
+"""The promises that a soak run checks, over its record. Each check yields a line for
+each break, with the id that leads to it."""
+
+import collections
+
+# Seconds. A drained engine gets nothing new after DRAIN, a configuration is in force after
+# CONFIG, an ended job stops after CANCEL; SETTLE is what a process or the store may need to
+# be itself again after trouble, LATE how long after its deadline an answer may still come.
+DRAIN, CONFIG, CANCEL, SETTLE, LATE = 2.0, 2.0, 3.0, 3.0, 0.7
+NOT_RUN = (408, 421, 429, 503)
+GATEWAY_TROUBLE = ("kill", "pause", "leave", "link")
+
+
+def whole_and_own(record):
+    for request in record.requests:
+        if request.status != 200:
+            continue
+        if request.whole and request.got != request.expected:
+            yield f"{request.id}: an answer that ended whole is not: {request.got!r:.80}"
+        if request.kind != "idempotent":
+            if request.got != request.expected[:len(request.got)]:
+                yield f"{request.id}: events are missing, doubled or out of order: {request.got}"
+            for data in request.data:
+                if not data.startswith(request.id + "-"):
+                    yield f"{request.id}: got an event of another request: {data}"
+
+
+def once(record):
+    runs = collections.Counter(run["id"] for run in record.runs)
+    for request in record.requests:
+        if request.kind == "once" and runs[request.id] > 1:
+            yield f"{request.id}: may not be repeated and ran {runs[request.id]} times"
+
+
+def not_run_is_true(record):
+    ran = {run["id"] for run in record.runs}
+    for request in record.requests:
+        said = request.status in NOT_RUN or request.ran == "no"
+        if said and request.kind == "once" and request.id in ran:
+            yield f"{request.id}: status {request.status}, ran '{request.ran}', and it ran"
+    for job in record.jobs:
+        if job.statuses and all(status in NOT_RUN for status in job.statuses):
+            for item in ran & job.outputs.keys():
+                yield f"{item}: its job was refused at every attempt, and it ran"
+
+
+def answered_in_time(record):
+    for request in record.requests:
+        took = request.ended_at - request.sent_at
+        excused = record.in_trouble(request.sent_at, request.ended_at, gateway=request.gateway)
+        if took > request.deadline + LATE and not excused:
+            yield f"{request.id}: held for {took:.2f} s with {request.deadline} s to live"
+
+
+def shutdown_cuts_nothing(record):
+    ran = {run["id"] for run in record.runs}
+    leaves = [trouble for trouble in record.troubles if trouble.what == "leave"]
+    for request in record.requests:
+        planned = any(leave.target == request.gateway
+                      and leave.touches(request.sent_at, request.ended_at) for leave in leaves)
+        others = [t for t in record.troubles if t.what != "leave"
+                  and t.touches(request.sent_at - SETTLE, request.ended_at)]
+        cut = not request.whole and (request.status == 200 or request.id in ran)
+        if planned and cut and not others:
+            yield f"{request.id}: cut by the shutdown of {request.gateway}"
+
+
+def items_exactly_once(record):
+    for job in record.jobs:
+        listed = {}  # position -> result
+        for first, results in job.reads:
+            for position, result in enumerate(results, first):
+                if listed.setdefault(position, result) != result:
+                    yield f"{job.id}: position {position} has changed"
+        ids = [result["id"] for result in listed.values()]
+        for item, count in collections.Counter(ids).items():
+            if count > 1:
+                yield f"{item}: listed {count} times"
+        for result in listed.values():
+            output = job.outputs.get(result["id"], "")
+            if result["state"] == "complete" and result["output"] != output:
+                yield f"{result['id']}: its output is not whole"
+            if result["state"] == "dead" and output is not None and not job.end_asked:
+                yield f"{result['id']}: given up though it can be done"
+        if job.accepted and not job.end_asked and len(set(ids)) != len(job.outputs):
+            yield f"{job.id}: {len(set(ids))} of {len(job.outputs)} items of an accepted job listed"
+
+
+def ended_jobs_stop(record):
+    for job in record.jobs:
+        if job.ended_at is None:
+            continue
+        for run in record.runs:
+            late = run["id"] in job.outputs and run["at"] > job.ended_at + CANCEL
+            if late and not record.in_trouble(job.ended_at - SETTLE, run["at"],
+                                              kinds=GATEWAY_TROUBLE):
+                yield f"{run['id']}: ran {run['at'] - job.ended_at:.1f} s after its job's end"
+
+
+def drained_engines_rest(record):
+    for run in record.runs:
+        since = run["at"] - record.drained.get(run["engine"], run["at"])
+        if since > DRAIN and not record.in_trouble(run["at"] - since - SETTLE, run["at"],
+                                                   kinds=GATEWAY_TROUBLE):
+            yield f"{run['id']}: reached {run['engine']} {since:.1f} s after it began to drain"
+
+
+def configuration_is_in_force(record):
+    seen = set()  # (process, route): it has served the route
+    for probe in record.probes:
+        if probe.status == 200:
+            seen.add((probe.process, probe.route))
+        if probe.status != 404:
+            continue
+        if (probe.process, probe.route) in seen:
+            yield f"{probe.gateway}: went back to a configuration without /{probe.route}/"
+        accepted = record.routes[probe.route]
+        late = probe.sent_at > accepted + CONFIG
+        if late and not record.in_trouble(accepted - SETTLE, probe.sent_at, gateway=probe.gateway):
+            yield (f"{probe.gateway}: no /{probe.route}/ {probe.sent_at - accepted:.1f} s after the "
+                   "configuration")
+
+
+def all_is_well_again(record):
+    if not record.all_ready:
+        yield "not all gateways were ready again"
+    served = sum(status == 200 for status in record.final)
+    if served < 0.95 * len(record.final):
+        yield f"{served} of {len(record.final)} requests served after all had healed"
+
+
+ALL = (whole_and_own, once, not_run_is_true, answered_in_time, shutdown_cuts_nothing,
+       items_exactly_once, ended_jobs_stop, drained_engines_rest, configuration_is_in_force,
+       all_is_well_again)
+
+
+def broken(record):
+    """All breaks, by the name of the promise."""
+    return [f"{check.__name__}: {line}" for check in ALL for line in check(record)]
--- /dev/null
+++ b/soak/record.py
@@ -0,0 +1,81 @@
+"""What a soak run saw, from outside: callers' requests and jobs, engines' runs, and when
+which process was in trouble. Times are seconds of the monotonic clock."""
+
+import dataclasses
+
+
+@dataclasses.dataclass
+class Request:
+    id: str
+    kind: str  # resumable, once, idempotent
+    gateway: str
+    sent_at: float
+    deadline: float  # seconds
+    expected: object  # the ids of all events, or the whole body
+    ended_at: float = 0.0
+    status: int = 0
+    whole: bool = False
+    got: object = None  # as `expected`
+    data: list = dataclasses.field(default_factory=list)  # of the events
+    ran: str = ""  # what a refusal says
+
+
+@dataclasses.dataclass
+class Job:
+    id: str
+    outputs: dict  # item -> its output; None for one that can never be done
+    statuses: list = dataclasses.field(default_factory=list)  # of all attempts to submit it
+    reads: list = dataclasses.field(default_factory=list)  # (first position, results)
+    ended_at: float = None  # the end was acknowledged
+    # It was asked for: without an acknowledgement it may take effect at any time, or not.
+    end_asked: bool = False
+
+    @property
+    def accepted(self):
+        return 202 in self.statuses
+
+
+@dataclasses.dataclass
+class Probe:
+    """A request that only tests whether a route is in force."""
+    route: str
+    gateway: str
+    process: int
+    sent_at: float
+    status: int
+
+
+@dataclasses.dataclass
+class Trouble:
+    what: str    # kill, pause, leave, store, engine, link
+    target: str  # name of a gateway or engine; empty for the store
+    begun: float
+    ended: float = float("inf")
+
+    def touches(self, begun, ended):
+        return self.begun <= ended and begun <= self.ended
+
+
+@dataclasses.dataclass
+class Record:
+    requests: list = dataclasses.field(default_factory=list)
+    jobs: list = dataclasses.field(default_factory=list)
+    probes: list = dataclasses.field(default_factory=list)
+    troubles: list = dataclasses.field(default_factory=list)
+    runs: list = dataclasses.field(default_factory=list)
+    drained: dict = dataclasses.field(default_factory=dict)  # engine -> when it said so
+    routes: dict = dataclasses.field(default_factory=dict)   # added route -> when acknowledged
+    final: list = dataclasses.field(default_factory=list)    # statuses after all has healed
+    all_ready: bool = True
+
+    def in_trouble(self, begun, ended, *, gateway=None, kinds=None):
+        """Whether something that may excuse it struck within this time: on this gateway, on
+        the store, or of one of these kinds anywhere."""
+        for trouble in self.troubles:
+            if not trouble.touches(begun, ended):
+                continue
+            if trouble.what == "store" or (kinds and trouble.what in kinds):
+                return True
+            if gateway and trouble.target == gateway:
+                return True
+        return False
--- /dev/null
+++ b/soak/run.py
@@ -0,0 +1,128 @@
+#!/usr/bin/env python3
+"""A randomized soak: real gateways on loopback before the stand-in of the platform, faults
+drawn from a seed, and the promises checked by what callers and engines saw.
+
+usage: soak/run.py BUILD_FOLDER [--seeds N] [--first SEED] [--seconds S]
+"""
+
+import argparse
+import asyncio
+import pathlib
+import sys
+import time
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "test"), str(ROOT / "soak")]
+
+import gateways  # noqa: E402
+import promises  # noqa: E402
+from callers import Callers  # noqa: E402
+from faults import Faults, Proxy, draw  # noqa: E402
+from record import Record  # noqa: E402
+
+ONLINE_CALLERS = 6
+GRACE_MS = 4000
+HEAL = 25  # seconds that accepted jobs may need once all has healed
+
+
+async def play(fleet, proxy, seed, seconds):
+    record, clock = Record(), time.monotonic
+    callers, faults = Callers(fleet, record, seed, clock), Faults(fleet, proxy, record, clock)
+    traffic = [asyncio.ensure_future(callers.online()) for _ in range(ONLINE_CALLERS)]
+    traffic += [asyncio.ensure_future(callers.jobs()), asyncio.ensure_future(callers.probes())]
+    begun, struck = clock(), []
+    for fault in draw(seed, seconds):
+        await asyncio.sleep(max(0, begun + fault.at - clock()))
+        struck.append(asyncio.ensure_future(faults.strike(fault)))
+    await asyncio.sleep(max(0, begun + seconds - clock()))
+    await asyncio.gather(*struck)
+    await faults.heal()
+    await finish(fleet, callers, record, traffic)
+    return record
+
+
+async def finish(fleet, callers, record, traffic):
+    callers.submitting = False
+    end = time.monotonic() + HEAL
+    while time.monotonic() < end:
+        await asyncio.sleep(0.5)
+        ready = await asyncio.gather(*(asyncio.to_thread(is_ready, g) for g in fleet.gateways))
+        record.all_ready = all(ready)
+        done = [await callers.read_all(job) == len(job.outputs) for job in record.jobs
+                if job.accepted and not job.end_asked]
+        if record.all_ready and all(done):
+            break
+    callers.open = False
+    await asyncio.gather(*traffic)
+    for n in range(40):
+        gateway = fleet.gateways[n % len(fleet.gateways)]
+        request = await callers.ask(gateways.Connection(gateway.callers), gateway, "resumable")
+        record.final.append(request.status if request.whole else 0)
+    record.runs = await asyncio.to_thread(fleet.world.runs)
+
+
+def is_ready(gateway):
+    try:
+        return gateway.ready()
+    except (OSError, gateways.http.client.HTTPException):
+        return False
+
+
+def run(build, seed, seconds):
+    """The breaks of one seed, the record, and the folder of the logs."""
+    fleet = gateways.Fleet(build, gateways=2, engines=4, services=2, seed=seed,
+                           options=("--shutdown-grace-ms", str(GRACE_MS)))
+    proxy = None
+    try:
+        engines = fleet.world.engines[:2]
+        proxy = Proxy(fleet.build, [f"127.0.0.1:{port}" for port in engines] + [fleet.world.store])
+        for index, link in enumerate(proxy.links[:-1]):
+            fleet.world.do("engine", index=index, path=link)
+        fleet.add(2, store=proxy.links[-1])
+        with fleet:
+            record = asyncio.run(play(fleet, proxy, seed, seconds))
+    finally:
+        if proxy:
+            proxy.stop()
+        fleet.__exit__(None)
+    return promises.broken(record), record, fleet.folder
+
+
+def regressions():
+    """Seed and seconds of each line."""
+    lines = (ROOT / "soak" / "regressions.txt").read_text().splitlines()
+    words = [line.split() for line in lines if line and not line.startswith("#")]
+    return [(int(seed), float(seconds)) for seed, seconds, *_ in words]
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("build", type=pathlib.Path)
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--first", type=int, default=int(time.time()))
+    parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--regressions", action="store_true", help="first those that ever failed")
+    arguments = parser.parse_args()
+    plan = [(seed, arguments.seconds)
+            for seed in range(arguments.first, arguments.first + arguments.seeds)]
+    if arguments.regressions:
+        plan = regressions() + plan
+    failed = []
+    for seed, seconds in plan:
+        breaks, record, folder = run(arguments.build, seed, seconds)
+        served = sum(r.whole and r.status == 200 for r in record.requests)
+        accepted = sum(job.accepted for job in record.jobs)
+        struck = " ".join(f.kind for f in draw(seed, seconds))
+        print(f"seed {seed}: {served} of {len(record.requests)} requests served, {accepted} of "
+              f"{len(record.jobs)} jobs accepted, {len(breaks)} promises broken ({struck})", flush=True)
+        for line in breaks[:20]:
+            print(f"    {line}", flush=True)
+        if breaks:
+            failed.append(seed)
+            print(f"    logs are in {folder}", flush=True)
+    print(f"{len(plan) - len(failed)} seeds kept all promises, {len(failed)} did not: {failed}")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/figmilld/agent.cc
+++ b/src/figmilld/agent/agent.cc
@@ -5,13 +5,13 @@
 #include <utility>
 
 #include "figmill/runtime.h"
-#include "figmilld/agent_gate.h"
-#include "figmilld/agent_orders.h"
+#include "figmilld/agent/agent_gate.h"
+#include "figmilld/agent/agent_orders.h"
+#include "figmilld/agent/engine_client.h"
+#include "figmilld/agent/placement_shell.h"
 #include "figmilld/daemon.h"
-#include "figmilld/engine_client.h"
-#include "figmilld/placement_shell.h"
 #include "figmilld/process.h"
-#include "figmilld/served_models.h"
+#include "figmilld/traffic/served_models.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/agent_answer.cc
+++ b/src/figmilld/agent/agent_answer.cc
@@ -1,4 +1,4 @@
-#include "figmilld/agent_answer.h"
+#include "figmilld/agent/agent_answer.h"
 
 namespace figmill {
 
--- a/src/figmilld/agent_answer.h
+++ b/src/figmilld/agent/agent_answer.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "figmill/runtime.h"
-#include "figmilld/frames.h"
+#include "figmilld/traffic/frames.h"
 
 namespace figmill {
 
--- a/src/figmilld/agent_gate.cc
+++ b/src/figmilld/agent/agent_gate.cc
@@ -1,4 +1,4 @@
-#include "figmilld/agent_gate.h"
+#include "figmilld/agent/agent_gate.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/figmilld/agent_gate.h
+++ b/src/figmilld/agent/agent_gate.h
@@ -10,10 +10,10 @@
 
 #include "figmill/gate.h"
 #include "figmill/runtime.h"
-#include "figmilld/agent_answer.h"
-#include "figmilld/agent_metrics.h"
-#include "figmilld/agent_work.h"
-#include "figmilld/engine_client.h"
+#include "figmilld/agent/agent_answer.h"
+#include "figmilld/agent/agent_metrics.h"
+#include "figmilld/agent/agent_work.h"
+#include "figmilld/agent/engine_client.h"
 #include "figmilld/settings.h"
 
 namespace figmill {
--- a/src/figmilld/agent_metrics.cc
+++ b/src/figmilld/agent/agent_metrics.cc
@@ -1,4 +1,4 @@
-#include "figmilld/agent_metrics.h"
+#include "figmilld/agent/agent_metrics.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/agent_orders.cc
+++ b/src/figmilld/agent/agent_orders.cc
@@ -1,4 +1,4 @@
-#include "figmilld/agent_orders.h"
+#include "figmilld/agent/agent_orders.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/figmilld/agent_orders.h
+++ b/src/figmilld/agent/agent_orders.h
@@ -3,7 +3,7 @@
 // The agent's JSON-RPC methods (docs/PROTOCOLS.md).
 
 #include "figmill/runtime.h"
-#include "figmilld/agent_gate.h"
+#include "figmilld/agent/agent_gate.h"
 
 namespace figmill {
 
--- a/src/figmilld/agent_work.cc
+++ b/src/figmilld/agent/agent_work.cc
@@ -1,4 +1,4 @@
-#include "figmilld/agent_work.h"
+#include "figmilld/agent/agent_work.h"
 
 #include <algorithm>
 #include <limits>
--- a/src/figmilld/agent_work.h
+++ b/src/figmilld/agent/agent_work.h
@@ -9,9 +9,9 @@
 #include "figmill/gate.h"
 #include "figmill/platform.h"
 #include "figmill/runtime.h"
-#include "figmilld/dispatch.h"
 #include "figmilld/settings.h"
-#include "figmilld/sse.h"
+#include "figmilld/traffic/dispatch.h"
+#include "figmilld/traffic/sse.h"
 
 namespace figmill {
 
--- a/src/figmilld/engine_client.cc
+++ b/src/figmilld/agent/engine_client.cc
@@ -1,10 +1,10 @@
-#include "figmilld/engine_client.h"
+#include "figmilld/agent/engine_client.h"
 
 #include <algorithm>
 #include <cctype>
 #include <nlohmann/json.hpp>
 
-#include "figmilld/sse.h"
+#include "figmilld/traffic/sse.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/once_agent.cc
+++ b/src/figmilld/agent/once_agent.cc
@@ -1,8 +1,8 @@
-#include "figmilld/once_agent.h"
+#include "figmilld/agent/once_agent.h"
 
 #include <nlohmann/json.hpp>
 
-#include "figmilld/dispatch.h"
+#include "figmilld/traffic/dispatch.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/placement_shell.cc
+++ b/src/figmilld/agent/placement_shell.cc
@@ -1,4 +1,4 @@
-#include "figmilld/placement_shell.h"
+#include "figmilld/agent/placement_shell.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/figmilld/batch_dispatcher.cc
+++ b/src/figmilld/batch/batch_dispatcher.cc
@@ -1,4 +1,4 @@
-#include "figmilld/batch_dispatcher.h"
+#include "figmilld/batch/batch_dispatcher.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/figmilld/batch_dispatcher.h
+++ b/src/figmilld/batch/batch_dispatcher.h
@@ -8,7 +8,7 @@
 
 #include "figmill/batch.h"
 #include "figmill/runtime.h"
-#include "figmilld/dispatch.h"
+#include "figmilld/traffic/dispatch.h"
 
 namespace figmill {
 
--- a/src/figmilld/batch_jobs.cc
+++ b/src/figmilld/batch/batch_jobs.cc
@@ -1,4 +1,4 @@
-#include "figmilld/batch_jobs.h"
+#include "figmilld/batch/batch_jobs.h"
 
 #include <charconv>
 #include <cstdio>
--- a/src/figmilld/batch_jobs.h
+++ b/src/figmilld/batch/batch_jobs.h
@@ -10,8 +10,8 @@
 
 #include "figmill/batch.h"
 #include "figmill/runtime.h"
-#include "figmilld/batch_store.h"
-#include "figmilld/remote_reply.h"
+#include "figmilld/batch/batch_store.h"
+#include "figmilld/traffic/remote_reply.h"
 
 namespace figmill {
 
--- a/src/figmilld/batch_lease.cc
+++ b/src/figmilld/batch/batch_lease.cc
@@ -1,4 +1,4 @@
-#include "figmilld/batch_lease.h"
+#include "figmilld/batch/batch_lease.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/batch_store.cc
+++ b/src/figmilld/batch/batch_store.cc
@@ -1,4 +1,4 @@
-#include "figmilld/batch_store.h"
+#include "figmilld/batch/batch_store.h"
 
 #include <iterator>
 
--- a/src/figmilld/entry_batch.cc
+++ b/src/figmilld/batch/entry_batch.cc
@@ -1,4 +1,4 @@
-#include "figmilld/entry_batch.h"
+#include "figmilld/batch/entry_batch.h"
 
 #include <algorithm>
 #include <map>
@@ -6,10 +6,10 @@
 #include <set>
 #include <thread>
 
-#include "figmilld/batch_dispatcher.h"
-#include "figmilld/batch_jobs.h"
-#include "figmilld/batch_lease.h"
-#include "figmilld/batch_store.h"
+#include "figmilld/batch/batch_dispatcher.h"
+#include "figmilld/batch/batch_jobs.h"
+#include "figmilld/batch/batch_lease.h"
+#include "figmilld/batch/batch_store.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/item_tables.cc
+++ b/src/figmilld/batch/item_tables.cc
@@ -3,8 +3,8 @@
 
 #include "figmill/batch.h"
 #include "figmill/once.h"
-#include "figmilld/store_scan.h"
-#include "figmilld/work_tables.h"
+#include "figmilld/batch/store_scan.h"
+#include "figmilld/traffic/work_tables.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/job_tables.cc
+++ b/src/figmilld/batch/job_tables.cc
@@ -2,8 +2,8 @@
 #include <memory>
 
 #include "figmill/batch.h"
-#include "figmilld/store_scan.h"
-#include "figmilld/work_tables.h"
+#include "figmilld/batch/store_scan.h"
+#include "figmilld/traffic/work_tables.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/store_scan.cc
+++ b/src/figmilld/batch/store_scan.cc
@@ -1,4 +1,4 @@
-#include "figmilld/store_scan.h"
+#include "figmilld/batch/store_scan.h"
 
 #include <memory>
 
--- a/src/figmilld/control_log_shell.cc
+++ b/src/figmilld/control/control_log_shell.cc
@@ -1,4 +1,4 @@
-#include "figmilld/control_log_shell.h"
+#include "figmilld/control/control_log_shell.h"
 
 #include <utility>
 
--- a/src/figmilld/control_shell.cc
+++ b/src/figmilld/control/control_shell.cc
@@ -1,12 +1,12 @@
-#include "figmilld/control_shell.h"
+#include "figmilld/control/control_shell.h"
 
 #include <charconv>
 #include <exception>
 #include <mutex>
 #include <thread>
 
-#include "figmilld/control_log_shell.h"
-#include "figmilld/remote_reply.h"
+#include "figmilld/control/control_log_shell.h"
+#include "figmilld/traffic/remote_reply.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/control_shell.h
+++ b/src/figmilld/control/control_shell.h
@@ -13,7 +13,7 @@
 
 #include "figmill/control.h"
 #include "figmill/runtime.h"
-#include "figmilld/control_access.h"
+#include "figmilld/control/control_access.h"
 
 namespace figmill {
 
--- a/src/figmilld/entry_query.cc
+++ b/src/figmilld/control/entry_query.cc
@@ -1,8 +1,8 @@
-#include "figmilld/entry_query.h"
+#include "figmilld/control/entry_query.h"
 
 #include <charconv>
 
-#include "figmilld/query_operations.h"
+#include "figmilld/control/query_operations.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/entry_query.h
+++ b/src/figmilld/control/entry_query.h
@@ -9,7 +9,7 @@
 
 #include "figmill/query.h"
 #include "figmill/runtime.h"
-#include "figmilld/control_access.h"
+#include "figmilld/control/control_access.h"
 
 namespace figmill {
 
--- a/src/figmilld/log_tables.cc
+++ b/src/figmilld/control/log_tables.cc
@@ -1,8 +1,8 @@
 #include <algorithm>
 #include <memory>
 
-#include "figmilld/store_scan.h"
-#include "figmilld/work_tables.h"
+#include "figmilld/batch/store_scan.h"
+#include "figmilld/traffic/work_tables.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/query_operations.cc
+++ b/src/figmilld/control/query_operations.cc
@@ -1,7 +1,7 @@
-#include "figmilld/query_operations.h"
+#include "figmilld/control/query_operations.h"
 
 #include "figmill/batch.h"
-#include "figmilld/work_tables.h"
+#include "figmilld/traffic/work_tables.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/query_operations.h
+++ b/src/figmilld/control/query_operations.h
@@ -4,7 +4,7 @@
 
 #include <string>
 
-#include "figmilld/entry_query.h"
+#include "figmilld/control/entry_query.h"
 
 namespace figmill {
 
--- a/src/figmilld/query_refusals.cc
+++ b/src/figmilld/control/query_refusals.cc
@@ -1,6 +1,6 @@
 #include <nlohmann/json.hpp>
 
-#include "figmilld/query_operations.h"
+#include "figmilld/control/query_operations.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/refusal_recorder.cc
+++ b/src/figmilld/control/refusal_recorder.cc
@@ -1,4 +1,4 @@
-#include "figmilld/query_operations.h"
+#include "figmilld/control/query_operations.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/daemon.h
+++ b/src/figmilld/daemon.h
@@ -8,7 +8,7 @@
 #include <string>
 
 #include "figmill/runtime.h"
-#include "figmilld/control_shell.h"
+#include "figmilld/control/control_shell.h"
 #include "figmilld/settings.h"
 
 namespace figmill {
--- a/src/figmilld/entry.cc
+++ b/src/figmilld/entry.cc
@@ -4,13 +4,13 @@
 #include <utility>
 
 #include "figmill/runtime.h"
+#include "figmilld/batch/entry_batch.h"
+#include "figmilld/control/entry_query.h"
 #include "figmilld/daemon.h"
-#include "figmilld/entry_batch.h"
-#include "figmilld/entry_once.h"
-#include "figmilld/entry_online.h"
-#include "figmilld/entry_query.h"
-#include "figmilld/once_view.h"
 #include "figmilld/process.h"
+#include "figmilld/traffic/entry_once.h"
+#include "figmilld/traffic/entry_online.h"
+#include "figmilld/traffic/once_view.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/dispatch.cc
+++ b/src/figmilld/traffic/dispatch.cc
@@ -1,4 +1,4 @@
-#include "figmilld/dispatch.h"
+#include "figmilld/traffic/dispatch.h"
 
 #include <charconv>
 #include <memory>
--- a/src/figmilld/dispatch.h
+++ b/src/figmilld/traffic/dispatch.h
@@ -12,7 +12,7 @@
 
 #include "figmill/base.h"
 #include "figmill/runtime.h"
-#include "figmilld/frames.h"
+#include "figmilld/traffic/frames.h"
 
 namespace figmill {
 
--- a/src/figmilld/entry_once.cc
+++ b/src/figmilld/traffic/entry_once.cc
@@ -1,10 +1,10 @@
-#include "figmilld/entry_once.h"
+#include "figmilld/traffic/entry_once.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
-#include "figmilld/once_relay.h"
-#include "figmilld/stored_request.h"
+#include "figmilld/traffic/once_relay.h"
+#include "figmilld/traffic/stored_request.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/entry_once.h
+++ b/src/figmilld/traffic/entry_once.h
@@ -12,7 +12,7 @@
 
 #include "figmill/once.h"
 #include "figmill/runtime.h"
-#include "figmilld/once_ticket.h"
+#include "figmilld/traffic/once_ticket.h"
 
 namespace figmill {
 
--- a/src/figmilld/entry_once_care.cc
+++ b/src/figmilld/traffic/entry_once_care.cc
@@ -1,8 +1,8 @@
 // What an entry does for items that nobody else cares for: accepted ones whose
 // owner is gone, and rows whose time has passed.
 
-#include "figmilld/entry_once.h"
-#include "figmilld/stored_request.h"
+#include "figmilld/traffic/entry_once.h"
+#include "figmilld/traffic/stored_request.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/entry_online.cc
+++ b/src/figmilld/traffic/entry_online.cc
@@ -1,8 +1,8 @@
-#include "figmilld/entry_online.h"
+#include "figmilld/traffic/entry_online.h"
 
 #include <utility>
 
-#include "figmilld/sse.h"
+#include "figmilld/traffic/sse.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/entry_online.h
+++ b/src/figmilld/traffic/entry_online.h
@@ -9,9 +9,9 @@
 #include <unordered_set>
 
 #include "figmill/runtime.h"
-#include "figmilld/entry_once.h"
-#include "figmilld/limit_shares.h"
-#include "figmilld/online_call.h"
+#include "figmilld/traffic/entry_once.h"
+#include "figmilld/traffic/limit_shares.h"
+#include "figmilld/traffic/online_call.h"
 
 namespace figmill {
 
--- a/src/figmilld/frames.cc
+++ b/src/figmilld/traffic/frames.cc
@@ -1,4 +1,4 @@
-#include "figmilld/frames.h"
+#include "figmilld/traffic/frames.h"
 
 #include <cassert>
 #include <nlohmann/json.hpp>
--- a/src/figmilld/limit_shares.cc
+++ b/src/figmilld/traffic/limit_shares.cc
@@ -1,4 +1,4 @@
-#include "figmilld/limit_shares.h"
+#include "figmilld/traffic/limit_shares.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/figmilld/once_relay.cc
+++ b/src/figmilld/traffic/once_relay.cc
@@ -1,4 +1,4 @@
-#include "figmilld/once_relay.h"
+#include "figmilld/traffic/once_relay.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/figmilld/once_ticket.cc
+++ b/src/figmilld/traffic/once_ticket.cc
@@ -1,8 +1,8 @@
-#include "figmilld/once_ticket.h"
+#include "figmilld/traffic/once_ticket.h"
 
 #include <algorithm>
 
-#include "figmilld/sse.h"
+#include "figmilld/traffic/sse.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/once_ticket.h
+++ b/src/figmilld/traffic/once_ticket.h
@@ -10,8 +10,8 @@
 
 #include "figmill/once.h"
 #include "figmill/runtime.h"
-#include "figmilld/once_agent.h"
-#include "figmilld/once_writer.h"
+#include "figmilld/agent/once_agent.h"
+#include "figmilld/traffic/once_writer.h"
 
 namespace figmill {
 
--- a/src/figmilld/once_view.cc
+++ b/src/figmilld/traffic/once_view.cc
@@ -1,4 +1,4 @@
-#include "figmilld/once_view.h"
+#include "figmilld/traffic/once_view.h"
 
 #include <algorithm>
 #include <string_view>
--- a/src/figmilld/once_view.h
+++ b/src/figmilld/traffic/once_view.h
@@ -3,8 +3,8 @@
 // What keyed items need to know of the other processes, from the snapshot in
 // force.
 
-#include "figmilld/control_shell.h"
-#include "figmilld/once_agent.h"
+#include "figmilld/agent/once_agent.h"
+#include "figmilld/control/control_shell.h"
 
 namespace figmill {
 
--- a/src/figmilld/once_writer.cc
+++ b/src/figmilld/traffic/once_writer.cc
@@ -1,8 +1,8 @@
-#include "figmilld/once_writer.h"
+#include "figmilld/traffic/once_writer.h"
 
 #include <algorithm>
 
-#include "figmilld/once_relay.h"
+#include "figmilld/traffic/once_relay.h"
 
 namespace figmill {
 namespace {
--- a/src/figmilld/online_call.cc
+++ b/src/figmilld/traffic/online_call.cc
@@ -1,4 +1,4 @@
-#include "figmilld/online_call.h"
+#include "figmilld/traffic/online_call.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
--- a/src/figmilld/online_call.h
+++ b/src/figmilld/traffic/online_call.h
@@ -11,8 +11,8 @@
 
 #include "figmill/online.h"
 #include "figmill/runtime.h"
-#include "figmilld/online_metrics.h"
-#include "figmilld/online_work.h"
+#include "figmilld/traffic/online_metrics.h"
+#include "figmilld/traffic/online_work.h"
 
 namespace figmill {
 
--- a/src/figmilld/online_metrics.cc
+++ b/src/figmilld/traffic/online_metrics.cc
@@ -1,4 +1,4 @@
-#include "figmilld/online_metrics.h"
+#include "figmilld/traffic/online_metrics.h"
 
 namespace figmill {
 
--- a/src/figmilld/online_work.cc
+++ b/src/figmilld/traffic/online_work.cc
@@ -1,4 +1,4 @@
-#include "figmilld/online_work.h"
+#include "figmilld/traffic/online_work.h"
 
 #include <algorithm>
 #include <charconv>
--- a/src/figmilld/online_work.h
+++ b/src/figmilld/traffic/online_work.h
@@ -9,7 +9,7 @@
 #include "figmill/control.h"
 #include "figmill/online.h"
 #include "figmill/runtime.h"
-#include "figmilld/dispatch.h"
+#include "figmilld/traffic/dispatch.h"
 
 namespace figmill {
 
--- a/src/figmilld/remote_reply.cc
+++ b/src/figmilld/traffic/remote_reply.cc
@@ -1,4 +1,4 @@
-#include "figmilld/remote_reply.h"
+#include "figmilld/traffic/remote_reply.h"
 
 #include <utility>
 
--- a/src/figmilld/served_models.cc
+++ b/src/figmilld/traffic/served_models.cc
@@ -1,4 +1,4 @@
-#include "figmilld/served_models.h"
+#include "figmilld/traffic/served_models.h"
 
 #include <nlohmann/json.hpp>
 #include <utility>
--- a/src/figmilld/sse.cc
+++ b/src/figmilld/traffic/sse.cc
@@ -1,4 +1,4 @@
-#include "figmilld/sse.h"
+#include "figmilld/traffic/sse.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/figmilld/stored_request.cc
+++ b/src/figmilld/traffic/stored_request.cc
@@ -1,4 +1,4 @@
-#include "figmilld/stored_request.h"
+#include "figmilld/traffic/stored_request.h"
 
 #include <nlohmann/json.hpp>
 
--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -80,15 +80,17 @@
 
 void CallerDoor::Refuse(const HttpRequest& request, HttpReply& reply, const Error& error) const {
   tools_.metrics.RequestEnded("refused", Duration{0}, Duration{0});
+  HttpResponse response = RefusalOf(error);
+  response.close = tools_.leaving;
   Log(LogLevel::kInfo, "request",
       {{"request", std::string(request.HeaderOr(tools_.names.request_id))},
        {"outcome", "refused"},
+       {"status", std::to_string(response.status)},
+       {"ms", "0"},
        {"host", std::string(request.HeaderOr("Host"))},
        {"path", request.path},
        {"config", view_ && view_->routes ? std::to_string(view_->routes->version()) : "none"},
        {"why", error.detail}});
-  HttpResponse response = RefusalOf(error);
-  response.close = tools_.leaving;
   reply.Send(std::move(response));
 }
 
--- a/src/gateway/hedged_commit.cc
+++ b/src/gateway/hedged_commit.cc
@@ -67,4 +67,11 @@
   std::make_shared<Copies>(loop, tables, std::move(transaction), std::move(done))->Send();
 }
 
+const TableRow* RowIn(const TableRejected& rejected, const TableKey& at) {
+  for (const TableRow& row : rejected.current) {
+    if (row.at.key == at.key && row.version != 0 && !row.deleted) return &row;
+  }
+  return nullptr;
+}
+
 }  // namespace figmill
--- a/src/gateway/hedged_commit.h
+++ b/src/gateway/hedged_commit.h
@@ -22,4 +22,7 @@
 void HedgedCommit(Loop& loop, SharedTables& tables, TableTransaction transaction,
                   std::function<void(TableOutcome)> done);
 
+// The row that a rejected write found, if it is there.
+[[nodiscard]] const TableRow* RowIn(const TableRejected& rejected, const TableKey& at);
+
 }  // namespace figmill
--- a/test/frames-test.cc
+++ b/test/frames-test.cc
@@ -1,10 +1,10 @@
-#include "figmilld/frames.h"
+#include "figmilld/traffic/frames.h"
 
 #include <doctest/doctest.h>
 
 #include <string>
 
-#include "figmilld/dispatch.h"
+#include "figmilld/traffic/dispatch.h"
 
 using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
 
--- a/test/placement-engine-test.cc
+++ b/test/placement-engine-test.cc
@@ -2,8 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
-#include "figmilld/engine_client.h"
-#include "figmilld/placement_shell.h"
+#include "figmilld/agent/engine_client.h"
+#include "figmilld/agent/placement_shell.h"
 #include "standin/engine.h"
 #include "standin/platform.h"
 
--- a/test/query-entry-test.cc
+++ b/test/query-entry-test.cc
@@ -3,7 +3,7 @@
 #include <string>
 
 #include "figmill/batch.h"
-#include "figmilld/entry_query.h"
+#include "figmilld/control/entry_query.h"
 #include "test/control-fakes.h"
 
 using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
--- /dev/null
+++ b/test/soak-test.py
@@ -0,0 +1,123 @@
+#!/usr/bin/env python3
+"""The soak's checker can fail for each promise, and a short seeded soak keeps them all.
+
+usage: soak-test.py BUILD_FOLDER
+"""
+
+import pathlib
+import sys
+import unittest
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path[:0] = [str(ROOT / "test"), str(ROOT / "soak")]
+
+import promises  # noqa: E402
+import run as soak  # noqa: E402
+from record import Job, Probe, Record, Request, Trouble  # noqa: E402
+
+BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
+# One for each way in which processes end, and one on top of a sick store.
+SEEDS = (1, 104)
+SECONDS = 6
+
+
+def request(**changes):
+    made = Request("r1", "once", "g0", 10.0, 3.0, [1, 2], ended_at=10.5, status=200, whole=True,
+                   got=[1, 2], data=["r1-1", "r1-2"])
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def ran(name, at=10.1, engine="e1"):
+    return {"id": name, "at": at, "engine": engine}
+
+
+def job(**changes):
+    made = Job("j", {"j-0": "a", "j-1": "b"}, statuses=[202])
+    made.reads = [(0, [result("j-0", "a"), result("j-1", "b")])]
+    for name, value in changes.items():
+        setattr(made, name, value)
+    return made
+
+
+def result(item, output, state="complete"):
+    return {"id": item, "state": state, "output": output}
+
+
+class Checker(unittest.TestCase):
+    def broken_by(self, **parts):
+        return {line.split(":")[0] for line in promises.broken(Record(**parts))}
+
+    def test_a_good_record_breaks_nothing(self):
+        self.assertEqual(self.broken_by(requests=[request()], jobs=[job()], runs=[ran("r1")],
+                                        final=[200] * 20), set())
+
+    def test_events_that_miss_or_belong_to_another(self):
+        for wrong in ({"got": [2]}, {"got": [1, 1, 2]}, {"data": ["r2-1"]},
+                      {"got": [1], "whole": True}):
+            self.assertEqual(self.broken_by(requests=[request(**wrong)]), {"whole_and_own"})
+        self.assertEqual(self.broken_by(requests=[request(got=[1], whole=False)]), set())
+
+    def test_a_second_run(self):
+        self.assertEqual(self.broken_by(requests=[request()], runs=[ran("r1"), ran("r1")]), {"once"})
+
+    def test_a_refusal_that_is_not_true(self):
+        refused = request(status=503, whole=True, ran="no")
+        self.assertEqual(self.broken_by(requests=[refused], runs=[ran("r1")]), {"not_run_is_true"})
+        refused_job = job(statuses=[503, 429], reads=[])
+        self.assertEqual(self.broken_by(jobs=[refused_job], runs=[ran("j-1")]), {"not_run_is_true"})
+
+    def test_an_answer_that_is_held_back(self):
+        self.assertEqual(self.broken_by(requests=[request(ended_at=14.0)]), {"answered_in_time"})
+        pause = Trouble("pause", "g0", 9, 14)
+        self.assertEqual(self.broken_by(requests=[request(ended_at=14.0)], troubles=[pause]), set())
+
+    def test_a_shutdown_that_cuts(self):
+        cut, leave = request(got=[1], whole=False), Trouble("leave", "g0", 10.2, 12)
+        self.assertEqual(self.broken_by(requests=[cut], troubles=[leave]), {"shutdown_cuts_nothing"})
+        sick = Trouble("engine", "0", 9, 14)
+        self.assertEqual(self.broken_by(requests=[cut], troubles=[leave, sick]), set())
+
+    def test_items_that_are_doubled_changed_cut_or_missing(self):
+        self.assertEqual(self.broken_by(jobs=[job(reads=[], end_asked=True)]), set())
+        both = [result("j-0", "a"), result("j-1", "b")]
+        for reads in ([(0, both + both[:1])], [(0, both), (1, both[:1])], [(0, both[:1])],
+                      [(0, [result("j-0", "a"), result("j-1", "")])],
+                      [(0, [result("j-0", "a"), result("j-1", "", "dead")])]):
+            self.assertEqual(self.broken_by(jobs=[job(reads=reads)]), {"items_exactly_once"}, reads)
+
+    def test_an_ended_job_that_goes_on(self):
+        ended = job(ended_at=20.0, end_asked=True)
+        self.assertEqual(self.broken_by(jobs=[ended], runs=[ran("j-1", at=23.5)]),
+                         {"ended_jobs_stop"})
+        self.assertEqual(self.broken_by(jobs=[ended], runs=[ran("j-1", at=22.5)]), set())
+
+    def test_new_work_at_a_drained_engine(self):
+        self.assertEqual(self.broken_by(runs=[ran("x", at=12.5)], drained={"e1": 10.0}),
+                         {"drained_engines_rest"})
+
+    def test_a_configuration_that_is_late_or_goes_back(self):
+        late = Probe("new", "g0", 7, 13.0, 404)
+        self.assertEqual(self.broken_by(probes=[late], routes={"new": 10.0}),
+                         {"configuration_is_in_force"})
+        back = [Probe("new", "g0", 7, 10.5, 200), Probe("new", "g0", 7, 11.0, 404)]
+        self.assertEqual(self.broken_by(probes=back, routes={"new": 10.0}),
+                         {"configuration_is_in_force"})
+
+    def test_a_fleet_that_does_not_recover(self):
+        self.assertEqual(self.broken_by(final=[200, 503]), {"all_is_well_again"})
+        self.assertEqual(self.broken_by(all_ready=False), {"all_is_well_again"})
+
+
+class ShortSoak(unittest.TestCase):
+    def test_seeds_keep_all_promises(self):
+        for seed in SEEDS:
+            breaks, record, folder = soak.run(BUILD, seed, SECONDS)
+            self.assertEqual(breaks, [], f"seed {seed}, logs are in {folder}")
+            served = sum(r.whole and r.status == 200 for r in record.requests)
+            self.assertGreater(served, len(record.requests) / 2)
+
+
+if __name__ == "__main__":
+    unittest.main(argv=[sys.argv[0], "-v"])
