--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -177,6 +177,11 @@
 };
 using HttpEvent = std::variant<HttpHead, HttpBytes, HttpEnd, HttpFailure>;
 
+// Gathers the events of one call into a whole answer; any status is a value.
+// Errors: kBackendFailed with `ran` no (never sent) or unknown.
+[[nodiscard]] std::function<void(HttpEvent)> CollectAnswer(
+    std::function<void(Result<HttpResponse>)> done);
+
 // Calls run on the loop that it was made with.
 class HttpClient {
  public:
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -8,7 +8,15 @@
 static_assert(kMaxPeerMessageBytes <= kMaxDatagramBytes);
 
 PeerLink::PeerLink(Loop& loop, PeerTable& peers, PlaceBook& places, Metrics& metrics, Hooks hooks)
-    : loop_(loop), peers_(peers), places_(places), metrics_(metrics), hooks_(std::move(hooks)) {}
+    : loop_(loop),
+      peers_(peers),
+      places_(places),
+      metrics_(metrics),
+      datagrams_(
+          metrics.counter("figmill_peer_datagrams_total", "Datagrams sent to other entries")),
+      datagram_bytes_(metrics.counter("figmill_peer_bytes_total",
+                                      "Bytes of datagrams sent to other entries, without headers")),
+      hooks_(std::move(hooks)) {}
 
 Result<Ok> PeerLink::Start(const std::vector<Address>& seeds) {
   Result<std::unique_ptr<UdpSocket>> socket = UdpSocket::Bind(
@@ -56,7 +64,10 @@
 
 void PeerLink::Send(const Peer& to, PeerMessage message) {
   message.from = peers_.self();
-  socket_->Send(Encode(message), to.address);
+  const std::string bytes = Encode(message);
+  datagrams_.Add();
+  datagram_bytes_.Add(bytes.size());
+  socket_->Send(bytes, to.address);
 }
 
 // --- In ---------------------------------------------------------------------------
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -79,6 +79,8 @@
   PeerTable& peers_;
   PlaceBook& places_;
   Metrics& metrics_;
+  Counter& datagrams_;
+  Counter& datagram_bytes_;
   Hooks hooks_;
   PlaceKeeper keeper_{kReserve};
   std::unique_ptr<UdpSocket> socket_;
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -340,22 +340,7 @@
 }
 
 CancelCall HttpClient::Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done) {
-  auto response = std::make_shared<HttpResponse>();
-  return Start(std::move(call), [response, done = std::move(done)](HttpEvent event) {
-    std::visit(Overloaded{
-                   [&](HttpHead& head) {
-                     response->status = head.status;
-                     response->headers = std::move(head.headers);
-                   },
-                   [&](HttpBytes& bytes) { response->body.append(bytes.bytes); },
-                   [&](HttpEnd&) { done(std::move(*response)); },
-                   [&](HttpFailure& failure) {
-                     done(Error{ErrorKind::kBackendFailed, failure.why,
-                                failure.sent ? Ran::kUnknown : Ran::kNo});
-                   },
-               },
-               event);
-  });
+  return Start(std::move(call), CollectAnswer(std::move(done)));
 }
 
 }  // namespace figmill
