Let the soak run with any number of gateways

Cause: with 24 gateways all stayed unready for a minute after all were killed: the waits for 24 processes held all threads of the harness, and the order that heals the store came after them.

--- a/soak/run.py
+++ b/soak/run.py
@@ -2,11 +2,12 @@
 """A randomized soak: real gateways on loopback before the stand-in of the platform, faults
 drawn from a seed, and the promises checked by what callers and engines saw.
 
-usage: soak/run.py BUILD_FOLDER [--seeds N] [--first SEED] [--seconds S]
+usage: soak/run.py BUILD_FOLDER [--seeds N] [--first SEED] [--seconds S] [--gateways N]
 """
 
 import argparse
 import asyncio
+import concurrent.futures
 import pathlib
 import sys
 import time
@@ -21,11 +22,14 @@
 from record import Record  # noqa: E402
 
 ONLINE_CALLERS = 6
+THREADS = 200
 GRACE_MS = 4000
 HEAL = 25  # seconds that accepted jobs may need once all has healed
 
 
 async def play(fleet, proxy, seed, seconds):
+    # Waits for processes take a thread each; with too few, the end of a fault waits for them.
+    asyncio.get_running_loop().set_default_executor(concurrent.futures.ThreadPoolExecutor(THREADS))
     record, clock = Record(), time.monotonic
     callers, faults = Callers(fleet, record, seed, clock), Faults(fleet, proxy, record, clock)
     traffic = [asyncio.ensure_future(callers.online()) for _ in range(ONLINE_CALLERS)]
@@ -68,9 +72,10 @@
         return False
 
 
-def run(build, seed, seconds):
-    """The breaks of one seed, the record, and the folder of the logs."""
-    fleet = gateways.Fleet(build, gateways=2, engines=4, services=2, seed=seed,
+def run(build, seed, seconds, count=3):
+    """The breaks of one seed, the record, and the folder of the logs. The last of `count`
+    gateways reaches the store by way of the fault proxy."""
+    fleet = gateways.Fleet(build, gateways=count - 1, engines=4, services=2, seed=seed,
                            options=("--shutdown-grace-ms", str(GRACE_MS)))
     proxy = None
     try:
@@ -78,7 +83,7 @@
         proxy = Proxy(fleet.build, [f"127.0.0.1:{port}" for port in engines] + [fleet.world.store])
         for index, link in enumerate(proxy.links[:-1]):
             fleet.world.do("engine", index=index, path=link)
-        fleet.add(2, store=proxy.links[-1])
+        fleet.add(count - 1, store=proxy.links[-1])
         with fleet:
             record = asyncio.run(play(fleet, proxy, seed, seconds))
     finally:
@@ -101,6 +106,7 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--first", type=int, default=int(time.time()))
     parser.add_argument("--seconds", type=float, default=12)
+    parser.add_argument("--gateways", type=int, default=3)
     parser.add_argument("--regressions", action="store_true", help="first those that ever failed")
     arguments = parser.parse_args()
     plan = [(seed, arguments.seconds)
@@ -109,7 +115,7 @@
         plan = regressions() + plan
     failed = []
     for seed, seconds in plan:
-        breaks, record, folder = run(arguments.build, seed, seconds)
+        breaks, record, folder = run(arguments.build, seed, seconds, arguments.gateways)
         served = sum(r.whole and r.status == 200 for r in record.requests)
         accepted = sum(job.accepted for job in record.jobs)
         struck = " ".join(f.kind for f in draw(seed, seconds))
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -6,6 +6,7 @@
 #include "gateway/hedged_commit.h"
 
 namespace figmill {
+
 JobStore::JobStore(Loop& loop, SharedTables& tables, const PeerTable& peers, StoreClock& clock,
                    RandomBits random, Hooks hooks)
     : loop_(loop),
