Take the tests' ports from below the range of outgoing connections

The port had been free when it was asked for, and an outgoing connection took it before the gateway listened. Ruled out: the gateway (it says so and exits), the load.

--- a/test/gateways.py
+++ b/test/gateways.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -20,10 +21,21 @@
 NEVER = 30  # seconds after which a condition counts as never met
 
 
+# Below the range from which the system takes the ports of outgoing connections: one that
+# it names as free may be such a port by the time at which a gateway wants to listen there.
+PORTS = range(15000, 30000)
+
+
 def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    while True:
+        port = random.choice(PORTS)
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            try:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue  # taken; another one
 
 
 def wait_for(what, condition, seconds=NEVER):
