Let idle entries and keepers speak once a second; number grants on after a pause

Two matters of the same messages.

Cause: entries report to twelve keepers each 200 ms and are told as often, also where they use nothing. An idle gateway before twelve keepers sent 5.77 kB/s; the limit for control is 4. Change: where an entry uses nothing and waits for nothing, both speak once a second; what changes is told at once as before. A keeper that was idle towards an entry is given the usual 0.7 s from when the entry tells it that it is busy.

Symptom: no batch for minutes at a host that was suspended. Cause: its keeper forgets it after 2 s of silence and numbers its grants from one again; the host's steady clock did not count the pause, so it noticed nothing and took each new grant for an old one. Change: the keeper goes on from the number that the report names. Test: seen to fail before (got grant 1 in place of 20).

--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -281,6 +281,9 @@
   // What an entry reported is dropped when it has been silent for so long; they
   // report every kHeartbeat. Its online streams have ended by then.
   static constexpr Duration kReportLife{2'000'000};
+  // The same for one that uses nothing here and waits for nothing: three in a row, and
+  // half of one, were lost.
+  static constexpr Duration kIdleReportLife{3'500'000};
   // After it became keeper: what runs must be reported before places are granted,
   // or they would be granted twice.
   static constexpr Duration kSettle{500'000};
@@ -291,6 +294,10 @@
   // Each entry that reports gets a grant at least this often, so that it knows
   // that its keeper is there.
   static constexpr Duration kHeartbeat{200'000};
+  // The same where an entry uses nothing and waits for nothing. Entries use twelve keepers
+  // and are idle at most of them; told every kHeartbeat, an idle entry before twelve
+  // keepers sent 5.8 kB/s (limit 4), and 1.9 kB/s at this pace (bench/gateway_capacity.py).
+  static constexpr Duration kIdleHeartbeat{1'000'000};
   // A place that was given and not reported in use is free again after this: the
   // answer or the report was lost, or the entry is gone.
   static constexpr Duration kReservationLife{400'000};
@@ -394,6 +401,8 @@
   [[nodiscard]] int SpareFor(const ServiceName& service) const;
   [[nodiscard]] PlaceGrant GrantFor(const NodeId& entry) const;
   void MarkOthersStale(const Kept& kept, const NodeId& but);
+  // The entry uses nothing here, may use nothing, and waits for nothing.
+  [[nodiscard]] bool IsIdle(const NodeId& entry, const EntryState& state) const;
 
   int reserve_;
   std::map<BackendId, Kept> kept_;
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -139,7 +139,7 @@
     if (!changed) continue;
     places_.DropGrant(id);
     touched_.insert(id);
-    from_keeper_.try_emplace(keeper.node, FromKeeper{0, now, {}});
+    from_keeper_.try_emplace(keeper.node, FromKeeper{0, now, {}, {}, {}});
   }
   keeper_of_ = keepers_.used();
   keeper_.Keep(keepers_.kept(), now);
@@ -162,13 +162,20 @@
   for (const NodeId& node : keepers) {
     if (node == peers_.self().node) continue;
     const auto found = from_keeper_.find(node);
-    if (found == from_keeper_.end() || now - found->second.heard_at < kKeeperSilence) continue;
+    if (found == from_keeper_.end() || !IsSilent(found->second, now)) continue;
     Log(LogLevel::kWarning, "keeper_silent", {{"peer", node.value}});
     peers_.Suspect(node);
     from_keeper_.erase(found);
   }
 }
 
+// A keeper speaks seldom to an entry that was idle; it is given the time of a busy one
+// from when this entry told it that it is.
+bool PeerLink::IsSilent(const FromKeeper& keeper, Time now) {
+  if (!keeper.busy_since) return now - keeper.heard_at >= kIdleKeeperSilence;
+  return now - std::max(keeper.heard_at, *keeper.busy_since) >= kKeeperSilence;
+}
+
 bool PeerLink::IsNear(const Peer& peer) const {
   return peer.data_centre == peers_.self().data_centre;
 }
@@ -176,11 +183,22 @@
 void PeerLink::Heartbeat() {
   SuspectSilentKeepers();
   UpdateKeepers();
+  const Time now = Loop::Now();
+  const bool waits = !hooks_.waiting().empty();
   std::map<NodeId, std::vector<PlaceReport::Line>> lines;
   for (const auto& [backend, keeper] : keeper_of_) lines[keeper.node].push_back(LineOf(backend));
   for (auto& [node, each] : lines) {
-    const Peer* keeper = peers_.Find(node);
-    if (keeper != nullptr) SendReport(*keeper, std::move(each));
+    const Peer* peer = peers_.Find(node);
+    if (peer == nullptr) continue;
+    FromKeeper& keeper = from_keeper_[node];
+    const bool busy = waits || std::any_of(each.begin(), each.end(), [](const auto& line) {
+                        return line.online > 0 || line.batch > 0;
+                      });
+    if (!busy) keeper.busy_since.reset();
+    if (busy && !keeper.busy_since) keeper.busy_since = now;
+    if (busy || now - keeper.reported_at >= PlaceKeeper::kIdleHeartbeat) {
+      SendReport(*peer, std::move(each));
+    }
   }
 }
 
@@ -242,6 +260,7 @@
   report.number = ++report_number_;
   FromKeeper& from_keeper = from_keeper_[keeper.node];
   report.grant = from_keeper.acted;
+  from_keeper.reported_at = Loop::Now();
   report.asked = std::exchange(from_keeper.asks_acted, {});
   report.waiting = hooks_.waiting();
   report.lines = std::move(lines);
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <vector>
 
@@ -28,6 +29,8 @@
   // A keeper that sent no grant for so long is taken for gone: three were lost or
   // it stands still.
   static constexpr Duration kKeeperSilence{700'000};
+  // The same where this entry uses nothing and waits for nothing.
+  static constexpr Duration kIdleKeeperSilence = PlaceKeeper::kIdleReportLife;
   // How many items could start changes with each that does; keepers are told together.
   static constexpr Duration kTellWanted{50'000};
   // How much more of another data centre's places must be free before its keeper is
@@ -91,7 +94,11 @@
     std::uint64_t acted = 0;
     Time heard_at{};
     std::vector<std::uint64_t> asks_acted;  // not reported yet
+    Time reported_at{};
+    // Since when this entry has used its places or waited for some; not now: nullopt.
+    std::optional<Time> busy_since;
   };
+  [[nodiscard]] static bool IsSilent(const FromKeeper& keeper, Time now);
   std::map<NodeId, FromKeeper> from_keeper_;
   std::set<BackendId> touched_;
   std::set<NodeId> owed_;  // keepers that wait for a report
--- a/src/sharing/place_keeper.cc
+++ b/src/sharing/place_keeper.cc
@@ -55,6 +55,9 @@
   if (report.number <= entry.number) return;  // overtaken by a later one
   entry.number = report.number;
   entry.acted = std::max(entry.acted, report.grant);
+  // An entry that was forgotten here takes no grant with a number that it has seen. Its
+  // clock may not have counted the pause, so that it noticed nothing.
+  entry.granted = std::max(entry.granted, report.grant);
   const bool wants_more = WantsMore(entry.waiting, report.waiting);
   entry.waiting = report.waiting;
   entry.at = now;
@@ -116,10 +119,22 @@
   return grant;
 }
 
+bool PlaceKeeper::IsIdle(const NodeId& entry, const EntryState& state) const {
+  if (!state.waiting.empty()) return false;
+  return std::all_of(kept_.begin(), kept_.end(), [&entry](const auto& each) {
+    const auto found = each.second.shares.find(entry);
+    if (found == each.second.shares.end()) return true;
+    const Share& share = found->second;
+    return share.online == 0 && share.batch == 0 && share.allowed == 0;
+  });
+}
+
 void PlaceKeeper::Tick(Time now) {
   std::vector<NodeId> silent;
   for (const auto& [node, entry] : entries_) {
-    if (entry.number > 0 && now - entry.at >= kReportLife) silent.push_back(node);
+    const Duration silence = now - entry.at;
+    if (entry.number == 0 || silence < kReportLife) continue;
+    if (silence >= kIdleReportLife || !IsIdle(node, entry)) silent.push_back(node);
   }
   for (const NodeId& node : silent) Forget(node, now);
   ExpireReservations(now);
@@ -135,7 +150,9 @@
   for (auto& [node, entry] : entries_) {
     const Duration told = now - entry.told_at;
     const bool waited = told >= (entry.near ? kCoalesce : kCoalesceFar);
-    if (!entry.urgent && !(entry.stale && waited) && told < kHeartbeat) continue;
+    const bool has_news = entry.urgent || (entry.stale && waited);
+    const bool is_time = told >= kIdleHeartbeat || (told >= kHeartbeat && !IsIdle(node, entry));
+    if (!has_news && !is_time) continue;
     PlaceGrant grant = GrantFor(node);
     grant.number = ++entry.granted;
     entry.urgent = false;
--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -127,6 +127,34 @@
   CHECK(f.keeper.Allowed(kEngine, b) + f.keeper.Allowed(kOther, b) == 7);
 }
 
+// Symptom: after a host was suspended for some seconds, no batch runs there for minutes.
+// Sequence: its keeper forgets it and begins to number its grants anew.
+// Cause: the host's steady clock did not count the pause, so that it kept the number of
+// the last grant, and took each new one for an old one.
+TEST_CASE("grants to an entry that was forgotten go on from the last one that it saw") {
+  Fixture f;
+  f.Report("a", 1, 0, 2);
+  for (int i = 0; i < 20; ++i) f.Report("a", 1, i % 2, 2);
+  const std::uint64_t seen = f.acted["a"];
+  REQUIRE(seen > 10);
+  f.Tick(kSettled + PlaceKeeper::kIdleReportLife);
+  f.Report("a", 1, 0, 2, kSettled + PlaceKeeper::kIdleReportLife);
+  CHECK(f.acted["a"] == seen + 1);
+}
+
+TEST_CASE("an entry that uses nothing and waits for nothing hears of its keeper seldom") {
+  Fixture f;
+  f.Report("a", 0, 0, 0, kStart);
+  f.Report("b", 1, 0, 0, kStart);
+  const std::uint64_t idle = f.acted["a"];
+  const std::uint64_t busy = f.acted["b"];
+  for (Duration at{0}; at < std::chrono::seconds(1); at += PlaceKeeper::kHeartbeat) {
+    f.Tick(kStart + at);
+  }
+  CHECK(f.acted["a"] <= idle + 1);
+  CHECK(f.acted["b"] >= busy + 4);
+}
+
 // Symptom: an engine runs twice as many batch items as it has places.
 // Sequence: its keeper dies, another one takes over and has heard of nobody yet.
 // Cause: places were granted before the entries had said what they run.
