Let a process outlive the later incarnation that others know of its slot

Symptom: after its host's time of day jumped back, an entry that starts again is called silent over and over and is granted no batch places. Those who had heard the earlier process drop all datagrams of the new one as late. Ruled out: that the row in the store mends it: an entry that was heard stays known when its row goes. Change: who gets a datagram of an earlier incarnation answers with the later one that it knows; a process that hears of a later one of its slot (so, or by its row in the store) takes a higher one and says so.

Tests: gateway-process-test Clocks, seen to fail on the code before (called silent by two others within 5 s); sharing-test. Also new, and passing on the code before: an address that another service uses again; a host that is replaced while all others go.

--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -76,6 +76,13 @@
   // It should have been heard from: not live until it is.
   void Suspect(const NodeId& node);
   void SetLeaving(bool leaving) { self_.leaving = leaving; }
+  // Others know a process of this entry's slot by this incarnation. If it seems to be a
+  // later one, this process takes a higher one: true. The time of day that incarnations
+  // are made from jumps back, and a process that starts then would be taken for one that
+  // is gone, and be granted nothing.
+  bool Outlive(Incarnation known);
+  // What is known of a later process of its slot, if there is one.
+  [[nodiscard]] const Peer* LaterThan(const Peer& peer) const;
 
   [[nodiscard]] const Peer& self() const { return self_; }
   [[nodiscard]] bool IsLive(const NodeId& node, Time now) const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -62,6 +62,9 @@
   void RemoveMember(const Peer& peer) {
     loop_.Post([this, peer] { members_.Remove(peer); });
   }
+  void Rename(const Peer& self) {
+    loop_.Post([this, self] { members_.Rename(self); });
+  }
   void SetPeers(std::vector<Address> peers) {
     loop_.Post([this, peers = std::move(peers)]() mutable { store_.SetPeers(std::move(peers)); });
   }
@@ -93,7 +96,8 @@
         link_(loop_, peers_, places_, metrics_,
               {[this] { return runner_.Waiting(); }, [this] { runner_.Pump(); },
                [this](const PlaceAnswer& answer) { finder_.OnAnswer(answer); },
-               [this](const Peer& peer) { control_.RemoveMember(peer); }}),
+               [this](const Peer& peer) { control_.RemoveMember(peer); },
+               [this](const Peer& self) { control_.Rename(self); }}),
         finder_(loop_, places_, link_),
         tools_{loop_, client_, places_, finder_, adapter.names(), gateway_metrics_},
         jobs_(loop_, *tables_, peers_, clock_, SystemRandom(),
--- a/src/gateway/member_watch.cc
+++ b/src/gateway/member_watch.cc
@@ -27,6 +27,11 @@
   follower_.Start();
 }
 
+void MemberWatch::Rename(Peer self) {
+  self_ = std::move(self);
+  WriteOwn();
+}
+
 void MemberWatch::WriteOwn() {
   if (leaving_) return;
   PeerMessage message;
--- a/src/gateway/member_watch.h
+++ b/src/gateway/member_watch.h
@@ -21,6 +21,8 @@
   MemberWatch(Loop& loop, SharedTables& tables, Peer self, Hooks hooks);
 
   void Start();
+  // The process goes by another incarnation from now on.
+  void Rename(Peer self);
   // Takes this process's own row away.
   void Leave();
   // Takes away the row of a peer that was found silent, unless a later process has
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -47,12 +47,25 @@
 }
 
 void PeerLink::Named(const Peer& peer) {
+  if (peer.node == peers_.self().node) return Outlive(peer.incarnation);
   if (!peers_.Named(peer)) return;
   PeerMessage message;
   message.wants = PeerMessage::Wants::kKnown;
   Send(peer, std::move(message));
 }
 
+void PeerLink::Outlive(Incarnation known) {
+  const Incarnation before = peers_.self().incarnation;
+  if (!peers_.Outlive(known)) return;
+  Log(LogLevel::kWarning, "incarnation_raised",
+      {{"before", std::to_string(before)},
+       {"known", std::to_string(known)},
+       {"now", std::to_string(peers_.self().incarnation)}});
+  hooks_.renamed(peers_.self());
+  UpdateKeepers();
+  Heartbeat();
+}
+
 void PeerLink::Unlisted(const NodeId& node) {
   peers_.Unlisted(node);
 }
@@ -79,6 +92,12 @@
     return;
   }
   const PeerMessage& message = ValueOf(decoded);
+  if (const Peer* later = peers_.LaterThan(message.from)) {
+    // Either it came late, or its sender has to be told.
+    PeerMessage answer;
+    answer.known = {*later};
+    return Send(message.from, std::move(answer));
+  }
   const Time now = Loop::Now();
   if (peers_.Heard(message.from, now)) {
     Log(LogLevel::kInfo, "peer_live",
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -23,6 +23,8 @@
     std::function<void(const PlaceAnswer&)> answered;
     // It was found silent: its row is to be taken out of the store.
     std::function<void(const Peer&)> silent;
+    // This entry goes by another incarnation from now on.
+    std::function<void(const Peer& self)> renamed;
   };
   // Entries report to their keepers at least this often.
   static constexpr Duration kHeartbeat = PlaceKeeper::kHeartbeat;
@@ -64,6 +66,7 @@
  private:
   void OnDatagram(std::string_view bytes);
   void OnGrant(const Peer& from, const PlaceGrant& grant);
+  void Outlive(Incarnation known);
   void Heartbeat();
   [[nodiscard]] bool IsNear(const Peer& peer) const;
   void WatchPeers();
--- a/src/sharing/peer_table.cc
+++ b/src/sharing/peer_table.cc
@@ -41,6 +41,18 @@
   return first;
 }
 
+bool PeerTable::Outlive(Incarnation known) {
+  if (known <= self_.incarnation) return false;
+  self_.incarnation = known + 1;
+  ++generation_;
+  return true;
+}
+
+const Peer* PeerTable::LaterThan(const Peer& peer) const {
+  const Peer* known = Find(peer.node);
+  return known != nullptr && known->incarnation > peer.incarnation ? known : nullptr;
+}
+
 void PeerTable::Suspect(const NodeId& node) {
   const auto found = others_.find(node);
   if (found == others_.end() || found->second.suspected) return;
--- a/test/gateway-process-test.py
+++ b/test/gateway-process-test.py
@@ -5,8 +5,10 @@
 """
 
 import asyncio
+import base64
 import json
 import pathlib
+import socket
 import subprocess
 import sys
 import time
@@ -203,6 +205,88 @@
             self.finished(cut_off, "j1", 5)
 
 
+def word_of_a_later_process(fleet, gateway):
+    """A datagram of an entry, as if its process had started an hour later."""
+    _, _, body = call(fleet.world.store, "GET", "/-/rows-get?table=members&part=")
+    row = next(row for row in json.loads(body)["rows"] if row["key"] == gateway.name)
+    message = bytearray(base64.b64decode(row["value"]))
+    at = message.index(gateway.name.encode()) + len(gateway.name) + 1  # behind the number's type
+    number = int.from_bytes(message[at:at + 8], "big")
+    message[at:at + 8] = (number + 3_600_000).to_bytes(8, "big")
+    return bytes(message)
+
+
+class Clocks(unittest.TestCase):
+    def test_a_process_that_starts_after_its_clock_jumped_back_is_taken_for_a_new_one(self):
+        # Symptom: an entry is called silent again and again and gets no batch places.
+        # Sequence: its host's time of day jumps back by some seconds, its process starts.
+        # Cause: the incarnation, a time of day, is lower than that of the process before.
+        with Fleet(BUILD, gateways=3) as fleet:
+            gateway = fleet.gateways[1]
+            message = word_of_a_later_process(fleet, gateway)
+            gateway.stop()
+            with socket.socket(type=socket.SOCK_DGRAM) as udp:
+                for other in (fleet.gateways[0], fleet.gateways[2]):
+                    host, _, port = other.peers.partition(":")
+                    udp.sendto(message, (host, int(port)))
+            gateway.start()
+            wait_for("it is ready", gateway.ready)
+            time.sleep(1)
+            seen = [len(other.lines("peer_silent")) for other in fleet.gateways]
+            time.sleep(4)
+            self.assertEqual([len(other.lines("peer_silent")) for other in fleet.gateways], seen)
+            self.assertEqual(call(gateway.callers, "POST", "/reports/j1", job("j1", 12), {
+                "Request-Id": "j1", "Content-Type": "application/json"})[0], 202)
+            wait_for("the job is done", lambda: len(read_job(gateway, "j1")) == 12)
+            engines = {run["engine"] for run in fleet.world.runs()}
+            self.assertEqual(len(engines), 4, "it was granted places by its own keeper alone")
+            self.assertEqual(len(gateway.lines("incarnation_raised")), 1)
+
+
+class Addresses(unittest.TestCase):
+    def test_an_address_that_another_service_uses_again_gets_none_of_the_old_ones_requests(self):
+        # Symptom: a request for the model runs at a plain service.
+        # Sequence: an engine ends without a word; before its row is taken out of the list,
+        # a server of another service listens at its address.
+        # Cause: the address alone does not say who answers there.
+        with Fleet(BUILD, gateways=2, engines=2, services=1) as fleet:
+            fleet.world.do("engine", index=0, act="crash")
+            reused = fleet.world.do("add", service="app", port_of=0)
+            ran = 0
+            for n in range(30):
+                status, headers, body = call(fleet.gateways[n % 2].callers, "POST", "/flags/1",
+                                             headers=stream(f"f{n}", 2))
+                if status == 200:
+                    ran += 1
+                else:
+                    self.assertEqual((status, json.loads(body)["ran"]), (503, "no"))
+            self.assertGreater(ran, 25)
+            at_reused = [run["id"] for run in fleet.world.runs() if run["engine"] == reused["id"]]
+            self.assertEqual([name for name in at_reused if name.startswith("f")], [])
+
+
+class Hosts(unittest.TestCase):
+    def test_a_host_that_is_lost_for_good_is_replaced_by_one_at_another_address(self):
+        # Symptom: a job stands still after its owner's host was taken away, although
+        # another host came in its place.
+        # Sequence: a host goes without a word, a new one with another name and address
+        # comes, and in turn all others go.
+        # Cause: whoever owned the job, kept the engines or was named to the newcomer is
+        # gone; only what the store holds is left.
+        with Fleet(BUILD, gateways=2) as fleet:
+            first, second = fleet.gateways
+            self.assertEqual(call(first.callers, "POST", "/reports/j1", job("j1", 30, tokens=100), {
+                "Request-Id": "j1", "Content-Type": "application/json"})[0], 202)
+            first.signal(gateways.KILL)
+            third = fleet.add(2)
+            wait_for("it is ready", third.ready)
+            second.signal(gateways.KILL)
+            results = wait_for("the job is done", lambda: (
+                results := read_job(third, "j1")) and len(results) == 30 and results)
+            self.assertEqual({result["output"] for result in results},
+                             {output_of(f"j1-{n}", 100) for n in range(30)})
+
+
 class Shutdown(unittest.TestCase):
     def test_no_request_is_cut_and_late_ones_are_refused_truthfully(self):
         # Symptom: a stream breaks off in a planned restart.
--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -371,6 +371,24 @@
   CHECK(table.Find(NodeId{"a"})->incarnation == 5);
 }
 
+// Symptom: an entry is granted no batch places and is called silent, though it answers.
+// Sequence: its host's time of day jumps back, and its process starts again.
+// Cause: the new process has a lower incarnation than the one that is gone.
+TEST_CASE("a process outlives what others know of its slot") {
+  Peer earlier = PeerNamed("a");
+  earlier.incarnation = 9;
+  PeerTable other(PeerNamed("b"));
+  other.Heard(earlier, kStart);
+  PeerTable table(PeerNamed("a"));
+  const Peer* later = other.LaterThan(table.self());
+  REQUIRE(later != nullptr);
+  CHECK(table.Outlive(later->incarnation));
+  CHECK(other.LaterThan(table.self()) == nullptr);
+  other.Heard(table.self(), kStart);
+  CHECK(other.Find(NodeId{"a"})->incarnation == table.self().incarnation);
+  CHECK_FALSE(table.Outlive(later->incarnation));
+}
+
 TEST_CASE("each entry watches as many others, however many there are") {
   std::map<std::string, int> watched;
   for (int i = 0; i < 100; ++i) {
