Drop connections kept to an engine that is gone

Symptom: requests that may not be repeated fail within a ms of their send once engines are back after a crash, and the engines are left out for some seconds. Cause: connections are kept by address; those to the process before are dead and say so when the next request goes out. Ruled out: the check for a closed connection (IsQuiet), which can't see it: a host without power sends no close. Change: when another backend server, or none, is listed at an address, what is kept to it is closed. ExchangeClient had the call; nobody used it.

--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "figmill/fleet.h"
 #include "figmill/routes.h"
@@ -18,4 +19,10 @@
   RowVersion backends_version = 0;  // of the list
 };
 
+// Addresses at which another backend server listens now, or none. Connections kept to
+// them lead to one that is gone: a request on such a connection is reset, and may not be
+// sent again if it is not idempotent.
+[[nodiscard]] std::vector<Address> ChangedAddresses(const std::map<BackendId, BackendInfo>& before,
+                                                    const std::map<BackendId, BackendInfo>& now);
+
 }  // namespace figmill
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -203,6 +203,10 @@
   }
 
   void Update(const std::shared_ptr<const FleetView>& view) {
+    for (const Address& address : ChangedAddresses(backends_, view->backends)) {
+      client_.DropIdle(address);
+    }
+    backends_ = view->backends;
     door_.Update(view);
     runner_.SetRoutes(view->routes);
     std::vector<BackendInfo> backends;
@@ -257,6 +261,7 @@
   std::unique_ptr<SharedTables> tables_;
   StoreClock clock_;
   PlaceBook places_;
+  std::map<BackendId, BackendInfo> backends_;  // of the view in use
   PeerTable peers_;
   PeerLink link_;
   PlaceFinder finder_;
--- a/test/gateway-process-test.py
+++ b/test/gateway-process-test.py
@@ -265,6 +265,24 @@
             self.assertEqual([name for name in at_reused if name.startswith("f")], [])
 
 
+    def test_a_kept_connection_does_not_outlive_its_engine(self):
+        # Symptom: requests that may not be repeated fail right after an engine is back, and
+        # the engine is left out for seconds.
+        # Sequence: an engine loses its power and starts anew at its address; connections
+        # that were kept to it are reset when the next request goes out on them.
+        # Cause: connections were kept by address, whoever listened there.
+        with Fleet(BUILD, gateways=1, engines=1) as fleet:
+            gateway = fleet.gateways[0]
+            for n in range(3):
+                before = len(gateway.lines("backend_listed"))
+                self.assertEqual(call(gateway.callers, "POST", "/flags/1",
+                                      headers=stream(f"f{n}", 2))[0], 200)
+                fleet.world.do("engine", index=0, act="replace")
+                wait_for("it is listed", lambda: len(gateway.lines("backend_listed")) > before)
+                time.sleep(0.2)
+            self.assertEqual(gateway.lines("send_over"), [])
+
+
 class Hosts(unittest.TestCase):
     def test_a_host_that_is_lost_for_good_is_replaced_by_one_at_another_address(self):
         # Symptom: a job stands still after its owner's host was taken away, although
