Give the table of peers a library of its own; drop what placing never read

PlaceQuery's prompt parts, repeatability and time were set and never read, and the name of the header with the prompt parts was known for nothing. No change of what is done; tests moved as they were.

--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -83,9 +83,6 @@
 struct PlaceQuery {
   ServiceName service;
   std::span<const BackendId> tried;  // never picked again
-  std::string_view prompt_parts;     // names the shared parts of the prompt; empty: none
-  bool repeatable = false;
-  Duration time_left{0};  // of the caller
 };
 
 class PlaceBook {
--- a/include/figmill/gateway.h
+++ b/include/figmill/gateway.h
@@ -29,7 +29,6 @@
   std::string expect_backend = "Figmill-Expect-Backend";  // refused by any other
   std::string backend_id = "Figmill-Backend";             // who answers
   std::string not_run = "Figmill-Not-Run";                // the request was not run
-  std::string prompt_parts = "Figmill-Prompt-Parts";      // shared parts of the prompt
   std::string last_event_id = "Last-Event-Id";
 };
 
--- /dev/null
+++ b/include/figmill/peers.h
@@ -0,0 +1,155 @@
+#pragma once
+
+// The other entries: who is there, and which of them keep which backend servers. No I/O:
+// the caller passes the time in.
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "figmill/base.h"
+#include "figmill/fleet.h"
+
+namespace figmill {
+
+// Another entry, or this one.
+struct Peer {
+  NodeId node;
+  Incarnation incarnation = 0;
+  Address address;  // of its datagrams, and of HTTP between entries
+  DataCentre data_centre;
+  double capacity = 1;  // of its host, in cores
+  bool leaving = false;
+  bool operator==(const Peer&) const = default;
+};
+
+// A backend server as its keeper sees it.
+struct KeptBackend {
+  ServiceName service;
+  int places = 0;  // 0: nothing new goes there
+  bool operator==(const KeptBackend&) const = default;
+};
+
+// Who is there. A peer that the store lists is taken to be live until somebody
+// finds it silent: each entry watches some others, so that the number of datagrams
+// doesn't grow with the square of the entries, and takes the row of a silent one out
+// of the store, which tells all.
+class PeerTable {
+ public:
+  // A watched peer that wasn't heard for this long is asked for an answer; one that
+  // was silent for kSilence is taken for gone: two answers in a row were lost.
+  static constexpr Duration kPresence{1'000'000};
+  static constexpr Duration kSilence{2'300'000};
+  // Others that each entry watches; as many watch it.
+  static constexpr std::size_t kWatched = 16;
+  // A data centre's backend servers are kept by one entry for each so many. Fewer
+  // keepers mean fewer datagrams to each entry, more of them less lost with one.
+  static constexpr std::size_t kBackendsPerKeeper = 6;
+  // Entries on hosts with less than this share of the largest one's capacity keep
+  // no backend servers and own no jobs: callers come to all alike.
+  static constexpr double kLeastCapacity = 0.5;
+
+  explicit PeerTable(Peer self) : self_(std::move(self)) {}
+
+  // The store lists it, or another peer knows it. True if it is new here.
+  bool Named(const Peer& peer);
+  // The store lists it no more.
+  void Unlisted(const NodeId& node);
+  // Heard from itself. True if it wasn't live before.
+  bool Heard(const Peer& peer, Time now);
+  // It should have been heard from: not live until it is.
+  void Suspect(const NodeId& node);
+  void SetLeaving(bool leaving) { self_.leaving = leaving; }
+  // Others know a process of this entry's slot by this incarnation. If it seems to be a
+  // later one, this process takes a higher one: true. The time of day that incarnations
+  // are made from jumps back, and a process that starts then would be taken for one that
+  // is gone, and be granted nothing.
+  bool Outlive(Incarnation known);
+  // What is known of a later process of its slot, if there is one.
+  [[nodiscard]] const Peer* LaterThan(const Peer& peer) const;
+
+  [[nodiscard]] const Peer& self() const { return self_; }
+  [[nodiscard]] bool IsLive(const NodeId& node, Time now) const;
+  [[nodiscard]] const Peer* Find(const NodeId& node) const;
+  // All that are known, live or not, without this one.
+  [[nodiscard]] std::vector<Peer> others() const;
+  [[nodiscard]] std::vector<Peer> Live(Time now) const;  // with this one
+
+  struct Watch {
+    std::vector<Peer> to_ask;  // not heard for kPresence
+    std::vector<Peer> silent;  // found silent now; they are suspected from here on
+  };
+  // Call it twice a kPresence.
+  [[nodiscard]] Watch WatchOthers(Time now);
+
+  // Live, staying, and with capacity for more than their callers.
+  [[nodiscard]] std::vector<Peer> Capable(Time now) const;
+  // The capable entry that wins the rendezvous hash for `key`; among those of
+  // `prefer`, if there is one.
+  [[nodiscard]] std::optional<Peer> OwnerOf(std::string_view key,
+                                            const std::optional<DataCentre>& prefer,
+                                            Time now) const;
+  // The keepers of a data centre that has `backends` backend servers, in an order
+  // that all entries share.
+  [[nodiscard]] std::vector<Peer> KeepersOf(const DataCentre& data_centre, std::size_t backends,
+                                            Time now) const;
+  // Rises when who is live, stays or is known has changed; call it with the time,
+  // since silence shows by that alone.
+  [[nodiscard]] std::uint64_t Generation(Time now);
+
+ private:
+  struct Entry {
+    Peer peer;
+    bool listed = false;
+    bool suspected = false;
+    std::optional<Time> heard_at;
+    std::optional<Time> asked_at;  // first ask since it was heard
+  };
+  Peer self_;
+  std::map<NodeId, Entry> others_;
+  std::uint64_t generation_ = 0;
+  std::size_t live_at_generation_ = 0;
+};
+
+// The keeper of a backend server out of those of its data centre.
+[[nodiscard]] const Peer* KeeperAmong(std::span<const Peer> keepers, const BackendId& backend);
+
+// Which backend servers this entry keeps and which it uses. It uses those of a few
+// keepers only, so that its cost doesn't grow with the fleet, and neighbours in the
+// shared order use overlapping ones, so that all are used alike.
+class KeeperMap {
+ public:
+  // Keepers of this data centre that an entry uses: with 6 to 10 backend servers each
+  // enough that some place is free when the fleet as a whole has any.
+  static constexpr std::size_t kNear = 4;
+  // Of all others together, for when those are full or gone.
+  static constexpr std::size_t kFar = 8;
+
+  void SetBackends(std::vector<BackendInfo> backends);
+  // Works both out anew if the peers or the backend servers have changed; true then.
+  bool Update(PeerTable& peers, Time now);
+
+  // By id, with their keepers.
+  [[nodiscard]] const std::map<BackendId, Peer>& used() const { return used_; }
+  [[nodiscard]] const std::vector<BackendInfo>& used_infos() const { return used_infos_; }
+  [[nodiscard]] const std::map<BackendId, KeptBackend>& kept() const { return kept_; }
+
+ private:
+  [[nodiscard]] static std::vector<Peer> Near(const std::vector<Peer>& keepers,
+                                              const PeerTable& peers, Time now);
+  void Use(const BackendInfo& info, const Peer& keeper);
+
+  std::vector<BackendInfo> backends_;
+  std::map<BackendId, Peer> used_;
+  std::vector<BackendInfo> used_infos_;
+  std::map<BackendId, KeptBackend> kept_;
+  std::uint64_t peers_generation_ = 0;
+  bool backends_changed_ = false;
+};
+
+}  // namespace figmill
--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -119,7 +119,6 @@
   relayed.method = std::move(request.method);
   relayed.target = request.path;
   if (!request.query.empty()) relayed.target += "?" + request.query;
-  relayed.prompt_parts = std::string(request.HeaderOr(tools_.names.prompt_parts));
   relayed.goal_at = Loop::Now() + route.goal;
   relayed.last_chance = plan.limit - Loop::Now() < route.timeout * kSecondTry;
   relayed.service = ChooseShare(route, random_());
--- a/src/gateway/place_finder.cc
+++ b/src/gateway/place_finder.cc
@@ -97,7 +97,7 @@
   ask.number = ++next_ask_;
   ask.service = need.query.service;
   ask.goal_left = need.goal_left;
-  ask.time_left = need.query.time_left;
+  ask.time_left = need.time_left;
   ask.last_chance = need.last_chance;
   ask.tried.assign(need.query.tried.begin(), need.query.tried.end());
   auto search = std::make_shared<Search>(
--- a/src/gateway/place_finder.h
+++ b/src/gateway/place_finder.h
@@ -26,6 +26,7 @@
   struct Need {
     PlaceQuery query;
     Duration goal_left{0};
+    Duration time_left{0};  // until its caller gives up
     bool last_chance = false;
   };
 
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -63,9 +63,7 @@
   PlaceFinder::Need need;
   need.query.service = request_.service;
   need.query.tried = action.tried;
-  need.query.prompt_parts = request_.prompt_parts;
-  need.query.repeatable = run_.plan().idempotent;
-  need.query.time_left = run_.plan().limit - now;
+  need.time_left = run_.plan().limit - now;
   need.goal_left = std::max(request_.goal_at - now, Duration{0});
   need.last_chance = request_.last_chance || action.resumes;
   search_ = tools_.finder.Find(need, [weak = weak_from_this()](Result<BackendAddress> place) {
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -33,7 +33,6 @@
   std::string target;           // path and query
   std::vector<Header> headers;  // without those of one connection
   std::string body;
-  std::string prompt_parts;
   ServiceName service;
   std::string route;
   std::uint64_t config_version = 0;
--- a/src/sharing/keeper_map.cc
+++ b/src/peers/keeper_map.cc
@@ -2,7 +2,7 @@
 #include <set>
 #include <utility>
 
-#include "figmill/sharing.h"
+#include "figmill/peers.h"
 
 namespace figmill {
 
--- a/src/sharing/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -2,7 +2,7 @@
 #include <iterator>
 #include <utility>
 
-#include "figmill/sharing.h"
+#include "figmill/peers.h"
 
 namespace figmill {
 
--- a/test/fleet-health-test.cc
+++ b/test/fleet-health-test.cc
@@ -34,7 +34,7 @@
   std::map<BackendId, int> Choices(Time now) {
     std::map<BackendId, int> choices;
     for (int i = 0; i < 200; ++i) {
-      const auto chosen = book.Choose({kLlm, {}, {}, false, Duration{1'000'000}}, now);
+      const auto chosen = book.Choose({kLlm, {}}, now);
       if (IsOk(chosen)) ++choices[ValueOf(chosen).id];
     }
     return choices;
--- /dev/null
+++ b/test/peers-test.cc
@@ -0,0 +1,159 @@
+#include "figmill/peers.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+constexpr Time kStart{Duration{10'000'000}};
+const ServiceName kLlm{"llm"};
+
+Peer PeerNamed(const std::string& node, const std::string& centre = "dc", double capacity = 1) {
+  return {NodeId{node}, 1, Address{"10.0.0.1", 1}, DataCentre{centre}, capacity, false};
+}
+
+}  // namespace
+
+TEST_CASE("a peer that the store lists is live until somebody finds it silent") {
+  PeerTable table(PeerNamed("self"));
+  CHECK(table.Named(PeerNamed("a")));
+  CHECK(table.IsLive(NodeId{"a"}, kStart));
+  const PeerTable::Watch first = table.WatchOthers(kStart);
+  CHECK(first.to_ask.size() == 1);
+  CHECK(first.silent.empty());
+  const Time later = kStart + PeerTable::kSilence;
+  CHECK(table.WatchOthers(later).silent.size() == 1);
+  CHECK_FALSE(table.IsLive(NodeId{"a"}, later));
+  CHECK(table.WatchOthers(later).silent.empty());  // told once
+  CHECK(table.Heard(PeerNamed("a"), later));
+  CHECK(table.IsLive(NodeId{"a"}, later));
+}
+
+TEST_CASE("a peer that is heard is not asked, and one that the store lists no more fades") {
+  PeerTable table(PeerNamed("self"));
+  table.Named(PeerNamed("a"));
+  table.Heard(PeerNamed("a"), kStart);
+  CHECK(table.WatchOthers(kStart).to_ask.empty());
+  table.Unlisted(NodeId{"a"});
+  CHECK(table.IsLive(NodeId{"a"}, kStart));
+  CHECK_FALSE(table.IsLive(NodeId{"a"}, kStart + PeerTable::kSilence));
+}
+
+TEST_CASE("a late datagram of an earlier process does not bring it back") {
+  PeerTable table(PeerNamed("self"));
+  Peer later = PeerNamed("a");
+  later.incarnation = 5;
+  table.Heard(later, kStart);
+  CHECK_FALSE(table.Heard(PeerNamed("a"), kStart));
+  CHECK(table.Find(NodeId{"a"})->incarnation == 5);
+}
+
+// Symptom: an entry is granted no batch places and is called silent, though it answers.
+// Sequence: its host's time of day jumps back, and its process starts again.
+// Cause: the new process has a lower incarnation than the one that is gone.
+TEST_CASE("a process outlives what others know of its slot") {
+  Peer earlier = PeerNamed("a");
+  earlier.incarnation = 9;
+  PeerTable other(PeerNamed("b"));
+  other.Heard(earlier, kStart);
+  PeerTable table(PeerNamed("a"));
+  const Peer* later = other.LaterThan(table.self());
+  REQUIRE(later != nullptr);
+  CHECK(table.Outlive(later->incarnation));
+  CHECK(other.LaterThan(table.self()) == nullptr);
+  other.Heard(table.self(), kStart);
+  CHECK(other.Find(NodeId{"a"})->incarnation == table.self().incarnation);
+  CHECK_FALSE(table.Outlive(later->incarnation));
+}
+
+TEST_CASE("each entry watches as many others, however many there are") {
+  std::map<std::string, int> watched;
+  for (int i = 0; i < 100; ++i) {
+    PeerTable table(PeerNamed("p" + std::to_string(100 + i)));
+    for (int j = 0; j < 100; ++j) table.Named(PeerNamed("p" + std::to_string(100 + j)));
+    const PeerTable::Watch watch = table.WatchOthers(kStart);
+    CHECK(watch.to_ask.size() == PeerTable::kWatched);
+    for (const Peer& peer : watch.to_ask) ++watched[peer.node.value];
+  }
+  for (const auto& [node, count] : watched) CHECK(count == PeerTable::kWatched);
+}
+
+TEST_CASE("keepers are of the data centre, stay, and are not on small hosts") {
+  PeerTable table(PeerNamed("self", "far"));
+  table.Heard(PeerNamed("small", "dc", 0.1), kStart);
+  Peer leaving = PeerNamed("leaving");
+  leaving.leaving = true;
+  table.Heard(leaving, kStart);
+  table.Heard(PeerNamed("a"), kStart);
+  table.Heard(PeerNamed("b"), kStart);
+  const auto keepers = table.KeepersOf(DataCentre{"dc"}, 30, kStart);
+  REQUIRE(keepers.size() == 2);
+  for (const Peer& keeper : keepers) CHECK((keeper.node.value == "a" || keeper.node.value == "b"));
+  CHECK(table.KeepersOf(DataCentre{"dc"}, 5, kStart).size() == 1);
+  // None is there: others keep them.
+  CHECK_FALSE(table.KeepersOf(DataCentre{"gone"}, 5, kStart).empty());
+}
+
+// Symptom: an entry's processor time grows with the fleet until it does nothing else.
+// Sequence: 300 entries before 3,000 backend servers; each hears of the use of each.
+TEST_CASE("entries of a large fleet use few keepers each, and all keepers alike") {
+  constexpr int kEntries = 80;
+  constexpr int kBackends = 800;
+  std::vector<Peer> peers;
+  peers.reserve(kEntries);
+  for (int i = 0; i < kEntries; ++i) {
+    peers.push_back(PeerNamed("e" + std::to_string(100 + i), "dc" + std::to_string(i % 4)));
+  }
+  std::vector<BackendInfo> backends;
+  backends.reserve(kBackends);
+  for (int i = 0; i < kBackends; ++i) {
+    backends.push_back({BackendId{"b" + std::to_string(i)}, kLlm, Address{"10.0.0.1", 1},
+                        DataCentre{"dc" + std::to_string(i % 4)}, 8, BackendState::kReady});
+  }
+  std::map<std::string, int> users;
+  std::size_t kept = 0;
+  for (const Peer& self : peers) {
+    PeerTable table(self);
+    for (const Peer& peer : peers) table.Named(peer);
+    KeeperMap map;
+    map.SetBackends(backends);
+    REQUIRE(map.Update(table, kStart));
+    CHECK_FALSE(map.Update(table, kStart));
+    CHECK(map.used().size() < 250);
+    kept += map.kept().size();
+    std::set<std::string> keepers;
+    for (const auto& [id, keeper] : map.used()) keepers.insert(keeper.node.value);
+    for (const std::string& keeper : keepers) ++users[keeper];
+  }
+  CHECK(kept == kBackends);  // each has one keeper, the same for all
+  CHECK(users.size() == kEntries);
+  for (const auto& [keeper, count] : users) {
+    CHECK(count >= 4);
+    CHECK(count < 40);
+  }
+}
+
+TEST_CASE("a service with a few backend servers is used wherever they are") {
+  std::vector<BackendInfo> backends;
+  PeerTable table(PeerNamed("self", "dc0"));
+  for (int i = 0; i < 40; ++i) {
+    const std::string centre = "dc" + std::to_string(i % 2);
+    table.Named(PeerNamed("e" + std::to_string(i), centre));
+    for (int j = 0; j < 6; ++j) {
+      backends.push_back({BackendId{"b" + std::to_string(i) + "-" + std::to_string(j)}, kLlm,
+                          Address{"10.0.0.1", 1}, DataCentre{centre}, 8, BackendState::kReady});
+    }
+  }
+  backends.push_back({BackendId{"rare"}, ServiceName{"rare"}, Address{"10.0.0.1", 1},
+                      DataCentre{"dc1"}, 8, BackendState::kReady});
+  KeeperMap map;
+  map.SetBackends(backends);
+  REQUIRE(map.Update(table, kStart));
+  CHECK(map.used().contains(BackendId{"rare"}));
+}
