Find idle entries once a tick, and count grants only for entries that wait

Cause: whether an entry is idle was worked out at each message for each entry told over 200 ms before, and places under way for entries that wait for nothing; reckoned 2 to 3% of a core each at a keeper of ten backend servers for 38 entries.

--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -249,6 +249,7 @@
     bool near = true;
     bool urgent = false;  // `allowed` changed
     bool stale = false;   // others' use changed
+    bool idle = false;    // uses nothing here, may use nothing, and waits for nothing
     Time told_at{};
   };
 
@@ -272,8 +273,9 @@
   [[nodiscard]] int SpareFor(const ServiceName& service) const;
   [[nodiscard]] PlaceGrant GrantFor(const NodeId& entry) const;
   void MarkOthersStale(const Kept& kept, const NodeId& but);
-  // The entry uses nothing here, may use nothing, and waits for nothing.
-  [[nodiscard]] bool IsIdle(const NodeId& entry, const EntryState& state) const;
+  // Finds the idle ones once a Tick: asked at each message, it took 2% of a core at a
+  // keeper of ten backend servers for 38 entries (reckoned).
+  void UpdateIdle();
 
   int reserve_;
   std::map<BackendId, Kept> kept_;
--- a/src/sharing/place_division.cc
+++ b/src/sharing/place_division.cc
@@ -63,6 +63,7 @@
   int spare = settled && used < free ? SpareFor(kept.backend.service) : 0;
   if (spare > 0) {
     for (Holder& each : holders) {
+      if (each.entry->waiting.empty()) continue;
       each.taken = each.holds - each.share->batch + UnusedElsewhere(*each.node, kept);
     }
   }
--- a/src/sharing/place_keeper.cc
+++ b/src/sharing/place_keeper.cc
@@ -62,6 +62,7 @@
   entry.waiting = report.waiting;
   entry.at = now;
   entry.near = near;
+  entry.idle = false;  // until the next look at what it reports
   // What it did with its places is in this report's lines.
   for (auto& [id, kept] : kept_) {
     std::erase_if(kept.reserved, [&](const Reservation& each) {
@@ -119,22 +120,23 @@
   return grant;
 }
 
-bool PlaceKeeper::IsIdle(const NodeId& entry, const EntryState& state) const {
-  if (!state.waiting.empty()) return false;
-  return std::all_of(kept_.begin(), kept_.end(), [&entry](const auto& each) {
-    const auto found = each.second.shares.find(entry);
-    if (found == each.second.shares.end()) return true;
-    const Share& share = found->second;
-    return share.online == 0 && share.batch == 0 && share.allowed == 0;
-  });
+void PlaceKeeper::UpdateIdle() {
+  for (auto& [node, entry] : entries_) entry.idle = entry.waiting.empty();
+  for (const auto& [id, kept] : kept_) {
+    for (const auto& [node, share] : kept.shares) {
+      const bool used = share.online > 0 || share.batch > 0 || share.allowed > 0;
+      if (used) entries_[node].idle = false;
+    }
+  }
 }
 
 void PlaceKeeper::Tick(Time now) {
+  UpdateIdle();
   std::vector<NodeId> silent;
   for (const auto& [node, entry] : entries_) {
     const Duration silence = now - entry.at;
     if (entry.number == 0 || silence < kReportLife) continue;
-    if (silence >= kIdleReportLife || !IsIdle(node, entry)) silent.push_back(node);
+    if (silence >= kIdleReportLife || !entry.idle) silent.push_back(node);
   }
   for (const NodeId& node : silent) Forget(node, now);
   ExpireReservations(now);
@@ -151,7 +153,7 @@
     const Duration told = now - entry.told_at;
     const bool waited = told >= (entry.near ? kCoalesce : kCoalesceFar);
     const bool has_news = entry.urgent || (entry.stale && waited);
-    const bool is_time = told >= kIdleHeartbeat || (told >= kHeartbeat && !IsIdle(node, entry));
+    const bool is_time = told >= kIdleHeartbeat || (told >= kHeartbeat && !entry.idle);
     if (!has_news && !is_time) continue;
     PlaceGrant grant = GrantFor(node);
     grant.number = ++entry.granted;
