--- a/test/place-sim.h
+++ b/test/place-sim.h
@@ -187,6 +187,7 @@
       ++by_due[load_.tells_due ? due : StoreTime{0}];
     }
     std::vector<WaitingItems> waiting;
+    waiting.reserve(by_due.size());
     for (const auto& [due, items] : by_due) waiting.push_back({due, items});
     return waiting;
   }
