Divide a keeper's places in short steps; count waiting items in one place

PlaceKeeper::Divide had grown to 50 lines; who holds what, who is next and the grants of what is spare are functions of their own. No change of what is done (sharing-test, place-load-test as before).

--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -68,6 +68,7 @@
   int items = 0;
   bool operator==(const WaitingItems&) const = default;
 };
+[[nodiscard]] int CountOf(std::span<const WaitingItems> waiting);
 
 // From an entry to a keeper. Absolute numbers: the latest one counts.
 struct PlaceReport {
@@ -256,7 +257,19 @@
   [[nodiscard]] static int OnlineOf(const Kept& kept);
   // Run there, or allowed to.
   [[nodiscard]] static int BatchOf(const Kept& kept);
+  // An entry's part in the division of one backend server.
+  struct Holder {
+    const NodeId* node = nullptr;
+    Share* share = nullptr;
+    EntryState* entry = nullptr;
+    int holds = 0;  // batch items that it runs there, or may
+    int taken = 0;  // of its waiting items, by places that were granted for them
+  };
   void Divide(Kept& kept, Time now);
+  [[nodiscard]] std::vector<Holder> HoldersOf(Kept& kept);
+  void GrantSpare(const Kept& kept, std::vector<Holder>& holders, int spare) const;
+  // Whose next item is due first; none waits: nullptr.
+  [[nodiscard]] static Holder* NextInLine(std::vector<Holder>& holders);
   // Places granted to the entry at other backend servers of the service that it has not
   // said anything about yet.
   [[nodiscard]] int UnusedElsewhere(const NodeId& entry, const Kept& but) const;
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -46,12 +46,6 @@
   return waiting;
 }
 
-int BatchRunner::waiting() const {
-  int items = 0;
-  for (const WaitingItems& each : Waiting()) items += each.items;
-  return items;
-}
-
 void BatchRunner::OnOwned(OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
   for (const ledger::ProgressPiece& piece : progress) {
     if (piece.item >= job.items().size() || !job.IsOpen(piece.item)) continue;
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -45,7 +45,6 @@
   void Pump();
   // Items that could start now, those due first first.
   [[nodiscard]] std::vector<WaitingItems> Waiting() const;
-  [[nodiscard]] int waiting() const;  // how many
   [[nodiscard]] std::size_t running() const { return runs_.size(); }
 
  private:
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -176,7 +176,7 @@
     set("figmill_requests_in_flight", "Requests without a final answer yet",
         static_cast<double>(door_.in_flight()));
     set("figmill_items_running", "Batch items that run", static_cast<double>(runner_.running()));
-    set("figmill_items_waiting", "Batch items that could run", runner_.waiting());
+    set("figmill_items_waiting", "Batch items that could run", CountOf(runner_.Waiting()));
     set("figmill_jobs_owned", "Batch jobs that this entry owns",
         static_cast<double>(jobs_.owned()));
     set("figmill_peers_live", "Entries that are there, with this one",
--- a/src/sharing/place_division.cc
+++ b/src/sharing/place_division.cc
@@ -19,6 +19,12 @@
 
 }  // namespace
 
+int CountOf(std::span<const WaitingItems> waiting) {
+  int items = 0;
+  for (const WaitingItems& each : waiting) items += each.items;
+  return items;
+}
+
 int PlaceKeeper::UnusedElsewhere(const NodeId& entry, const Kept& but) const {
   const EntryState& state = entries_.at(entry);
   const bool under_way = state.urgent || state.acted < state.granted;
@@ -33,54 +39,60 @@
   return unused;
 }
 
-// Divides what online leaves of one backend server. An entry keeps what it runs;
-// when that is too much, the one that runs most gives up first. What is free goes
-// one by one to the entry whose next item is due first. Shared out evenly, all jobs
-// would take as long as the last one, and when places are short all would be late.
-void PlaceKeeper::Divide(Kept& kept, Time now) {
-  struct Holder {
-    const NodeId* node = nullptr;
-    Share* share = nullptr;
-    EntryState* entry = nullptr;
-    int holds = 0;
-    int taken = 0;  // of its waiting items, by places that it was granted
-  };
+std::vector<PlaceKeeper::Holder> PlaceKeeper::HoldersOf(Kept& kept) {
   std::vector<Holder> holders;
-  int used = 0;
   for (auto& [node, share] : kept.shares) {
     EntryState& entry = entries_[node];
     // A grant that is under way may be acted on any moment.
     const bool in_flight = entry.acted < entry.granted;
     const int holds = in_flight ? std::max(share.batch, share.allowed) : share.batch;
     holders.push_back({&node, &share, &entry, holds, 0});
-    used += holds;
   }
-  const auto fewer = [](const Holder& a, const Holder& b) { return a.holds < b.holds; };
+  return holders;
+}
+
+PlaceKeeper::Holder* PlaceKeeper::NextInLine(std::vector<Holder>& holders) {
+  Holder* first = nullptr;
+  std::pair<StoreTime, int> first_rank;
+  for (Holder& each : holders) {
+    const auto due = DueOfNext(each.entry->waiting, each.taken);
+    if (!due) continue;
+    const std::pair<StoreTime, int> rank{*due, each.holds};
+    if (first != nullptr && rank >= first_rank) continue;
+    first = &each;
+    first_rank = rank;
+  }
+  return first;
+}
+
+void PlaceKeeper::GrantSpare(const Kept& kept, std::vector<Holder>& holders, int spare) const {
+  if (spare <= 0) return;
+  for (Holder& each : holders) {
+    if (each.entry->waiting.empty()) continue;
+    each.taken = each.holds - each.share->batch + UnusedElsewhere(*each.node, kept);
+  }
+  for (; spare > 0; --spare) {
+    Holder* next = NextInLine(holders);
+    if (next == nullptr) return;
+    ++next->holds;
+    ++next->taken;
+  }
+}
+
+// Divides what online leaves of one backend server. An entry keeps what it runs;
+// when that is too much, the one that runs most gives up first. What is free goes
+// one by one to the entry whose next item is due first. Shared out evenly, all jobs
+// would take as long as the last one, and when places are short all would be late.
+void PlaceKeeper::Divide(Kept& kept, Time now) {
+  std::vector<Holder> holders = HoldersOf(kept);
   const int places = kept.ejected ? 0 : kept.backend.places;
-  const int free = std::max(0, places - reserve_ - OnlineOf(kept));
-  for (; used > free; --used) --std::max_element(holders.begin(), holders.end(), fewer)->holds;
+  int free = std::max(0, places - reserve_ - OnlineOf(kept));
+  for (const Holder& each : holders) free -= each.holds;
+  const auto fewer = [](const Holder& a, const Holder& b) { return a.holds < b.holds; };
+  for (; free < 0; ++free) --std::max_element(holders.begin(), holders.end(), fewer)->holds;
   const bool settled = now - kept.since >= kSettle;
-  int spare = settled && used < free ? SpareFor(kept.backend.service) : 0;
-  if (spare > 0) {
-    for (Holder& each : holders) {
-      if (each.entry->waiting.empty()) continue;
-      each.taken = each.holds - each.share->batch + UnusedElsewhere(*each.node, kept);
-    }
-  }
-  for (; spare > 0 && used < free; --spare, ++used) {
-    Holder* first = nullptr;
-    std::pair<StoreTime, int> first_rank;
-    for (Holder& each : holders) {
-      const auto due = DueOfNext(each.entry->waiting, each.taken);
-      if (!due) continue;
-      const std::pair<StoreTime, int> rank{*due, each.holds};
-      if (first != nullptr && rank >= first_rank) continue;
-      first = &each;
-      first_rank = rank;
-    }
-    if (first == nullptr) break;
-    ++first->holds;
-    ++first->taken;
+  if (settled && free > 0) {
+    GrantSpare(kept, holders, std::min(free, SpareFor(kept.backend.service)));
   }
   for (const Holder& each : holders) {
     if (each.share->allowed == each.holds) continue;
--- a/src/sharing/place_keeper.cc
+++ b/src/sharing/place_keeper.cc
@@ -6,12 +6,6 @@
 namespace figmill {
 namespace {
 
-int CountOf(const std::vector<WaitingItems>& waiting) {
-  int items = 0;
-  for (const WaitingItems& each : waiting) items += each.items;
-  return items;
-}
-
 // More items, or some that are due before all that were known.
 bool WantsMore(const std::vector<WaitingItems>& before, const std::vector<WaitingItems>& now) {
   if (CountOf(now) > CountOf(before)) return true;
