Look for a header that the adapter still names in the test of the boundary

The test proves that it finds names by three that stand in platform/; one of them, Prompt-Prefix, went with the fields that nobody read. Another header takes its place, and Prompt-Prefix itself is still looked for in the product: the test is as strict as before.

--- a/test/boundary-test.py
+++ b/test/boundary-test.py
@@ -12,6 +12,8 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 # HTTP's own, and names of figmill's that the platform happens to share.
 SHARED = {"Content-Type", "Last-Event-Id", "Retry-After", "Request-Id"}
+# The platform's, and of no use to the adapter: no business of the product either.
+UNUSED = {"Prompt-Prefix"}
 LITERAL = re.compile(r'"((?:[^"\\\n]|\\.)*)"')
 # A path, a header or a member in camel case; plain words belong to nobody.
 NAME = re.compile(r"/-/[\w/-]+|[A-Z][a-z]+(?:-[A-Z][a-z]+)+|[a-z]+(?:[A-Z][a-z]*)+")
@@ -30,7 +32,8 @@
 
 def main():
     platform = set().union(*(names_in(path) for path in sources("platform"))) - SHARED
-    assert {"Prompt-Prefix", "pathPrefix", "/-/rows-tx"} <= platform, "the names were not found"
+    assert {"Expect-Instance", "pathPrefix", "/-/rows-tx"} <= platform, "the names were not found"
+    platform |= UNUSED
     wrong = []
     for path in sources("src", "include"):
         text, place = path.read_text(), path.relative_to(ROOT)
