Say by what clock an item was given up, and that a table was never read

The logs of the incident could not tell its hypotheses apart: an item's end said neither the end of its job's life nor the time it was judged by, and a process that never got an answer about a table said nothing of it.

Added: item_given_up with the job's life, the store's time and how long ago the store told it; job_owned says whether it was known; store_lost also at the first answer; figmill_store_clock_age_seconds. No decision is changed.

--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -19,6 +19,10 @@
   return std::to_string(number);
 }
 
+std::string Milliseconds(Duration time) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
+
 }  // namespace
 
 BatchRunner::BatchRunner(RelayTools& tools, JobStore& jobs, StoreClock& clock,
@@ -358,12 +362,29 @@
     if (why) hopeless.emplace_back(key, *why);
   }
   for (const auto& [key, why] : hopeless) {
+    LogGivenUp(key, why);
     backlog_.RemoveItem(key.job, key.item);
     EndRun(key, relay::SendEnd::kAbandoned);
     Finish(key, ResultState::kDead, why);
   }
 }
 
+// What the verdict rests on: the end of the job's life by the store's clock, and how
+// long ago the store last told its time.
+void BatchRunner::LogGivenUp(const ItemKey& key, std::string_view why) const {
+  const JobHead* head = jobs_.Known(key.job);
+  const std::optional<Duration> age = clock_.Age();
+  Log(LogLevel::kInfo, "item_given_up",
+      {{"job", key.job.value},
+       {"item", IdOf(key)},
+       {"why", std::string(why)},
+       {"submitted_ms", head == nullptr ? "" : Milliseconds(head->submitted)},
+       {"expires_ms", head == nullptr ? "" : Milliseconds(head->expires)},
+       {"store_now_ms", Milliseconds(clock_.Now())},
+       {"store_heard_ms_ago", age ? Milliseconds(*age) : "never"},
+       {"config", Text(routes_ ? routes_->version() : 0)}});
+}
+
 void BatchRunner::StopSilent() {
   const Time now = Loop::Now();
   std::vector<ItemKey> silent;
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -90,6 +90,7 @@
   // Lists items as dead that can't be done any more. Without this a job whose route
   // was removed stays open for ever, and its caller waits for it.
   void GiveUpHopeless();
+  void LogGivenUp(const ItemKey& key, std::string_view why) const;
   void KeepProgress();
   void KeepProgressOf(OwnedJob& job);
   [[nodiscard]] Duration WorkLeft(const Progress& progress) const;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -187,10 +187,17 @@
         static_cast<double>(door_.config_version()));
     set("figmill_connections_opened", "Connections opened since the start",
         static_cast<double>(client_.opened()));
+    set("figmill_store_clock_age_seconds",
+        "Since the store last told its time; -1 before it first did", StoreClockAge());
     set("figmill_log_lines_dropped", "Log lines left out or lost since the start",
         static_cast<double>(LogLinesDropped()));
   }
 
+  [[nodiscard]] double StoreClockAge() const {
+    const std::optional<Duration> age = clock_.Age();
+    return age ? std::chrono::duration<double>(*age).count() : -1;
+  }
+
   // By way of whom the store may be reached.
   void TellPeers() {
     std::vector<Address> peers;
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -196,7 +196,8 @@
       {{"job", id.value},
        {"row_version", std::to_string(version)},
        {"total", std::to_string(head.total)},
-       {"listed", std::to_string(head.listed)}});
+       {"listed", std::to_string(head.listed)},
+       {"store_time_known", clock_.known() ? "yes" : "no"}});
   const auto at =
       owned_.emplace(id, std::make_unique<OwnedJob>(std::move(head), version, std::move(items)));
   hooks_.owned(*at.first->second, progress);
--- a/src/gateway/store_clock.h
+++ b/src/gateway/store_clock.h
@@ -17,6 +17,7 @@
   // best: each answer was on its way for some time.
   void Heard(StoreTime at) {
     if (at.count() == 0) return;
+    heard_at_ = Loop::Now();
     const Duration offset = at - Loop::Now().time_since_epoch();
     offset_ = offset_ ? std::max(*offset_, offset) : offset;
   }
@@ -24,9 +25,15 @@
   [[nodiscard]] StoreTime Now() const {
     return Loop::Now().time_since_epoch() + offset_.value_or(Duration{0});
   }
+  // Since the last answer with a time in it; nothing before the first.
+  [[nodiscard]] std::optional<Duration> Age() const {
+    if (!known()) return std::nullopt;
+    return Loop::Now() - heard_at_;
+  }
 
  private:
   std::optional<Duration> offset_;
+  Time heard_at_{};
 };
 
 }  // namespace figmill
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,7 +39,7 @@
   [[nodiscard]] const TableMirror& mirror() const { return mirror_; }
   void Learn(const TableRow& row) { mirror_.Learn(row); }
   // Whether the last call was answered, and since when that is so.
-  [[nodiscard]] bool connected() const { return connected_; }
+  [[nodiscard]] bool connected() const { return connected_.value_or(false); }
   [[nodiscard]] Time changed_at() const { return changed_at_; }
 
  private:
@@ -53,7 +54,7 @@
   std::function<void()> settled_;
   Duration pace_{0};
   StoreClock* clock_;
-  bool connected_ = false;
+  std::optional<bool> connected_;  // nothing before the first answer
   Time changed_at_{};
   Time troubled_until_{};
   Timer pause_;
