Show that a job taken before the store told its time is given up, failing

A gateway that starts again while the list of jobs can't be read learns a job from one row, takes it and gives its items up within 250 ms.

--- /dev/null
+++ b/test/job-life-test.py
@@ -0,0 +1,85 @@
+#!/usr/bin/env python3
+"""How long items of a batch job may be worked on, at a gateway that has just started.
+
+usage: job-life-test.py BUILD_FOLDER
+"""
+
+import json
+import pathlib
+import sys
+import time
+import unittest
+
+import gateways
+from gateways import Fleet, call, job, output_of, wait_for
+
+BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
+ITEMS = 8
+TOKENS = 60
+
+
+def results_of(gateway):
+    status, _, body = call(gateway.callers, "GET", "/-/lots/j1?after=0")
+    return json.loads(body)["results"] if status == 200 else []
+
+
+class BeforeTheStoreToldItsTime(unittest.TestCase):
+    """A gateway starts again and takes its job back before the store has told it the time.
+
+    A planned restart met a store that lost part of its answers. The new process learned of a
+    job from one row that it read for a caller, took it and had its items listed as dead within
+    250 ms, 11.8 s after the job was accepted, though its items may run for 60 s:
+    `item_finished state=dead why="its time is over"`. Only the list of all jobs told a process
+    the store's time, and that list had not come yet (`store_regained table=jobs` two seconds
+    later). Until then the host's own clock, which had started long before the store's, stood in
+    for it, so that the job's life seemed over.
+    """
+
+    def setUp(self):
+        self.fleet = Fleet(BUILD, gateways=1, engines=2).__enter__()
+        self.addCleanup(self.fleet.__exit__, None)
+        self.gateway = self.fleet.gateways[0]
+
+    def restart_with_a_job_underway(self):
+        submitted = call(self.gateway.callers, "POST", "/reports/j1", job("j1", ITEMS, TOKENS),
+                         {"Request-Id": "j1", "Content-Type": "application/json"})
+        self.assertEqual(submitted[0], 202)
+        wait_for("items run", lambda: len(self.fleet.world.runs()) >= 2)
+        self.gateway.signal(gateways.KILL)
+        self.gateway.process.wait()
+        self.fleet.world.do("store", unlisted=["jobs"])
+        self.gateway.start()
+        wait_for("it is ready", self.gateway.ready)
+        # A caller's read brings the one row of this job.
+        wait_for("the job is known",
+                 lambda: call(self.gateway.callers, "GET", "/-/lots/j1?after=0")[0] == 200)
+        wait_for("the job is owned", lambda: len(self.gateway.lines("job_owned")) >= 2)
+
+    def assert_all_complete(self):
+        results = wait_for("the job is done", lambda: (
+            found := results_of(self.gateway)) and len(found) == ITEMS and found)
+        self.assertEqual({(result["state"], result["output"]) for result in results},
+                         {("complete", output_of(f"j1-{n}", TOKENS)) for n in range(ITEMS)})
+
+    def test_items_are_not_given_up(self):
+        self.restart_with_a_job_underway()
+        time.sleep(0.5)  # two sweeps
+        self.assertEqual(self.gateway.lines("item_given_up"), [])
+        self.fleet.world.do("store", unlisted=[])
+        self.assert_all_complete()
+
+    def test_an_item_that_failed_runs_again_once_the_time_is_known(self):
+        """An item waits a moment after a run that broke off. Its end was reckoned by the clock
+        that stood in for the store's, and lay hours away once the store had told its time."""
+        for index in range(2):
+            self.fleet.world.do("engine", index=index, cut=1.0)
+        self.restart_with_a_job_underway()
+        wait_for("runs break off", lambda: len(self.gateway.lines("item_stopped")) >= ITEMS)
+        for index in range(2):
+            self.fleet.world.do("engine", index=index, cut=0.0)
+        self.fleet.world.do("store", unlisted=[])
+        self.assert_all_complete()
+
+
+if __name__ == "__main__":
+    unittest.main(argv=[sys.argv[0], "-v"])
