Know the store's time by each of its answers, and judge nothing before

Cause: StoreClock::Now() gave the host's own steady clock until the first answer that somebody read the time from, and only the list of jobs, its feed and the writes of results were read so. A process that took a job before that list came (a store that lost answers during a planned restart) found the job's life over. The same clock set the end of an item's pause and what was told to keepers as late.

Ruled out: a wrong time in an answer (no answer had told one), a wrong row (its life was 60 s).

Change: Now() is nothing while the time is unknown, and who asks must say what then: nothing is given up, no item is late, a new job is refused as before. ClockedTables reads the time from every answer in place of four callers, also from rejected writes. Pauses are of this process's own clock. The fakes' store has a clock of its own.

--- a/include/figmill/ledger.h
+++ b/include/figmill/ledger.h
@@ -160,10 +160,11 @@
 // Why the open items of a job will not be run any more; nothing while they may be.
 // An item without a route is given up only by a configuration later than the one
 // that accepted the job: an owner that lags behind may not have heard of the route
-// yet, and what is listed as dead stays dead.
+// yet, and what is listed as dead stays dead. For the same reason a life is over only
+// by the store's clock, never while that is unknown.
 [[nodiscard]] std::optional<std::string_view> WhyGivenUp(const JobHead& head, bool has_route,
                                                          std::uint64_t config_version,
-                                                         StoreTime now);
+                                                         std::optional<StoreTime> now);
 
 // --- Owner ------------------------------------------------------------------------
 
@@ -236,6 +237,12 @@
 
 // --- Order of work ---------------------------------------------------------------
 
+// What items wait by.
+struct BacklogTime {
+  Time here{};                     // of this process: pauses
+  std::optional<StoreTime> store;  // due times; nothing before the store told its time
+};
+
 // Which item of all jobs runs next. Earliest due first keeps the most jobs whole
 // as long as all fit. Once they don't, it would work on each job until it is late;
 // so an item that can't be done in time any more lets those go first that can.
@@ -245,8 +252,8 @@
     JobId job;
     std::size_t item = 0;
     StoreTime due{0};
-    Duration work{0};         // expected until it is done
-    StoreTime not_before{0};  // after a failure
+    Duration work{0};   // expected until it is done
+    Time not_before{};  // after a failure
     bool has_run = false;
   };
 
@@ -257,18 +264,19 @@
   // goes on as long as it can be in time at all, as its work would be lost.
   static constexpr int kTimesWork = 2;
 
-  [[nodiscard]] static bool CanBeInTime(const Entry& entry, StoreTime now);
+  // True while the time is unknown: the one due first goes first then.
+  [[nodiscard]] static bool CanBeInTime(const Entry& entry, std::optional<StoreTime> now);
 
   void Add(Entry entry) { entries_.push_back(std::move(entry)); }
   void RemoveJob(const JobId& job);
   void RemoveItem(const JobId& job, std::size_t item);
   // Takes out the next one that may start now and fits.
-  [[nodiscard]] std::optional<Entry> Take(StoreTime now,
+  [[nodiscard]] std::optional<Entry> Take(const BacklogTime& now,
                                           const std::function<bool(const Entry&)>& fits);
   // How many may start now, by when they are due; those that can't be in time any more
   // stand at kLate.
   static constexpr StoreTime kLate = StoreTime::max();
-  [[nodiscard]] std::map<StoreTime, int> StartableByDue(StoreTime now) const;
+  [[nodiscard]] std::map<StoreTime, int> StartableByDue(const BacklogTime& now) const;
   [[nodiscard]] std::size_t size() const { return entries_.size(); }
 
  private:
--- a/include/figmill/tables.h
+++ b/include/figmill/tables.h
@@ -54,13 +54,15 @@
 // Time of the store's own steady clock, which all processes read alike.
 using StoreTime = Duration;
 
-// `version` is that of all the rows that were written.
+// `version` is that of all the rows that were written; `now`, here and below, is when
+// the answer was made, if it says so.
 struct TableCommitted {
   RowVersion version = 0;
-  StoreTime now{0};
+  std::optional<StoreTime> now;
 };
 struct TableRejected {
   std::vector<TableRow> current;  // the rows of the conditions, as they are
+  std::optional<StoreTime> now;
 };
 // NotWritten and FateUnknown as for TableStore.
 using TableOutcome = std::variant<TableCommitted, TableRejected, NotWritten, FateUnknown>;
@@ -78,14 +80,14 @@
   std::vector<TableRow> rows;  // in key order
   bool truncated = false;      // more follow the last one
   RowVersion version = 0;      // the newest in the whole store at that moment
-  StoreTime now{0};
+  std::optional<StoreTime> now;
 };
 
 // What changed after a version, in order.
 struct TableChanges {
   std::vector<TableRow> rows;
   RowVersion version = 0;  // go on from here
-  StoreTime now{0};
+  std::optional<StoreTime> now;
 };
 // The store no longer knows what changed since then: list the table again.
 struct HistoryLost {};
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -25,7 +25,7 @@
 
 }  // namespace
 
-BatchRunner::BatchRunner(RelayTools& tools, JobStore& jobs, StoreClock& clock,
+BatchRunner::BatchRunner(RelayTools& tools, JobStore& jobs, const StoreClock& clock,
                          std::function<void()> wanted_changed)
     : tools_(tools), jobs_(jobs), clock_(clock), wanted_changed_(std::move(wanted_changed)) {
   sweep_timer_ = tools_.loop.Every(kSweepPeriod, [this] { Sweep(); });
@@ -40,7 +40,7 @@
 std::vector<WaitingItems> BatchRunner::Waiting() const {
   static_assert(ItemBacklog::kLate == WaitingItems::kLate);
   std::vector<WaitingItems> waiting;
-  for (const auto& [due, items] : backlog_.StartableByDue(clock_.Now())) {
+  for (const auto& [due, items] : backlog_.StartableByDue(TimeNow())) {
     if (waiting.size() < WaitingItems::kMaxGroups) {
       waiting.push_back({due, items});
     } else {
@@ -107,13 +107,16 @@
 void BatchRunner::Queue(const ItemKey& key, Duration pause) {
   const JobHead* head = jobs_.Known(key.job);
   const StoreTime due = head == nullptr ? StoreTime{0} : head->due;
-  const StoreTime now = clock_.Now();
   const Progress& progress = progress_[key];
   const bool has_run = progress.text.events() > 0;
-  backlog_.Add({key.job, key.item, due, WorkLeft(progress), now + pause, has_run});
+  backlog_.Add({key.job, key.item, due, WorkLeft(progress), Loop::Now() + pause, has_run});
   if (pause.count() > 0) tools_.loop.Later(pause, [this] { Pump(); });
 }
 
+BacklogTime BatchRunner::TimeNow() const {
+  return {Loop::Now(), clock_.Now()};
+}
+
 const Route* BatchRunner::RouteOf(const JobHead& head, const JobItem& item) const {
   if (!routes_) return nullptr;
   const Route* route = routes_->Find(head.host, item.target);
@@ -179,7 +182,7 @@
 }
 
 bool BatchRunner::StartOn(const BackendInfo& backend) {
-  const auto entry = backlog_.Take(clock_.Now(), [this, &backend](const ItemBacklog::Entry& each) {
+  const auto entry = backlog_.Take(TimeNow(), [this, &backend](const ItemBacklog::Entry& each) {
     return Fits({each.job, each.item}, backend);
   });
   if (!entry) return false;
@@ -373,6 +376,7 @@
 // long ago the store last told its time.
 void BatchRunner::LogGivenUp(const ItemKey& key, std::string_view why) const {
   const JobHead* head = jobs_.Known(key.job);
+  const std::optional<StoreTime> now = clock_.Now();
   const std::optional<Duration> age = clock_.Age();
   Log(LogLevel::kInfo, "item_given_up",
       {{"job", key.job.value},
@@ -380,7 +384,7 @@
        {"why", std::string(why)},
        {"submitted_ms", head == nullptr ? "" : Milliseconds(head->submitted)},
        {"expires_ms", head == nullptr ? "" : Milliseconds(head->expires)},
-       {"store_now_ms", Milliseconds(clock_.Now())},
+       {"store_now_ms", now ? Milliseconds(*now) : "unknown"},
        {"store_heard_ms_ago", age ? Milliseconds(*age) : "never"},
        {"config", Text(routes_ ? routes_->version() : 0)}});
 }
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -33,7 +33,7 @@
   // A run's expected length before any was seen.
   static constexpr Duration kUsualRun{5'000'000};
 
-  BatchRunner(RelayTools& tools, JobStore& jobs, StoreClock& clock,
+  BatchRunner(RelayTools& tools, JobStore& jobs, const StoreClock& clock,
               std::function<void()> wanted_changed);
 
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
@@ -71,6 +71,7 @@
   };
 
   void Queue(const ItemKey& key, Duration pause);
+  [[nodiscard]] BacklogTime TimeNow() const;
   [[nodiscard]] std::string IdOf(const ItemKey& key) const;
   [[nodiscard]] const Route* RouteOf(const JobHead& head, const JobItem& item) const;
   [[nodiscard]] bool Fits(const ItemKey& key, const BackendInfo& backend) const;
@@ -97,7 +98,7 @@
 
   RelayTools& tools_;
   JobStore& jobs_;
-  StoreClock& clock_;
+  const StoreClock& clock_;
   std::function<void()> wanted_changed_;
   std::shared_ptr<const RouteTable> routes_;
   ItemBacklog backlog_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -9,6 +9,7 @@
 
 #include "gateway/batch_runner.h"
 #include "gateway/caller_door.h"
+#include "gateway/clocked_tables.h"
 #include "gateway/fleet_watch.h"
 #include "gateway/job_desk.h"
 #include "gateway/job_store.h"
@@ -91,6 +92,7 @@
         client_(loop_),
         store_(loop_, client_, settings.store),
         tables_(adapter.Connect(store_)),
+        clocked_tables_(*tables_, clock_),
         places_(settings.data_centre, SystemRandom()),
         peers_(SelfOf(settings)),
         link_(loop_, peers_, places_, metrics_,
@@ -100,7 +102,7 @@
                [this](const Peer& self) { control_.Rename(self); }}),
         finder_(loop_, places_, link_),
         tools_{loop_, client_, places_, finder_, adapter.names(), gateway_metrics_},
-        jobs_(loop_, *tables_, peers_, clock_, SystemRandom(),
+        jobs_(loop_, clocked_tables_, peers_, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
                  runner_.OnOwned(job, progress);
                },
@@ -267,6 +269,7 @@
   StoreCaller store_;
   std::unique_ptr<SharedTables> tables_;
   StoreClock clock_;
+  ClockedTables clocked_tables_;
   PlaceBook places_;
   std::map<BackendId, BackendInfo> backends_;  // of the view in use
   PeerTable peers_;
--- a/src/gateway/job_desk.cc
+++ b/src/gateway/job_desk.cc
@@ -58,7 +58,8 @@
   bool sent_ = false;
 };
 
-JobDesk::JobDesk(Loop& loop, JobStore& jobs, StoreClock& clock, const PlatformAdapter& adapter)
+JobDesk::JobDesk(Loop& loop, JobStore& jobs, const StoreClock& clock,
+                 const PlatformAdapter& adapter)
     : loop_(loop), jobs_(jobs), clock_(clock), adapter_(adapter) {}
 
 void JobDesk::SetLeaving() {
@@ -71,7 +72,8 @@
   const std::string id(request.HeaderOr(adapter_.names().request_id));
   auto answer = std::make_shared<Answer>(*this, "submit", id, std::move(reply));
   if (!IsOk(submission)) return answer->Refuse(ErrorOf(submission));
-  if (!clock_.known()) {
+  const std::optional<StoreTime> now = clock_.Now();
+  if (!now) {
     return answer->Refuse({ErrorKind::kNoBackend, "the store was not reached yet", Ran::kNo});
   }
   JobSubmission& job = ValueOf(submission);
@@ -81,7 +83,7 @@
   head.host = route.host;
   head.total = static_cast<std::uint32_t>(job.items.size());
   head.done = std::string(job.items.size(), '.');
-  head.submitted = clock_.Now();
+  head.submitted = *now;
   head.due = head.submitted + route.job_due;
   head.expires = head.submitted + route.job_life;
   head.digest = ledger::DigestOf(job);
--- a/src/gateway/job_desk.h
+++ b/src/gateway/job_desk.h
@@ -15,7 +15,7 @@
 
 class JobDesk {
  public:
-  JobDesk(Loop& loop, JobStore& jobs, StoreClock& clock, const PlatformAdapter& adapter);
+  JobDesk(Loop& loop, JobStore& jobs, const StoreClock& clock, const PlatformAdapter& adapter);
 
   // `config_version`: of the configuration that `route` is from.
   void Submit(const Route& route, std::uint64_t config_version, HttpRequest request,
@@ -45,7 +45,7 @@
 
   Loop& loop_;
   JobStore& jobs_;
-  StoreClock& clock_;
+  const StoreClock& clock_;
   const PlatformAdapter& adapter_;
   std::multimap<JobId, Waiting> waiting_;
   std::uint64_t next_number_ = 0;
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -7,17 +7,16 @@
 
 namespace figmill {
 
-JobStore::JobStore(Loop& loop, SharedTables& tables, const PeerTable& peers, StoreClock& clock,
-                   RandomBits random, Hooks hooks)
+JobStore::JobStore(Loop& loop, SharedTables& tables, const PeerTable& peers, RandomBits random,
+                   Hooks hooks)
     : loop_(loop),
       tables_(tables),
       peers_(peers),
-      clock_(clock),
       random_(std::move(random)),
       hooks_(std::move(hooks)),
       follower_(
           loop, tables, std::string(ledger::kJobTable), ledger::Parts(),
-          [this](const TableMirror::Change& change) { OnRow(change); }, [] {}, &clock) {}
+          [this](const TableMirror::Change& change) { OnRow(change); }, [] {}) {}
 
 void JobStore::Start() {
   started_at_ = Loop::Now();
@@ -144,7 +143,6 @@
                           const std::function<void(Result<Ok>)>& done) {
   std::visit(Overloaded{
                  [&](const TableCommitted& committed) {
-                   clock_.Heard(committed.now);
                    if (IsMine(head)) Own(head, committed.version, std::move(submission.items), {});
                    Learn(head, committed.version);
                    done(Ok{});
@@ -196,8 +194,7 @@
       {{"job", id.value},
        {"row_version", std::to_string(version)},
        {"total", std::to_string(head.total)},
-       {"listed", std::to_string(head.listed)},
-       {"store_time_known", clock_.known() ? "yes" : "no"}});
+       {"listed", std::to_string(head.listed)}});
   const auto at =
       owned_.emplace(id, std::make_unique<OwnedJob>(std::move(head), version, std::move(items)));
   hooks_.owned(*at.first->second, progress);
@@ -304,7 +301,6 @@
   if (job == nullptr) return;
   std::visit(Overloaded{
                  [&](const TableCommitted& committed) {
-                   clock_.Heard(committed.now);
                    job->OnCommitted(committed.version);
                    Learn(JobHead(job->head()), job->version());
                  },
--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -40,8 +40,8 @@
     std::function<void(const JobHead&)> changed;
   };
 
-  JobStore(Loop& loop, SharedTables& tables, const PeerTable& peers, StoreClock& clock,
-           RandomBits random, Hooks hooks);
+  JobStore(Loop& loop, SharedTables& tables, const PeerTable& peers, RandomBits random,
+           Hooks hooks);
 
   void Start();
   // Refuses new jobs; hands all open ones to others and calls `done`.
@@ -105,7 +105,6 @@
   Loop& loop_;
   SharedTables& tables_;
   const PeerTable& peers_;
-  StoreClock& clock_;
   RandomBits random_;
   Hooks hooks_;
   TableFollower follower_;
--- a/src/gateway/store_clock.h
+++ b/src/gateway/store_clock.h
@@ -16,18 +16,19 @@
   // An answer that was made at `at` has just come in. The largest offset is the
   // best: each answer was on its way for some time.
   void Heard(StoreTime at) {
-    if (at.count() == 0) return;
     heard_at_ = Loop::Now();
     const Duration offset = at - Loop::Now().time_since_epoch();
     offset_ = offset_ ? std::max(*offset_, offset) : offset;
   }
-  [[nodiscard]] bool known() const { return offset_.has_value(); }
-  [[nodiscard]] StoreTime Now() const {
-    return Loop::Now().time_since_epoch() + offset_.value_or(Duration{0});
+  // Nothing before the first answer: the store's clock has a start of its own, and this
+  // host's in its place made jobs of 60 s look over after 0.4 s.
+  [[nodiscard]] std::optional<StoreTime> Now() const {
+    if (!offset_) return std::nullopt;
+    return Loop::Now().time_since_epoch() + *offset_;
   }
   // Since the last answer with a time in it; nothing before the first.
   [[nodiscard]] std::optional<Duration> Age() const {
-    if (!known()) return std::nullopt;
+    if (!offset_) return std::nullopt;
     return Loop::Now() - heard_at_;
   }
 
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -6,13 +6,12 @@
 
 TableFollower::TableFollower(Loop& loop, SharedTables& tables, std::string table,
                              std::vector<std::string> parts, TableMirror::OnChange on_change,
-                             std::function<void()> settled, StoreClock* clock)
+                             std::function<void()> settled)
     : loop_(loop),
       tables_(tables),
       table_(table),
       mirror_(std::move(table), std::move(parts), std::move(on_change)),
       settled_(std::move(settled)),
-      clock_(clock),
       self_(std::make_shared<TableFollower*>(this)) {}
 
 TableFollower::~TableFollower() {
@@ -26,7 +25,6 @@
             tables_.Read({table_, list.part, list.from, {}, TableRange{}.limit},
                          [self = self_, part = list.part](const Result<TablePage>& page) {
                            if (*self == nullptr) return;
-                           if (IsOk(page)) (*self)->Heard(ValueOf(page).now);
                            (*self)->mirror_.Listed(part, page);
                            (*self)->Answered(IsOk(page), IsOk(page) ? "" : ErrorOf(page).detail);
                          });
@@ -35,9 +33,6 @@
             const Duration wait = Loop::Now() < troubled_until_ ? kTroubledWait : kWait;
             tables_.Follow(table_, from.version, wait, [self = self_](const FeedOutcome& outcome) {
               if (*self == nullptr) return;
-              if (const auto* changes = std::get_if<TableChanges>(&outcome)) {
-                (*self)->Heard(changes->now);
-              }
               (*self)->mirror_.Followed(outcome);
               const Error* error = std::get_if<Error>(&outcome);
               (*self)->Answered(error == nullptr, error == nullptr ? "" : error->detail);
@@ -53,10 +48,6 @@
       mirror_.Next());
 }
 
-void TableFollower::Heard(StoreTime at) {
-  if (clock_ != nullptr) clock_->Heard(at);
-}
-
 void TableFollower::Answered(bool ok, const std::string& why) {
   if (!ok) troubled_until_ = Loop::Now() + kTroubled;
   if (ok != connected_) {
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -10,7 +10,6 @@
 
 #include "figmill/runtime.h"
 #include "figmill/tables.h"
-#include "gateway/store_clock.h"
 
 namespace figmill {
 
@@ -29,8 +28,7 @@
   // `on_change` as for TableMirror; `settled` after each answer, when what the
   // mirror holds may have changed.
   TableFollower(Loop& loop, SharedTables& tables, std::string table, std::vector<std::string> parts,
-                TableMirror::OnChange on_change, std::function<void()> settled,
-                StoreClock* clock = nullptr);
+                TableMirror::OnChange on_change, std::function<void()> settled);
   ~TableFollower();
 
   void Start() { Step(); }
@@ -44,7 +42,6 @@
 
  private:
   void Step();
-  void Heard(StoreTime at);
   void Answered(bool ok, const std::string& why);
 
   Loop& loop_;
@@ -53,7 +50,6 @@
   TableMirror mirror_;
   std::function<void()> settled_;
   Duration pace_{0};
-  StoreClock* clock_;
   std::optional<bool> connected_;  // nothing before the first answer
   Time changed_at_{};
   Time troubled_until_{};
--- a/test/gateway-fakes.h
+++ b/test/gateway-fakes.h
@@ -77,7 +77,7 @@
       page.rows.push_back(row);
     }
     page.version = data_.version;
-    page.now = Loop::Now().time_since_epoch();
+    page.now = Clock();
     Later([done, page] { done(page); });
   }
 
@@ -95,6 +95,11 @@
  private:
   static constexpr Duration kSilence{300'000};
 
+  // With a start of its own, as in any other host.
+  static StoreTime Clock() {
+    static const Time start = Loop::Now();
+    return Loop::Now() - start + std::chrono::seconds(1);
+  }
   static Error Down() { return {ErrorKind::kStoreUnavailable, "down"}; }
 
   void Later(std::function<void()> task, Duration delay = Duration{500}) {
@@ -114,7 +119,7 @@
                    Duration{2'000});
     }
     changes.version = deaf ? after : data_.version;
-    changes.now = Loop::Now().time_since_epoch();
+    changes.now = Clock();
     Later([done, changes] { done(changes); });
   }
 
@@ -137,7 +142,7 @@
       data_.rows.erase(at);
       data_.history.push_back({at, "", data_.version, true});
     }
-    return TableCommitted{data_.version, Loop::Now().time_since_epoch()};
+    return TableCommitted{data_.version, Clock()};
   }
 
   Loop& loop_;
--- a/test/job-desk-test.cc
+++ b/test/job-desk-test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include "gateway/clocked_tables.h"
 #include "gateway/job_desk.h"
 #include "gateway/table_follower.h"
 #include "platform/adapter.h"
@@ -28,12 +29,12 @@
       : loop(the_loop),
         tables(loop, data),
         peers({NodeId{node}, 1, Address{"10.0.0.1", 1}, DataCentre{"dc"}, 1, false}),
-        store(loop, tables, peers, clock, SystemRandom(),
+        store(loop, clocked, peers, SystemRandom(),
               {[](OwnedJob&, const std::vector<ledger::ProgressPiece>&) {}, [](const JobId&) {},
                [](OwnedJob&) {}, [this](const JobHead& head) { desk.OnChanged(head); }}),
         desk(loop, store, clock, *adapter) {
     store.Start();
-    fake::RunUntil(loop, [this] { return clock.known(); });
+    fake::RunUntil(loop, [this] { return clock.Now().has_value(); });
     route.name = "r";
     route.host = "h";
     route.prefix = "/b/";
@@ -75,6 +76,7 @@
   fake::Tables tables;
   PeerTable peers;
   StoreClock clock;
+  ClockedTables clocked{tables, clock};
   JobStore store;
   JobDesk desk;
   Route route;
--- a/test/job-store-test.cc
+++ b/test/job-store-test.cc
@@ -40,7 +40,7 @@
       : loop(the_loop),
         tables(loop, data),
         peers(self),
-        store(loop, tables, peers, clock, SystemRandom(),
+        store(loop, tables, peers, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& pieces) {
                  owned.insert(job.head().id.value);
                  progress = pieces;
@@ -88,7 +88,6 @@
   Loop& loop;
   fake::Tables tables;
   PeerTable peers;
-  StoreClock clock;
   std::set<std::string> owned;
   std::vector<ledger::ProgressPiece> progress;
   JobStore store;
--- a/test/ledger-rows-test.cc
+++ b/test/ledger-rows-test.cc
@@ -99,6 +99,7 @@
   head.config_version = 7;
   const Duration before{8'999};
   CHECK_FALSE(WhyGivenUp(head, true, 7, before));
+  CHECK_FALSE(WhyGivenUp(head, true, 7, std::nullopt));
   CHECK(WhyGivenUp(head, true, 7, head.expires));
   CHECK(WhyGivenUp(head, false, 8, before));
   // An owner that has not heard yet of the configuration that brought the route.
--- a/test/owned-job-test.cc
+++ b/test/owned-job-test.cc
@@ -208,7 +208,7 @@
   backlog.Add(entry("late", 12));
   backlog.Add(entry("later", 30));
   backlog.Add(entry("soon", 20));
-  const StoreTime now = std::chrono::seconds(10);
+  const BacklogTime now{Time{}, std::chrono::seconds(10)};
   const std::map<StoreTime, int> by_due{
       {std::chrono::seconds(20), 1}, {std::chrono::seconds(30), 1}, {ItemBacklog::kLate, 1}};
   CHECK(backlog.StartableByDue(now) == by_due);
@@ -218,11 +218,27 @@
   CHECK_FALSE(backlog.Take(now, all));
 }
 
+// Symptom: all waiting items were told to the keepers as late, and late ones went first.
+// Sequence: an entry takes a job before the store has told it the time.
+// Cause: the entry's own clock, hours ahead of the store's, stood in for it.
+TEST_CASE("the earliest due runs first while the store's time is unknown") {
+  ItemBacklog backlog;
+  backlog.Add({JobId{"later"}, 0, std::chrono::seconds(30), std::chrono::seconds(5)});
+  backlog.Add({JobId{"soon"}, 0, std::chrono::seconds(2), std::chrono::seconds(5)});
+  const BacklogTime now{Time{std::chrono::hours(1)}, std::nullopt};
+  CHECK_FALSE(backlog.StartableByDue(now).contains(ItemBacklog::kLate));
+  const auto all = [](const ItemBacklog::Entry&) { return true; };
+  CHECK(backlog.Take(now, all)->job.value == "soon");
+}
+
 TEST_CASE("an item that failed waits before it runs again") {
   ItemBacklog backlog;
   const auto all = [](const ItemBacklog::Entry&) { return true; };
-  backlog.Add({JobId{"j"}, 0, std::chrono::seconds(30), {}, std::chrono::seconds(11)});
-  CHECK_FALSE(backlog.Take(std::chrono::seconds(10), all));
-  CHECK(backlog.StartableByDue(std::chrono::seconds(10)).empty());
-  CHECK(backlog.Take(std::chrono::seconds(11), all));
+  const Time failed{std::chrono::hours(1)};
+  const Duration pause = std::chrono::seconds(1);
+  backlog.Add({JobId{"j"}, 0, std::chrono::seconds(30), {}, failed + pause});
+  const StoreTime now = std::chrono::seconds(10);
+  CHECK_FALSE(backlog.Take({failed, now}, all));
+  CHECK(backlog.StartableByDue({failed, now}).empty());
+  CHECK(backlog.Take({failed + pause, now}, all));
 }
