Give the work on items a library of its own, apart from rows and from I/O

src/gateway/batch_runner.cc held what is known of items, what an answer says of one, which run gives way, and the calls. The first three are now in items.h, with tests and without I/O; item text, backlog and giving up move there from ledger.h, which keeps rows and the owner's writes.

One decision changes: an item that failed while its entry knows no route for it was dead after one failure, as if the route allowed one. Its failures are counted now and it waits; giving up tells a removed route from an unknown one.

--- a/include/figmill/ledger.h
+++ b/include/figmill/ledger.h
@@ -16,7 +16,6 @@
 #include <vector>
 
 #include "figmill/base.h"
-#include "figmill/relay.h"
 #include "figmill/tables.h"
 
 namespace figmill {
@@ -128,44 +127,6 @@
 
 }  // namespace ledger
 
-// --- Items ------------------------------------------------------------------------
-
-// The text of one item, gathered over any number of runs that go on where the
-// last one broke off.
-class ItemText {
- public:
-  // Bytes of an event stream.
-  void Feed(std::string_view bytes);
-  // The run broke off: an event that was begun comes again.
-  void BreakOff() { pieces_.DropTail(); }
-  // Whether the run ended between events.
-  [[nodiscard]] bool at_event_end() const { return !pieces_.in_event(); }
-  [[nodiscard]] const std::optional<std::string>& last_id() const { return pieces_.last_id(); }
-  [[nodiscard]] std::uint64_t events() const { return pieces_.count(); }
-  // The data of all events, each on a line of its own.
-  [[nodiscard]] const std::string& text() const { return text_; }
-
-  // What came since the last piece, as the next one; nothing if nothing came.
-  [[nodiscard]] std::optional<ledger::ProgressPiece> TakePiece(std::size_t item);
-  // Puts a piece back that an earlier owner has kept; in order.
-  void Restore(const ledger::ProgressPiece& piece);
-
- private:
-  EventPieces pieces_;
-  std::string text_;
-  std::size_t kept_ = 0;  // bytes of the text in pieces
-  std::uint32_t next_piece_ = 0;
-};
-
-// Why the open items of a job will not be run any more; nothing while they may be.
-// An item without a route is given up only by a configuration later than the one
-// that accepted the job: an owner that lags behind may not have heard of the route
-// yet, and what is listed as dead stays dead. For the same reason a life is over only
-// by the store's clock, never while that is unknown.
-[[nodiscard]] std::optional<std::string_view> WhyGivenUp(const JobHead& head, bool has_route,
-                                                         std::uint64_t config_version,
-                                                         std::optional<StoreTime> now);
-
 // --- Owner ------------------------------------------------------------------------
 
 // A job as its owner keeps it: which items are listed, which results wait to be
@@ -235,52 +196,4 @@
   std::optional<Write> write_;
 };
 
-// --- Order of work ---------------------------------------------------------------
-
-// What items wait by.
-struct BacklogTime {
-  Time here{};                     // of this process: pauses
-  std::optional<StoreTime> store;  // due times; nothing before the store told its time
-};
-
-// Which item of all jobs runs next. Earliest due first keeps the most jobs whole
-// as long as all fit. Once they don't, it would work on each job until it is late;
-// so an item that can't be done in time any more lets those go first that can.
-class ItemBacklog {
- public:
-  struct Entry {
-    JobId job;
-    std::size_t item = 0;
-    StoreTime due{0};
-    Duration work{0};   // expected until it is done
-    Time not_before{};  // after a failure
-    bool has_run = false;
-  };
-
-  // Time that an item takes which has not run yet, in times of its work: online will take
-  // its place now and then. Reckoned as 1, items with no time to spare go first, are
-  // stopped once and late: with 28 of 50 engines left 596 of 870 items are in time, 721
-  // with 2, 690 when places go round (simulated waves, place-load-test). One that has run
-  // goes on as long as it can be in time at all, as its work would be lost.
-  static constexpr int kTimesWork = 2;
-
-  // True while the time is unknown: the one due first goes first then.
-  [[nodiscard]] static bool CanBeInTime(const Entry& entry, std::optional<StoreTime> now);
-
-  void Add(Entry entry) { entries_.push_back(std::move(entry)); }
-  void RemoveJob(const JobId& job);
-  void RemoveItem(const JobId& job, std::size_t item);
-  // Takes out the next one that may start now and fits.
-  [[nodiscard]] std::optional<Entry> Take(const BacklogTime& now,
-                                          const std::function<bool(const Entry&)>& fits);
-  // How many may start now, by when they are due; those that can't be in time any more
-  // stand at kLate.
-  static constexpr StoreTime kLate = StoreTime::max();
-  [[nodiscard]] std::map<StoreTime, int> StartableByDue(const BacklogTime& now) const;
-  [[nodiscard]] std::size_t size() const { return entries_.size(); }
-
- private:
-  std::vector<Entry> entries_;
-};
-
 }  // namespace figmill
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -7,13 +7,7 @@
 namespace figmill {
 namespace {
 
-constexpr int kOk = 200;
-constexpr int kUnprocessable = 422;  // the item can never be done
-constexpr int kMisdirected = 421;
-constexpr int kServerError = 500;
 constexpr Duration kConnectTimeout{250'000};
-// Weight of the newest run in what is expected of the next one.
-constexpr double kNewest = 0.1;
 
 std::string Text(std::uint64_t number) {
   return std::to_string(number);
@@ -40,7 +34,7 @@
 std::vector<WaitingItems> BatchRunner::Waiting() const {
   static_assert(ItemBacklog::kLate == WaitingItems::kLate);
   std::vector<WaitingItems> waiting;
-  for (const auto& [due, items] : backlog_.StartableByDue(TimeNow())) {
+  for (const auto& [due, items] : work_.backlog().StartableByDue(TimeNow())) {
     if (waiting.size() < WaitingItems::kMaxGroups) {
       waiting.push_back({due, items});
     } else {
@@ -53,7 +47,7 @@
 void BatchRunner::OnOwned(OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
   for (const ledger::ProgressPiece& piece : progress) {
     if (piece.item >= job.items().size() || !job.IsOpen(piece.item)) continue;
-    progress_[{job.head().id, piece.item}].text.Restore(piece);
+    work_.Restore({job.head().id, piece.item}, piece);
   }
   for (std::size_t i = 0; i < job.items().size(); ++i) {
     if (job.IsOpen(i)) Queue({job.head().id, i}, Duration{0});
@@ -64,13 +58,12 @@
 }
 
 void BatchRunner::OnDropped(const JobId& job) {
-  backlog_.RemoveJob(job);
-  std::vector<ItemKey> running;
+  std::vector<JobItemRef> running;
   for (const auto& [key, run] : runs_) {
     if (key.job == job) running.push_back(key);
   }
-  for (const ItemKey& key : running) EndRun(key, relay::SendEnd::kAbandoned);
-  std::erase_if(progress_, [&job](const auto& each) { return each.first.job == job; });
+  for (const JobItemRef& key : running) EndRun(key, relay::SendEnd::kAbandoned);
+  work_.RemoveJob(job);
 }
 
 void BatchRunner::OnHandedOver(OwnedJob& job) {
@@ -79,17 +72,11 @@
 }
 
 void BatchRunner::KeepProgressOf(OwnedJob& job) {
-  const JobId& id = job.head().id;
-  for (auto at = progress_.lower_bound({id, 0}); at != progress_.end() && at->first.job == id;
-       ++at) {
-    if (auto piece = at->second.text.TakePiece(at->first.item)) job.Keep(*std::move(piece));
-  }
+  for (ledger::ProgressPiece& piece : work_.TakePieces(job.head().id)) job.Keep(std::move(piece));
 }
 
 void BatchRunner::KeepProgress() {
-  std::set<JobId> jobs;
-  for (const auto& [key, progress] : progress_) jobs.insert(key.job);
-  for (const JobId& id : jobs) {
+  for (const JobId& id : work_.Jobs()) {
     OwnedJob* job = jobs_.Owned(id);
     if (job == nullptr || job->writing()) continue;
     KeepProgressOf(*job);
@@ -97,19 +84,10 @@
   }
 }
 
-Duration BatchRunner::WorkLeft(const Progress& progress) const {
-  if (usual_events_ <= 0) return usual_run_;
-  const double done = static_cast<double>(progress.text.events()) / usual_events_;
-  const double left = std::clamp(1.0 - done, 0.05, 1.0);
-  return Duration(static_cast<Duration::rep>(static_cast<double>(usual_run_.count()) * left));
-}
-
-void BatchRunner::Queue(const ItemKey& key, Duration pause) {
+void BatchRunner::Queue(const JobItemRef& key, Duration pause) {
   const JobHead* head = jobs_.Known(key.job);
   const StoreTime due = head == nullptr ? StoreTime{0} : head->due;
-  const Progress& progress = progress_[key];
-  const bool has_run = progress.text.events() > 0;
-  backlog_.Add({key.job, key.item, due, WorkLeft(progress), Loop::Now() + pause, has_run});
+  work_.Wait(key, due, Loop::Now() + pause);
   if (pause.count() > 0) tools_.loop.Later(pause, [this] { Pump(); });
 }
 
@@ -123,7 +101,7 @@
   return route != nullptr && route->kind == RouteKind::kBatch ? route : nullptr;
 }
 
-bool BatchRunner::Fits(const ItemKey& key, const BackendInfo& backend) const {
+bool BatchRunner::Fits(const JobItemRef& key, const BackendInfo& backend) const {
   const OwnedJob* job = jobs_.Owned(key.job);
   if (job == nullptr) return false;
   const Route* route = RouteOf(job->head(), job->items()[key.item]);
@@ -133,7 +111,7 @@
       [&backend](const ServiceShare& share) { return share.service == backend.service; });
 }
 
-std::string BatchRunner::IdOf(const ItemKey& key) const {
+std::string BatchRunner::IdOf(const JobItemRef& key) const {
   const OwnedJob* job = jobs_.Owned(key.job);
   return job == nullptr ? Text(key.item) : job->items()[key.item].id;
 }
@@ -143,27 +121,25 @@
   StartAllowed();
 }
 
-// Online has come: the items that have most time left give way first.
+// Online has come.
 void BatchRunner::StopExcess() {
   std::vector<std::pair<BackendId, int>> excess;
   tools_.places.ForEach([&excess](const BackendInfo& info, const PlaceUse& use) {
     if (use.batch > use.batch_allowed) excess.emplace_back(info.id, use.batch - use.batch_allowed);
   });
   for (const auto& [backend, count] : excess) {
-    std::vector<std::pair<StoreTime, ItemKey>> there;
+    std::vector<RunningItem> there;
     for (const auto& [key, run] : runs_) {
-      if (run.backend.id == backend) there.emplace_back(run.due, key);
+      if (run.backend.id == backend) there.push_back({key, run.due});
     }
-    std::sort(there.begin(), there.end(),
-              [](const auto& a, const auto& b) { return a.first > b.first; });
-    for (int i = 0; i < count && i < static_cast<int>(there.size()); ++i) {
-      Requeue(there[i].second, relay::SendEnd::kAbandoned, "gives way to online", Duration{0});
+    for (const JobItemRef& key : ItemsToStop(std::move(there), count)) {
+      Requeue(key, relay::SendEnd::kAbandoned, "gives way to online", Duration{0});
     }
   }
 }
 
 void BatchRunner::StartAllowed() {
-  if (backlog_.size() == 0) return;
+  if (work_.backlog().size() == 0) return;
   const Time now = Loop::Now();
   std::vector<std::pair<double, BackendInfo>> open;
   tools_.places.ForEach([&](const BackendInfo& info, const PlaceUse& use) {
@@ -182,19 +158,17 @@
 }
 
 bool BatchRunner::StartOn(const BackendInfo& backend) {
-  const auto entry = backlog_.Take(TimeNow(), [this, &backend](const ItemBacklog::Entry& each) {
-    return Fits({each.job, each.item}, backend);
-  });
+  const auto entry =
+      work_.Next(TimeNow(), [this, &backend](const JobItemRef& key) { return Fits(key, backend); });
   if (!entry) return false;
   Start({entry->job, entry->item}, entry->due, backend);
   return true;
 }
 
-void BatchRunner::Start(const ItemKey& key, StoreTime due, const BackendInfo& backend) {
+void BatchRunner::Start(const JobItemRef& key, StoreTime due, const BackendInfo& backend) {
   const OwnedJob* job = jobs_.Owned(key.job);
   const JobItem& item = job->items()[key.item];
-  Progress& progress = progress_[key];
-  if (++progress.runs == 1) progress.first_run_at = Loop::Now();
+  const ItemProgress& progress = work_.Of(key);
   HttpCall call;
   call.method = "POST";
   call.to = backend.address;
@@ -230,7 +204,7 @@
       [this, key, number = run.number](HttpEvent event) { OnHttp(key, number, std::move(event)); });
 }
 
-void BatchRunner::OnHttp(const ItemKey& key, std::uint64_t number, HttpEvent event) {
+void BatchRunner::OnHttp(const JobItemRef& key, std::uint64_t number, HttpEvent event) {
   const auto found = runs_.find(key);
   if (found == runs_.end() || found->second.number != number) return;
   Run& run = found->second;
@@ -241,7 +215,7 @@
   std::visit(Overloaded{
                  [&](const HttpHead& head) { OnHead(key, head); },
                  [&](const HttpBytes& bytes) {
-                   if (run.answering) progress_[key].text.Feed(bytes.bytes);
+                   if (run.answering) work_.Of(key).text.Feed(bytes.bytes);
                  },
                  [&](const HttpEnd&) { OnEnd(key); },
                  [&](const HttpFailure& failure) {
@@ -253,53 +227,56 @@
              event);
 }
 
-void BatchRunner::OnHead(const ItemKey& key, const HttpHead& head) {
+void BatchRunner::OnHead(const JobItemRef& key, const HttpHead& head) {
+  const OwnedJob* job = jobs_.Owned(key.job);
+  if (job == nullptr) return EndRun(key, relay::SendEnd::kAbandoned);
   const WireNames& names = tools_.names;
+  const bool has_our_id = head.HeaderOr(names.request_id) == job->items()[key.item].id;
+  const bool not_run = !head.HeaderOr(names.not_run).empty();
   const std::string why = "status " + std::to_string(head.status);
-  if (!head.HeaderOr(names.not_run).empty() || head.status == kMisdirected) {
-    return Requeue(key, relay::SendEnd::kRejected, "not run, " + why, kRetryPause);
-  }
+  std::visit(Overloaded{
+                 [&](item_answer::Output) { runs_[key].answering = true; },
+                 [&](item_answer::NotRun) {
+                   Requeue(key, relay::SendEnd::kRejected, "not run, " + why, kRetryPause);
+                 },
+                 [&](item_answer::Stray) {
+                   Requeue(key, relay::SendEnd::kBroken, "answered another request", kRetryPause);
+                 },
+                 [&](item_answer::Impossible) {
+                   EndRun(key, relay::SendEnd::kAnswered);
+                   Finish(key, ResultState::kDead, why);
+                 },
+                 [&](item_answer::Failed failed) { OnFailed(key, failed.counts, why); },
+             },
+             ItemAnswerOf({head.status, not_run, has_our_id}));
+}
+
+// How often an item may fail is its route's to say. While no route is known its failures
+// are counted and it waits: GiveUpHopeless tells a route that was removed from one that
+// this entry has not heard of.
+void BatchRunner::OnFailed(const JobItemRef& key, bool counts, const std::string& why) {
   const OwnedJob* job = jobs_.Owned(key.job);
-  if (job == nullptr) return EndRun(key, relay::SendEnd::kAbandoned);
-  const JobItem& item = job->items()[key.item];
-  if (head.HeaderOr(names.request_id) != item.id) {
-    return Requeue(key, relay::SendEnd::kBroken, "answered another request", kRetryPause);
-  }
-  if (head.status == kOk) {
-    runs_[key].answering = true;
-    return;
-  }
-  if (head.status == kUnprocessable) {
-    EndRun(key, relay::SendEnd::kAnswered);
-    return Finish(key, ResultState::kDead, why);
-  }
-  const Route* route = RouteOf(job->head(), item);
-  const int most = route == nullptr ? 1 : route->max_backends;
-  if (head.status == kServerError && ++progress_[key].failures >= most) {
-    EndRun(key, relay::SendEnd::kFailed);
-    return Finish(key, ResultState::kDead, "failed " + std::to_string(most) + " times");
+  const Route* route = RouteOf(job->head(), job->items()[key.item]);
+  int& failures = work_.Of(key).failures;
+  if (counts) ++failures;
+  if (!counts || route == nullptr || failures < route->max_backends) {
+    return Requeue(key, relay::SendEnd::kFailed, why, kRetryPause);
   }
-  Requeue(key, relay::SendEnd::kFailed, why, kRetryPause);
+  EndRun(key, relay::SendEnd::kFailed);
+  Finish(key, ResultState::kDead, "failed " + std::to_string(failures) + " times");
 }
 
-void BatchRunner::OnEnd(const ItemKey& key) {
+void BatchRunner::OnEnd(const JobItemRef& key) {
   const Run& run = runs_[key];
-  Progress& progress = progress_[key];
-  if (!run.answering || !progress.text.at_event_end()) {
+  if (!run.answering || !work_.Of(key).text.at_event_end()) {
     return Requeue(key, relay::SendEnd::kBroken, "ended early", kRetryPause);
   }
-  if (progress.runs == 1) {
-    const Duration length = Loop::Now() - run.started_at;
-    usual_run_ =
-        std::chrono::duration_cast<Duration>(usual_run_ * (1 - kNewest) + length * kNewest);
-    const auto events = static_cast<double>(progress.text.events());
-    usual_events_ = usual_events_ == 0 ? events : usual_events_ * (1 - kNewest) + events * kNewest;
-  }
+  work_.Whole(key, Loop::Now() - run.started_at);
   EndRun(key, relay::SendEnd::kAnswered);
   Finish(key, ResultState::kComplete, "");
 }
 
-void BatchRunner::EndRun(const ItemKey& key, relay::SendEnd end) {
+void BatchRunner::EndRun(const JobItemRef& key, relay::SendEnd end) {
   const auto found = runs_.find(key);
   if (found == runs_.end()) return;
   const Run run = std::move(found->second);
@@ -309,9 +286,9 @@
   tools_.places.Ended(run.backend.id, WorkClass::kBatch, end, now - run.started_at, now);
 }
 
-void BatchRunner::Requeue(const ItemKey& key, relay::SendEnd end, std::string_view why,
+void BatchRunner::Requeue(const JobItemRef& key, relay::SendEnd end, std::string_view why,
                           Duration pause) {
-  Progress& progress = progress_[key];
+  ItemProgress& progress = work_.Of(key);
   progress.text.BreakOff();
   tools_.metrics.ItemStopped(end);
   Log(LogLevel::kInfo, "item_stopped",
@@ -326,12 +303,11 @@
   wanted_changed_();
 }
 
-void BatchRunner::Finish(const ItemKey& key, ResultState state, std::string_view why) {
+void BatchRunner::Finish(const JobItemRef& key, ResultState state, std::string_view why) {
   OwnedJob* job = jobs_.Owned(key.job);
   if (job == nullptr) return;
   const std::string& id = job->items()[key.item].id;
-  const Progress progress = std::move(progress_[key]);
-  progress_.erase(key);
+  const ItemProgress progress = work_.Remove(key);
   tools_.metrics.ItemEnded(state == ResultState::kComplete, Loop::Now() - progress.first_run_at);
   Log(LogLevel::kInfo, "item_finished",
       {{"job", key.job.value},
@@ -353,8 +329,8 @@
 
 void BatchRunner::GiveUpHopeless() {
   const bool check_routes = std::exchange(check_routes_, false) && routes_;
-  std::vector<std::pair<ItemKey, std::string_view>> hopeless;
-  for (const auto& [key, progress] : progress_) {
+  std::vector<std::pair<JobItemRef, std::string_view>> hopeless;
+  for (const auto& [key, progress] : work_.open()) {
     const OwnedJob* job = jobs_.Owned(key.job);
     if (job == nullptr) continue;
     const JobHead& head = job->head();
@@ -366,7 +342,6 @@
   }
   for (const auto& [key, why] : hopeless) {
     LogGivenUp(key, why);
-    backlog_.RemoveItem(key.job, key.item);
     EndRun(key, relay::SendEnd::kAbandoned);
     Finish(key, ResultState::kDead, why);
   }
@@ -374,7 +349,7 @@
 
 // What the verdict rests on: the end of the job's life by the store's clock, and how
 // long ago the store last told its time.
-void BatchRunner::LogGivenUp(const ItemKey& key, std::string_view why) const {
+void BatchRunner::LogGivenUp(const JobItemRef& key, std::string_view why) const {
   const JobHead* head = jobs_.Known(key.job);
   const std::optional<StoreTime> now = clock_.Now();
   const std::optional<Duration> age = clock_.Age();
@@ -391,12 +366,12 @@
 
 void BatchRunner::StopSilent() {
   const Time now = Loop::Now();
-  std::vector<ItemKey> silent;
+  std::vector<JobItemRef> silent;
   for (const auto& [key, run] : runs_) {
     const Duration patience = run.answering ? kNextByteSilence : kFirstByteSilence;
     if (now - run.heard_at >= patience) silent.push_back(key);
   }
-  for (const ItemKey& key : silent) {
+  for (const JobItemRef& key : silent) {
     Requeue(key, relay::SendEnd::kSilent, "no bytes in time", Duration{0});
   }
 }
--- a/src/ledger/item_backlog.cc
+++ b/src/items/item_backlog.cc
@@ -1,6 +1,6 @@
 #include <algorithm>
 
-#include "figmill/ledger.h"
+#include "figmill/items.h"
 
 namespace figmill {
 namespace {
--- a/src/ledger/item_text.cc
+++ b/src/items/item_text.cc
@@ -1,4 +1,4 @@
-#include "figmill/ledger.h"
+#include "figmill/items.h"
 
 namespace figmill {
 namespace {
--- /dev/null
+++ b/test/items-test.cc
@@ -0,0 +1,166 @@
+#include "figmill/items.h"
+
+#include <doctest/doctest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+using std::chrono::seconds;
+
+template <typename T>
+bool Is(const ItemAnswer& answer) {
+  return std::holds_alternative<T>(answer);
+}
+
+ledger::ProgressPiece PieceOf(const std::string& text, std::uint64_t events) {
+  return {0, 0, text, std::to_string(events), events};
+}
+
+const std::string kEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+
+}  // namespace
+
+TEST_CASE("an item's text goes on where its run broke off") {
+  ItemText text;
+  text.Feed("id: 1\ndata: a\n\nid: 2\nda");
+  CHECK_FALSE(text.at_event_end());
+  text.BreakOff();
+  CHECK(text.last_id() == "1");
+  text.Feed("id: 2\ndata: b\n\n");
+  CHECK(text.text() == "a\nb");
+  CHECK(text.at_event_end());
+}
+
+TEST_CASE("the earliest due runs first, but for those that can't be in time any more") {
+  ItemBacklog backlog;
+  const auto all = [](const ItemBacklog::Entry&) { return true; };
+  const auto entry = [](const char* job, int due_s) {
+    return ItemBacklog::Entry{JobId{job}, 0, std::chrono::seconds(due_s), std::chrono::seconds(5)};
+  };
+  backlog.Add(entry("late", 12));
+  backlog.Add(entry("later", 30));
+  backlog.Add(entry("soon", 20));
+  const BacklogTime now{Time{}, std::chrono::seconds(10)};
+  const std::map<StoreTime, int> by_due{
+      {std::chrono::seconds(20), 1}, {std::chrono::seconds(30), 1}, {ItemBacklog::kLate, 1}};
+  CHECK(backlog.StartableByDue(now) == by_due);
+  CHECK(backlog.Take(now, all)->job.value == "soon");
+  CHECK(backlog.Take(now, all)->job.value == "later");
+  CHECK(backlog.Take(now, all)->job.value == "late");
+  CHECK_FALSE(backlog.Take(now, all));
+}
+
+// Symptom: all waiting items were told to the keepers as late, and late ones went first.
+// Sequence: an entry takes a job before the store has told it the time.
+// Cause: the entry's own clock, hours ahead of the store's, stood in for it.
+TEST_CASE("the earliest due runs first while the store's time is unknown") {
+  ItemBacklog backlog;
+  backlog.Add({JobId{"later"}, 0, std::chrono::seconds(30), std::chrono::seconds(5)});
+  backlog.Add({JobId{"soon"}, 0, std::chrono::seconds(2), std::chrono::seconds(5)});
+  const BacklogTime now{Time{std::chrono::hours(1)}, std::nullopt};
+  CHECK_FALSE(backlog.StartableByDue(now).contains(ItemBacklog::kLate));
+  const auto all = [](const ItemBacklog::Entry&) { return true; };
+  CHECK(backlog.Take(now, all)->job.value == "soon");
+}
+
+TEST_CASE("an item that failed waits before it runs again") {
+  ItemBacklog backlog;
+  const auto all = [](const ItemBacklog::Entry&) { return true; };
+  const Time failed{std::chrono::hours(1)};
+  const Duration pause = std::chrono::seconds(1);
+  backlog.Add({JobId{"j"}, 0, std::chrono::seconds(30), {}, failed + pause});
+  const StoreTime now = std::chrono::seconds(10);
+  CHECK_FALSE(backlog.Take({failed, now}, all));
+  CHECK(backlog.StartableByDue({failed, now}).empty());
+  CHECK(backlog.Take({failed + pause, now}, all));
+}
+
+// Symptom: a job stays open for ever, and its caller reads on and on.
+// Sequence: a configuration removes the route of a job whose items have not all run.
+TEST_CASE("an item is given up when its life is over or a later configuration has no route") {
+  JobHead head;
+  head.submitted = Duration{1'000};
+  head.expires = Duration{9'000};
+  head.config_version = 7;
+  const Duration before{8'999};
+  CHECK_FALSE(WhyGivenUp(head, true, 7, before));
+  CHECK_FALSE(WhyGivenUp(head, true, 7, std::nullopt));
+  CHECK(WhyGivenUp(head, true, 7, head.expires));
+  CHECK(WhyGivenUp(head, false, 8, before));
+  // An owner that has not heard yet of the configuration that brought the route.
+  CHECK_FALSE(WhyGivenUp(head, false, 6, before));
+  CHECK_FALSE(WhyGivenUp(head, false, 7, before));
+  head.expires = head.submitted;  // no life was said
+  CHECK_FALSE(WhyGivenUp(head, true, 7, Duration{99'000}));
+}
+
+TEST_CASE("what an answer says of an item") {
+  CHECK(Is<item_answer::Output>(ItemAnswerOf({200, false, true})));
+  CHECK(Is<item_answer::NotRun>(ItemAnswerOf({503, true, false})));
+  CHECK(Is<item_answer::NotRun>(ItemAnswerOf({421, false, true})));
+  CHECK(Is<item_answer::Impossible>(ItemAnswerOf({422, false, true})));
+  CHECK(std::get<item_answer::Failed>(ItemAnswerOf({500, false, true})).counts);
+  CHECK_FALSE(std::get<item_answer::Failed>(ItemAnswerOf({504, false, true})).counts);
+}
+
+// Symptom: an item ends as impossible that could have been done.
+// Sequence: a backend server answers twice, and its second answer, to another item, comes
+// where this item's answer is due.
+TEST_CASE("an answer to another request says nothing of the item") {
+  for (const int status : {200, 422, 500}) {
+    CHECK(Is<item_answer::Stray>(ItemAnswerOf({status, false, false})));
+  }
+}
+
+TEST_CASE("the items with most time left give way") {
+  const std::vector<RunningItem> running{{{JobId{"a"}, 0}, seconds(20)},
+                                         {{JobId{"b"}, 0}, seconds(40)},
+                                         {{JobId{"c"}, 0}, seconds(30)}};
+  const std::vector<JobItemRef> stop = ItemsToStop(running, 2);
+  REQUIRE(stop.size() == 2);
+  CHECK(stop[0].job.value == "b");
+  CHECK(stop[1].job.value == "c");
+  CHECK(ItemsToStop(running, 5).size() == 3);
+}
+
+TEST_CASE("an item goes on from what an earlier owner has kept, and less work is left of it") {
+  const JobItemRef fresh{JobId{"fresh"}, 0};
+  const JobItemRef begun{JobId{"begun"}, 0};
+  const auto all = [](const JobItemRef&) { return true; };
+  const BacklogTime now{Time{seconds(100)}, seconds(0)};
+  ItemWork work;
+  work.Wait(fresh, seconds(30), now.here);
+  REQUIRE(work.Next(now, all));
+  work.Of(fresh).text.Feed(kEvents);
+  work.Whole(fresh, ItemWork::kUsualRun);
+  CHECK(work.Of(fresh).first_run_at == now.here);
+  work.Remove(fresh);
+
+  work.Restore(begun, PieceOf("a\n", 1));
+  work.Wait(begun, seconds(30), now.here);
+  const auto entry = work.Next(now, all);
+  REQUIRE(entry);
+  CHECK(entry->has_run);
+  CHECK(entry->work < ItemWork::kUsualRun);
+  CHECK(work.Of(begun).text.last_id() == "1");
+}
+
+TEST_CASE("what runs have given is taken in pieces, once, and a dropped job leaves nothing") {
+  const JobItemRef key{JobId{"j"}, 0};
+  ItemWork work;
+  work.Wait(key, seconds(30), Time{});
+  CHECK(work.TakePieces(key.job).empty());
+  work.Of(key).text.Feed(kEvents);
+  const auto pieces = work.TakePieces(key.job);
+  REQUIRE(pieces.size() == 1);
+  CHECK(pieces[0].events == 2);
+  CHECK(work.TakePieces(key.job).empty());
+  work.RemoveJob(key.job);
+  CHECK(work.open().empty());
+  CHECK(work.backlog().size() == 0);
+}
--- a/test/ledger-rows-test.cc
+++ b/test/ledger-rows-test.cc
@@ -89,22 +89,3 @@
   REQUIRE(IsOk(head_back));
   CHECK(ValueOf(head_back).total == 40);
 }
-
-// Symptom: a job stays open for ever, and its caller reads on and on.
-// Sequence: a configuration removes the route of a job whose items have not all run.
-TEST_CASE("an item is given up when its life is over or a later configuration has no route") {
-  JobHead head;
-  head.submitted = Duration{1'000};
-  head.expires = Duration{9'000};
-  head.config_version = 7;
-  const Duration before{8'999};
-  CHECK_FALSE(WhyGivenUp(head, true, 7, before));
-  CHECK_FALSE(WhyGivenUp(head, true, 7, std::nullopt));
-  CHECK(WhyGivenUp(head, true, 7, head.expires));
-  CHECK(WhyGivenUp(head, false, 8, before));
-  // An owner that has not heard yet of the configuration that brought the route.
-  CHECK_FALSE(WhyGivenUp(head, false, 6, before));
-  CHECK_FALSE(WhyGivenUp(head, false, 7, before));
-  head.expires = head.submitted;  // no life was said
-  CHECK_FALSE(WhyGivenUp(head, true, 7, Duration{99'000}));
-}
--- a/test/owned-job-test.cc
+++ b/test/owned-job-test.cc
@@ -2,7 +2,7 @@
 
 #include <string>
 
-#include "figmill/ledger.h"
+#include "figmill/items.h"
 
 using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
 
@@ -187,58 +187,3 @@
   CHECK(again->conditions.front().version == 8);
   CHECK(again->puts.size() == 1);
 }
-
-TEST_CASE("an item's text goes on where its run broke off") {
-  ItemText text;
-  text.Feed("id: 1\ndata: a\n\nid: 2\nda");
-  CHECK_FALSE(text.at_event_end());
-  text.BreakOff();
-  CHECK(text.last_id() == "1");
-  text.Feed("id: 2\ndata: b\n\n");
-  CHECK(text.text() == "a\nb");
-  CHECK(text.at_event_end());
-}
-
-TEST_CASE("the earliest due runs first, but for those that can't be in time any more") {
-  ItemBacklog backlog;
-  const auto all = [](const ItemBacklog::Entry&) { return true; };
-  const auto entry = [](const char* job, int due_s) {
-    return ItemBacklog::Entry{JobId{job}, 0, std::chrono::seconds(due_s), std::chrono::seconds(5)};
-  };
-  backlog.Add(entry("late", 12));
-  backlog.Add(entry("later", 30));
-  backlog.Add(entry("soon", 20));
-  const BacklogTime now{Time{}, std::chrono::seconds(10)};
-  const std::map<StoreTime, int> by_due{
-      {std::chrono::seconds(20), 1}, {std::chrono::seconds(30), 1}, {ItemBacklog::kLate, 1}};
-  CHECK(backlog.StartableByDue(now) == by_due);
-  CHECK(backlog.Take(now, all)->job.value == "soon");
-  CHECK(backlog.Take(now, all)->job.value == "later");
-  CHECK(backlog.Take(now, all)->job.value == "late");
-  CHECK_FALSE(backlog.Take(now, all));
-}
-
-// Symptom: all waiting items were told to the keepers as late, and late ones went first.
-// Sequence: an entry takes a job before the store has told it the time.
-// Cause: the entry's own clock, hours ahead of the store's, stood in for it.
-TEST_CASE("the earliest due runs first while the store's time is unknown") {
-  ItemBacklog backlog;
-  backlog.Add({JobId{"later"}, 0, std::chrono::seconds(30), std::chrono::seconds(5)});
-  backlog.Add({JobId{"soon"}, 0, std::chrono::seconds(2), std::chrono::seconds(5)});
-  const BacklogTime now{Time{std::chrono::hours(1)}, std::nullopt};
-  CHECK_FALSE(backlog.StartableByDue(now).contains(ItemBacklog::kLate));
-  const auto all = [](const ItemBacklog::Entry&) { return true; };
-  CHECK(backlog.Take(now, all)->job.value == "soon");
-}
-
-TEST_CASE("an item that failed waits before it runs again") {
-  ItemBacklog backlog;
-  const auto all = [](const ItemBacklog::Entry&) { return true; };
-  const Time failed{std::chrono::hours(1)};
-  const Duration pause = std::chrono::seconds(1);
-  backlog.Add({JobId{"j"}, 0, std::chrono::seconds(30), {}, failed + pause});
-  const StoreTime now = std::chrono::seconds(10);
-  CHECK_FALSE(backlog.Take({failed, now}, all));
-  CHECK(backlog.StartableByDue({failed, now}).empty());
-  CHECK(backlog.Take({failed + pause, now}, all));
-}
--- a/test/place-sim.h
+++ b/test/place-sim.h
@@ -13,7 +13,7 @@
 #include <set>
 #include <vector>
 
-#include "figmill/ledger.h"
+#include "figmill/items.h"
 #include "figmill/sharing.h"
 
 namespace figmill::sim {
