Show that one part that can't be read hides all jobs, failing

Cause: TableMirror lists parts one after another and asks for the first one until it answers; nothing of the others is applied, and no change is followed.

Seen in the logs: for 6 s no call that had to read parts j0 or j3 was answered (75 of 75 with 504), then for 3 s none that had to read j0 (25 of 25); all 43 in j4, j6 and j7 were. Five processes that started meanwhile had no answer about the jobs.

Both new cases fail.

--- a/test/table-mirror-test.cc
+++ b/test/table-mirror-test.cc
@@ -100,3 +100,72 @@
   CHECK(std::holds_alternative<mirror::FollowFrom>(f.mirror.Next()));
   CHECK(f.ValueOfKey("a") == "1");
 }
+
+namespace {
+
+// Answers what the mirror asks for, as a store that can't read some of its parts.
+void Answer(TableMirror& mirror, const std::string& unread, const std::vector<TableRow>& rows,
+            RowVersion version) {
+  const auto read = [&](const std::string& part) -> Result<TablePage> {
+    if (part == unread) return Error{ErrorKind::kStoreUnavailable, "reset"};
+    TablePage page{{}, false, version};
+    for (const TableRow& row : rows) {
+      if (row.at.part == part && row.version <= version) page.rows.push_back(row);
+    }
+    return page;
+  };
+  const auto told = [&](RowVersion after) {
+    TableChanges changes{{}, version};
+    for (const TableRow& row : rows) {
+      if (row.version > after && row.version <= version) changes.rows.push_back(row);
+    }
+    return changes;
+  };
+  std::visit(Overloaded{
+                 [&](const mirror::ListPart& list) { mirror.Listed(list.part, read(list.part)); },
+                 [&](const mirror::FollowFrom& from) { mirror.Followed(told(from.version)); },
+                 [&](const mirror::WaitFor& /*wait*/) { mirror.Waited(); },
+             },
+             mirror.Next());
+}
+
+// Far more than a table of two parts takes.
+constexpr int kManyCalls = 50;
+
+TableRow JobRow(const std::string& part, const std::string& key, RowVersion version) {
+  return {{"t", part, key}, "v" + std::to_string(version), version, false};
+}
+
+}  // namespace
+
+// Symptom: a process that has just started knows no job for ten seconds. A job in a sound
+// part stands still for 5.4 s, since the process that is next in line for it is such a one.
+// Sequence: the store answers no read of part a (each connection is reset, then 503) and
+// all of part b; the process starts.
+// Cause: parts are listed one after another, and the first one is asked for until it answers.
+TEST_CASE("a part that can't be read keeps no other part from being known") {
+  TableMirror mirror("t", {"a", "b"}, [](const TableMirror::Change&) {});
+  const std::vector<TableRow> rows{JobRow("b", "job", 5), JobRow("b", "later", 12)};
+  for (int i = 0; i < kManyCalls; ++i) Answer(mirror, "a", rows, 10);
+  CHECK(mirror.Find({"t", "b", "job"}) != nullptr);
+  CHECK_FALSE(mirror.complete());
+  // What changes meanwhile is told too.
+  for (int i = 0; i < kManyCalls; ++i) Answer(mirror, "a", rows, 12);
+  CHECK(mirror.Find({"t", "b", "later"}) != nullptr);
+}
+
+// Symptom: a process hears of no change to any job any more.
+// Sequence: it follows the table; the store discards its history while it can't read part a.
+// Cause: the new list waits for part a, and nothing is followed until it is whole.
+TEST_CASE("a part that can't be read stops no changes of others when the history is lost") {
+  TableMirror mirror("t", {"a", "b"}, [](const TableMirror::Change&) {});
+  const std::vector<TableRow> rows{JobRow("a", "old", 4), JobRow("b", "job", 5),
+                                   JobRow("b", "later", 12)};
+  for (int i = 0; i < kManyCalls; ++i) Answer(mirror, "none", rows, 10);
+  REQUIRE(mirror.complete());
+  mirror.Followed(HistoryLost{});
+  for (int i = 0; i < kManyCalls; ++i) Answer(mirror, "a", rows, 12);
+  CHECK(mirror.Find({"t", "b", "later"}) != nullptr);
+  // What can't be read is not taken for gone.
+  CHECK(mirror.Find({"t", "a", "old"}) != nullptr);
+}
