Know the parts of a table one by one

Cause: a table was listed part after part, the first one asked for until it answered, and nothing was applied or followed before the last one had. The store failed to read two parts of eight for 6 s, then one for 3 s: processes that started meanwhile knew no job for 7 s, and a job in a sound part, of which one of them was next in line, had no owner for 5.4 s.

Ruled out: connections and calls without an end (each has a time limit), the way by a peer, pauses.

Change: rows apply when their part is read, changes are followed from the first listed part on, and a part that fails is asked for in turn with them. The log names the part (store_part_unread, store_part_read).

After: table-mirror, job-store and job-desk tests pass.

--- a/include/figmill/tables.h
+++ b/include/figmill/tables.h
@@ -5,6 +5,7 @@
 // table in memory. No I/O.
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -109,9 +110,14 @@
 
 // --- Mirror ----------------------------------------------------------------------
 
-// Keeps a copy of one table, whose parts are known, by listing it once and then
-// following its changes. It never takes a row back to an older version, whoever
+// Keeps a copy of one table, whose parts are known, by listing each part once and
+// following the table's changes. It never takes a row back to an older version, whoever
 // says so: a store that has just lost its history may answer reads from before it.
+//
+// Parts are known one by one. A store may fail to read a single part for seconds; a
+// process that waited for it knew no job for 7 s, and sound jobs of which it was next in
+// line stood still for 5 s. So changes are followed as soon as one part is listed, and a
+// part that can't be read is asked for in turn with them.
 namespace mirror {
 
 struct ListPart {
@@ -157,14 +163,18 @@
   // A row that this process wrote, or heard of from another.
   void Learn(const TableRow& row);
 
-  [[nodiscard]] bool complete() const { return complete_; }  // was listed once
+  [[nodiscard]] bool complete() const { return complete_; }  // was listed whole once
+  // Some part is listed, so that changes are asked for.
+  [[nodiscard]] bool following() const { return following_; }
   [[nodiscard]] RowVersion version() const { return version_; }
   [[nodiscard]] const std::map<TableKey, TableRow>& rows() const { return rows_; }
   [[nodiscard]] const TableRow* Find(const TableKey& at) const;
 
  private:
   void StartListing();
-  void FinishListing();
+  void StartPart();
+  void FinishPart();
+  void PartFailed();
   void Apply(const TableRow& row, bool by_listing);
   void Remove(const TableKey& at, RowVersion version, bool by_listing);
 
@@ -176,13 +186,16 @@
   std::multimap<RowVersion, TableKey> removed_order_;
   RowVersion version_ = 0;
   bool complete_ = false;
-  // While listing: the rows seen, where it stands, and the oldest page's version.
-  bool listing_ = true;
-  std::size_t part_index_ = 0;
+  bool following_ = false;
+  bool pausing_ = false;
+  std::deque<std::string> unlisted_;  // parts, the next to be asked for first
+  std::size_t failed_in_a_row_ = 0;   // of them
+  bool lists_next_ = true;            // rather than follow
+  // Of the part that is being listed: the rows seen, where it stands, and the oldest
+  // page's version.
   std::string from_;
   std::map<TableKey, TableRow> seen_;
   std::optional<RowVersion> oldest_page_;
-  bool pausing_ = false;
 };
 
 }  // namespace figmill
--- a/src/figmill/explain.cc
+++ b/src/figmill/explain.cc
@@ -19,10 +19,10 @@
 constexpr std::chrono::seconds kAfter{1};
 
 // Lines that name no request but explain what happened to one.
-constexpr std::array<std::string_view, 11> kOfTheHost = {
-    "started",         "leaving",        "stopped",       "reload",
-    "store_lost",      "store_regained", "keeper_silent", "peer_silent",
-    "config_in_force", "config_refused", "peer_live"};
+constexpr std::array<std::string_view, 13> kOfTheHost = {
+    "started",         "leaving",           "stopped",         "reload",        "store_lost",
+    "store_regained",  "store_part_unread", "store_part_read", "keeper_silent", "peer_silent",
+    "config_in_force", "config_refused",    "peer_live"};
 constexpr std::array<std::string_view, 5> kOfABackend = {
     "backend_listed", "backend_gone", "backend_ejected", "backend_readmitted", "place_refused"};
 
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -19,33 +19,53 @@
 }
 
 void TableFollower::Step() {
-  std::visit(
-      Overloaded{
-          [this](const mirror::ListPart& list) {
-            tables_.Read({table_, list.part, list.from, {}, TableRange{}.limit},
-                         [self = self_, part = list.part](const Result<TablePage>& page) {
-                           if (*self == nullptr) return;
-                           (*self)->mirror_.Listed(part, page);
-                           (*self)->Answered(IsOk(page), IsOk(page) ? "" : ErrorOf(page).detail);
-                         });
-          },
-          [this](const mirror::FollowFrom& from) {
-            const Duration wait = Loop::Now() < troubled_until_ ? kTroubledWait : kWait;
-            tables_.Follow(table_, from.version, wait, [self = self_](const FeedOutcome& outcome) {
-              if (*self == nullptr) return;
-              (*self)->mirror_.Followed(outcome);
-              const Error* error = std::get_if<Error>(&outcome);
-              (*self)->Answered(error == nullptr, error == nullptr ? "" : error->detail);
-            });
-          },
-          [this](const mirror::WaitFor& wait) {
-            pause_ = loop_.After(wait.delay, [this] {
-              mirror_.Waited();
-              Step();
-            });
-          },
-      },
-      mirror_.Next());
+  std::visit(Overloaded{
+                 [this](const mirror::ListPart& list) { List(list); },
+                 [this](const mirror::FollowFrom& from) { Follow(from); },
+                 [this](const mirror::WaitFor& wait) {
+                   pause_ = loop_.After(wait.delay, [this] {
+                     mirror_.Waited();
+                     Step();
+                   });
+                 },
+             },
+             mirror_.Next());
+}
+
+void TableFollower::List(const mirror::ListPart& list) {
+  tables_.Read({table_, list.part, list.from, {}, TableRange{}.limit},
+               [self = self_, part = list.part](const Result<TablePage>& page) {
+                 if (*self != nullptr) (*self)->OnListed(part, page);
+               });
+}
+
+void TableFollower::Follow(const mirror::FollowFrom& from) {
+  const Duration wait = Loop::Now() < troubled_until_ ? kTroubledWait : kWait;
+  tables_.Follow(table_, from.version, wait, [self = self_](const FeedOutcome& outcome) {
+    if (*self != nullptr) (*self)->OnFollowed(outcome);
+  });
+}
+
+void TableFollower::OnListed(const std::string& part, const Result<TablePage>& page) {
+  const std::string why = IsOk(page) ? "" : ErrorOf(page).detail;
+  mirror_.Listed(part, page);
+  SetPartRead(part, IsOk(page), why);
+  // A store that can't read one part has not gone, as long as the others are followed.
+  Answered(IsOk(page) || mirror_.following(), "part '" + part + "': " + why);
+}
+
+void TableFollower::OnFollowed(const FeedOutcome& outcome) {
+  mirror_.Followed(outcome);
+  const Error* error = std::get_if<Error>(&outcome);
+  Answered(error == nullptr, error == nullptr ? "" : error->detail);
+}
+
+void TableFollower::SetPartRead(const std::string& part, bool read, const std::string& why) {
+  if (!read) troubled_until_ = Loop::Now() + kTroubled;
+  const bool changed = read ? unread_parts_.erase(part) > 0 : unread_parts_.insert(part).second;
+  if (!changed) return;
+  Log(read ? LogLevel::kInfo : LogLevel::kWarning, read ? "store_part_read" : "store_part_unread",
+      {{"table", table_}, {"part", part}, {"why", why}});
 }
 
 void TableFollower::Answered(bool ok, const std::string& why) {
@@ -54,7 +74,9 @@
     connected_ = ok;
     changed_at_ = Loop::Now();
     Log(ok ? LogLevel::kInfo : LogLevel::kWarning, ok ? "store_regained" : "store_lost",
-        {{"table", table_}, {"version", std::to_string(mirror_.version())}, {"why", why}});
+        {{"table", table_},
+         {"version", std::to_string(mirror_.version())},
+         {"why", ok ? "" : why}});
   }
   settled_();
   const bool follows = std::holds_alternative<mirror::FollowFrom>(mirror_.Next());
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +43,12 @@
 
  private:
   void Step();
+  void List(const mirror::ListPart& list);
+  void Follow(const mirror::FollowFrom& from);
+  void OnListed(const std::string& part, const Result<TablePage>& page);
+  void OnFollowed(const FeedOutcome& outcome);
+  // Says once when a part can't be read, and when it can again.
+  void SetPartRead(const std::string& part, bool read, const std::string& why);
   void Answered(bool ok, const std::string& why);
 
   Loop& loop_;
@@ -53,6 +60,7 @@
   std::optional<bool> connected_;  // nothing before the first answer
   Time changed_at_{};
   Time troubled_until_{};
+  std::set<std::string> unread_parts_;
   Timer pause_;
   std::shared_ptr<TableFollower*> self_;  // null once this is gone
 };
--- a/src/tables/table_mirror.cc
+++ b/src/tables/table_mirror.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 #include "figmill/tables.h"
 
@@ -8,36 +9,37 @@
 TableMirror::TableMirror(std::string table, std::vector<std::string> parts, OnChange on_change)
     : table_(std::move(table)), parts_(std::move(parts)), on_change_(std::move(on_change)) {
   assert(!parts_.empty());
+  StartListing();
 }
 
 mirror::Action TableMirror::Next() const {
   if (pausing_) return mirror::WaitFor{kRetryPause};
-  if (listing_) return mirror::ListPart{parts_[part_index_], from_};
+  const bool lists = !unlisted_.empty() && (lists_next_ || !following_);
+  if (lists) return mirror::ListPart{unlisted_.front(), from_};
   return mirror::FollowFrom{version_};
 }
 
 void TableMirror::StartListing() {
-  listing_ = true;
-  part_index_ = 0;
+  unlisted_.assign(parts_.begin(), parts_.end());
+  failed_in_a_row_ = 0;
+  following_ = false;
+  lists_next_ = true;
+  StartPart();
+}
+
+void TableMirror::StartPart() {
   from_.clear();
   seen_.clear();
   oldest_page_.reset();
 }
 
 void TableMirror::Listed(const std::string& part, const Result<TablePage>& answer) {
-  if (!listing_ || part != parts_[part_index_]) return;
-  if (!IsOk(answer)) {
-    pausing_ = true;
-    return;
-  }
+  if (unlisted_.empty() || part != unlisted_.front()) return;
+  if (!IsOk(answer)) return PartFailed();
   const TablePage& page = ValueOf(answer);
   // An answer from before what is already known here: taking it would bring rows
   // back that are gone. Ask again until the store has caught up.
-  if (page.version < version_) {
-    StartListing();
-    pausing_ = true;
-    return;
-  }
+  if (page.version < version_) return PartFailed();
   oldest_page_ = std::min(oldest_page_.value_or(page.version), page.version);
   for (const TableRow& row : page.rows) seen_[row.at] = row;
   if (page.truncated && !page.rows.empty()) {
@@ -45,29 +47,41 @@
     from_ = page.rows.back().at.key + '\0';
     return;
   }
-  from_.clear();
-  if (++part_index_ == parts_.size()) FinishListing();
+  FinishPart();
 }
 
-// Changes between the pages come again by the feed, which goes on from the
-// oldest page.
-void TableMirror::FinishListing() {
-  listing_ = false;
-  complete_ = true;
+// Changes between the pages come again by the feed, which goes on from the oldest
+// page of the part that was listed first.
+void TableMirror::FinishPart() {
   const RowVersion from = *oldest_page_;
   std::vector<TableKey> gone;
   for (const auto& [at, row] : rows_) {
     // A row written after the list was made is not missing from it.
-    if (!seen_.contains(at) && row.version <= from) gone.push_back(at);
+    const bool missing = at.part == unlisted_.front() && !seen_.contains(at);
+    if (missing && row.version <= from) gone.push_back(at);
   }
   for (const TableKey& at : gone) Remove(at, from, /*by_listing=*/true);
   for (const auto& [at, row] : seen_) Apply(row, /*by_listing=*/true);
-  seen_.clear();
-  version_ = std::max(version_, from);
+  if (!std::exchange(following_, true)) version_ = std::max(version_, from);
+  unlisted_.pop_front();
+  failed_in_a_row_ = 0;
+  complete_ |= unlisted_.empty();
+  StartPart();
+}
+
+// The others are asked for first, then what has changed, or after a pause.
+void TableMirror::PartFailed() {
+  std::rotate(unlisted_.begin(), unlisted_.begin() + 1, unlisted_.end());
+  StartPart();
+  if (++failed_in_a_row_ < unlisted_.size()) return;
+  failed_in_a_row_ = 0;
+  lists_next_ = false;
+  pausing_ = !following_;
 }
 
 void TableMirror::Followed(const FeedOutcome& outcome) {
-  if (listing_) return;
+  if (!following_) return;
+  lists_next_ = true;
   std::visit(Overloaded{
                  [this](const TableChanges& changes) {
                    for (const TableRow& row : changes.rows) {
