Show three ways in which a job stands still or waits too long, failing

A job's row is not known yet when the job is owned by the entry that accepted it, so that 0 stands in for its due time. A job whose end could not be written is never worked on again. A released job is left to the next in line, however long that one does not take it.

All three new cases fail.

--- a/test/job-store-test.cc
+++ b/test/job-store-test.cc
@@ -43,6 +43,7 @@
         store(loop, tables, peers, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& pieces) {
                  owned.insert(job.head().id.value);
+                 known_when_owned = store.Known(job.head().id) != nullptr;
                  progress = pieces;
                },
                [this](const JobId& job) { owned.erase(job.value); },
@@ -89,6 +90,7 @@
   fake::Tables tables;
   PeerTable peers;
   std::set<std::string> owned;
+  bool known_when_owned = false;
   std::vector<ledger::ProgressPiece> progress;
   JobStore store;
 };
@@ -248,3 +250,52 @@
   fake::RunUntil(f.loop, [&got] { return !got.empty(); });
   CHECK(got == "store-unavailable");
 }
+
+// Symptom: items of a new job wait behind those of all others, and are told to the keepers as
+// late, though they are due first.
+// Sequence: an entry accepts a job and owns it; the time at which its items are due is read
+// from the job's row as it is known here.
+// Cause: the row is learned only after the job was owned, and 0 stands in for its due time.
+TEST_CASE("the row of a job is known by the time at which it is owned") {
+  Fixture f;
+  CHECK(f.a.Accept(Submission()) == "accepted");
+  REQUIRE(f.a.owned.contains("job"));
+  CHECK(f.a.known_when_owned);
+}
+
+// Symptom: a job is neither worked on nor given up, for ever.
+// Sequence: its sender ends it at its owner; the store turns the write away, and the sender
+// is told that it did not end.
+// Cause: its items are stopped before the end is written, and nobody starts them again.
+TEST_CASE("a job whose end could not be written is worked on") {
+  Fixture f;
+  CHECK(f.a.Accept(Submission()) == "accepted");
+  f.a.tables.refuse = true;
+  bool refused = false;
+  f.a.store.End(JobId{"job"}, [&refused](const Result<Ok>& result) { refused = !IsOk(result); });
+  fake::RunUntil(f.loop, [&refused] { return refused; });
+  f.a.tables.refuse = false;
+  fake::RunUntil(f.loop, [&f] { return f.a.owned.contains("job"); });
+  CHECK(f.a.store.Known(JobId{"job"})->open());
+}
+
+// Symptom: a job that its owner has released stands still for 5.4 s, until somebody else
+// starts. Sequence: the owner leaves; the entry that is next in line for the job is live but
+// does not take it, as it can't read the table. Cause: all others leave the job to that one
+// for as long as it is live.
+TEST_CASE("a released job that the next in line does not take is taken by another") {
+  Loop loop;
+  fake::TableData data;
+  const JobSubmission job = Submission();
+  Entry leaving(loop, data, PeerNamed("leaving"));
+  CHECK(leaving.Accept(job) == "accepted");
+  // Two that stay. The one that is next in line is known by the list alone.
+  PeerTable ranked(PeerNamed("b"));
+  ranked.Named(PeerNamed("c"));
+  const std::string heir = ranked.OwnerOf(job.id.value, std::nullopt, Loop::Now())->node.value;
+  Entry other(loop, data, PeerNamed(heir == "b" ? "c" : "b"));
+  other.peers.Named(PeerNamed(heir));
+  fake::RunUntil(loop, [&] { return other.store.Known(job.id) != nullptr; });
+  leaving.store.Leave([] {});
+  fake::RunUntil(loop, [&] { return other.owned.contains("job"); });
+}
