Reckon the store's time as a span, by a clock that counts suspension

A job accepted by a process whose calls had been slow began up to 1.6 s before it came, and its life was judged over by a process that knew the time better. One answer that told a time far ahead, or a store replaced by one whose clock is behind, held for good. And the host's clock stands still while the host is suspended, by which a new job's life was shorter.

Change: an answer bounds the time from its call and from its arrival. A job begins at the latest time that it may be and is over at the earliest; an answer that contradicts the ones before is believed alone and logged (store_clock_set); the host's time is that since boot.

--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -70,6 +70,8 @@
 
   [[nodiscard]] static Time Now();
   [[nodiscard]] static WallTime WallNow();
+  // Also counts while the host is suspended, which Now doesn't.
+  [[nodiscard]] static Duration SinceBoot();
   [[nodiscard]] detail::LoopCore& core() { return *core_; }
 
  private:
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -92,7 +92,7 @@
 }
 
 BacklogTime BatchRunner::TimeNow() const {
-  return {Loop::Now(), clock_.Now()};
+  return {Loop::Now(), clock_.Earliest(Loop::SinceBoot())};
 }
 
 const Route* BatchRunner::RouteOf(const JobHead& head, const JobItem& item) const {
@@ -337,7 +337,7 @@
     const bool has_route =
         !check_routes || routes_->Find(head.host, job->items()[key.item].target) != nullptr;
     const std::uint64_t version = routes_ ? routes_->version() : 0;
-    const auto why = WhyGivenUp(head, has_route, version, clock_.Now());
+    const auto why = WhyGivenUp(head, has_route, version, TimeNow().store);
     if (why) hopeless.emplace_back(key, *why);
   }
   for (const auto& [key, why] : hopeless) {
@@ -351,8 +351,8 @@
 // long ago the store last told its time.
 void BatchRunner::LogGivenUp(const JobItemRef& key, std::string_view why) const {
   const JobHead* head = jobs_.Known(key.job);
-  const std::optional<StoreTime> now = clock_.Now();
-  const std::optional<Duration> age = clock_.Age();
+  const std::optional<StoreTime> now = TimeNow().store;
+  const std::optional<Duration> age = clock_.Age(Loop::SinceBoot());
   Log(LogLevel::kInfo, "item_given_up",
       {{"job", key.job.value},
        {"item", IdOf(key)},
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -12,9 +12,9 @@
 #include "figmill/items.h"
 #include "figmill/routes.h"
 #include "figmill/sharing.h"
+#include "figmill/store_clock.h"
 #include "gateway/job_store.h"
 #include "gateway/relay_call.h"
-#include "gateway/store_clock.h"
 
 namespace figmill {
 
--- a/src/gateway/clocked_tables.h
+++ b/src/gateway/clocked_tables.h
@@ -2,6 +2,7 @@
 
 // Tables whose answers set a StoreClock: whoever has had an answer knows the time.
 
+#include <chrono>
 #include <functional>
 #include <optional>
 #include <string>
@@ -9,8 +10,9 @@
 #include <variant>
 #include <vector>
 
+#include "figmill/runtime.h"
+#include "figmill/store_clock.h"
 #include "figmill/tables.h"
-#include "gateway/store_clock.h"
 
 namespace figmill {
 
@@ -21,15 +23,19 @@
   ClockedTables(SharedTables& tables, StoreClock& clock) : tables_(tables), clock_(clock) {}
 
   void Commit(TableTransaction transaction, std::function<void(TableOutcome)> done) override {
-    tables_.Commit(std::move(transaction), [this, done = std::move(done)](TableOutcome outcome) {
-      if (const auto* committed = std::get_if<TableCommitted>(&outcome)) Heard(committed->now);
-      if (const auto* rejected = std::get_if<TableRejected>(&outcome)) Heard(rejected->now);
+    tables_.Commit(std::move(transaction), [this, called_at = Loop::SinceBoot(),
+                                            done = std::move(done)](TableOutcome outcome) {
+      const auto* committed = std::get_if<TableCommitted>(&outcome);
+      const auto* rejected = std::get_if<TableRejected>(&outcome);
+      if (committed != nullptr) Heard(called_at, committed->now);
+      if (rejected != nullptr) Heard(called_at, rejected->now);
       done(std::move(outcome));
     });
   }
   void Read(TableRange range, std::function<void(Result<TablePage>)> done) override {
-    tables_.Read(std::move(range), [this, done = std::move(done)](Result<TablePage> page) {
-      if (IsOk(page)) Heard(ValueOf(page).now);
+    tables_.Read(std::move(range), [this, called_at = Loop::SinceBoot(),
+                                    done = std::move(done)](Result<TablePage> page) {
+      if (IsOk(page)) Heard(called_at, ValueOf(page).now);
       done(std::move(page));
     });
   }
@@ -39,17 +45,26 @@
   }
   void Follow(std::string table, RowVersion after, Duration wait,
               std::function<void(FeedOutcome)> done) override {
-    tables_.Follow(std::move(table), after, wait,
-                   [this, done = std::move(done)](FeedOutcome outcome) {
-                     const auto* changes = std::get_if<TableChanges>(&outcome);
-                     if (changes != nullptr) Heard(changes->now);
-                     done(std::move(outcome));
-                   });
+    tables_.Follow(
+        std::move(table), after, wait,
+        [this, called_at = Loop::SinceBoot(), done = std::move(done)](FeedOutcome outcome) {
+          const auto* changes = std::get_if<TableChanges>(&outcome);
+          if (changes != nullptr) Heard(called_at, changes->now);
+          done(std::move(outcome));
+        });
   }
 
  private:
-  void Heard(std::optional<StoreTime> at) {
-    if (at) clock_.Heard(*at);
+  void Heard(StoreClock::HostTime called_at, std::optional<StoreTime> made_at) {
+    if (!made_at) return;
+    const StoreClock::HostTime now = Loop::SinceBoot();
+    const std::optional<StoreTime> before = clock_.Earliest(now);
+    if (clock_.Heard({*made_at, called_at, now})) return;
+    Log(LogLevel::kWarning, "store_clock_set",
+        {{"told_ms", Milliseconds(*made_at)}, {"before_ms", Milliseconds(*before)}});
+  }
+  static std::string Milliseconds(Duration time) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
   }
 
   SharedTables& tables_;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -196,7 +196,7 @@
   }
 
   [[nodiscard]] double StoreClockAge() const {
-    const std::optional<Duration> age = clock_.Age();
+    const std::optional<Duration> age = clock_.Age(Loop::SinceBoot());
     return age ? std::chrono::duration<double>(*age).count() : -1;
   }
 
--- a/src/gateway/job_desk.cc
+++ b/src/gateway/job_desk.cc
@@ -72,7 +72,7 @@
   const std::string id(request.HeaderOr(adapter_.names().request_id));
   auto answer = std::make_shared<Answer>(*this, "submit", id, std::move(reply));
   if (!IsOk(submission)) return answer->Refuse(ErrorOf(submission));
-  const std::optional<StoreTime> now = clock_.Now();
+  const std::optional<StoreTime> now = clock_.Latest(Loop::SinceBoot());
   if (!now) {
     return answer->Refuse({ErrorKind::kNoBackend, "the store was not reached yet", Ran::kNo});
   }
--- a/src/gateway/job_desk.h
+++ b/src/gateway/job_desk.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "figmill/gateway.h"
+#include "figmill/store_clock.h"
 #include "gateway/job_store.h"
-#include "gateway/store_clock.h"
 
 namespace figmill {
 
--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -12,7 +12,6 @@
 #include "figmill/ledger.h"
 #include "figmill/runtime.h"
 #include "figmill/sharing.h"
-#include "gateway/store_clock.h"
 #include "gateway/table_follower.h"
 
 namespace figmill {
--- a/src/runtime/loop.cc
+++ b/src/runtime/loop.cc
@@ -1,6 +1,7 @@
 #include <asio/post.hpp>
 #include <chrono>
 #include <csignal>
+#include <ctime>
 #include <random>
 
 #include "runtime/loop_core.h"
@@ -95,6 +96,13 @@
   return Time(std::chrono::duration_cast<Duration>(since_boot));
 }
 
+Duration Loop::SinceBoot() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  const auto since_boot = std::chrono::seconds(now.tv_sec) + std::chrono::nanoseconds(now.tv_nsec);
+  return std::chrono::duration_cast<Duration>(since_boot);
+}
+
 WallTime Loop::WallNow() {
   return std::chrono::time_point_cast<std::chrono::milliseconds>(std::chrono::system_clock::now());
 }
--- a/test/job-desk-test.cc
+++ b/test/job-desk-test.cc
@@ -34,7 +34,7 @@
                [](OwnedJob&) {}, [this](const JobHead& head) { desk.OnChanged(head); }}),
         desk(loop, store, clock, *adapter) {
     store.Start();
-    fake::RunUntil(loop, [this] { return clock.Now().has_value(); });
+    fake::RunUntil(loop, [this] { return clock.Latest(Loop::SinceBoot()).has_value(); });
     route.name = "r";
     route.host = "h";
     route.prefix = "/b/";
