--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -303,6 +303,21 @@
   }
 }
 
+// Symptom: requests are refused as if all places were taken, though engines stand idle.
+// Sequence: an entry starts; the others take it for a keeper as soon as it is listed; it can't
+// read the list of backend servers yet.
+// Cause: it answers that there is no place where it knows of no backend server; who asks takes
+// that for a full service.
+TEST_CASE("a keeper that knows no backend server of a service does not call it full") {
+  Fixture f(std::vector<BackendId>{});
+  f.AskFor("a", Ask(1));
+  f.AskFor("a", Ask(2, /*may_queue=*/true));
+  for (const PlaceAnswer& answer : f.answers) {
+    CHECK(answer.kind != PlaceAnswer::Kind::kFull);
+    CHECK(answer.kind != PlaceAnswer::Kind::kQueued);
+  }
+}
+
 TEST_CASE("a search whose keepers are silent goes on without them") {
   PlaceSearch search(Ask(7), {NodeId{"a"}}, kStart);
   (void)search.Start(kStart);
