Tell a keeper that knows of no place from one whose places are taken

A keeper that has not read the list of backend servers yet, or whose backend servers all leave, answered an ask with "full" and a wait of one usual run. The asker took that for a service without free places and refused the request with 503. The answer is now of a kind of its own, after which the search goes on to the next keeper, and by its own knowledge when none knows of a place, as after a silent keeper.

--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -49,6 +49,9 @@
     kPlaced,  // `backend` has a place; it is kept for the request for a while
     kQueued,  // another answer follows
     kFull,    // there will be none in time
+    // This entry knows of no place of the service that it keeps: it has not read the list of
+    // backend servers yet, or lags behind it, or all of them leave. It says nothing of others.
+    kNotKept,
   };
   std::uint64_t number = 0;
   Kind kind = Kind::kFull;
@@ -216,8 +219,10 @@
 
   // Batch items that an entry may have running there, as granted last.
   [[nodiscard]] int Allowed(const BackendId& backend, const NodeId& entry) const;
-  // Until a request that is queued now would get a place.
-  [[nodiscard]] Duration WaitFor(const ServiceName& service, std::size_t position) const;
+  // Until a request that is queued now would get a place; nothing where no place of the
+  // service is kept.
+  [[nodiscard]] std::optional<Duration> WaitFor(const ServiceName& service,
+                                                std::size_t position) const;
 
  private:
   struct Share {
@@ -277,6 +282,9 @@
   void ServeQueue(Time now);
   void ExpireReservations(Time now);
   void Answer(const NodeId& to, PlaceAnswer answer);
+  // There is no place in time. Said by one that knows of none at all, "full" would have a
+  // request refused while places are free; it is told that nothing is known here instead.
+  void AnswerNoPlace(const NodeId& to, const PlaceAsk& ask, std::optional<Duration> wait);
   void CountStarted(int started, Time now);
   static void CountEnds(Kept& kept, Share& share, const PlaceReport::Line& line, Time now);
   // Leaves out and takes back in, for all entries at once.
@@ -307,7 +315,7 @@
 
 // How an entry finds a place for one online request by asking keepers: first for a
 // place that is free, then, when all are taken, for one in the queue that moves on
-// soonest.
+// soonest. A keeper that is silent or knows of no place says nothing about the others.
 namespace search {
 
 struct Answered {
--- a/src/sharing/peer_codec.cc
+++ b/src/sharing/peer_codec.cc
@@ -184,7 +184,7 @@
   PlaceAnswer answer;
   answer.number = Get<std::uint64_t>(object, 0);
   const int kind = Get<int>(object, 1);
-  if (kind < 0 || kind > static_cast<int>(PlaceAnswer::Kind::kFull)) {
+  if (kind < 0 || kind > static_cast<int>(PlaceAnswer::Kind::kNotKept)) {
     throw std::invalid_argument("unknown kind of answer");
   }
   answer.kind = static_cast<PlaceAnswer::Kind>(kind);
--- a/src/sharing/place_asks.cc
+++ b/src/sharing/place_asks.cc
@@ -65,13 +65,11 @@
   const AskQueue::Entry entry{from, ask, now + ask.goal_left - kFirstEvent, now + ask.time_left};
   const std::size_t before = queue_.CountBefore(entry, now);
   if (before == 0 && Place(from, ask, now)) return;
-  const Duration wait = WaitFor(ask.service, before + 1);
+  const std::optional<Duration> wait = WaitFor(ask.service, before + 1);
   const Duration budget =
       ask.last_chance ? ask.time_left - 2 * kUsualRun : ask.goal_left - kFirstEvent;
-  if (!ask.may_queue || wait > budget) {
-    return Answer(from, {ask.number, PlaceAnswer::Kind::kFull, {}, wait});
-  }
-  Answer(from, {ask.number, PlaceAnswer::Kind::kQueued, {}, wait});
+  if (!ask.may_queue || !wait || *wait > budget) return AnswerNoPlace(from, ask, wait);
+  Answer(from, {ask.number, PlaceAnswer::Kind::kQueued, {}, *wait});
   queue_.Add(entry);
 }
 
@@ -102,8 +100,8 @@
 
 void PlaceKeeper::ServeQueue(Time now) {
   for (const AskQueue::Entry& entry : queue_.TakeExpired(now)) {
-    const Duration wait = WaitFor(entry.ask.service, queue_.CountBefore(entry, now) + 1);
-    Answer(entry.from, {entry.ask.number, PlaceAnswer::Kind::kFull, {}, wait});
+    const std::size_t position = queue_.CountBefore(entry, now) + 1;
+    AnswerNoPlace(entry.from, entry.ask, WaitFor(entry.ask.service, position));
   }
   while (!queue_.empty()) {
     const auto served = queue_.TakeFirst(now, [this, now](const AskQueue::Entry& entry) {
@@ -125,6 +123,12 @@
   answers_.push_back({to, std::nullopt, std::move(answer)});
 }
 
+void PlaceKeeper::AnswerNoPlace(const NodeId& to, const PlaceAsk& ask,
+                                std::optional<Duration> wait) {
+  const auto kind = wait ? PlaceAnswer::Kind::kFull : PlaceAnswer::Kind::kNotKept;
+  Answer(to, {ask.number, kind, {}, wait.value_or(Duration{0})});
+}
+
 void PlaceKeeper::CountStarted(int started, Time now) {
   started_ += started;
   if (started_since_ == Time{}) started_since_ = now;
@@ -152,14 +156,15 @@
 }
 
 // All places are taken: one falls free each usual run over their number.
-Duration PlaceKeeper::WaitFor(const ServiceName& service, std::size_t position) const {
+std::optional<Duration> PlaceKeeper::WaitFor(const ServiceName& service,
+                                             std::size_t position) const {
   int places = 0;
   for (const auto& [id, kept] : kept_) {
     if (kept.backend.service == service) places += kept.backend.places;
   }
+  if (places == 0) return std::nullopt;
   const auto usual = usual_run_.find(service);
   const Duration run = usual == usual_run_.end() ? kUsualRun : usual->second;
-  if (places == 0) return run;
   return run * static_cast<Duration::rep>(position) / places;
 }
 
--- a/src/sharing/place_search.cc
+++ b/src/sharing/place_search.cc
@@ -25,7 +25,7 @@
 
 search::Action PlaceSearch::AskNext(Time now) {
   if (next_ < keepers_.size()) return Ask(keepers_[next_++], now);
-  // Those that answered say that all is full; silence says nothing.
+  // Those that keep places say that all are taken; silence says nothing.
   if (!soonest_) return search::TakeUnasked{};
   if (ask_.may_queue) return search::GiveUp{shortest_wait_};
   ask_.may_queue = true;
@@ -48,6 +48,8 @@
         if (!ask_.may_queue) soonest_ = keepers_[next_ - 1];
       }
       return AskNext(now);
+    case PlaceAnswer::Kind::kNotKept:
+      return AskNext(now);
   }
   return AskNext(now);
 }
--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -318,6 +318,43 @@
   }
 }
 
+TEST_CASE("a keeper whose backend servers all leave has no queue for their service") {
+  Fixture f(std::vector<BackendId>{});
+  f.keeper.Keep({{kEngine, {kLlm, 0}}}, kStart);
+  f.AskFor("a", Ask(1, /*may_queue=*/true));
+  REQUIRE(f.answers.size() == 1);
+  CHECK(f.answers[0].kind == PlaceAnswer::Kind::kNotKept);
+}
+
+// Symptom: a request is refused by one keeper that knows of no place.
+// Sequence: two keepers are asked; one has not read the list of backend servers yet.
+// Cause: its answer was taken for one about places that are all taken.
+TEST_CASE("a keeper that knows of no place is passed over, and alone it decides nothing") {
+  const PlaceAnswer not_kept{7, PlaceAnswer::Kind::kNotKept, {}, {}};
+  PeerMessage message;
+  message.answer = not_kept;
+  message.from = PeerNamed("a");
+  const Result<PeerMessage> back = DecodePeerMessage(Encode(message));
+  REQUIRE(IsOk(back));
+  CHECK(ValueOf(back).answer->kind == PlaceAnswer::Kind::kNotKept);
+
+  PlaceSearch search(Ask(7), {NodeId{"a"}, NodeId{"b"}}, kStart);
+  (void)search.Start(kStart);
+  const search::Action second = search.On(search::Answered{not_kept}, kStart);
+  REQUIRE(std::holds_alternative<search::AskKeeper>(second));
+  CHECK(std::get<search::AskKeeper>(second).keeper == NodeId{"b"});
+  SUBCASE("the other one is full") {
+    const PlaceAnswer full{7, PlaceAnswer::Kind::kFull, {}, Duration{50'000}};
+    const search::Action third = search.On(search::Answered{full}, kStart);
+    REQUIRE(std::holds_alternative<search::AskKeeper>(third));
+    CHECK(std::get<search::AskKeeper>(third).keeper == NodeId{"b"});
+  }
+  SUBCASE("the other one knows of none either") {
+    const search::Action third = search.On(search::Answered{not_kept}, kStart);
+    CHECK(std::holds_alternative<search::TakeUnasked>(third));
+  }
+}
+
 TEST_CASE("a search whose keepers are silent goes on without them") {
   PlaceSearch search(Ask(7), {NodeId{"a"}}, kStart);
   (void)search.Start(kStart);
