Take no entry for a keeper before it has read the list of backend servers

An entry that starts names itself to the others before it knows a backend server. They took it for the keeper of those near it and waited for its grants; these had no lines, but showed that it lives, so that nobody else became keeper, and no batch item ran at those engines for as long as the list could not be read. An entry now says in its datagrams that it is joining until it has read the list whole. One that is joining keeps nothing, owns no jobs and carries no store calls of others. It is asked twice a second by all who believe that it is joining, so that a lost datagram does not leave it out for good; an announcement alone would, in fleets where not all watch each other.

Ruled out: to count only grants with lines as a sign of life (the next datagram makes the silent one live again, and keepers flap every 0.7 s), and to write the member row later (others hear of it by its datagrams as well, and an earlier process's row may still be there).

A message of an entry that has joined is not a byte longer (sharing-test); one of a joining entry is one byte longer. Control reads the list of backend servers before that of the entries.

--- a/include/figmill/peers.h
+++ b/include/figmill/peers.h
@@ -25,6 +25,9 @@
   DataCentre data_centre;
   double capacity = 1;  // of its host, in cores
   bool leaving = false;
+  // It has not read the list of backend servers yet, and can keep and run nothing. Taken for a
+  // keeper it would grant nothing, and its grants would show that it lives.
+  bool joining = false;
   bool operator==(const Peer&) const = default;
 };
 
@@ -65,6 +68,8 @@
   // It should have been heard from: not live until it is.
   void Suspect(const NodeId& node);
   void SetLeaving(bool leaving) { self_.leaving = leaving; }
+  // This entry knows the list of backend servers from now on. True if it didn't before.
+  bool Joined();
   // Others know a process of this entry's slot by this incarnation. If it seems to be a
   // later one, this process takes a higher one: true. The time of day that incarnations
   // are made from jumps back, and a process that starts then would be taken for one that
@@ -81,13 +86,15 @@
   [[nodiscard]] std::vector<Peer> Live(Time now) const;  // with this one
 
   struct Watch {
-    std::vector<Peer> to_ask;  // not heard for kPresence
+    // Not heard for kPresence; and all that are joining, since they tell only who asks that
+    // they have joined.
+    std::vector<Peer> to_ask;
     std::vector<Peer> silent;  // found silent now; they are suspected from here on
   };
   // Call it twice a kPresence.
   [[nodiscard]] Watch WatchOthers(Time now);
 
-  // Live, staying, and with capacity for more than their callers.
+  // Live, joined, staying, and with capacity for more than their callers.
   [[nodiscard]] std::vector<Peer> Capable(Time now) const;
   // The capable entries in the order of the rendezvous hash for `key`, which all share.
   [[nodiscard]] std::vector<Peer> RankedFor(std::string_view key, Time now) const;
@@ -111,6 +118,8 @@
     std::optional<Time> heard_at;
     std::optional<Time> asked_at;  // first ask since it was heard
   };
+  void AskJoining(Watch& watch, Time now) const;
+
   Peer self_;
   std::map<NodeId, Entry> others_;
   std::uint64_t generation_ = 0;
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -16,6 +16,7 @@
 struct FleetView {
   std::shared_ptr<const RouteTable> routes;  // null: no configuration is known yet
   std::map<BackendId, BackendInfo> backends;
+  bool backends_listed = false;     // the list has been read whole at least once
   RowVersion backends_version = 0;  // of the list
 };
 
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -79,7 +79,9 @@
 }
 
 void FleetWatch::Publish() {
-  if (!std::exchange(changed_, false)) return;
+  const bool first_list = backends_.mirror().complete() && !view_.backends_listed;
+  if (!std::exchange(changed_, false) && !first_list) return;
+  view_.backends_listed = backends_.mirror().complete();
   view_.backends_version = backends_.mirror().version();
   publish_(std::make_shared<const FleetView>(view_));
 }
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -48,8 +48,9 @@
         fleet_(loop_, *tables_, adapter, std::move(hooks.publish)),
         members_(loop_, *tables_, self, std::move(hooks.members)),
         thread_([this] {
-          members_.Start();
+          // In this order most have joined by the time at which others hear of them.
           fleet_.Start();
+          members_.Start();
           loop_.Run();
         }) {}
   ~Control() {
@@ -82,7 +83,9 @@
 
 Peer SelfOf(const GatewaySettings& settings) {
   const auto incarnation = static_cast<Incarnation>(Loop::WallNow().time_since_epoch().count());
-  return {settings.node, incarnation, settings.peers, settings.data_centre, settings.cores, false};
+  Peer self{settings.node, incarnation, settings.peers, settings.data_centre, settings.cores};
+  self.joining = true;
+  return self;
 }
 
 class Gateway {
@@ -222,6 +225,7 @@
     backends.reserve(view->backends.size());
     for (const auto& [id, info] : view->backends) backends.push_back(info);
     link_.SetBackends(std::move(backends));
+    if (view->backends_listed) link_.Joined();
   }
 
   bool Listen(const Address& at, std::unique_ptr<HttpServer>& server, HttpHandler handler) {
--- a/src/gateway/member_watch.cc
+++ b/src/gateway/member_watch.cc
@@ -36,6 +36,8 @@
   if (leaving_) return;
   PeerMessage message;
   message.from = self_;
+  // The row outlasts it. Who reads the row asks this process itself.
+  message.from.joining = false;
   tables_.Commit({{}, {{KeyOf(self_.node), Encode(message)}}, {}},
                  [this](const TableOutcome& outcome) {
                    if (std::holds_alternative<TableCommitted>(outcome)) return;
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -40,6 +40,12 @@
   return Ok{};
 }
 
+void PeerLink::Joined() {
+  if (!peers_.Joined()) return;
+  Log(LogLevel::kInfo, "joined", {{"node", peers_.self().node.value}});
+  UpdateKeepers();
+}
+
 void PeerLink::Leave() {
   peers_.SetLeaving(true);
   for (const Peer& peer : peers_.others()) Send(peer, PeerMessage{});
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -46,6 +46,8 @@
   // Errors: kInternal, with the cause.
   [[nodiscard]] Result<Ok> Start(const std::vector<Address>& seeds);
   // Tells all that this process leaves.
+  // The list of backend servers has been read: this entry can be a keeper.
+  void Joined();
   void Leave();
   // The store lists this peer.
   void Named(const Peer& peer);
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -41,6 +41,12 @@
   return first;
 }
 
+bool PeerTable::Joined() {
+  if (!std::exchange(self_.joining, false)) return false;
+  ++generation_;
+  return true;
+}
+
 bool PeerTable::Outlive(Incarnation known) {
   if (known <= self_.incarnation) return false;
   self_.incarnation = known + 1;
@@ -115,12 +121,23 @@
     watch.silent.push_back(entry.peer);
   }
   for (const Peer& peer : watch.silent) Suspect(peer.node);
+  AskJoining(watch, now);
   return watch;
 }
 
+void PeerTable::AskJoining(Watch& watch, Time now) const {
+  for (const auto& [node, entry] : others_) {
+    if (!entry.peer.joining || !IsLive(node, now)) continue;
+    const auto is_same = [&node](const Peer& peer) { return peer.node == node; };
+    if (std::none_of(watch.to_ask.begin(), watch.to_ask.end(), is_same)) {
+      watch.to_ask.push_back(entry.peer);
+    }
+  }
+}
+
 std::vector<Peer> PeerTable::Capable(Time now) const {
   std::vector<Peer> peers = Live(now);
-  std::erase_if(peers, [](const Peer& peer) { return peer.leaving; });
+  std::erase_if(peers, [](const Peer& peer) { return peer.leaving || peer.joining; });
   double largest = 0;
   for (const Peer& peer : peers) largest = std::max(largest, peer.capacity);
   std::erase_if(peers,
--- a/src/sharing/peer_codec.cc
+++ b/src/sharing/peer_codec.cc
@@ -13,13 +13,15 @@
 using Object = msgpack::object;
 
 void Pack(Packer& packer, const Peer& peer) {
-  packer.pack_array(6);
+  // The last one costs nothing once the peer has joined.
+  packer.pack_array(peer.joining ? 7 : 6);
   packer.pack(peer.node.value);
   packer.pack(peer.incarnation);
   packer.pack(ToString(peer.address));
   packer.pack(peer.data_centre.value);
   packer.pack(peer.capacity);
   packer.pack(peer.leaving);
+  if (peer.joining) packer.pack(peer.joining);
 }
 
 void Pack(Packer& packer, const PlaceReport& report) {
@@ -130,6 +132,7 @@
   peer.data_centre.value = Get<std::string>(object, 3);
   peer.capacity = Get<double>(object, 4);
   peer.leaving = Get<bool>(object, 5);
+  peer.joining = SizeOf(object) > 6 && Get<bool>(object, 6);
   return peer;
 }
 
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -100,6 +100,35 @@
   CHECK_FALSE(table.KeepersOf(DataCentre{"gone"}, 5, kStart).empty());
 }
 
+// Symptom: a part of the backend servers gets no batch items after an entry has started.
+// Sequence: it is known to the others before it has read the list of backend servers.
+// Cause: they took it for a keeper; its word that it has joined was lost, or never sent.
+TEST_CASE("an entry that is joining keeps nothing, and is asked until it says that it has joined") {
+  Peer self = PeerNamed("new");
+  self.joining = true;
+  PeerTable mine(self);
+  mine.Heard(PeerNamed("old"), kStart);
+  PeerTable other(PeerNamed("old"));
+  for (int i = 0; i < 40; ++i) other.Heard(PeerNamed("p" + std::to_string(i), "far"), kStart);
+  other.Heard(mine.self(), kStart);
+  for (PeerTable* table : {&mine, &other}) {
+    const auto keepers = table->KeepersOf(DataCentre{"dc"}, 30, kStart);
+    REQUIRE(keepers.size() == 1);
+    CHECK(keepers[0].node == NodeId{"old"});
+  }
+  const PeerTable::Watch watch = other.WatchOthers(kStart + Duration{1});
+  REQUIRE(watch.to_ask.size() == 1);
+  CHECK(watch.to_ask[0].node == self.node);
+
+  CHECK(mine.Joined());
+  CHECK_FALSE(mine.Joined());
+  const std::uint64_t before = other.Generation(kStart);
+  other.Heard(mine.self(), kStart);
+  CHECK(other.Generation(kStart) != before);
+  CHECK(other.WatchOthers(kStart + Duration{1}).to_ask.empty());
+  CHECK(other.KeepersOf(DataCentre{"dc"}, 30, kStart).size() == 2);
+}
+
 // Symptom: an entry's processor time grows with the fleet until it does nothing else.
 // Sequence: 300 entries before 3,000 backend servers; each hears of the use of each.
 TEST_CASE("entries of a large fleet use few keepers each, and all keepers alike") {
--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -383,6 +383,17 @@
   CHECK(ValueOf(back).from == message.from);
 }
 
+TEST_CASE("an entry that has joined sends no byte more for it") {
+  PeerMessage message;
+  message.from = PeerNamed("a");
+  const std::size_t joined = Encode(message).size();
+  message.from.joining = true;
+  const Result<PeerMessage> back = DecodePeerMessage(Encode(message));
+  REQUIRE(IsOk(back));
+  CHECK(ValueOf(back).from.joining);
+  CHECK(Encode(message).size() == joined + 1);
+}
+
 TEST_CASE("what is no message is refused") {
   CHECK_FALSE(IsOk(DecodePeerMessage("")));
   CHECK_FALSE(IsOk(DecodePeerMessage("hello")));
--- /dev/null
+++ b/test/store-parts-test.py
@@ -0,0 +1,46 @@
+#!/usr/bin/env python3
+"""Gateways before a store of which a part or a kind of call fails, and before engines that
+answer late or not as asked. What works must go on, and what is not known must be no answer.
+
+usage: store-parts-test.py BUILD_FOLDER
+"""
+
+import pathlib
+import sys
+import time
+import unittest
+
+from gateways import Fleet, call, job, wait_for
+
+BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
+
+
+def submit(gateway, job_id, count, tokens=20):
+    return call(gateway.callers, "POST", f"/reports/{job_id}", job(job_id, count, tokens),
+                {"Request-Id": job_id, "Content-Type": "application/json"})[0]
+
+
+class Joining(unittest.TestCase):
+    def test_a_gateway_without_a_list_of_backend_servers_keeps_none(self):
+        # Symptom: a part of the engines gets no batch items, though all are idle, for as long
+        # as a gateway that has started can't read the list of backend servers.
+        # Sequence: it names itself to the others before it has read the list; they take it
+        # for the keeper of the engines near it and wait for its grants.
+        # Cause: its grants have no lines, since it keeps nothing yet; that they come shows
+        # that it lives, and so nobody else becomes keeper.
+        with Fleet(BUILD, gateways=1) as fleet:
+            first = fleet.gateways[0]
+            fleet.world.do("store", unlisted=["servers"])
+            second = fleet.add(1)
+            wait_for("it is ready", second.ready)
+            time.sleep(2)
+            self.assertEqual(submit(first, "j1", 32, tokens=100), 202)
+            wait_for("all engines run items", lambda: len(
+                {run["engine"] for run in fleet.world.runs()}) == 4, seconds=5)
+            # With the list it is one of them.
+            fleet.world.do("store", unlisted=[])
+            wait_for("it keeps engines", lambda: second.lines("joined"))
+
+
+if __name__ == "__main__":
+    unittest.main(argv=[sys.argv[0], "-v"])
