Believe "not run" only of an answer that names our request, or none

An engine may send a second answer to an earlier request late, where the answer to the next one on a kept connection is due. If that answer said "not run" (or 421), it was taken for the next request's, which went to another engine while the first one ran it: a request that may not be repeated ran twice. A request id that is there must be ours now. Refusals without an id stay ours: the platform's engines refuse without naming a request, while a late answer names the one that it answers. The decision is one function for requests and items.

--- a/include/figmill/items.h
+++ b/include/figmill/items.h
@@ -61,7 +61,7 @@
 struct ItemAnswerHead {
   int status = 0;
   bool not_run = false;  // it says so
-  bool has_our_id = false;
+  AnsweredId id = AnsweredId::kNone;
 };
 
 namespace item_answer {
--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -50,6 +50,17 @@
   std::optional<std::string> after_event = {};
 };
 
+// Whose request an answer names.
+enum class AnsweredId : std::uint8_t { kOurs, kNone, kAnothers };
+[[nodiscard]] AnsweredId AnsweredIdOf(std::string_view echoed, std::string_view ours);
+// Whether an answer is the one to our request. A second answer to an earlier request may come
+// where this one's is due; "not run" in it says nothing of ours, and a request that may not be
+// repeated would run twice if it were believed. Backend servers refuse without naming a request
+// as well; a late answer always names one.
+[[nodiscard]] inline bool IsOurs(AnsweredId id, bool not_run) {
+  return id == AnsweredId::kOurs || (id == AnsweredId::kNone && not_run);
+}
+
 namespace relay {
 
 // --- Events ----------------------------------------------------------------------
@@ -63,12 +74,12 @@
   Error error;
 };
 // The head of an answer. `not_run`: the backend server says that it did not run
-// the request. `mine`: it answers this request, and not another one.
+// the request.
 struct Head {
   SendNumber send = 0;
   HttpHead head;
   bool not_run = false;
-  bool mine = true;
+  AnsweredId id = AnsweredId::kOurs;
 };
 struct Bytes {
   SendNumber send = 0;
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -231,7 +231,7 @@
   const OwnedJob* job = jobs_.Owned(key.job);
   if (job == nullptr) return EndRun(key, relay::SendEnd::kAbandoned);
   const WireNames& names = tools_.names;
-  const bool has_our_id = head.HeaderOr(names.request_id) == job->items()[key.item].id;
+  const AnsweredId id = AnsweredIdOf(head.HeaderOr(names.request_id), job->items()[key.item].id);
   const bool not_run = !head.HeaderOr(names.not_run).empty();
   const std::string why = "status " + std::to_string(head.status);
   std::visit(Overloaded{
@@ -248,7 +248,7 @@
                  },
                  [&](item_answer::Failed failed) { OnFailed(key, failed.counts, why); },
              },
-             ItemAnswerOf({head.status, not_run, has_our_id}));
+             ItemAnswerOf({head.status, not_run, id}));
 }
 
 // How often an item may fail is its route's to say. While no route is known its failures
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -120,8 +120,8 @@
                    const bool not_run =
                        !head.HeaderOr(names.not_run).empty() || head.status == kMisdirected;
                    const std::string_view id = head.HeaderOr(names.request_id);
-                   const bool mine = not_run || id == run_.plan().request.value;
-                   Step(relay::Head{send, std::move(head), not_run, mine});
+                   const AnsweredId answered = AnsweredIdOf(id, run_.plan().request.value);
+                   Step(relay::Head{send, std::move(head), not_run, answered});
                  },
                  [&](const HttpBytes& bytes) {
                    if (first_byte_at_ == Time{}) first_byte_at_ = Loop::Now();
--- a/src/items/answers.cc
+++ b/src/items/answers.cc
@@ -11,8 +11,9 @@
 }  // namespace
 
 ItemAnswer ItemAnswerOf(const ItemAnswerHead& head) {
-  if (head.not_run || head.status == kMisdirected) return item_answer::NotRun{};
-  if (!head.has_our_id) return item_answer::Stray{};
+  const bool not_run = head.not_run || head.status == kMisdirected;
+  if (!IsOurs(head.id, not_run)) return item_answer::Stray{};
+  if (not_run) return item_answer::NotRun{};
   if (head.status == kOk) return item_answer::Output{};
   if (head.status == kUnprocessable) return item_answer::Impossible{};
   return item_answer::Failed{head.status == kServerError};
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -14,6 +14,11 @@
 
 }  // namespace
 
+AnsweredId AnsweredIdOf(std::string_view echoed, std::string_view ours) {
+  if (echoed == ours) return AnsweredId::kOurs;
+  return echoed.empty() ? AnsweredId::kNone : AnsweredId::kAnothers;
+}
+
 std::string_view relay::ToString(SendEnd end) {
   switch (end) {
     case SendEnd::kAnswered:
@@ -78,7 +83,7 @@
 
 void RelayRun::On(Time now, const relay::Head& event) {
   if (!IsCurrent(event.send) || state_ != State::kSent) return;
-  if (!event.mine) {
+  if (!IsOurs(event.id, event.not_run)) {
     return TryElsewhere(now, relay::SendEnd::kBroken, "answered another request", Ran::kUnknown);
   }
   if (event.not_run) {
--- a/test/items-test.cc
+++ b/test/items-test.cc
@@ -100,20 +100,29 @@
 }
 
 TEST_CASE("what an answer says of an item") {
-  CHECK(Is<item_answer::Output>(ItemAnswerOf({200, false, true})));
-  CHECK(Is<item_answer::NotRun>(ItemAnswerOf({503, true, false})));
-  CHECK(Is<item_answer::NotRun>(ItemAnswerOf({421, false, true})));
-  CHECK(Is<item_answer::Impossible>(ItemAnswerOf({422, false, true})));
-  CHECK(std::get<item_answer::Failed>(ItemAnswerOf({500, false, true})).counts);
-  CHECK_FALSE(std::get<item_answer::Failed>(ItemAnswerOf({504, false, true})).counts);
+  const auto says = [](int status, bool not_run = false) {
+    return ItemAnswerOf({status, not_run, AnsweredId::kOurs});
+  };
+  CHECK(Is<item_answer::Output>(says(200)));
+  CHECK(Is<item_answer::NotRun>(says(503, /*not_run=*/true)));
+  CHECK(Is<item_answer::NotRun>(says(421)));
+  CHECK(Is<item_answer::Impossible>(says(422)));
+  CHECK(std::get<item_answer::Failed>(says(500)).counts);
+  CHECK_FALSE(std::get<item_answer::Failed>(says(504)).counts);
+  // Refusals need not name the request.
+  CHECK(Is<item_answer::NotRun>(ItemAnswerOf({503, true, AnsweredId::kNone})));
+  CHECK(Is<item_answer::NotRun>(ItemAnswerOf({421, false, AnsweredId::kNone})));
 }
 
 // Symptom: an item ends as impossible that could have been done.
 // Sequence: a backend server answers twice, and its second answer, to another item, comes
-// where this item's answer is due.
+// where this item's answer is due. One that says "not run" would have the item run twice.
 TEST_CASE("an answer to another request says nothing of the item") {
+  CHECK(Is<item_answer::Stray>(ItemAnswerOf({503, true, AnsweredId::kAnothers})));
+  CHECK(Is<item_answer::Stray>(ItemAnswerOf({421, false, AnsweredId::kAnothers})));
   for (const int status : {200, 422, 500}) {
-    CHECK(Is<item_answer::Stray>(ItemAnswerOf({status, false, false})));
+    CHECK(Is<item_answer::Stray>(ItemAnswerOf({status, false, AnsweredId::kNone})));
+    CHECK(Is<item_answer::Stray>(ItemAnswerOf({status, false, AnsweredId::kAnothers})));
   }
 }
 
--- a/test/relay-run-test.cc
+++ b/test/relay-run-test.cc
@@ -129,11 +129,32 @@
 // first. Cause: the connection alone doesn't say whose answer it is.
 TEST_CASE("an answer to another request is not passed on") {
   Sent sent(IdempotentPlan());
-  sent.Step(relay::Head{1, Answer(200), false, /*mine=*/false});
+  sent.Step(relay::Head{1, Answer(200), false, AnsweredId::kAnothers});
   CHECK(Last<relay::PassHead>(sent.actions) == nullptr);
   CHECK(Last<relay::AskPlace>(sent.actions) != nullptr);
 }
 
+// Symptom: a request that may not be repeated runs at two backend servers.
+// Sequence: a late second answer to an earlier request on a kept connection says "not run".
+// Cause: it was believed whatever request it named.
+TEST_CASE("that another request was not run says nothing of this one") {
+  Sent sent(Plan());
+  sent.Step(relay::Head{1, Answer(503), /*not_run=*/true, AnsweredIdOf("earlier", "r")});
+  CHECK(Last<relay::AskPlace>(sent.actions) == nullptr);
+  REQUIRE(Last<relay::Refuse>(sent.actions) != nullptr);
+  CHECK(Last<relay::Refuse>(sent.actions)->error.ran == Ran::kUnknown);
+}
+
+TEST_CASE("a refusal that names no request is this one's, any other answer is not") {
+  Sent refused(Plan());
+  refused.Step(relay::Head{1, Answer(503), /*not_run=*/true, AnsweredIdOf("", "r")});
+  CHECK(Last<relay::AskPlace>(refused.actions) != nullptr);
+  Sent answered(Plan());
+  answered.Step(relay::Head{1, Answer(200), /*not_run=*/false, AnsweredIdOf("", "r")});
+  CHECK(Last<relay::Refuse>(answered.actions) != nullptr);
+  CHECK(AnsweredIdOf("r", "r") == AnsweredId::kOurs);
+}
+
 // Symptom: an event of a stream comes twice, or a half one.
 // Sequence: the first backend server breaks off in the middle of an event; the
 // second one goes on after the last whole event.
--- a/test/store-parts-test.py
+++ b/test/store-parts-test.py
@@ -5,12 +5,14 @@
 usage: store-parts-test.py BUILD_FOLDER
 """
 
+import asyncio
+import collections
 import pathlib
 import sys
 import time
 import unittest
 
-from gateways import Fleet, call, job, wait_for
+from gateways import Connection, Fleet, call, job, wait_for
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 
@@ -42,5 +44,33 @@
             wait_for("it keeps engines", lambda: second.lines("joined"))
 
 
+def stream(request_id, tokens=20):
+    return {"Request-Id": request_id, "Model": "m", "Tokens": f"10,{tokens}",
+            "Deadline-Ms": "5000"}
+
+
+class LateAnswers(unittest.TestCase):
+    def test_a_late_refusal_of_an_earlier_request_does_not_have_one_run_twice(self):
+        # Symptom: a request that may not be repeated runs at two engines.
+        # Sequence: an engine answers a request, and its connection is kept; the next request
+        # goes out on it; now the engine says of the earlier one that it was not run.
+        # Cause: whoever said "not run" was believed, whatever request it named.
+        with Fleet(BUILD, gateways=1) as fleet:
+            gateway = fleet.gateways[0]
+            for index in range(4):
+                fleet.world.do("engine", index=index, late_refusal=0.5)
+
+            async def ask_all():
+                return [await Connection(gateway.callers).request(
+                    "POST", "/flags/1", stream(f"f{n}", 3)) for n in range(60)]
+
+            answers = asyncio.run(ask_all())
+            runs = collections.Counter(run["id"] for run in fleet.world.runs())
+            self.assertEqual([each for each in runs.items() if each[1] > 1], [])
+            failed = [answer for answer in answers if answer.status != 200]
+            self.assertTrue(failed, "no late answer came where it was taken for another one's")
+            self.assertEqual({answer.status for answer in failed}, {502})
+
+
 if __name__ == "__main__":
     unittest.main(argv=[sys.argv[0], "-v"])
