Break off a run that sends events again, in place of appending them

Ids of a stream's events increase, but nothing compared them: a backend server that starts a resumed stream anew, or a late second answer with the same request id on a kept connection, had its events passed on or put into an item's text a second time. An event at or before the last one, by number where both ids are numbers and by equality where not, now breaks the run off; it goes on elsewhere after the last event that was new. A caller that resumes a resumable stream itself is guarded the same way. A hole between ids is not looked for: that ids have no gaps is the platform's numbering.

Before: three new cases of relay-run-test fail (the repeated events are passed on, no send is over) and one of items-test (text "a\nb\na\nb\nc" for "a\nb\nc"); after: all pass.

--- a/include/figmill/items.h
+++ b/include/figmill/items.h
@@ -36,6 +36,8 @@
   void Feed(std::string_view bytes);
   // The run broke off: an event that was begun comes again.
   void BreakOff() { pieces_.DropTail(); }
+  // The run sends what other runs have given already.
+  [[nodiscard]] bool repeats() const { return pieces_.repeats(); }
   // Whether the run ended between events.
   [[nodiscard]] bool at_event_end() const { return !pieces_.in_event(); }
   [[nodiscard]] const std::optional<std::string>& last_id() const { return pieces_.last_id(); }
--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -160,13 +160,20 @@
 
 }  // namespace relay
 
-// Cuts an event stream into whole events and knows the id of the last one.
+// Cuts an event stream into whole events and knows the id of the last one. Ids increase: an
+// event at or before the last one is a repetition.
 class EventPieces {
  public:
   // The whole events that `bytes` completes, as they came.
   [[nodiscard]] std::string Feed(std::string_view bytes);
   // Gives up an event that was begun and not finished.
-  void DropTail() { tail_.clear(); }
+  void DropTail() {
+    tail_.clear();
+    repeats_ = false;
+  }
+  // An event came again: what is sent is not the rest of the stream. Nothing more is taken of
+  // it until DropTail; passed on, it would stand in the output twice.
+  [[nodiscard]] bool repeats() const { return repeats_; }
   [[nodiscard]] bool in_event() const { return !tail_.empty(); }
   [[nodiscard]] const std::optional<std::string>& last_id() const { return last_id_; }
   [[nodiscard]] std::uint64_t count() const { return count_; }
@@ -180,6 +187,7 @@
   std::string tail_;
   std::optional<std::string> last_id_;
   std::uint64_t count_ = 0;
+  bool repeats_ = false;
 };
 
 class RelayRun {
@@ -195,7 +203,7 @@
   // server sent meanwhile has not been read yet, and it is not silent.
   static constexpr Duration kOverslept{100'000};
 
-  explicit RelayRun(RelayPlan plan) : plan_(std::move(plan)) {}
+  explicit RelayRun(RelayPlan plan);
 
   [[nodiscard]] std::vector<relay::Action> Step(Time now, const relay::Event& event);
 
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -214,9 +214,7 @@
   }
   std::visit(Overloaded{
                  [&](const HttpHead& head) { OnHead(key, head); },
-                 [&](const HttpBytes& bytes) {
-                   if (run.answering) work_.Of(key).text.Feed(bytes.bytes);
-                 },
+                 [&](const HttpBytes& bytes) { OnBytes(key, bytes.bytes); },
                  [&](const HttpEnd&) { OnEnd(key); },
                  [&](const HttpFailure& failure) {
                    Requeue(key,
@@ -266,6 +264,13 @@
   Finish(key, ResultState::kDead, "failed " + std::to_string(failures) + " times");
 }
 
+void BatchRunner::OnBytes(const JobItemRef& key, std::string_view bytes) {
+  if (!runs_[key].answering) return;
+  ItemText& text = work_.Of(key).text;
+  text.Feed(bytes);
+  if (text.repeats()) Requeue(key, relay::SendEnd::kBroken, "an event came again", kRetryPause);
+}
+
 void BatchRunner::OnEnd(const JobItemRef& key) {
   const Run& run = runs_[key];
   if (!run.answering || !work_.Of(key).text.at_event_end()) {
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -67,6 +67,7 @@
   void Start(const JobItemRef& key, StoreTime due, const BackendInfo& backend);
   void OnHttp(const JobItemRef& key, std::uint64_t number, HttpEvent event);
   void OnHead(const JobItemRef& key, const HttpHead& head);
+  void OnBytes(const JobItemRef& key, std::string_view bytes);
   void OnEnd(const JobItemRef& key);
   // The run is over; the item waits for another one.
   void Requeue(const JobItemRef& key, relay::SendEnd end, std::string_view why, Duration pause);
--- a/src/relay/event_pieces.cc
+++ b/src/relay/event_pieces.cc
@@ -1,3 +1,5 @@
+#include <charconv>
+
 #include "figmill/relay.h"
 
 namespace figmill {
@@ -23,6 +25,22 @@
   return id;
 }
 
+std::optional<std::uint64_t> NumberOf(std::string_view id) {
+  std::uint64_t number = 0;
+  const char* const end = id.data() + id.size();
+  const auto [read_to, failure] = std::from_chars(id.data(), end, number);
+  if (failure != std::errc{} || read_to != end) return std::nullopt;
+  return number;
+}
+
+// Ids that are no numbers have no order that is known here.
+bool MayFollow(std::string_view id, std::string_view last) {
+  const std::optional<std::uint64_t> number = NumberOf(id);
+  const std::optional<std::uint64_t> last_number = NumberOf(last);
+  if (number && last_number) return *number > *last_number;
+  return id != last;
+}
+
 // Just behind the blank line that ends the first event, or npos.
 std::size_t EndOfEvent(std::string_view bytes, std::size_t from) {
   for (std::size_t at = bytes.find('\n', from); at != std::string_view::npos;
@@ -37,12 +55,17 @@
 }  // namespace
 
 std::string EventPieces::Feed(std::string_view bytes) {
+  if (repeats_) return {};
   tail_.append(bytes);
   std::size_t whole = 0;
   for (std::size_t end = EndOfEvent(tail_, 0); end != std::string_view::npos;
        end = EndOfEvent(tail_, whole)) {
-    if (auto id = IdOf(std::string_view(tail_).substr(whole, end - whole)))
-      last_id_ = std::move(id);
+    auto id = IdOf(std::string_view(tail_).substr(whole, end - whole));
+    if (id && last_id_ && !MayFollow(*id, *last_id_)) {
+      repeats_ = true;
+      break;
+    }
+    if (id) last_id_ = std::move(id);
     ++count_;
     whole = end;
   }
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -39,6 +39,10 @@
   return "unknown";
 }
 
+RelayRun::RelayRun(RelayPlan plan) : plan_(std::move(plan)) {
+  if (plan_.resumable && plan_.after_event) pieces_.GoOnAfter(*plan_.after_event, 0);
+}
+
 std::vector<relay::Action> RelayRun::Step(Time now, const relay::Event& event) {
   if (finished()) return {};
   std::visit([this, now](const auto& e) { On(now, e); }, event);
@@ -121,7 +125,8 @@
   if (plan_.stream && IsSuccess(head_.status)) {
     std::string events = pieces_.Feed(event.bytes);
     if (!events.empty()) actions_.emplace_back(relay::PassBytes{std::move(events)});
-    return;
+    if (!pieces_.repeats()) return;
+    return TryElsewhere(now, relay::SendEnd::kBroken, "an event came again", Ran::kUnknown);
   }
   if (head_passed_) {
     actions_.emplace_back(relay::PassBytes{std::string(event.bytes)});
--- a/test/items-test.cc
+++ b/test/items-test.cc
@@ -36,6 +36,22 @@
   CHECK(text.at_event_end());
 }
 
+// Symptom: an item's output holds a part of its text twice.
+// Sequence: its run breaks off; it runs again at the same backend server, on a connection on
+// which a late second answer of the first run comes.
+TEST_CASE("an item's text takes no event twice") {
+  ItemText text;
+  text.Feed(kEvents + "id: 3\nda");
+  text.BreakOff();
+  text.Feed(kEvents);
+  CHECK(text.repeats());
+  CHECK(text.text() == "a\nb");
+  text.BreakOff();
+  CHECK_FALSE(text.repeats());
+  text.Feed("id: 3\ndata: c\n\n");
+  CHECK(text.text() == "a\nb\nc");
+}
+
 TEST_CASE("the earliest due runs first, but for those that can't be in time any more") {
   ItemBacklog backlog;
   const auto all = [](const ItemBacklog::Entry&) { return true; };
--- a/test/relay-run-test.cc
+++ b/test/relay-run-test.cc
@@ -175,6 +175,55 @@
   CHECK(Last<relay::Finish>(sent.actions) != nullptr);
 }
 
+// Symptom: a caller gets the events of a stream twice.
+// Sequence: a stream breaks off and is resumed; the backend server starts it anew, or a late
+// second answer with the same request id comes in place of the resumed one.
+// Cause: what followed the head was passed on whatever ids its events had.
+TEST_CASE("events that have been had already are not passed on") {
+  Sent sent(ResumablePlan());
+  sent.Step(relay::Head{1, Answer(200)});
+  sent.Step(relay::Bytes{1, "id: 9\ndata: x\n\nid: 10\ndata: y\n\nid: 11\nda"});
+  sent.Step(relay::Broke{1, true, "reset"});
+  sent.Step(relay::Placed{Backend("b")});
+  sent.Step(relay::Head{2, Answer(200)});
+  std::string passed;
+  SUBCASE("from the first event on") {
+    sent.Step(relay::Bytes{2, "id: 9\ndata: x\n\nid: 10\ndata: y\n\n"});
+  }
+  SUBCASE("after new ones") {
+    sent.Step(relay::Bytes{2, "id: 11\ndata: z\n\nid: 2\ndata: x\n\nid: 12\ndata: y\n\n"});
+    passed = "id: 11\ndata: z\n\n";
+  }
+  const auto* bytes = Last<relay::PassBytes>(sent.actions);
+  CHECK((bytes == nullptr ? "" : bytes->bytes) == passed);
+  REQUIRE(Last<relay::SendOver>(sent.actions) != nullptr);
+  CHECK(Last<relay::SendOver>(sent.actions)->end == relay::SendEnd::kBroken);
+  // It has run at two backend servers: there is no third one.
+  CHECK(Last<relay::BreakOff>(sent.actions) != nullptr);
+}
+
+TEST_CASE("a caller that resumes gets no event that it has") {
+  RelayPlan plan = ResumablePlan();
+  plan.after_event = "3";
+  Sent sent(plan);
+  CHECK(Last<relay::Send>(sent.actions)->after_event == "3");
+  sent.Step(relay::Head{1, Answer(200)});
+  sent.Step(relay::Bytes{1, "id: 3\ndata: x\n\n"});
+  CHECK(Last<relay::PassBytes>(sent.actions) == nullptr);
+  CHECK(Last<relay::AskPlace>(sent.actions) != nullptr);
+}
+
+TEST_CASE("event ids that are no numbers differ, and an event without one is taken") {
+  EventPieces pieces;
+  const std::string fresh = "id: b\ndata: x\n\ndata: y\n\nid: a\ndata: z\n\n";
+  CHECK(pieces.Feed(fresh) == fresh);
+  CHECK(pieces.Feed("id: a\ndata: z\n\n").empty());
+  CHECK(pieces.repeats());
+  pieces.DropTail();
+  CHECK_FALSE(pieces.repeats());
+  CHECK(pieces.last_id() == "a");
+}
+
 TEST_CASE("a stream that can't be resumed is broken off, not ended") {
   RelayPlan plan = Plan();
   plan.stream = true;
