--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -214,9 +214,7 @@
   }
   std::visit(Overloaded{
                  [&](const HttpHead& head) { OnHead(key, head); },
-                 [&](const HttpBytes& bytes) {
-                   if (run.answering) work_.Of(key).text.Feed(bytes.bytes);
-                 },
+                 [&](const HttpBytes& bytes) { OnBytes(key, bytes.bytes); },
                  [&](const HttpEnd&) { OnEnd(key); },
                  [&](const HttpFailure& failure) {
                    Requeue(key,
@@ -231,7 +229,7 @@
   const OwnedJob* job = jobs_.Owned(key.job);
   if (job == nullptr) return EndRun(key, relay::SendEnd::kAbandoned);
   const WireNames& names = tools_.names;
-  const bool has_our_id = head.HeaderOr(names.request_id) == job->items()[key.item].id;
+  const AnsweredId id = AnsweredIdOf(head.HeaderOr(names.request_id), job->items()[key.item].id);
   const bool not_run = !head.HeaderOr(names.not_run).empty();
   const std::string why = "status " + std::to_string(head.status);
   std::visit(Overloaded{
@@ -248,7 +246,7 @@
                  },
                  [&](item_answer::Failed failed) { OnFailed(key, failed.counts, why); },
              },
-             ItemAnswerOf({head.status, not_run, has_our_id}));
+             ItemAnswerOf({head.status, not_run, id}));
 }
 
 // How often an item may fail is its route's to say. While no route is known its failures
@@ -266,6 +264,13 @@
   Finish(key, ResultState::kDead, "failed " + std::to_string(failures) + " times");
 }
 
+void BatchRunner::OnBytes(const JobItemRef& key, std::string_view bytes) {
+  if (!runs_[key].answering) return;
+  ItemText& text = work_.Of(key).text;
+  text.Feed(bytes);
+  if (text.repeats()) Requeue(key, relay::SendEnd::kBroken, "an event came again", kRetryPause);
+}
+
 void BatchRunner::OnEnd(const JobItemRef& key) {
   const Run& run = runs_[key];
   if (!run.answering || !work_.Of(key).text.at_event_end()) {
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -14,6 +14,11 @@
 
 }  // namespace
 
+AnsweredId AnsweredIdOf(std::string_view echoed, std::string_view ours) {
+  if (echoed == ours) return AnsweredId::kOurs;
+  return echoed.empty() ? AnsweredId::kNone : AnsweredId::kAnothers;
+}
+
 std::string_view relay::ToString(SendEnd end) {
   switch (end) {
     case SendEnd::kAnswered:
@@ -34,6 +39,10 @@
   return "unknown";
 }
 
+RelayRun::RelayRun(RelayPlan plan) : plan_(std::move(plan)) {
+  if (plan_.resumable && plan_.after_event) pieces_.GoOnAfter(*plan_.after_event, 0);
+}
+
 std::vector<relay::Action> RelayRun::Step(Time now, const relay::Event& event) {
   if (finished()) return {};
   std::visit([this, now](const auto& e) { On(now, e); }, event);
@@ -78,7 +87,7 @@
 
 void RelayRun::On(Time now, const relay::Head& event) {
   if (!IsCurrent(event.send) || state_ != State::kSent) return;
-  if (!event.mine) {
+  if (!IsOurs(event.id, event.not_run)) {
     return TryElsewhere(now, relay::SendEnd::kBroken, "answered another request", Ran::kUnknown);
   }
   if (event.not_run) {
@@ -116,7 +125,8 @@
   if (plan_.stream && IsSuccess(head_.status)) {
     std::string events = pieces_.Feed(event.bytes);
     if (!events.empty()) actions_.emplace_back(relay::PassBytes{std::move(events)});
-    return;
+    if (!pieces_.repeats()) return;
+    return TryElsewhere(now, relay::SendEnd::kBroken, "an event came again", Ran::kUnknown);
   }
   if (head_passed_) {
     actions_.emplace_back(relay::PassBytes{std::string(event.bytes)});
--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -303,6 +303,58 @@
   }
 }
 
+// Symptom: requests are refused as if all places were taken, though engines stand idle.
+// Sequence: an entry starts; the others take it for a keeper as soon as it is listed; it can't
+// read the list of backend servers yet.
+// Cause: it answers that there is no place where it knows of no backend server; who asks takes
+// that for a full service.
+TEST_CASE("a keeper that knows no backend server of a service does not call it full") {
+  Fixture f(std::vector<BackendId>{});
+  f.AskFor("a", Ask(1));
+  f.AskFor("a", Ask(2, /*may_queue=*/true));
+  for (const PlaceAnswer& answer : f.answers) {
+    CHECK(answer.kind != PlaceAnswer::Kind::kFull);
+    CHECK(answer.kind != PlaceAnswer::Kind::kQueued);
+  }
+}
+
+TEST_CASE("a keeper whose backend servers all leave has no queue for their service") {
+  Fixture f(std::vector<BackendId>{});
+  f.keeper.Keep({{kEngine, {kLlm, 0}}}, kStart);
+  f.AskFor("a", Ask(1, /*may_queue=*/true));
+  REQUIRE(f.answers.size() == 1);
+  CHECK(f.answers[0].kind == PlaceAnswer::Kind::kNotKept);
+}
+
+// Symptom: a request is refused by one keeper that knows of no place.
+// Sequence: two keepers are asked; one has not read the list of backend servers yet.
+// Cause: its answer was taken for one about places that are all taken.
+TEST_CASE("a keeper that knows of no place is passed over, and alone it decides nothing") {
+  const PlaceAnswer not_kept{7, PlaceAnswer::Kind::kNotKept, {}, {}};
+  PeerMessage message;
+  message.answer = not_kept;
+  message.from = PeerNamed("a");
+  const Result<PeerMessage> back = DecodePeerMessage(Encode(message));
+  REQUIRE(IsOk(back));
+  CHECK(ValueOf(back).answer->kind == PlaceAnswer::Kind::kNotKept);
+
+  PlaceSearch search(Ask(7), {NodeId{"a"}, NodeId{"b"}}, kStart);
+  (void)search.Start(kStart);
+  const search::Action second = search.On(search::Answered{not_kept}, kStart);
+  REQUIRE(std::holds_alternative<search::AskKeeper>(second));
+  CHECK(std::get<search::AskKeeper>(second).keeper == NodeId{"b"});
+  SUBCASE("the other one is full") {
+    const PlaceAnswer full{7, PlaceAnswer::Kind::kFull, {}, Duration{50'000}};
+    const search::Action third = search.On(search::Answered{full}, kStart);
+    REQUIRE(std::holds_alternative<search::AskKeeper>(third));
+    CHECK(std::get<search::AskKeeper>(third).keeper == NodeId{"b"});
+  }
+  SUBCASE("the other one knows of none either") {
+    const search::Action third = search.On(search::Answered{not_kept}, kStart);
+    CHECK(std::holds_alternative<search::TakeUnasked>(third));
+  }
+}
+
 TEST_CASE("a search whose keepers are silent goes on without them") {
   PlaceSearch search(Ask(7), {NodeId{"a"}}, kStart);
   (void)search.Start(kStart);
@@ -331,6 +383,17 @@
   CHECK(ValueOf(back).from == message.from);
 }
 
+TEST_CASE("an entry that has joined sends no byte more for it") {
+  PeerMessage message;
+  message.from = PeerNamed("a");
+  const std::size_t joined = Encode(message).size();
+  message.from.joining = true;
+  const Result<PeerMessage> back = DecodePeerMessage(Encode(message));
+  REQUIRE(IsOk(back));
+  CHECK(ValueOf(back).from.joining);
+  CHECK(Encode(message).size() == joined + 1);
+}
+
 TEST_CASE("what is no message is refused") {
   CHECK_FALSE(IsOk(DecodePeerMessage("")));
   CHECK_FALSE(IsOk(DecodePeerMessage("hello")));
