Use no backend server whose entry can't be read, and hide no row behind it

Symptom: an entry of another writer draws requests. A state that was none of the known ones counted as ready, -1 and 2.7 became places, missing fields got defaults, and an entry that could not be read left in force what it had said before.

Typed readers (json_fields.h) take the place of the library's conversions. An entry that becomes unreadable is kept as such: what runs there is left to end and counted, its keeper takes no places away and gives none out, nothing new goes there. A readable one is in force again with the pass that brings it.

Ruled out: to take an unreadable entry for gone. Its open work would be forgotten, its batch items stopped, and with the entry back the places would be given out twice.

--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -19,7 +19,14 @@
 
 namespace figmill {
 
-enum class BackendState : std::uint8_t { kReady, kDraining };
+enum class BackendState : std::uint8_t {
+  kReady,
+  kDraining,
+  // Its entry in the list can't be read, and could before. What runs there is left to end,
+  // as nothing says that it stops; nothing new goes there.
+  kUnreadable,
+};
+[[nodiscard]] std::string_view ToString(BackendState state);
 
 // A backend server as the platform's list has it.
 struct BackendInfo {
--- /dev/null
+++ b/include/figmill/json_fields.h
@@ -0,0 +1,205 @@
+#pragma once
+
+// Typed reading of JSON and CBOR documents that any writer may have made. Each reader
+// takes a field of exactly the kind that it names, or throws with the field's name.
+
+#include <cmath>
+#include <cstdint>
+#include <initializer_list>
+#include <limits>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+
+#include "figmill/base.h"
+
+namespace figmill::fields {
+
+using Json = nlohmann::json;
+
+// Bytes of a name: as many as a key of the table service may have.
+inline constexpr std::size_t kMaxNameBytes = 200;
+// Bytes of the reason why a document was refused: the parser quotes what it read, and that
+// may be the whole document.
+inline constexpr std::size_t kMaxReasonBytes = 200;
+// Longer times are taken for mistakes, and could overflow when they are added up.
+inline constexpr Duration kLongestTime = std::chrono::hours(24) * 366 * 10;
+// Doubles hold whole numbers exactly up to here.
+inline constexpr double kLargestWhole = 9007199254740992.0;
+
+// Thrown while a document is read, turned into an Error where it ends.
+struct BadDocument : std::runtime_error {
+  using std::runtime_error::runtime_error;
+};
+
+[[noreturn]] inline void Refuse(const char* name, const std::string& why) {
+  throw BadDocument("'" + std::string(name) + "' " + why);
+}
+
+// Null when there is none.
+[[nodiscard]] inline const Json* Find(const Json& object, const char* name) {
+  if (!object.is_object()) throw BadDocument("an object is expected");
+  const auto found = object.find(name);
+  return found == object.end() ? nullptr : &*found;
+}
+
+[[nodiscard]] inline const Json& Need(const Json& object, const char* name) {
+  const Json* found = Find(object, name);
+  if (found == nullptr) Refuse(name, "is missing");
+  return *found;
+}
+
+// --- Values ------------------------------------------------------------------------
+
+[[nodiscard]] inline std::string TextOf(const Json& value, const char* name) {
+  if (!value.is_string()) Refuse(name, "must be a text");
+  return value.get_ref<const std::string&>();
+}
+
+[[nodiscard]] inline bool FlagOf(const Json& value, const char* name) {
+  if (!value.is_boolean()) Refuse(name, "must be true or false");
+  return value.get<bool>();
+}
+
+[[nodiscard]] inline double NumberOf(const Json& value, const char* name) {
+  if (!value.is_number()) Refuse(name, "must be a number");
+  const auto number = value.get<double>();
+  if (!std::isfinite(number)) Refuse(name, "must be finite");
+  return number;
+}
+
+// A whole number from `least` to `most`. The library's own conversion would make
+// 18446744073709551615 of -1, 2 of 2.7 and 1 of true without a word, and a backend server
+// with so many places would draw all requests. 8.0 is the whole number 8.
+template <typename T>
+[[nodiscard]] T CountOf(const Json& value, const char* name, T least = 0,
+                        T most = std::numeric_limits<T>::max()) {
+  static_assert(std::is_unsigned_v<T> || sizeof(T) <= sizeof(std::int64_t));
+  const auto out_of_range = [&] {
+    Refuse(name, "must be from " + std::to_string(least) + " to " + std::to_string(most));
+  };
+  if (value.is_number_unsigned()) {
+    const auto number = value.get<std::uint64_t>();
+    if (std::cmp_less(number, least) || std::cmp_greater(number, most)) out_of_range();
+    return static_cast<T>(number);
+  }
+  if (value.is_number_integer()) {
+    const auto number = value.get<std::int64_t>();
+    if (std::cmp_less(number, least) || std::cmp_greater(number, most)) out_of_range();
+    return static_cast<T>(number);
+  }
+  const double number = NumberOf(value, name);
+  if (number != std::floor(number)) Refuse(name, "must be a whole number");
+  if (std::abs(number) > kLargestWhole) out_of_range();
+  const auto whole = static_cast<std::int64_t>(number);
+  if (std::cmp_less(whole, least) || std::cmp_greater(whole, most)) out_of_range();
+  return static_cast<T>(whole);
+}
+
+[[nodiscard]] inline Duration TimeOf(const Json& value, const char* name, double unit_us) {
+  const double us = NumberOf(value, name) * unit_us;
+  if (us < 0) Refuse(name, "must not be negative");
+  if (us > static_cast<double>(kLongestTime.count())) Refuse(name, "is too long a time");
+  return Duration(static_cast<Duration::rep>(us));
+}
+
+// --- Fields ------------------------------------------------------------------------
+
+[[nodiscard]] inline std::string Text(const Json& object, const char* name) {
+  return TextOf(Need(object, name), name);
+}
+
+// A text that names something: neither empty nor longer than a key.
+[[nodiscard]] inline std::string Name(const Json& object, const char* name) {
+  std::string text = Text(object, name);
+  if (text.empty()) Refuse(name, "is empty");
+  if (text.size() > kMaxNameBytes) {
+    Refuse(name, "has more than " + std::to_string(kMaxNameBytes) + " bytes");
+  }
+  return text;
+}
+
+[[nodiscard]] inline bool Flag(const Json& object, const char* name) {
+  return FlagOf(Need(object, name), name);
+}
+
+template <typename T>
+[[nodiscard]] T Count(const Json& object, const char* name, T least = 0,
+                      T most = std::numeric_limits<T>::max()) {
+  return CountOf<T>(Need(object, name), name, least, most);
+}
+
+[[nodiscard]] inline Duration Milliseconds(const Json& object, const char* name) {
+  return TimeOf(Need(object, name), name, 1e3);
+}
+
+[[nodiscard]] inline const Json& List(const Json& object, const char* name) {
+  const Json& list = Need(object, name);
+  if (!list.is_array()) Refuse(name, "must be a list");
+  return list;
+}
+
+// One of some named values.
+template <typename T>
+[[nodiscard]] T OneOf(const Json& object, const char* name,
+                      std::initializer_list<std::pair<std::string_view, T>> choices) {
+  const std::string text = Text(object, name);
+  for (const auto& [choice, value] : choices) {
+    if (text == choice) return value;
+  }
+  Refuse(name, "is the unknown '" + text + "'");
+}
+
+// --- Fields that may be left out, or null ------------------------------------------
+
+[[nodiscard]] inline bool Has(const Json& object, const char* name) {
+  const Json* found = Find(object, name);
+  return found != nullptr && !found->is_null();
+}
+
+[[nodiscard]] inline std::string TextOr(const Json& object, const char* name,
+                                        std::string fallback) {
+  return Has(object, name) ? Text(object, name) : std::move(fallback);
+}
+
+[[nodiscard]] inline bool FlagOr(const Json& object, const char* name, bool fallback) {
+  return Has(object, name) ? Flag(object, name) : fallback;
+}
+
+template <typename T>
+[[nodiscard]] T CountOr(const Json& object, const char* name, T fallback, T least = 0) {
+  return Has(object, name) ? Count<T>(object, name, least) : fallback;
+}
+
+[[nodiscard]] inline Duration MillisecondsOr(const Json& object, const char* name,
+                                             Duration fallback) {
+  return Has(object, name) ? Milliseconds(object, name) : fallback;
+}
+
+[[nodiscard]] inline Duration SecondsOr(const Json& object, const char* name, Duration fallback) {
+  return Has(object, name) ? TimeOf(Need(object, name), name, 1e6) : fallback;
+}
+
+// --- Documents ---------------------------------------------------------------------
+
+// What is wrong with `what`, short enough for a log line.
+[[nodiscard]] inline Error BadRequest(std::string_view what, std::string_view why) {
+  std::string detail(what);
+  detail.append(": ").append(why.substr(0, kMaxReasonBytes));
+  return Error{ErrorKind::kBadRequest, std::move(detail)};
+}
+
+// Runs `read` over the parsed text, whose parser takes any depth on the heap. Errors:
+// kBadRequest, `what` and the place.
+template <typename T, typename Read>
+[[nodiscard]] Result<T> Parsed(std::string_view text, std::string_view what, Read read) {
+  try {
+    return read(Json::parse(text));
+  } catch (const std::exception& mistake) {
+    return BadRequest(what, mistake.what());
+  }
+}
+
+}  // namespace figmill::fields
--- a/include/figmill/peers.h
+++ b/include/figmill/peers.h
@@ -31,7 +31,9 @@
 // A backend server as its keeper sees it.
 struct KeptBackend {
   ServiceName service;
-  int places = 0;  // 0: nothing new goes there
+  int places = 0;  // 0: nothing new goes there, and batch gives way
+  // Nothing new goes there, and what runs keeps its places until it ends.
+  bool frozen = false;
   bool operator==(const KeptBackend&) const = default;
 };
 
--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -266,6 +266,7 @@
     int taken = 0;  // of its waiting items, by places that were granted for them
   };
   void Divide(Kept& kept, Time now);
+  void LeaveToEnd(Kept& kept);
   [[nodiscard]] std::vector<Holder> HoldersOf(Kept& kept);
   void GrantSpare(const Kept& kept, std::vector<Holder>& holders, int spare) const;
   // Whose next item is due first; none waits: nullptr.
--- a/src/fleet/place_book.cc
+++ b/src/fleet/place_book.cc
@@ -19,6 +19,18 @@
 
 }  // namespace
 
+std::string_view ToString(BackendState state) {
+  switch (state) {
+    case BackendState::kReady:
+      return "ready";
+    case BackendState::kDraining:
+      return "draining";
+    case BackendState::kUnreadable:
+      return "unreadable";
+  }
+  return "unknown";
+}
+
 bool PlaceBook::Backend::LooksDead(Time now) const {
   return open() > 0 && now - sign_at > kSilence + usual_pause * kSilentPauses;
 }
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -125,6 +125,7 @@
 void BatchRunner::StopExcess() {
   std::vector<std::pair<BackendId, int>> excess;
   tools_.places.ForEach([&excess](const BackendInfo& info, const PlaceUse& use) {
+    if (info.state == BackendState::kUnreadable) return;  // what runs there is left to end
     if (use.batch > use.batch_allowed) excess.emplace_back(info.id, use.batch - use.batch_allowed);
   });
   for (const auto& [backend, count] : excess) {
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -5,10 +5,13 @@
 namespace figmill {
 
 FleetWatch::FleetWatch(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter,
+                       Metrics& metrics,
                        std::function<void(std::shared_ptr<const FleetView>)> publish)
     : loop_(loop),
       adapter_(adapter),
       publish_(std::move(publish)),
+      refused_configs_(metrics, {"config", "config_refused", "row"}),
+      refused_backends_(metrics, {"backend", "backend_refused", "backend"}),
       config_(
           loop, tables, adapter.config_row().table, {adapter.config_row().part},
           [this](const TableMirror::Change& change) { OnConfig(change); },
@@ -29,10 +32,9 @@
   if (change.at.key != adapter_.config_row().key || change.row == nullptr) return;
   Result<RoutingConfig> config = adapter_.ParseConfig(change.row->value);
   if (!IsOk(config)) {
-    Log(LogLevel::kError, "config_refused",
-        {{"row_version", std::to_string(change.row->version)}, {"why", ErrorOf(config).detail}});
-    return;
+    return refused_configs_.Refuse(change.at.key, change.row->version, ErrorOf(config).detail);
   }
+  refused_configs_.Forget(change.at.key);
   const std::uint64_t now = view_.routes ? view_.routes->version() : 0;
   const std::uint64_t next = ValueOf(config).version;
   if (view_.routes && next <= now) return;
@@ -50,14 +52,12 @@
     Log(LogLevel::kInfo, "backend_gone",
         {{"backend", id.value}, {"found_by", change.by_listing ? "list" : "feed"}});
     changed_ |= view_.backends.erase(id) > 0;
+    refused_backends_.Forget(id.value);
     return;
   }
   Result<BackendInfo> info = adapter_.ParseBackend(id.value, change.row->value);
-  if (!IsOk(info)) {
-    Log(LogLevel::kError, "backend_refused",
-        {{"backend", id.value}, {"why", ErrorOf(info).detail}});
-    return;
-  }
+  if (!IsOk(info)) return OnUnreadableBackend(id, change.row->version, ErrorOf(info));
+  refused_backends_.Forget(id.value);
   BackendInfo& mine = view_.backends[id];
   if (mine == ValueOf(info)) return;
   mine = std::move(ValueOf(info));
@@ -65,11 +65,23 @@
       {{"backend", id.value},
        {"service", mine.service.value},
        {"address", ToString(mine.address)},
-       {"state", mine.state == BackendState::kReady ? "ready" : "draining"},
+       {"state", std::string(ToString(mine.state))},
        {"row_version", std::to_string(change.row->version)}});
   changed_ = true;
 }
 
+// Left in force as it was, an entry that another writer has spoilt would draw requests to a
+// backend server of which nobody knows whether it is there. Taken for gone, its open work
+// would be forgotten, and its batch items stopped, though it most likely still runs them.
+void FleetWatch::OnUnreadableBackend(const BackendId& id, RowVersion version, const Error& error) {
+  refused_backends_.Refuse(id.value, version, error.detail);
+  const auto known = view_.backends.find(id);
+  if (known == view_.backends.end()) return;
+  if (std::exchange(known->second.state, BackendState::kUnreadable) != BackendState::kUnreadable) {
+    changed_ = true;
+  }
+}
+
 void FleetWatch::SchedulePublish() {
   if (!changed_ || std::exchange(publish_scheduled_, true)) return;
   loop_.Later(kPublishPause, [this] {
--- a/src/gateway/fleet_watch.h
+++ b/src/gateway/fleet_watch.h
@@ -8,6 +8,7 @@
 
 #include "figmill/gateway.h"
 #include "gateway/fleet_view.h"
+#include "gateway/refused_rows.h"
 #include "gateway/table_follower.h"
 
 namespace figmill {
@@ -19,7 +20,7 @@
   static constexpr Duration kPublishPause{20'000};
 
   // `publish` is called on `loop` with each new view.
-  FleetWatch(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter,
+  FleetWatch(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter, Metrics& metrics,
              std::function<void(std::shared_ptr<const FleetView>)> publish);
 
   void Start();
@@ -27,12 +28,15 @@
  private:
   void OnConfig(const TableMirror::Change& change);
   void OnBackend(const TableMirror::Change& change);
+  void OnUnreadableBackend(const BackendId& id, RowVersion version, const Error& error);
   void SchedulePublish();
   void Publish();
 
   Loop& loop_;
   const PlatformAdapter& adapter_;
   std::function<void(std::shared_ptr<const FleetView>)> publish_;
+  RefusedRows refused_configs_;
+  RefusedRows refused_backends_;
   FleetView view_;
   bool changed_ = false;
   bool publish_scheduled_ = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -40,12 +40,12 @@
     MemberWatch::Hooks members;
   };
 
-  Control(const GatewaySettings& settings, const PlatformAdapter& adapter, const Peer& self,
-          Hooks hooks)
+  Control(const GatewaySettings& settings, const PlatformAdapter& adapter, Metrics& metrics,
+          const Peer& self, Hooks hooks)
       : client_(loop_),
         store_(loop_, client_, settings.store),
         tables_(adapter.Connect(store_)),
-        fleet_(loop_, *tables_, adapter, std::move(hooks.publish)),
+        fleet_(loop_, *tables_, adapter, metrics, std::move(hooks.publish)),
         members_(loop_, *tables_, self, std::move(hooks.members)),
         thread_([this] {
           members_.Start();
@@ -112,7 +112,7 @@
         runner_(tools_, jobs_, clock_, [this] { link_.WantedChanged(); }),
         desk_(loop_, jobs_, clock_, adapter),
         door_(tools_, adapter, desk_, SystemRandom()),
-        control_(settings, adapter, peers_.self(), ControlHooks()) {
+        control_(settings, adapter, metrics_, peers_.self(), ControlHooks()) {
     places_.OnUse([this](const BackendId& backend) { link_.Touch(backend); });
   }
 
--- a/src/peers/keeper_map.cc
+++ b/src/peers/keeper_map.cc
@@ -5,6 +5,14 @@
 #include "figmill/peers.h"
 
 namespace figmill {
+namespace {
+
+KeptBackend KeptOf(const BackendInfo& info) {
+  const bool draining = info.state == BackendState::kDraining;
+  return {info.service, draining ? 0 : info.places, info.state == BackendState::kUnreadable};
+}
+
+}  // namespace
 
 void KeeperMap::SetBackends(std::vector<BackendInfo> backends) {
   backends_ = std::move(backends);
@@ -62,8 +70,7 @@
   for (const BackendInfo& info : backends_) {
     const Peer* keeper = KeeperAmong(keepers[info.data_centre], info.id);
     if (keeper == nullptr) continue;
-    const bool ready = info.state == BackendState::kReady;
-    if (keeper->node == self.node) kept_[info.id] = {info.service, ready ? info.places : 0};
+    if (keeper->node == self.node) kept_[info.id] = KeptOf(info);
     if (used_keepers.contains(keeper->node)) {
       Use(info, *keeper);
       served.insert(info.service);
--- a/src/sharing/place_asks.cc
+++ b/src/sharing/place_asks.cc
@@ -84,7 +84,7 @@
   for (auto at = kept_.begin(); at != kept_.end(); ++at) {
     const Kept& kept = at->second;
     if (kept.backend.service != ask.service || Contains(ask.tried, at->first)) continue;
-    if (kept.ejected) continue;
+    if (kept.ejected || kept.backend.frozen) continue;
     const int free_of_online = kept.backend.places - OnlineOf(kept);
     if (free_of_online <= 0) continue;
     const std::pair<int, int> rank{std::max(0, free_of_online - BatchOf(kept)), free_of_online};
@@ -139,7 +139,7 @@
 int PlaceKeeper::SpareFor(const ServiceName& service) const {
   int free = 0;
   for (const auto& [id, kept] : kept_) {
-    if (kept.backend.service != service) continue;
+    if (kept.backend.service != service || kept.backend.frozen) continue;
     free += std::max(0, kept.backend.places - OnlineOf(kept) - BatchOf(kept));
   }
   const double ahead = started_per_s_ * std::chrono::duration<double>(kOnlineAhead).count();
@@ -155,7 +155,7 @@
 Duration PlaceKeeper::WaitFor(const ServiceName& service, std::size_t position) const {
   int places = 0;
   for (const auto& [id, kept] : kept_) {
-    if (kept.backend.service == service) places += kept.backend.places;
+    if (kept.backend.service == service && !kept.backend.frozen) places += kept.backend.places;
   }
   const auto usual = usual_run_.find(service);
   const Duration run = usual == usual_run_.end() ? kUsualRun : usual->second;
--- a/src/sharing/place_division.cc
+++ b/src/sharing/place_division.cc
@@ -79,11 +79,21 @@
   }
 }
 
+// Each entry keeps what it runs, and a place that it gives up is not given out again.
+void PlaceKeeper::LeaveToEnd(Kept& kept) {
+  for (auto& [node, share] : kept.shares) {
+    if (share.allowed == share.batch) continue;
+    share.allowed = share.batch;
+    entries_[node].urgent = true;
+  }
+}
+
 // Divides what online leaves of one backend server. An entry keeps what it runs;
 // when that is too much, the one that runs most gives up first. What is free goes
 // one by one to the entry whose next item is due first. Shared out evenly, all jobs
 // would take as long as the last one, and when places are short all would be late.
 void PlaceKeeper::Divide(Kept& kept, Time now) {
+  if (kept.backend.frozen) return LeaveToEnd(kept);
   std::vector<Holder> holders = HoldersOf(kept);
   const int places = kept.ejected ? 0 : kept.backend.places;
   int free = std::max(0, places - reserve_ - OnlineOf(kept));
