Refuse rows and datagrams of entries with names and numbers that can't be

Symptom: a datagram from elsewhere with a negative number frees places that are in use; one with the largest incarnation has the entry it names go on under incarnation 0. The row of a member was taken whatever its key said, and a spoilt one stayed so: processes that start later don't learn of that entry.

Elements are limited by the datagram's bytes. Refusals are counted, and logged once for a reason in 10 s. An entry writes its own spoilt row anew, once a second at most.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -46,7 +46,7 @@
         store_(loop_, client_, settings.store),
         tables_(adapter.Connect(store_)),
         fleet_(loop_, *tables_, adapter, metrics, std::move(hooks.publish)),
-        members_(loop_, *tables_, self, std::move(hooks.members)),
+        members_(loop_, *tables_, metrics, self, std::move(hooks.members)),
         thread_([this] {
           members_.Start();
           fleet_.Start();
--- a/src/gateway/member_watch.cc
+++ b/src/gateway/member_watch.cc
@@ -13,14 +13,15 @@
 
 }  // namespace
 
-MemberWatch::MemberWatch(Loop& loop, SharedTables& tables, Peer self, Hooks hooks)
+MemberWatch::MemberWatch(Loop& loop, SharedTables& tables, Metrics& metrics, Peer self, Hooks hooks)
     : loop_(loop),
       tables_(tables),
       self_(std::move(self)),
       hooks_(std::move(hooks)),
       follower_(
           loop, tables, kTable, {""}, [this](const TableMirror::Change& change) { OnRow(change); },
-          [] {}) {}
+          [] {}),
+      refused_(metrics, {"member", "member_row_refused", "node"}) {}
 
 void MemberWatch::Start() {
   WriteOwn();
@@ -62,18 +63,30 @@
                  [](const TableOutcome& /*outcome*/) {});
 }
 
+// What is known of the peer stays as it was: its datagrams tell whether it is there. But
+// processes that start later learn of it by its row alone, so that its own is written anew.
+void MemberWatch::OnUnreadable(const TableRow& row, const std::string& why) {
+  refused_.Refuse(row.at.key, row.version, why);
+  if (row.at.key != self_.node.value || std::exchange(rewriting_, true)) return;
+  loop_.Later(kRewritePause, [this] {
+    rewriting_ = false;
+    WriteOwn();
+  });
+}
+
 void MemberWatch::OnRow(const TableMirror::Change& change) {
   if (change.row == nullptr) {
+    refused_.Forget(change.at.key);
     // Somebody could not hear this process; it is there all the same.
     if (change.at.key == self_.node.value) return WriteOwn();
     return hooks_.unlisted(NodeId{change.at.key});
   }
   const Result<PeerMessage> message = DecodePeerMessage(change.row->value);
-  if (!IsOk(message)) {
-    Log(LogLevel::kWarning, "member_row_refused",
-        {{"node", change.at.key}, {"why", ErrorOf(message).detail}});
-    return;
+  if (!IsOk(message)) return OnUnreadable(*change.row, ErrorOf(message).detail);
+  if (ValueOf(message).from.node.value != change.at.key) {
+    return OnUnreadable(*change.row, "it names another node than its key");
   }
+  refused_.Forget(change.at.key);
   hooks_.named(ValueOf(message).from);
 }
 
--- a/src/gateway/member_watch.h
+++ b/src/gateway/member_watch.h
@@ -5,6 +5,7 @@
 #include <functional>
 
 #include "figmill/sharing.h"
+#include "gateway/refused_rows.h"
 #include "gateway/table_follower.h"
 
 namespace figmill {
@@ -12,13 +13,16 @@
 class MemberWatch {
  public:
   static constexpr Duration kRetryPause{300'000};
+  // After another writer has spoilt this process's row. Two that write against each other
+  // cost the store a call in this time.
+  static constexpr Duration kRewritePause{1'000'000};
 
   struct Hooks {
     std::function<void(const Peer&)> named;
     std::function<void(const NodeId&)> unlisted;
   };
 
-  MemberWatch(Loop& loop, SharedTables& tables, Peer self, Hooks hooks);
+  MemberWatch(Loop& loop, SharedTables& tables, Metrics& metrics, Peer self, Hooks hooks);
 
   void Start();
   // The process goes by another incarnation from now on.
@@ -32,13 +36,16 @@
  private:
   void WriteOwn();
   void OnRow(const TableMirror::Change& change);
+  void OnUnreadable(const TableRow& row, const std::string& why);
 
   Loop& loop_;
   SharedTables& tables_;
   Peer self_;
   Hooks hooks_;
   TableFollower follower_;
+  RefusedRows refused_;
   bool leaving_ = false;
+  bool rewriting_ = false;
 };
 
 }  // namespace figmill
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -16,12 +16,14 @@
           metrics.counter("figmill_peer_datagrams_total", "Datagrams sent to other entries")),
       datagram_bytes_(metrics.counter("figmill_peer_bytes_total",
                                       "Bytes of datagrams sent to other entries, without headers")),
+      refused_(metrics.counter("figmill_peer_messages_refused_total",
+                               "Datagrams that are no message of an entry")),
       hooks_(std::move(hooks)) {}
 
 Result<Ok> PeerLink::Start(const std::vector<Address>& seeds) {
   Result<std::unique_ptr<UdpSocket>> socket = UdpSocket::Bind(
       loop_, peers_.self().address,
-      [this](std::string_view bytes, const Address& /*from*/) { OnDatagram(bytes); }, &metrics_);
+      [this](std::string_view bytes, const Address& from) { OnDatagram(bytes, from); }, &metrics_);
   if (!IsOk(socket)) return ErrorOf(socket);
   socket_ = std::move(ValueOf(socket));
   for (const Address& seed : seeds) {
@@ -85,12 +87,19 @@
 
 // --- In ---------------------------------------------------------------------------
 
-void PeerLink::OnDatagram(std::string_view bytes) {
+// Anybody may send to this port.
+void PeerLink::OnUnreadable(const Address& from, const std::string& why) {
+  refused_.Add();
+  const Time now = Loop::Now();
+  if (why == refused_why_ && now - refused_logged_at_ < kRefusalLogPause) return;
+  refused_why_ = why;
+  refused_logged_at_ = now;
+  Log(LogLevel::kWarning, "peer_message_refused", {{"from", ToString(from)}, {"why", why}});
+}
+
+void PeerLink::OnDatagram(std::string_view bytes, const Address& from) {
   const Result<PeerMessage> decoded = DecodePeerMessage(bytes);
-  if (!IsOk(decoded)) {
-    Log(LogLevel::kWarning, "peer_message_refused", {{"why", ErrorOf(decoded).detail}});
-    return;
-  }
+  if (!IsOk(decoded)) return OnUnreadable(from, ErrorOf(decoded).detail);
   const PeerMessage& message = ValueOf(decoded);
   if (const Peer* later = peers_.LaterThan(message.from)) {
     // Either it came late, or its sender has to be told.
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -38,6 +38,8 @@
   // How much more of another data centre's places must be free before its keeper is
   // asked first. Unit: share of all places.
   static constexpr double kNearShare = 0.15;
+  // Datagrams that are refused for one reason are logged this often.
+  static constexpr Duration kRefusalLogPause{10'000'000};
   // Places kept free of batch at each backend server.
   static constexpr int kReserve = 0;
 
@@ -64,7 +66,8 @@
                                                std::span<const BackendId> tried) const;
 
  private:
-  void OnDatagram(std::string_view bytes);
+  void OnDatagram(std::string_view bytes, const Address& from);
+  void OnUnreadable(const Address& from, const std::string& why);
   void OnGrant(const Peer& from, const PlaceGrant& grant);
   void Outlive(Incarnation known);
   void Heartbeat();
@@ -87,6 +90,7 @@
   Metrics& metrics_;
   Counter& datagrams_;
   Counter& datagram_bytes_;
+  Counter& refused_;
   Hooks hooks_;
   PlaceKeeper keeper_{kReserve};
   std::unique_ptr<UdpSocket> socket_;
@@ -106,6 +110,9 @@
   std::set<BackendId> touched_;
   std::set<NodeId> owed_;  // keepers that wait for a report
   std::uint64_t report_number_ = 0;
+  // The last refused datagram: why, and when that was logged.
+  std::string refused_why_;
+  Time refused_logged_at_{};
   bool flush_scheduled_ = false;
   bool wanted_scheduled_ = false;
   Timer heartbeat_, watch_timer_, grant_timer_;
--- a/src/sharing/peer_codec.cc
+++ b/src/sharing/peer_codec.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <msgpack.hpp>
 #include <stdexcept>
 
@@ -9,6 +10,16 @@
 // MessagePack arrays, not maps: the names would be most of a datagram. Messages
 // are packed and unpacked in place: a process handles some hundred of them a second.
 
+// Levels of arrays in a message: itself, its report, the report's lines, one line.
+constexpr std::size_t kMaxDepth = 4;
+// Places, items or cores of one host or backend server; larger ones are mistakes.
+constexpr int kMaxCount = 1'000'000;
+constexpr Duration kLongestDuration = std::chrono::hours(24);
+// Bytes of a key of the table service.
+constexpr std::size_t kMaxNameBytes = 200;
+// Incarnations are times of day in milliseconds, or follow one.
+constexpr Incarnation kMaxIncarnation = Incarnation{1} << 53;
+
 using Packer = msgpack::packer<msgpack::sbuffer>;
 using Object = msgpack::object;
 
@@ -117,18 +128,72 @@
 }
 
 std::uint32_t SizeOf(const Object& array) {
-  return array.type == msgpack::type::ARRAY ? array.via.array.size : 0;
+  if (array.type != msgpack::type::ARRAY) throw std::invalid_argument("a list is expected");
+  return array.via.array.size;
+}
+
+// A negative count would free places that are in use, and sums of large ones overflow.
+int GetCount(const Object& array, std::uint32_t index) {
+  const auto count = Get<int>(array, index);
+  if (count < 0 || count > kMaxCount) throw std::invalid_argument("a count is out of range");
+  return count;
+}
+
+// Times are added to the time of their arrival, which overflows with the largest ones.
+Duration GetDuration(const Object& array, std::uint32_t index) {
+  const Duration duration(Get<std::int64_t>(array, index));
+  if (duration < -kLongestDuration || duration > kLongestDuration) {
+    throw std::invalid_argument("a duration is out of range");
+  }
+  return duration;
+}
+
+// What a caller will wait, which may be any time; more than a day is as good as a day.
+Duration GetPatience(const Object& array, std::uint32_t index) {
+  const Duration patience(Get<std::int64_t>(array, index));
+  return std::clamp(patience, -kLongestDuration, kLongestDuration);
+}
+
+std::string GetName(const Object& array, std::uint32_t index) {
+  auto name = Get<std::string>(array, index);
+  if (name.size() > kMaxNameBytes) throw std::invalid_argument("a name is too long");
+  return name;
+}
+
+NodeId GetNode(const Object& array, std::uint32_t index) {
+  Result<std::string> node = ParseId(Get<std::string>(array, index), "a node's name");
+  if (!IsOk(node)) throw std::invalid_argument(ErrorOf(node).detail);
+  return NodeId{std::move(ValueOf(node))};
+}
+
+// The entry that has it goes on with the next one; after the largest number comes 0.
+Incarnation GetIncarnation(const Object& array, std::uint32_t index) {
+  const auto incarnation = Get<Incarnation>(array, index);
+  if (incarnation > kMaxIncarnation) throw std::invalid_argument("an incarnation is out of range");
+  return incarnation;
+}
+
+double GetCapacity(const Object& array, std::uint32_t index) {
+  const auto capacity = Get<double>(array, index);
+  if (!(capacity >= 0 && capacity <= kMaxCount)) {
+    throw std::invalid_argument("a capacity is out of range");
+  }
+  return capacity;
+}
+
+Address GetAddress(const Object& array, std::uint32_t index) {
+  Result<Address> address = ParseAddress(Get<std::string>(array, index));
+  if (!IsOk(address)) throw std::invalid_argument(ErrorOf(address).detail);
+  return std::move(ValueOf(address));
 }
 
 Peer ReadPeer(const Object& object) {
   Peer peer;
-  peer.node.value = Get<std::string>(object, 0);
-  peer.incarnation = Get<Incarnation>(object, 1);
-  Result<Address> address = ParseAddress(Get<std::string>(object, 2));
-  if (!IsOk(address)) throw std::invalid_argument(ErrorOf(address).detail);
-  peer.address = ValueOf(address);
-  peer.data_centre.value = Get<std::string>(object, 3);
-  peer.capacity = Get<double>(object, 4);
+  peer.node = GetNode(object, 0);
+  peer.incarnation = GetIncarnation(object, 1);
+  peer.address = GetAddress(object, 2);
+  peer.data_centre.value = GetName(object, 3);
+  peer.capacity = GetCapacity(object, 4);
   peer.leaving = Get<bool>(object, 5);
   return peer;
 }
@@ -141,14 +206,14 @@
   const Object& waiting = At(object, 3);
   for (std::uint32_t i = 0; i < SizeOf(waiting); ++i) {
     const Object& group = At(waiting, i);
-    report.waiting.push_back({StoreTime(Get<std::int64_t>(group, 0)), Get<int>(group, 1)});
+    report.waiting.push_back({StoreTime(Get<std::int64_t>(group, 0)), GetCount(group, 1)});
   }
   const Object& lines = At(object, 4);
   for (std::uint32_t i = 0; i < SizeOf(lines); ++i) {
     const Object& line = At(lines, i);
-    report.lines.push_back({BackendId{Get<std::string>(line, 0)}, Get<int>(line, 1),
-                            Get<int>(line, 2), Duration(Get<std::int64_t>(line, 3)),
-                            Get<std::uint64_t>(line, 4), Get<std::uint64_t>(line, 5)});
+    report.lines.push_back({BackendId{GetName(line, 0)}, GetCount(line, 1), GetCount(line, 2),
+                            GetDuration(line, 3), Get<std::uint64_t>(line, 4),
+                            Get<std::uint64_t>(line, 5)});
   }
   return report;
 }
@@ -159,8 +224,8 @@
   const Object& lines = At(object, 1);
   for (std::uint32_t i = 0; i < SizeOf(lines); ++i) {
     const Object& line = At(lines, i);
-    grant.lines.push_back({BackendId{Get<std::string>(line, 0)}, Get<int>(line, 1),
-                           Get<int>(line, 2), Get<int>(line, 3), Get<bool>(line, 4)});
+    grant.lines.push_back({BackendId{GetName(line, 0)}, GetCount(line, 1), GetCount(line, 2),
+                           GetCount(line, 3), Get<bool>(line, 4)});
   }
   return grant;
 }
@@ -168,14 +233,14 @@
 PlaceAsk ReadAsk(const Object& object) {
   PlaceAsk ask;
   ask.number = Get<std::uint64_t>(object, 0);
-  ask.service.value = Get<std::string>(object, 1);
-  ask.goal_left = Duration(Get<std::int64_t>(object, 2));
-  ask.time_left = Duration(Get<std::int64_t>(object, 3));
+  ask.service.value = GetName(object, 1);
+  ask.goal_left = GetPatience(object, 2);
+  ask.time_left = GetPatience(object, 3);
   ask.last_chance = Get<bool>(object, 4);
   ask.may_queue = Get<bool>(object, 5);
   const Object& tried = At(object, 6);
   for (std::uint32_t i = 0; i < SizeOf(tried); ++i) {
-    ask.tried.push_back(BackendId{Get<std::string>(tried, i)});
+    ask.tried.push_back(BackendId{GetName(tried, i)});
   }
   return ask;
 }
@@ -188,8 +253,8 @@
     throw std::invalid_argument("unknown kind of answer");
   }
   answer.kind = static_cast<PlaceAnswer::Kind>(kind);
-  answer.backend.value = Get<std::string>(object, 2);
-  answer.wait = Duration(Get<std::int64_t>(object, 3));
+  answer.backend.value = GetName(object, 2);
+  answer.wait = GetDuration(object, 3);
   return answer;
 }
 
@@ -241,7 +306,14 @@
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
   try {
-    const msgpack::object_handle handle = msgpack::unpack(bytes.data(), bytes.size());
+    // Each element takes a byte at least. Without the limit five bytes that announce four
+    // thousand million elements have the parser ask for the memory of them all.
+    const std::size_t most = bytes.size();
+    const msgpack::unpack_limit limit(most, most, most, most, most, kMaxDepth);
+    std::size_t end = 0;
+    const msgpack::object_handle handle =
+        msgpack::unpack(bytes.data(), bytes.size(), end, nullptr, nullptr, limit);
+    if (end != bytes.size()) throw std::invalid_argument("bytes follow the message");
     return ReadMessage(handle.get());
   } catch (const std::exception& mistake) {
     return Error{ErrorKind::kBadRequest, std::string("peer message: ") + mistake.what()};
