Keep a job whose row another writer has spoilt, and never overwrite it unread

Symptoms, each seen in a test on the code before: a row under a job's key that names another job, or fewer items, took the place of what was known (and dropped the job, or read past the end of 'done'); a row that can't be read counted as no job, so that its sender heard 404; the end of a job was written over it with its own version; a write that it rejected went out again as fast as the store answered; rows of a job's items nested as deep as they are long used up the stack and ended the process, and the next one that took the job over; a row beside a job's own made its items or results unreadable, and a missing piece of progress left a hole in an output.

A head is read with typed readers and checked against itself, its key and what is known of the job. While its row can't be used a job stays as it was: its owner goes on and keeps what it finishes, nobody takes it over, reads beyond what is known and ends are answered 503. It goes on with the pass that brings a readable row. Items, results and progress are read under the keys that their writers use; depth is checked before the parser runs.

Ruled out: that the owner writes its own head over a spoilt row. A later owner may have listed results between the two, of which this one has not heard.

--- a/include/figmill/ledger.h
+++ b/include/figmill/ledger.h
@@ -90,24 +90,31 @@
 [[nodiscard]] TableKey HeadKey(const JobId& job);
 
 [[nodiscard]] std::string EncodeHead(const JobHead& head);
-// Errors: kBadRequest.
+// Errors: kBadRequest, also for a row that contradicts itself.
 [[nodiscard]] Result<JobHead> DecodeHead(std::string_view value);
+// Why a later row can't be of the same job; nothing if it can. What a job consists of
+// never changes, and what is listed or ended stays so.
+[[nodiscard]] std::optional<std::string_view> Contradiction(const JobHead& known,
+                                                            const JobHead& later);
 
 // The transactions that accept a job, in order; only the last one makes it exist.
 [[nodiscard]] std::vector<TableTransaction> Accept(const JobHead& head,
                                                    const std::vector<JobItem>& items);
 // Where the items of a job lie.
 [[nodiscard]] TableRange ItemRange(const JobId& job);
-// Errors: kBadRequest.
-[[nodiscard]] Result<std::vector<JobItem>> DecodeItems(const std::vector<TableRow>& rows);
+// Rows under keys that Accept doesn't write are left out. Errors: kBadRequest.
+[[nodiscard]] Result<std::vector<JobItem>> DecodeItems(const JobId& job,
+                                                       const std::vector<TableRow>& rows);
 
 // Results from a position on.
 [[nodiscard]] TableRange ResultRange(const JobId& job, std::uint32_t from);
 [[nodiscard]] std::vector<TablePut> ResultRows(const JobId& job, std::uint32_t position,
                                                const ItemResult& result);
-// The whole results at the start of a page, in order; a last one that the page
-// cuts is left out. Errors: kBadRequest.
-[[nodiscard]] Result<std::vector<ItemResult>> DecodeResults(const std::vector<TableRow>& rows);
+// The whole results at the start of a page that was read from position `from` on, in
+// order; a last one that the page cuts is left out, and so are rows under keys that
+// ResultRows doesn't write. Errors: kBadRequest.
+[[nodiscard]] Result<std::vector<ItemResult>> DecodeResults(const JobId& job, std::uint32_t from,
+                                                            const std::vector<TableRow>& rows);
 
 // What an item's runs have given so far, in pieces that are only added to.
 struct ProgressPiece {
@@ -119,8 +126,12 @@
 };
 [[nodiscard]] TableRange ProgressRange(const JobId& job);
 [[nodiscard]] TablePut ProgressRow(const JobId& job, const ProgressPiece& piece);
-// In order of items and pieces; rows that are none are left out.
-[[nodiscard]] std::vector<ProgressPiece> DecodeProgress(const std::vector<TableRow>& rows);
+// In order of items and pieces. A row that is none is left out, and with it what follows of
+// its item, which would have a hole; `refused` is told of each with the reason.
+using OnRefusedRow = std::function<void(const TableRow& row, std::string_view why)>;
+[[nodiscard]] std::vector<ProgressPiece> DecodeProgress(const JobId& job,
+                                                        const std::vector<TableRow>& rows,
+                                                        const OnRefusedRow& refused);
 
 // For JobHead::digest.
 [[nodiscard]] std::uint64_t DigestOf(const JobSubmission& submission);
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -6,14 +6,23 @@
 #include "gateway/hedged_commit.h"
 
 namespace figmill {
+namespace {
 
-JobStore::JobStore(Loop& loop, SharedTables& tables, const PeerTable& peers, RandomBits random,
-                   Hooks hooks)
+// The item runs on from the piece before it, or from its start.
+void LogProgressRefused(const TableRow& row, std::string_view why) {
+  Log(LogLevel::kWarning, "job_progress_refused", {{"row", row.at.key}, {"why", std::string(why)}});
+}
+
+}  // namespace
+
+JobStore::JobStore(Loop& loop, SharedTables& tables, Metrics& metrics, const PeerTable& peers,
+                   RandomBits random, Hooks hooks)
     : loop_(loop),
       tables_(tables),
       peers_(peers),
       random_(std::move(random)),
       hooks_(std::move(hooks)),
+      refused_(metrics, {"job", "job_row_refused", "job"}),
       follower_(
           loop, tables, std::string(ledger::kJobTable), ledger::Parts(),
           [this](const TableMirror::Change& change) { OnRow(change); }, [] {}) {}
@@ -44,20 +53,39 @@
 void JobStore::OnRow(const TableMirror::Change& change) {
   if (change.row == nullptr) {
     const JobId job{change.at.key};
+    refused_.Forget(job.value);
     known_.erase(job);
     if (owned_.contains(job)) Drop(job);
     return;
   }
-  LearnRow(*change.row);
+  (void)LearnRow(*change.row);
 }
 
-void JobStore::LearnRow(const TableRow& row) {
+Result<JobHead> JobStore::Readable(const TableRow& row) const {
   Result<JobHead> head = ledger::DecodeHead(row.value);
+  if (!IsOk(head)) return head;
+  if (ledger::HeadKey(ValueOf(head).id) != row.at) {
+    return Error{ErrorKind::kBadRequest, "job row: it names another job than its key"};
+  }
+  const JobHead* known = Known(ValueOf(head).id);
+  if (known == nullptr) return head;
+  if (const auto why = ledger::Contradiction(*known, ValueOf(head))) {
+    return Error{ErrorKind::kBadRequest, "job row: " + std::string(*why)};
+  }
+  return head;
+}
+
+Result<Ok> JobStore::LearnRow(const TableRow& row) {
+  const auto known = known_.find(JobId{row.at.key});
+  if (known != known_.end() && row.version <= known->second.version) return Ok{};
+  const Result<JobHead> head = Readable(row);
   if (!IsOk(head)) {
-    Log(LogLevel::kError, "job_row_refused", {{"job", row.at.key}, {"why", ErrorOf(head).detail}});
-    return;
+    refused_.Refuse(row.at.key, row.version, ErrorOf(head).detail);
+    return Error{ErrorKind::kStoreUnavailable, ErrorOf(head).detail};
   }
+  refused_.Forget(row.at.key);
   Learn(ValueOf(head), row.version);
+  return Ok{};
 }
 
 void JobStore::Learn(const JobHead& head, RowVersion version) {
@@ -163,7 +191,7 @@
                      return done(Error{ErrorKind::kConflict,
                                        "a job with this id and other items was accepted"});
                    }
-                   LearnRow(*row);
+                   (void)LearnRow(*row);
                    // An earlier copy of this very write took effect.
                    if (ValueOf(there).token == head.token && IsMine(head)) {
                      Own(head, row->version, std::move(submission.items), {});
@@ -190,7 +218,7 @@
         {{"job", head.id.value},
          {"total", std::to_string(head.total)},
          {"found", std::to_string(items.size())}});
-    return;
+    return LoadLater(head.id);
   }
   const JobId id = head.id;
   Log(LogLevel::kInfo, "job_owned",
@@ -224,6 +252,8 @@
 bool JobStore::ShouldTake(KnownJob& job, Time now) const {
   if (!job.head.open() || job.taking || IsMine(job.head)) return false;
   if (now < job.take_again_at) return false;
+  // The condition of the write would not hold, over and over.
+  if (IsUnreadable(job.head.id)) return false;
   // An earlier process of this very slot: it can't come back.
   if (job.head.owner == peers_.self().node) return true;
   if (!IsFree(job, now)) {
@@ -245,7 +275,8 @@
     if (ShouldTake(job, now)) take.push_back(id);
     // Given to this entry by the one that accepted it, or accepted here by a write
     // whose answer was lost.
-    if (IsMine(job.head) && job.head.open() && !job.taking) load.push_back(id);
+    const bool may_load = !job.taking && now >= job.load_after && !IsUnreadable(id);
+    if (IsMine(job.head) && job.head.open() && may_load) load.push_back(id);
   }
   for (const JobId& id : take) Take(id);
   for (const JobId& id : load) LoadAndOwn(id);
@@ -279,7 +310,7 @@
   } else if (const auto* rejected = std::get_if<TableRejected>(&outcome)) {
     const TableRow* row = RowIn(*rejected, ledger::HeadKey(head.id));
     if (row == nullptr) return;
-    LearnRow(*row);
+    (void)LearnRow(*row);
     const JobHead* now = Known(head.id);
     if (now != nullptr && now->token == head.token) LoadAndOwn(head.id);
   }
@@ -290,14 +321,19 @@
   known_[id].taking = true;
   ReadItems(id, [this, id](Result<std::vector<JobItem>> items) {
     if (IsOk(items)) return LoadProgress(id, std::move(ValueOf(items)));
-    // The next check tries again.
     Log(LogLevel::kWarning, "job_items_unread",
         {{"job", id.value}, {"why", ErrorOf(items).detail}});
-    const auto found = known_.find(id);
-    if (found != known_.end()) found->second.taking = false;
+    LoadLater(id);
   });
 }
 
+void JobStore::LoadLater(const JobId& id) {
+  const auto found = known_.find(id);
+  if (found == known_.end()) return;
+  found->second.taking = false;
+  found->second.load_after = Loop::Now() + kReloadPause;
+}
+
 void JobStore::LoadProgress(const JobId& id, std::vector<JobItem> items) {
   ReadAll(ledger::ProgressRange(id), std::make_shared<std::vector<TableRow>>(),
           [this, id, items = std::move(items)](const Result<std::vector<TableRow>>& rows) mutable {
@@ -312,13 +348,14 @@
             }
             if (!IsMine(found->second.head) || leaving_) return;
             Own(found->second.head, found->second.version, std::move(items),
-                ledger::DecodeProgress(ValueOf(rows)));
+                ledger::DecodeProgress(id, ValueOf(rows), LogProgressRefused));
           });
 }
 
 // --- Results --------------------------------------------------------------------------
 
 void JobStore::Write(OwnedJob& job) {
+  if (IsUnreadable(job.head().id)) return;
   std::optional<TableTransaction> write = job.NextWrite(random_);
   if (!write) return;
   HedgedCommit(loop_, tables_, *std::move(write),
@@ -328,6 +365,7 @@
 void JobStore::OnWritten(const JobId& id, const TableOutcome& outcome) {
   OwnedJob* job = Owned(id);
   if (job == nullptr) return;
+  bool spoilt = false;
   std::visit(Overloaded{
                  [&](const TableCommitted& committed) {
                    job->OnCommitted(committed.version);
@@ -336,7 +374,7 @@
                  [&](const TableRejected& rejected) {
                    job->OnFailed();
                    const TableRow* row = RowIn(rejected, ledger::HeadKey(id));
-                   if (row != nullptr) LearnRow(*row);
+                   spoilt = row != nullptr && !IsOk(LearnRow(*row));
                  },
                  [&](const NotWritten& refused) {
                    Log(LogLevel::kWarning, "results_not_written",
@@ -356,7 +394,10 @@
     owned_.erase(id);
     return FinishLeaving();
   }
-  if (leaving_ && job->settled()) return Release(id);
+  if (leaving_ && (job->settled() || spoilt)) return Release(id);
+  // Written again once the row can be read: sent again at once, the write would be rejected
+  // as fast as the store answers.
+  if (spoilt) return;
   if (std::holds_alternative<TableCommitted>(outcome) ||
       std::holds_alternative<TableRejected>(outcome)) {
     return Write(*job);
--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -12,6 +12,7 @@
 #include "figmill/ledger.h"
 #include "figmill/runtime.h"
 #include "figmill/sharing.h"
+#include "gateway/refused_rows.h"
 #include "gateway/table_follower.h"
 
 namespace figmill {
@@ -30,6 +31,9 @@
   // knows its own at once; for the others this is soon enough.
   static constexpr Duration kFeedPace{150'000};
   static constexpr Duration kRetryPause{100'000};
+  // Until the items of a job are read again that could not be read: the store was away, or
+  // another writer has spoilt them, and each try costs a call.
+  static constexpr Duration kReloadPause{300'000};
 
   struct Hooks {
     // A job is owned now and its items are known, with what earlier owners have
@@ -42,8 +46,8 @@
     std::function<void(const JobHead&)> changed;
   };
 
-  JobStore(Loop& loop, SharedTables& tables, const PeerTable& peers, RandomBits random,
-           Hooks hooks);
+  JobStore(Loop& loop, SharedTables& tables, Metrics& metrics, const PeerTable& peers,
+           RandomBits random, Hooks hooks);
 
   void Start();
   // Refuses new jobs; hands all open ones to others and calls `done`.
@@ -78,11 +82,18 @@
     bool taking = false;
     std::optional<Time> free_since;  // nobody who is there owns it
     Time take_again_at{};            // after a try that failed
+    Time load_after{};  // its items could not be read
   };
 
   void OnRow(const TableMirror::Change& change);
   void Learn(const JobHead& head, RowVersion version);
-  void LearnRow(const TableRow& row);
+  // What is known of a job stays in force when its row can't be used: a sound job is
+  // neither dropped nor given up for what another writer did to its row. Errors:
+  // kStoreUnavailable.
+  Result<Ok> LearnRow(const TableRow& row);
+  [[nodiscard]] Result<JobHead> Readable(const TableRow& row) const;
+  [[nodiscard]] bool IsUnreadable(const JobId& job) const { return refused_.Contains(job.value); }
+  void LoadLater(const JobId& id);
   void CommitAll(std::shared_ptr<std::vector<TableTransaction>> transactions, std::size_t next,
                  std::function<void(TableOutcome)> done);
   void OnAccepted(const JobHead& head, JobSubmission submission, const TableOutcome& outcome,
@@ -115,6 +126,7 @@
   const PeerTable& peers_;
   RandomBits random_;
   Hooks hooks_;
+  RefusedRows refused_;
   TableFollower follower_;
   std::map<JobId, KnownJob> known_;
   std::map<JobId, std::unique_ptr<OwnedJob>> owned_;
--- a/src/gateway/job_store_calls.cc
+++ b/src/gateway/job_store_calls.cc
@@ -11,6 +11,10 @@
 // A job's row changes with each result; after so many lost races the caller is told.
 constexpr int kMaxEndTries = 8;
 
+void LogSpoilt(std::string_view event, const JobId& job, const std::string& why) {
+  Log(LogLevel::kError, event, {{"job", job.value}, {"why", why}});
+}
+
 }  // namespace
 
 // --- Ends -------------------------------------------------------------------------------
@@ -19,6 +23,9 @@
   Find(id, [this, id, done = std::move(done)](Result<JobHead> head) {
     if (!IsOk(head)) return done(ErrorOf(head));
     if (ValueOf(head).ended) return done(Ok{});
+    if (IsUnreadable(id)) {
+      return done(Error{ErrorKind::kStoreUnavailable, "the job's row is spoilt"});
+    }
     // What runs goes on until the end is written: one that is turned away leaves the job
     // as it was, and items that were stopped for it would wait for ever.
     EndElsewhere(id, ValueOf(head), known_[id].version, kMaxEndTries, done);
@@ -47,7 +54,10 @@
                    return done(Error{ErrorKind::kStoreUnavailable, "the end could not be written",
                                      Ran::kUnknown});
                  }
-                 LearnRow(*row);
+                 // With the version of a row that can't be read the end would overwrite
+                 // what nobody has seen.
+                 const Result<Ok> learnt = LearnRow(*row);
+                 if (!IsOk(learnt)) return done(ErrorOf(learnt));
                  const JobHead* now = Known(id);
                  if (now == nullptr) return done(Error{ErrorKind::kNotFound, "no such job"});
                  if (now->ended) return done(Ok{});
@@ -67,8 +77,11 @@
   tables_.Read({at.table, at.part, at.key, at.key + '\0', 1},
                [this, job, done = std::move(done)](const Result<TablePage>& page) {
                  if (!IsOk(page)) return done(ErrorOf(page));
-                 for (const TableRow& row : ValueOf(page).rows) LearnRow(row);
+                 Result<Ok> learnt = Ok{};
+                 for (const TableRow& row : ValueOf(page).rows) learnt = LearnRow(row);
                  const JobHead* known = Known(job);
+                 // Neither "no such job" nor "no result yet" is known to be true.
+                 if (!IsOk(learnt)) return done(ErrorOf(learnt));
                  if (known == nullptr) return done(Error{ErrorKind::kNotFound, "no such job"});
                  done(*known);
                });
@@ -76,22 +89,24 @@
 
 void JobStore::ReadResults(const JobId& job, std::uint32_t from,
                            std::function<void(Result<std::vector<ItemResult>>)> done) {
-  tables_.Read(
-      ledger::ResultRange(job, from), [done = std::move(done)](const Result<TablePage>& page) {
-        if (!IsOk(page)) return done(ErrorOf(page));
-        Result<std::vector<ItemResult>> results = ledger::DecodeResults(ValueOf(page).rows);
-        if (!IsOk(results)) {
-          return done(Error{ErrorKind::kStoreUnavailable, ErrorOf(results).detail});
-        }
-        done(std::move(results));
-      });
+  tables_.Read(ledger::ResultRange(job, from),
+               [job, from, done = std::move(done)](const Result<TablePage>& page) {
+                 if (!IsOk(page)) return done(ErrorOf(page));
+                 Result<std::vector<ItemResult>> results =
+                     ledger::DecodeResults(job, from, ValueOf(page).rows);
+                 if (!IsOk(results)) {
+                   LogSpoilt("job_results_unread", job, ErrorOf(results).detail);
+                   return done(Error{ErrorKind::kStoreUnavailable, ErrorOf(results).detail});
+                 }
+                 done(std::move(results));
+               });
 }
 
 void JobStore::ReadItems(const JobId& job, std::function<void(Result<std::vector<JobItem>>)> done) {
   ReadAll(ledger::ItemRange(job), std::make_shared<std::vector<TableRow>>(),
-          [done = std::move(done)](const Result<std::vector<TableRow>>& rows) {
+          [job, done = std::move(done)](const Result<std::vector<TableRow>>& rows) {
             if (!IsOk(rows)) return done(ErrorOf(rows));
-            Result<std::vector<JobItem>> items = ledger::DecodeItems(ValueOf(rows));
+            Result<std::vector<JobItem>> items = ledger::DecodeItems(job, ValueOf(rows));
             if (!IsOk(items))
               return done(Error{ErrorKind::kStoreUnavailable, ErrorOf(items).detail});
             done(std::move(items));
@@ -124,7 +139,7 @@
     // OnWritten releases the job after that.
     OwnedJob& job = *owned_[id];
     hooks_.handed_over(job);
-    if (job.settled()) {
+    if (job.settled() || IsUnreadable(id)) {
       Release(id);
     } else {
       Write(job);
--- a/src/ledger/rows.cc
+++ b/src/ledger/rows.cc
@@ -4,15 +4,22 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <nlohmann/json.hpp>
-#include <stdexcept>
+#include <charconv>
 
+#include "figmill/json_fields.h"
 #include "figmill/ledger.h"
+#include "ledger/cbor_nesting.h"
 
 namespace figmill::ledger {
 namespace {
 
-using Json = nlohmann::json;
+using fields::Json;
+
+// Levels of lists and maps: the list of items, an item, its headers, one of them.
+constexpr std::size_t kMaxDepth = 4;
+// Digits of the numbers in keys.
+constexpr std::size_t kPositionDigits = 8;
+constexpr std::size_t kPieceDigits = 4;
 
 std::string ToBytes(const Json& json) {
   const std::vector<std::uint8_t> bytes = Json::to_cbor(json);
@@ -30,10 +37,13 @@
 
 template <typename T, typename Read>
 Result<T> Decoded(std::string_view bytes, std::string_view what, Read read) {
+  // The library's parser calls itself for each level: a row of another writer, nested as
+  // deep as it is long, would overflow the stack and end each process that reads it.
+  if (!NestsWithin(bytes, kMaxDepth)) return fields::BadRequest(what, "no CBOR of ours");
   try {
     return read(Json::from_cbor(bytes.begin(), bytes.end()));
   } catch (const std::exception& mistake) {
-    return Error{ErrorKind::kBadRequest, std::string(what) + ": " + mistake.what()};
+    return fields::BadRequest(what, mistake.what());
   }
 }
 
@@ -60,60 +70,123 @@
   return {item.id, item.target, std::move(headers), Binary(item.body), item.tokens};
 }
 
+// The element of a list that must have `size` of them.
+const Json& At(const Json& list, std::size_t index, std::size_t size) {
+  if (!list.is_array() || list.size() != size) {
+    throw fields::BadDocument("a list of " + std::to_string(size) + " is expected");
+  }
+  return list[index];
+}
+
+std::vector<Header> ReadHeaders(const Json& json) {
+  std::vector<Header> headers;
+  for (const Json& header : json) {
+    headers.push_back(
+        {fields::TextOf(At(header, 0, 2), "header"), fields::TextOf(At(header, 1, 2), "header")});
+  }
+  return headers;
+}
+
 JobItem ReadItem(const Json& json) {
+  constexpr std::size_t kSize = 5;
   JobItem item;
-  item.id = json.at(0).get<std::string>();
-  item.target = json.at(1).get<std::string>();
-  for (const Json& header : json.at(2)) {
-    item.headers.push_back({header.at(0).get<std::string>(), header.at(1).get<std::string>()});
-  }
-  item.body = BytesOf(json.at(3));
-  item.tokens = json.at(4).get<std::int64_t>();
+  item.id = fields::TextOf(At(json, 0, kSize), "item");
+  item.target = fields::TextOf(At(json, 1, kSize), "target");
+  item.headers = ReadHeaders(At(json, 2, kSize));
+  item.body = BytesOf(At(json, 3, kSize));
+  item.tokens = fields::CountOf<std::int64_t>(At(json, 4, kSize), "tokens");
   return item;
 }
 
+StoreTime ReadTime(const Json& json, const char* name) {
+  return StoreTime(fields::Count<std::int64_t>(json, name, 0, fields::kLongestTime.count()));
+}
+
+// `done` has a sign for each item, and as many are listed as it says. Read past its end, or
+// counted twice, it would have results written over others.
+void CheckDone(const JobHead& head) {
+  if (head.done.size() != head.total) throw fields::BadDocument("'done' has the wrong length");
+  if (head.done.find_first_not_of("x.") != std::string::npos) {
+    throw fields::BadDocument("'done' has an unknown sign");
+  }
+  if (std::count(head.done.begin(), head.done.end(), 'x') != head.listed) {
+    throw fields::BadDocument("'listed' is not what 'done' says");
+  }
+}
+
 JobHead ReadHead(const Json& json) {
   JobHead head;
-  head.id.value = json.at("id").get<std::string>();
-  head.route = json.at("route").get<std::string>();
-  head.host = json.at("host").get<std::string>();
-  head.total = json.at("total").get<std::uint32_t>();
-  head.listed = json.at("listed").get<std::uint32_t>();
-  head.done = json.at("done").get<std::string>();
-  head.owner.value = json.at("owner").get<std::string>();
-  head.owner_incarnation = json.at("incarnation").get<Incarnation>();
-  head.ended = json.at("ended").get<bool>();
-  head.submitted = StoreTime(json.at("submitted").get<std::int64_t>());
-  head.due = StoreTime(json.at("due").get<std::int64_t>());
-  head.expires = StoreTime(json.at("expires").get<std::int64_t>());
-  head.digest = json.at("digest").get<std::uint64_t>();
-  head.config_version = json.value("config", std::uint64_t{0});
-  head.token.value = json.at("token").get<std::string>();
-  if (head.done.size() != head.total) throw std::invalid_argument("'done' has the wrong length");
+  head.id.value = fields::Name(json, "id");
+  head.route = fields::Text(json, "route");
+  head.host = fields::Text(json, "host");
+  head.total = fields::Count<std::uint32_t>(json, "total");
+  head.listed = fields::Count<std::uint32_t>(json, "listed");
+  head.done = fields::Text(json, "done");
+  head.owner.value = fields::Text(json, "owner");
+  head.owner_incarnation = fields::Count<Incarnation>(json, "incarnation");
+  head.ended = fields::Flag(json, "ended");
+  head.submitted = ReadTime(json, "submitted");
+  head.due = ReadTime(json, "due");
+  head.expires = ReadTime(json, "expires");
+  head.digest = fields::Count<std::uint64_t>(json, "digest");
+  head.config_version = fields::CountOr<std::uint64_t>(json, "config", 0);
+  head.token.value = fields::Text(json, "token");
+  CheckDone(head);
   return head;
 }
 
-// "job/POSITION.PIECE"
-std::optional<std::pair<std::uint32_t, std::size_t>> PlaceOf(std::string_view key) {
-  const std::size_t slash = key.rfind('/');
-  const std::size_t dot = key.rfind('.');
-  if (slash == std::string_view::npos || dot == std::string_view::npos || dot < slash) {
-    return std::nullopt;
-  }
-  try {
-    return std::pair{
-        static_cast<std::uint32_t>(std::stoul(std::string(key.substr(slash + 1, dot - slash - 1)))),
-        static_cast<std::size_t>(std::stoul(std::string(key.substr(dot + 1))))};
-  } catch (const std::exception&) {
-    return std::nullopt;  // not a key of ours; the caller says so
-  }
+std::optional<std::uint32_t> NumberOf(std::string_view digits, std::size_t size) {
+  std::uint32_t number = 0;
+  const char* end = digits.data() + digits.size();
+  const auto [stop, failure] = std::from_chars(digits.data(), end, number);
+  if (digits.size() != size || failure != std::errc{} || stop != end) return std::nullopt;
+  return number;
+}
+
+// What follows the job in a key of an item's rows: "/PIECE".
+std::optional<std::uint32_t> PieceOf(const JobId& job, std::string_view key) {
+  if (!key.starts_with(job.value + "/")) return std::nullopt;
+  return NumberOf(key.substr(job.value.size() + 1), kPieceDigits);
+}
+
+struct Place {
+  std::uint32_t position = 0;
+  std::uint32_t piece = 0;
+  bool operator==(const Place&) const = default;
+};
+
+// "/POSITION.PIECE", as in a result's and in a progress row's key.
+std::optional<Place> PlaceOf(const JobId& job, std::string_view key) {
+  if (!key.starts_with(job.value + "/")) return std::nullopt;
+  const std::string_view rest = key.substr(job.value.size() + 1);
+  const std::size_t dot = rest.find('.');
+  if (dot == std::string_view::npos) return std::nullopt;
+  const auto position = NumberOf(rest.substr(0, dot), kPositionDigits);
+  const auto piece = NumberOf(rest.substr(dot + 1), kPieceDigits);
+  if (!position || !piece) return std::nullopt;
+  return Place{*position, *piece};
 }
 
 Result<ItemResult> ResultOf(std::string_view bytes) {
   return Decoded<ItemResult>(bytes, "result", [](const Json& json) {
-    return ItemResult{json.at(0).get<std::string>(),
-                      json.at(1).get<bool>() ? ResultState::kComplete : ResultState::kDead,
-                      BytesOf(json.at(2))};
+    constexpr std::size_t kSize = 3;
+    const bool complete = fields::FlagOf(At(json, 1, kSize), "complete");
+    return ItemResult{fields::TextOf(At(json, 0, kSize), "item"),
+                      complete ? ResultState::kComplete : ResultState::kDead,
+                      BytesOf(At(json, 2, kSize))};
+  });
+}
+
+Result<ProgressPiece> PieceFrom(std::string_view bytes) {
+  return Decoded<ProgressPiece>(bytes, "progress", [](const Json& json) {
+    constexpr std::size_t kSize = 5;
+    ProgressPiece piece;
+    piece.item = fields::CountOf<std::uint32_t>(At(json, 0, kSize), "item");
+    piece.number = fields::CountOf<std::uint32_t>(At(json, 1, kSize), "number");
+    piece.text = BytesOf(At(json, 2, kSize));
+    piece.last_id = fields::TextOf(At(json, 3, kSize), "last_id");
+    piece.events = fields::CountOf<std::uint64_t>(At(json, 4, kSize), "events");
+    return piece;
   });
 }
 
@@ -157,6 +230,18 @@
   return Decoded<JobHead>(value, "job row", ReadHead);
 }
 
+std::optional<std::string_view> Contradiction(const JobHead& known, const JobHead& later) {
+  const bool same = known.total == later.total && known.digest == later.digest &&
+                    known.submitted == later.submitted && known.due == later.due &&
+                    known.expires == later.expires;
+  if (!same) return "it is of another job";
+  for (std::size_t i = 0; i < known.done.size(); ++i) {
+    if (known.done[i] == 'x' && later.done[i] != 'x') return "an item is not listed any more";
+  }
+  if (known.ended && !later.ended) return "its end is undone";
+  return std::nullopt;
+}
+
 std::vector<TableTransaction> Accept(const JobHead& head, const std::vector<JobItem>& items) {
   Json list = Json::array();
   for (const JobItem& item : items) list.push_back(ToJson(item));
@@ -178,10 +263,16 @@
   return {std::string(kItemTable), PartOf(job), job.value + "/", job.value + "0"};
 }
 
-Result<std::vector<JobItem>> DecodeItems(const std::vector<TableRow>& rows) {
+Result<std::vector<JobItem>> DecodeItems(const JobId& job, const std::vector<TableRow>& rows) {
   std::string bytes;
-  for (const TableRow& row : rows) bytes += row.value;
+  std::uint32_t next = 0;
+  for (const TableRow& row : rows) {
+    if (PieceOf(job, row.at.key) != next) continue;
+    bytes += row.value;
+    ++next;
+  }
   return Decoded<std::vector<JobItem>>(bytes, "job items", [](const Json& json) {
+    if (!json.is_array()) throw fields::BadDocument("a list is expected");
     std::vector<JobItem> items;
     for (const Json& item : json) items.push_back(ReadItem(item));
     return items;
@@ -206,20 +297,24 @@
   return puts;
 }
 
-Result<std::vector<ItemResult>> DecodeResults(const std::vector<TableRow>& rows) {
+Result<std::vector<ItemResult>> DecodeResults(const JobId& job, std::uint32_t from,
+                                              const std::vector<TableRow>& rows) {
   std::vector<ItemResult> results;
   std::string bytes;
+  Place next{from, 0};
   for (const TableRow& row : rows) {
-    const auto place = PlaceOf(row.at.key);
-    if (!place || row.value.empty()) {
+    if (PlaceOf(job, row.at.key) != next) continue;
+    if (row.value.empty()) {
       return Error{ErrorKind::kBadRequest, "no result row: '" + row.at.key + "'"};
     }
-    if (place->second == 0) bytes.clear();
     bytes.append(row.value, 1);
+    ++next.piece;
     if (row.value.front() == '+') continue;
     Result<ItemResult> result = ResultOf(bytes);
     if (!IsOk(result)) return ErrorOf(result);
     results.push_back(std::move(ValueOf(result)));
+    bytes.clear();
+    next = {next.position + 1, 0};
   }
   return results;
 }
@@ -234,16 +329,26 @@
           ToBytes({piece.item, piece.number, Binary(piece.text), piece.last_id, piece.events})};
 }
 
-std::vector<ProgressPiece> DecodeProgress(const std::vector<TableRow>& rows) {
+std::vector<ProgressPiece> DecodeProgress(const JobId& job, const std::vector<TableRow>& rows,
+                                          const OnRefusedRow& refused) {
   std::vector<ProgressPiece> pieces;
+  std::map<std::uint32_t, std::uint32_t> next;  // by item: the number of its next piece
   for (const TableRow& row : rows) {
-    Result<ProgressPiece> piece =
-        Decoded<ProgressPiece>(row.value, "progress", [](const Json& json) {
-          return ProgressPiece{json.at(0).get<std::size_t>(), json.at(1).get<std::uint32_t>(),
-                               BytesOf(json.at(2)), json.at(3).get<std::string>(),
-                               json.at(4).get<std::uint64_t>()};
-        });
-    if (IsOk(piece)) pieces.push_back(std::move(ValueOf(piece)));
+    const auto place = PlaceOf(job, row.at.key);
+    Result<ProgressPiece> piece = PieceFrom(row.value);
+    if (!place || !IsOk(piece)) {
+      refused(row, place ? ErrorOf(piece).detail : "its key is none of a piece");
+      continue;
+    }
+    const bool matches = ValueOf(piece).item == place->position &&
+                         ValueOf(piece).number == place->piece &&
+                         next[place->position] == place->piece;
+    if (!matches) {
+      refused(row, "it doesn't follow the pieces before it");
+      continue;
+    }
+    ++next[place->position];
+    pieces.push_back(std::move(ValueOf(piece)));
   }
   return pieces;
 }
--- a/test/gateway-fakes.h
+++ b/test/gateway-fakes.h
@@ -53,8 +53,10 @@
   // What the feed was asked to wait, newest last.
   std::vector<Duration> waits;
   int reads = 0;
+  int commits = 0;
 
   void Commit(TableTransaction transaction, std::function<void(TableOutcome)> done) override {
+    ++commits;
     if (refuse) return Later([done] { done(NotWritten{"refused"}); });
     if (silent) return Later([done] { done(FateUnknown{"no answer"}); }, kSilence);
     TableOutcome outcome = Apply(transaction);
--- a/test/job-desk-test.cc
+++ b/test/job-desk-test.cc
@@ -29,7 +29,7 @@
       : loop(the_loop),
         tables(loop, data),
         peers({NodeId{node}, 1, Address{"10.0.0.1", 1}, DataCentre{"dc"}, 1, false}),
-        store(loop, clocked, peers, SystemRandom(),
+        store(loop, clocked, metrics, peers, SystemRandom(),
               {[](OwnedJob&, const std::vector<ledger::ProgressPiece>&) {}, [](const JobId&) {},
                [](OwnedJob&) {}, [this](const JobHead& head) { desk.OnChanged(head); }}),
         desk(loop, store, clock, *adapter) {
@@ -77,6 +77,7 @@
   PeerTable peers;
   StoreClock clock;
   ClockedTables clocked{tables, clock};
+  Metrics metrics;
   JobStore store;
   JobDesk desk;
   Route route;
--- a/test/job-store-test.cc
+++ b/test/job-store-test.cc
@@ -40,7 +40,7 @@
       : loop(the_loop),
         tables(loop, data),
         peers(self),
-        store(loop, tables, peers, SystemRandom(),
+        store(loop, tables, metrics, peers, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& pieces) {
                  owned.insert(job.head().id.value);
                  known_when_owned = store.Known(job.head().id) != nullptr;
@@ -92,6 +92,7 @@
   std::set<std::string> owned;
   bool known_when_owned = false;
   std::vector<ledger::ProgressPiece> progress;
+  Metrics metrics;
   JobStore store;
 };
 
--- a/test/ledger-rows-test.cc
+++ b/test/ledger-rows-test.cc
@@ -48,13 +48,13 @@
     for (TablePut& put : ledger::ResultRows(job, i, results[i])) puts.push_back(std::move(put));
   }
   std::vector<TableRow> rows = RowsOf(puts);
-  auto back = ledger::DecodeResults(rows);
+  auto back = ledger::DecodeResults(job, 0, rows);
   REQUIRE(IsOk(back));
   REQUIRE(ValueOf(back).size() == 3);
   CHECK(ValueOf(back)[1].output == results[1].output);
   CHECK(ValueOf(back)[2].state == ResultState::kDead);
   rows.resize(2);  // the page ends within the second result
-  back = ledger::DecodeResults(rows);
+  back = ledger::DecodeResults(job, 0, rows);
   REQUIRE(IsOk(back));
   CHECK(ValueOf(back).size() == 1);
 }
@@ -80,7 +80,7 @@
       if (put.at.table == ledger::kItemTable) rows.push_back({put.at, put.value, 1, false});
     }
   }
-  const auto back = ledger::DecodeItems(rows);
+  const auto back = ledger::DecodeItems(head.id, rows);
   REQUIRE(IsOk(back));
   REQUIRE(ValueOf(back).size() == 40);
   CHECK(ValueOf(back)[39].body == items[39].body);
@@ -89,3 +89,19 @@
   REQUIRE(IsOk(head_back));
   CHECK(ValueOf(head_back).total == 40);
 }
+
+// Symptom: a process ends, and so does the next one that takes the job over.
+// Sequence: another writer leaves rows among those of a job's items, of bytes that each
+// begin a list.
+// Cause: the parser calls itself for each level, until the stack is used up.
+TEST_CASE("rows that nest as deep as they are long are refused") {
+  const JobId job{"job"};
+  std::vector<TableRow> rows;
+  for (int i = 0; i < 40; ++i) {
+    const std::string key = "job/00" + std::string(i < 10 ? "0" : "") + std::to_string(i);
+    rows.push_back(
+        {{std::string(ledger::kItemTable), "j0", key}, std::string(60'000, '\x81'), 1, false});
+  }
+  CHECK_FALSE(IsOk(ledger::DecodeItems(job, rows)));
+  CHECK_FALSE(IsOk(ledger::DecodeHead(std::string(60'000, '\xa1'))));
+}
--- a/test/owned-job-test.cc
+++ b/test/owned-job-test.cc
@@ -148,7 +148,8 @@
   for (const TablePut& put : write->puts) {
     if (put.at.table == ledger::kProgressTable) rows.push_back({put.at, put.value, 1, false});
   }
-  const auto pieces = ledger::DecodeProgress(rows);
+  const auto pieces = ledger::DecodeProgress(
+      JobId{"job"}, rows, [](const TableRow&, std::string_view why) { FAIL(why); });
   REQUIRE(pieces.size() == 1);
   ItemText restored;
   restored.Restore(pieces[0]);
