Say in each refusal of a model engine that nothing ran

Symptom: a completion whose prompt is a number gets a 400 that leaves its caller in doubt whether the work ran. Cause: the entry looks into model, sizes and stream alone, and passed the engine's words on. The agent's engine client, which reads such an answer whole, adds 'ran': 'no' to those that an engine gives before it begins (400, 404, 413, 422): one place for each reason that an engine may have. Ruled out: a problem document of the entry's own in place of the answer: a keyed item or a batch item keeps it as its result, as before.

A stream that is neither true nor false counted as false; the entry refuses it.

Seen failing before: test_refusals_say_that_nothing_ran of online-process-test, first at {'prompt': 3}, and after the first half of the change at {'stream': 1}.

--- a/src/figmilld/agent/engine_client.cc
+++ b/src/figmilld/agent/engine_client.cc
@@ -1,6 +1,7 @@
 #include "figmilld/agent/engine_client.h"
 
 #include <algorithm>
+#include <array>
 #include <cctype>
 #include <nlohmann/json.hpp>
 
@@ -69,6 +70,21 @@
   return status < 500 && status != kTooManyRequests && status != kConflict;
 }
 
+// A model engine checks a request before it begins with it.
+bool IsCheckedBefore(int status) {
+  constexpr std::array<int, 4> kStatuses = {400, 404, 413, 422};
+  return std::find(kStatuses.begin(), kStatuses.end(), status) != kStatuses.end();
+}
+
+// The engine's words with what figmill's own refusals say: passed on as they are, they would
+// leave the caller in doubt whether its work ran.
+std::string RefusalWithRan(std::string_view body) {
+  Json refusal = Json::parse(body, nullptr, false);
+  if (!refusal.is_object()) refusal = {{"error", {{"message", std::string(body)}}}};
+  refusal["ran"] = std::string(ToString(Ran::kNo));
+  return refusal.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 void OnHead(Incoming& incoming, const HttpHead& head) {
   // What goes wrong: the backend server crosses two answers. The id that it
   // names shows it, and the right answer is asked for by the request's own id.
@@ -109,6 +125,10 @@
   if (!IsAnswer(incoming.head.status)) {
     return Finish(incoming, AnswerFailed{RefusalOf(incoming.head.status, incoming.refusal)});
   }
+  if (IsCheckedBefore(incoming.head.status)) {
+    incoming.refusal = RefusalWithRan(incoming.refusal);
+    incoming.head.content_type = "application/json";
+  }
   incoming.on_event(incoming.head);
   incoming.on_event(AnswerBytes{std::move(incoming.refusal)});
   Finish(incoming, AnswerEnd{});
--- a/src/figmilld/traffic/online_work.cc
+++ b/src/figmilld/traffic/online_work.cc
@@ -143,7 +143,9 @@
       work.dispatch.tokens > 0 ? static_cast<double>(work.dispatch.tokens) : kAssumedTokens;
   work.plan.prefix = PromptPrefix(body);
   const auto stream = body.find("stream");
-  work.plan.wants_stream = stream != body.end() && stream->is_boolean() && stream->get<bool>();
+  const bool has_stream = stream != body.end() && !stream->is_null();
+  if (has_stream && !stream->is_boolean()) return Bad("stream must be true or false");
+  work.plan.wants_stream = has_stream && stream->get<bool>();
   return begun;
 }
 
--- a/test/online-process-test.py
+++ b/test/online-process-test.py
@@ -239,6 +239,24 @@
     assert whole >= 10, f"{whole} of 12 whole"
 
 
+def test_refusals_say_that_nothing_ran(fleet):
+    # Symptom: a caller that got a 400 can't tell whether its work ran.
+    # Sequence: an engine refuses what the entry does not look into.
+    # Cause: the engine's words were passed on, which say nothing of it.
+    bad = [{"prompt": 3}, {"prompt": None}, {"messages": "hello"}, {"prompt": "a", "stream": 1},
+           {"prompt": "a", "max_tokens": -1}, {"prompt": "a", "max_tokens": "many"}, {"model": 7},
+           {"model": "a b"}, [], "note-llm"]
+    before = fleet.runs()
+    for fields in bad:
+        body = {"model": "note-llm"} | fields if isinstance(fields, dict) else fields
+        for path in ("/v1/completions", "/v1/chat/completions"):
+            for headers in ({}, {"Figmill-Repeatable": "false"}):
+                status, answer = call(fleet.entry, path, body, headers)
+                assert status == 400, (path, body, status, answer)
+                assert json.loads(answer)["ran"] == "no", (path, body, answer)
+    assert fleet.runs() == before
+
+
 def test_caller_gone(fleet):
     # Symptom: engines busy with answers that nobody reads.
     # Sequence: a caller hangs up mid-stream.
@@ -259,7 +277,7 @@
     fleet = Fleet()
     try:
         for test in (test_killed_agent, test_paused_agent, test_not_repeatable,
-                     test_lying_engines, test_caller_gone):
+                     test_lying_engines, test_refusals_say_that_nothing_ran, test_caller_gone):
             began = time.monotonic()
             test(fleet)
             print(f"{test.__name__}: ok, {time.monotonic() - began:.1f} s", flush=True)
