--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -40,13 +40,13 @@
     MemberWatch::Hooks members;
   };
 
-  Control(const GatewaySettings& settings, const PlatformAdapter& adapter, const Peer& self,
-          Hooks hooks)
+  Control(const GatewaySettings& settings, const PlatformAdapter& adapter, Metrics& metrics,
+          const Peer& self, Hooks hooks)
       : client_(loop_),
         store_(loop_, client_, settings.store),
         tables_(adapter.Connect(store_)),
-        fleet_(loop_, *tables_, adapter, std::move(hooks.publish)),
-        members_(loop_, *tables_, self, std::move(hooks.members)),
+        fleet_(loop_, *tables_, adapter, metrics, std::move(hooks.publish)),
+        members_(loop_, *tables_, metrics, self, std::move(hooks.members)),
         thread_([this] {
           // In this order most have joined by the time at which others hear of them.
           fleet_.Start();
@@ -105,7 +105,7 @@
                [this](const Peer& self) { control_.Rename(self); }}),
         finder_(loop_, places_, link_),
         tools_{loop_, client_, places_, finder_, adapter.names(), gateway_metrics_},
-        jobs_(loop_, clocked_tables_, peers_, SystemRandom(),
+        jobs_(loop_, clocked_tables_, metrics_, peers_, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
                  runner_.OnOwned(job, progress);
                },
@@ -115,7 +115,7 @@
         runner_(tools_, jobs_, clock_, [this] { link_.WantedChanged(); }),
         desk_(loop_, jobs_, clock_, adapter),
         door_(tools_, adapter, desk_, SystemRandom()),
-        control_(settings, adapter, peers_.self(), ControlHooks()) {
+        control_(settings, adapter, metrics_, peers_.self(), ControlHooks()) {
     places_.OnUse([this](const BackendId& backend) { link_.Touch(backend); });
   }
 
