Show that another user can take a gateway's port, failing

A port was chosen and let go: until the gateway listens, and while it is down between two starts, anyone may listen there.

gateway-process-test: fails, all four ports could be taken by another socket.

--- a/test/gateway-process-test.py
+++ b/test/gateway-process-test.py
@@ -356,6 +356,30 @@
 
 
 class Start(unittest.TestCase):
+    def test_its_ports_stay_its_own_until_it_listens_and_while_it_is_down(self):
+        # Symptom: a gateway ends at once with `bind: Address already in use`.
+        # Sequence: its ports are chosen, or it is killed; another user of the machine looks
+        # for a free port, tries the same number and listens there; the gateway starts.
+        # Cause: nothing held the port between its choice and the listening.
+        def take_as_another_user(address):
+            host, _, port = address.partition(":")
+            other = socket.socket()
+            self.addCleanup(other.close)
+            try:
+                other.bind((host, int(port)))
+                other.listen()
+                return True
+            except OSError:
+                return False
+
+        with Fleet(BUILD, gateways=1) as fleet:
+            gateway = fleet.gateways[0]
+            addresses = (gateway.callers, gateway.health, gateway.peers, gateway.metrics)
+            gateway.stop()
+            self.assertEqual([a for a in addresses if take_as_another_user(a)], [])
+            gateway.start()
+            wait_for("it is ready again", gateway.ready)
+
     def test_bad_settings_end_the_process_with_the_place_and_the_reason(self):
         done = subprocess.run([BUILD / "figmilld", "gateway", "--node", "g", "--store", "nowhere"],
                               capture_output=True, text=True)
