Hold each port from its choice until its user is done

A socket that never listens stays bound to each: another user finds the port taken, the server that it was chosen for may listen there, also after it was killed. Ruled out: port 0 reported by the process, as a gateway that starts again must keep its address and others are told of it; choosing again on the error, for the same reason.

--- a/test/agent-test.py
+++ b/test/agent-test.py
@@ -4,6 +4,7 @@
 import http.client
 import json
 import os
+import pathlib
 import signal
 import socket
 import struct
@@ -11,6 +12,11 @@
 import sys
 import time
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "support"))
+
+from ports import Ports  # noqa: E402
+
 BUILD = sys.argv[1]
 WAIT = 20  # seconds until a condition counts as never met
 
@@ -83,9 +89,8 @@
         name = ["--model", "note-llm"] if kind == "engine" else ["--name", "field-app"]
         engine = self.start([*binary, *name, *options], stdout=subprocess.PIPE)
         self.engine = int(engine.stdout.readline().decode().rsplit(":", 1)[1])
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            self.agent = free.getsockname()[1]
+        self.ports = Ports()
+        self.agent = self.ports.port()
         self.agent_process = self.start(
             [os.path.join(BUILD, "figmilld"), "agent", "--node", "agent-1",
              "--http", f"127.0.0.1:{self.agent}", "--backend", f"127.0.0.1:{self.engine}",
@@ -112,6 +117,7 @@
         for process in self.processes:
             process.kill()
             process.wait()
+        self.ports.release()
 
     def headers(self, request, **more):
         self.count += 1
--- a/test/gateways.py
+++ b/test/gateways.py
@@ -8,34 +8,19 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-HOST = "farm.example"
-NEVER = 30  # seconds after which a condition counts as never met
-
+sys.path.append(str(ROOT / "support"))
 
-# Below the range from which the system takes the ports of outgoing connections: one that
-# it names as free may be such a port by the time at which a gateway wants to listen there.
-PORTS = range(15000, 30000)
+from ports import Ports  # noqa: E402
 
-
-def free_port():
-    while True:
-        port = random.choice(PORTS)
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            try:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue  # taken; another one
+HOST = "farm.example"
+NEVER = 30  # seconds after which a condition counts as never met
 
 
 def wait_for(what, condition, seconds=NEVER):
@@ -87,11 +72,9 @@
 
 
 class Gateway:
-    def __init__(self, build, name, zone, store, folder, seeds=(), ports=None, options=()):
+    def __init__(self, build, name, zone, store, folder, ports, seeds=(), options=()):
         self.name, self.log = name, folder / f"{name}.log"
-        self.ports = ports or [free_port() for _ in range(4)]
-        self.callers, self.health, self.peers, self.metrics = (
-            f"127.0.0.1:{port}" for port in self.ports)
+        self.callers, self.health, self.peers, self.metrics = (ports.address() for _ in range(4))
         self.arguments = [
             build / "figmilld", "gateway", "--node", name, "--data-centre", zone,
             "--callers", self.callers, "--health", self.health, "--peers", self.peers,
@@ -128,13 +111,15 @@
         self.build, self.options = pathlib.Path(build).resolve(), options
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="figmill-gateways-"))
         self.world = World(**world)
+        self.ports = Ports()
         self.gateways = []
         for i in range(gateways):
             self.add(i)
 
     def add(self, i, store=None):
         gateway = Gateway(self.build, f"g{i}", f"north-{'ab'[i % 2]}", store or self.world.store,
-                          self.folder, [g.peers for g in self.gateways], options=self.options)
+                          self.folder, self.ports, [g.peers for g in self.gateways],
+                          self.options)
         self.gateways.append(gateway)
         return gateway
 
@@ -153,6 +138,7 @@
         for gateway in self.gateways:
             gateway.stop()
         self.world.stop()
+        self.ports.release()
         if kind:
             print(f"logs are in {self.folder}", file=sys.stderr)
 
--- a/test/online-process-test.py
+++ b/test/online-process-test.py
@@ -6,6 +6,7 @@
 
 import json
 import os
+import pathlib
 import signal
 import socket
 import subprocess
@@ -15,17 +16,16 @@
 import urllib.error
 import urllib.request
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+sys.path.append(str(ROOT / "support"))
+
+from ports import Ports  # noqa: E402
+
 BUILD = sys.argv[1]
 AGENTS = 3
 SLOW_STEP = ["--step-base-us", "20000"]  # a stream long enough to break
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def call(port, path, body=None, headers=None, timeout=30):
     data = None if body is None else json.dumps(body).encode()
     request = urllib.request.Request(
@@ -53,10 +53,10 @@
 class Fleet:
     def __init__(self):
         self.processes = []
-        self.platform, self.entry = free_port(), free_port()
-        self.engines = [free_port() for _ in range(AGENTS)]
-        self.http = [free_port() for _ in range(AGENTS)]
-        self.gossip = [free_port() for _ in range(AGENTS)]
+        self.ports = Ports()
+        self.platform, self.entry = self.ports.port(), self.ports.port()
+        self.engines, self.http, self.gossip = (
+            [self.ports.port() for _ in range(AGENTS)] for _ in range(3))
         self.agents = [None] * AGENTS
         self.start("figmill-standin", "platform", "--http", at(self.platform))
         for port in self.engines:
@@ -71,7 +71,7 @@
         ]
         until("platform", lambda: call(self.platform, "/hosts", {"hosts": hosts})[0] == 200)
         self.start("figmilld", "entry", "--node", "e1", "--http", at(self.entry),
-                   "--gossip", at(free_port()), "--platform", at(self.platform))
+                   "--gossip", self.ports.address(), "--platform", at(self.platform))
         until("all agents are known", self.all_known)
 
     def start(self, program, *arguments):
@@ -118,6 +118,7 @@
                 process.kill()
         for process in self.processes:
             process.wait()
+        self.ports.release()
 
 
 def at(port):
