Report a seed that can't be played, and go on with the others

A gateway that ended at its start was waited for as long as one that is slow, and then ended the whole run with a traceback. Now the seed is named with the process's last log line and the folder of the logs, the others are played, and the run ends non-zero.

soak-test: fails before (AssertionError: never: g0 is ready), passes after.

--- a/soak/run.py
+++ b/soak/run.py
@@ -8,6 +8,7 @@
 import argparse
 import asyncio
 import concurrent.futures
+import http.client
 import pathlib
 import sys
 import time
@@ -72,9 +73,17 @@
         return False
 
 
+class NotPlayed(Exception):
+    """A seed that could not be started, or not be played to its end."""
+
+    def __init__(self, why, folder):
+        super().__init__(str(why))
+        self.folder = folder
+
+
 def run(build, seed, seconds, count=3):
     """The breaks of one seed, the record, and the folder of the logs. The last of `count`
-    gateways reaches the store by way of the fault proxy."""
+    gateways reaches the store by way of the fault proxy. Raises NotPlayed."""
     fleet = gateways.Fleet(build, gateways=count - 1, engines=4, services=2, seed=seed,
                            options=("--shutdown-grace-ms", str(GRACE_MS)))
     proxy = None
@@ -86,6 +95,8 @@
         fleet.add(count - 1, store=proxy.links[-1])
         with fleet:
             record = asyncio.run(play(fleet, proxy, seed, seconds))
+    except (AssertionError, OSError, ValueError, http.client.HTTPException) as problem:
+        raise NotPlayed(problem, fleet.folder) from problem
     finally:
         if proxy:
             proxy.stop()
@@ -100,6 +111,16 @@
     return [(int(seed), float(seconds)) for seed, seconds, *_ in words]
 
 
+def report(seed, seconds, breaks, record):
+    served = sum(r.whole and r.status == 200 for r in record.requests)
+    accepted = sum(job.accepted for job in record.jobs)
+    struck = " ".join(fault.kind for fault in draw(seed, seconds))
+    print(f"seed {seed}: {served} of {len(record.requests)} requests served, {accepted} of "
+          f"{len(record.jobs)} jobs accepted, {len(breaks)} promises broken ({struck})")
+    for line in breaks[:20]:
+        print(f"    {line}")
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("build", type=pathlib.Path)
@@ -113,21 +134,24 @@
             for seed in range(arguments.first, arguments.first + arguments.seeds)]
     if arguments.regressions:
         plan = regressions() + plan
-    failed = []
+    failed, not_played = [], []
     for seed, seconds in plan:
-        breaks, record, folder = run(arguments.build, seed, seconds, arguments.gateways)
-        served = sum(r.whole and r.status == 200 for r in record.requests)
-        accepted = sum(job.accepted for job in record.jobs)
-        struck = " ".join(f.kind for f in draw(seed, seconds))
-        print(f"seed {seed}: {served} of {len(record.requests)} requests served, {accepted} of "
-              f"{len(record.jobs)} jobs accepted, {len(breaks)} promises broken ({struck})", flush=True)
-        for line in breaks[:20]:
-            print(f"    {line}", flush=True)
-        if breaks:
-            failed.append(seed)
-            print(f"    logs are in {folder}", flush=True)
-    print(f"{len(plan) - len(failed)} seeds kept all promises, {len(failed)} did not: {failed}")
-    return 1 if failed else 0
+        try:
+            breaks, record, folder = run(arguments.build, seed, seconds, arguments.gateways)
+            report(seed, seconds, breaks, record)
+            if breaks:
+                failed.append(seed)
+        except NotPlayed as problem:
+            folder = problem.folder
+            not_played.append(seed)
+            print(f"seed {seed}: not played: {problem}")
+        if seed in failed + not_played:
+            print(f"    logs are in {folder}")
+        sys.stdout.flush()
+    kept = len(plan) - len(failed) - len(not_played)
+    print(f"{kept} seeds kept all promises, {len(failed)} did not: {failed}, "
+          f"{len(not_played)} could not be played: {not_played}")
+    return 1 if failed or not_played else 0
 
 
 if __name__ == "__main__":
--- a/test/gateways.py
+++ b/test/gateways.py
@@ -94,6 +94,13 @@
     def ready(self):
         return call(self.health, "GET", "/", timeout=1)[0] == 200
 
+    def await_ready(self):
+        """Raises AssertionError, at once if the process has ended."""
+        wait_for(f"{self.name} is ready", lambda: self.process.poll() is not None or self.ready())
+        if self.process.poll() is not None:
+            last = self.log.read_text(errors="replace").splitlines()[-1:]
+            raise AssertionError(f"{self.name} ended with {self.process.returncode}: {last}")
+
     def stop(self):
         if self.process.poll() is None:
             self.process.kill()
@@ -126,7 +133,7 @@
     def __enter__(self):
         try:
             for gateway in self.gateways:
-                wait_for(f"{gateway.name} is ready", gateway.ready)
+                gateway.await_ready()
         except AssertionError:
             self.__exit__(AssertionError)
             raise
--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -4,13 +4,18 @@
 usage: soak-test.py BUILD_FOLDER
 """
 
+import contextlib
+import io
 import pathlib
+import socket
 import sys
 import unittest
+from unittest import mock
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path[:0] = [str(ROOT / "test"), str(ROOT / "soak")]
 
+import gateways  # noqa: E402
 import promises  # noqa: E402
 import run as soak  # noqa: E402
 from record import Job, Probe, Record, Request, Trouble  # noqa: E402
@@ -118,6 +123,34 @@
             served = sum(r.whole and r.status == 200 for r in record.requests)
             self.assertGreater(served, len(record.requests) / 2)
 
+    def test_a_seed_that_cannot_be_started_is_reported_and_the_others_go_on(self):
+        # Symptom: a run of eight seeds ends at its fifth with a traceback, three unplayed.
+        # Sequence: a gateway can't listen, since another process has its port.
+        # Cause: what went wrong with one seed ended the whole run.
+        taken = socket.create_server(("127.0.0.1", 0))
+        self.addCleanup(taken.close)
+        choose, chosen = gateways.Ports.address, []
+
+        def first_one_is_taken(ports):
+            chosen.append(choose(ports))
+            return f"127.0.0.1:{taken.getsockname()[1]}" if len(chosen) == 1 else chosen[-1]
+
+        arguments = ["run.py", str(BUILD), "--seeds", "2", "--first", "1", "--seconds", "1"]
+        with (mock.patch.object(gateways.Ports, "address", first_one_is_taken),
+              mock.patch.object(sys, "argv", arguments),
+              contextlib.redirect_stdout(io.StringIO()) as printed):
+            code = soak.main()
+        lines = printed.getvalue().splitlines()
+        self.assertNotEqual(code, 0)
+        self.assertRegex(lines[0], "seed 1: not played: g0 ended .*Address already in use")
+        self.assertIn("event=cannot_listen", (folder_of(lines[1]) / "g0.log").read_text())
+        self.assertRegex(lines[2], "seed 2: [0-9]+ of [0-9]+ requests served")
+        self.assertRegex(lines[-1], r"1 could not be played: \[1\]")
+
+
+def folder_of(line):
+    return pathlib.Path(line.removeprefix("    logs are in "))
+
 
 if __name__ == "__main__":
     unittest.main(argv=[sys.argv[0], "-v"])
