Take and release the gateway of a soak fault in one place

Pauses, planned leaves and kills marked their gateway as busy and ended its trouble in the same lines. The end of a kill is waited for now as that of the others: a gateway that never came back was found by nobody but the last check.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """The faults of a soak run: drawn from its seed, brought about from outside the processes."""
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import random
@@ -78,49 +79,43 @@
     async def do(self, order, **more):
         return await asyncio.to_thread(self.fleet.world.do, order, **more)
 
-    def take(self, fault):
-        """A gateway that nobody else stops at present."""
+    def take(self, fault=None):
+        """Gateways that nobody else stops at present: one for a fault, or all."""
         free = [g for g in self.fleet.gateways if g.name not in self.busy]
-        if not free:
-            return None
-        gateway = free[fault.pick % len(free)]
-        self.busy.add(gateway.name)
-        return gateway
-
-    async def restart(self, gateway, trouble):
-        await asyncio.to_thread(gateway.process.wait)
-        gateway.start()
-        await asyncio.to_thread(gateways.wait_for, f"{gateway.name} is ready", gateway.ready)
+        if fault and free:
+            free = [free[fault.pick % len(free)]]
+        self.busy.update(g.name for g in free)
+        return free
+
+    @contextlib.contextmanager
+    def struck(self, gateway, what):
+        """The time of trouble of a gateway that was taken."""
+        trouble = self.trouble(what, gateway.name)
+        yield
         trouble.ended = self.clock() + 1
         self.busy.discard(gateway.name)
 
-    async def kill(self, fault, how):
-        victims = [g for g in self.fleet.gateways if g.name not in self.busy] if how == "all" else [
-            self.take(fault)]
-        for gateway in filter(None, victims):
-            self.busy.add(gateway.name)
-            trouble = self.trouble("kill", gateway.name)
-            gateway.signal(gateways.KILL)
-            asyncio.ensure_future(self.restart(gateway, trouble))
+    async def stop_and_start(self, gateway, what, signal):
+        with self.struck(gateway, what):
+            gateway.signal(signal)
+            await asyncio.to_thread(gateway.process.wait)
+            gateway.start()
+            await asyncio.to_thread(gateway.await_ready)
 
-    async def pause(self, fault, _how):
-        gateway = self.take(fault)
-        if gateway is None:
-            return
-        trouble = self.trouble("pause", gateway.name)
-        gateway.signal(gateways.STOP)
-        await asyncio.sleep(fault.for_s)
-        gateway.signal(gateways.CONT)
-        trouble.ended = self.clock() + 1
-        self.busy.discard(gateway.name)
+    async def kill(self, fault, how):
+        victims = self.take() if how == "all" else self.take(fault)
+        await asyncio.gather(*(self.stop_and_start(g, "kill", gateways.KILL) for g in victims))
 
     async def leave(self, fault, _how):
-        gateway = self.take(fault)
-        if gateway is None:
-            return
-        trouble = self.trouble("leave", gateway.name)
-        gateway.signal(gateways.TERM)
-        await self.restart(gateway, trouble)
+        for gateway in self.take(fault):
+            await self.stop_and_start(gateway, "leave", gateways.TERM)
+
+    async def pause(self, fault, _how):
+        for gateway in self.take(fault):
+            with self.struck(gateway, "pause"):
+                gateway.signal(gateways.STOP)
+                await asyncio.sleep(fault.for_s)
+                gateway.signal(gateways.CONT)
 
     async def store(self, fault, how):
         trouble = self.trouble("store")
