Let the soak start engines again under their id, and write foreign entries

Engines start again with a reset, or in the dark while the store hears nothing of them; other writers overwrite the entries of live engines and add rows under ids of nobody. The entry of a live engine is written again at the fault's end.

What may get nothing new is a span of time now, as an engine that drains may start again, and an entry may become readable again. Trouble excuses a run there only if it was within the last five seconds: it used to excuse all after it.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,6 +1,7 @@
 """The faults of a soak run: drawn from its seed, brought about from outside the processes."""
 
 import asyncio
+import base64
 import contextlib
 import dataclasses
 import json
@@ -8,7 +9,9 @@
 import subprocess
 
 import gateways
-from record import Trouble
+import promises
+from foreign import VARIANTS, bad_entry
+from record import Closed, Trouble
 
 
 @dataclasses.dataclass
@@ -22,15 +25,25 @@
 KINDS = ("kill", "pause", "leave", "kill_all", "store_refuse", "store_silent", "store_reset",
          "store_lose", "store_late", "store_compact", "store_deaf", "engine_crash", "engine_drain",
          "engine_sick", "link_delay", "link_cut", "link_silent", "link_partition", "configure")
+# Engines that start again under their id, and entries by other writers.
+LIST_KINDS = ("restart_reset", "restart_dark", "foreign_own", "foreign_own", "foreign_new")
+ENGINES = 4  # those that faults strike; others join while a soak runs
+FOREIGN_ROWS = 5
+DRAINS = "it began to drain"
 
 
 def draw(seed, seconds):
     """Some faults in series, some on top of each other."""
     dice = random.Random(seed)
-    count = dice.randint(4, 9)
-    return sorted((Fault(dice.uniform(0.5, 0.8 * seconds), dice.choice(KINDS),
-                         dice.uniform(0.5, 3.0), dice.randrange(1 << 16)) for _ in range(count)),
-                  key=lambda fault: fault.at)
+
+    def some(kinds, count):
+        return [Fault(dice.uniform(0.5, 0.8 * seconds), dice.choice(kinds),
+                      dice.uniform(0.5, 3.0), dice.randrange(1 << 16)) for _ in range(count)]
+
+    faults = some(KINDS, dice.randint(4, 9))
+    # Drawn after the others: a seed of before keeps all that it had.
+    faults += some(LIST_KINDS, dice.randint(2, 5))
+    return sorted(faults, key=lambda fault: fault.at)
 
 
 class Proxy:
@@ -65,6 +78,10 @@
         self.linked = []
         # A process that is being stopped and started isn't struck again meanwhile.
         self.busy = set()
+        self.gone = set()  # engines that have crashed
+        self.unheard = set()  # engines whose new life the store has not heard of
+        self.foreign = {}  # engine -> how many other writers claim its entry
+        self.closed = {}  # engine -> what is open in the record
 
     def trouble(self, what, target=""):
         trouble = Trouble(what, target, self.clock())
@@ -74,7 +91,8 @@
     async def strike(self, fault):
         what, _, how = fault.kind.partition("_")
         await {"kill": self.kill, "pause": self.pause, "leave": self.leave, "store": self.store,
-               "engine": self.engine, "link": self.link, "configure": self.configure}[what](fault, how)
+               "engine": self.engine, "link": self.link, "configure": self.configure,
+               "restart": self.restart_engine, "foreign": self.write_foreign}[what](fault, how)
 
     async def do(self, order, **more):
         return await asyncio.to_thread(self.fleet.world.do, order, **more)
@@ -135,23 +153,92 @@
         trouble.ended = self.clock() + 1
 
     async def engine(self, fault, how):
-        index = fault.pick % 4
+        index = fault.pick % ENGINES
         trouble = self.trouble("engine", str(index))
         if how == "sick":
             await self.do("engine", index=index, cut=0.3, extra=0.3)
             await asyncio.sleep(fault.for_s)
             await self.do("engine", index=index, cut=0.0, extra=0.0)
         elif how == "crash" and index == 3:  # one of the four may go; another one comes
+            self.gone.add(index)
             await self.do("engine", index=index, act="crash")
             await asyncio.sleep(fault.for_s)
             await self.do("engine", index=index, act="leave")
             await self.do("add", service="llm")
-        elif how == "drain" and index == 2:
+        elif how == "drain" and index == 2 and index not in self.unheard:
+            if not self.drains(index):
+                self.reopen(index)  # its word replaces that of another writer
             drained = await self.do("engine", index=index, act="drain")
-            self.record.drained.setdefault(drained["id"], self.clock())
+            self.close(index, drained["id"], DRAINS)
             await self.do("add", service="llm")
         trouble.ended = self.clock() + 1
 
+    def close(self, index, engine_id, why):
+        if index not in self.closed:
+            self.closed[index] = Closed(engine_id, why, self.clock())
+            self.record.closed.append(self.closed[index])
+
+    def drains(self, index):
+        return index in self.closed and self.closed[index].why == DRAINS
+
+    def reopen(self, index):
+        """Call it before the entry that says so can be read: from then on requests may come."""
+        if index in self.closed:
+            self.closed.pop(index).ended = self.clock()
+
+    async def restart_engine(self, fault, how):
+        """An engine starts again under its id, and knows nothing of before. In the dark, its
+        callers hear nothing, and the store hears of its new life only later."""
+        index = fault.pick % ENGINES
+        if index in self.gone | self.unheard:
+            return
+        trouble = self.trouble("engine", str(index))
+        if how == "dark":
+            self.unheard.add(index)
+            await self.do("engine", index=index, muted=True, act="restart_dark")
+            await asyncio.sleep(fault.for_s)
+            self.unheard.discard(index)
+            if index not in self.gone:
+                self.reopen(index)
+                await self.do("engine", index=index, muted=False, act="list")
+        else:
+            self.reopen(index)
+            await self.do("engine", index=index, act="restart")
+        trouble.ended = self.clock() + 1
+
+    async def write_foreign(self, fault, how):
+        """Another writer's bytes, under the id of an engine or under ids of nobody. It excuses
+        nothing: those that run there are left to end, and the others hold."""
+        variants = [VARIANTS[(fault.pick // 7 + n) % len(VARIANTS)] for n in range(FOREIGN_ROWS)]
+        if how == "new":
+            keys = {f"foreign-{fault.pick}-{n}": variant for n, variant in enumerate(variants)}
+            for key, variant in keys.items():
+                await self.write_bad_entry(key, 0, variant)
+            await asyncio.sleep(fault.for_s)
+            for key in keys:
+                await self.do("remove", table="servers", key=key)
+            return
+        variant = variants[0]
+        index = fault.pick % ENGINES
+        if index in self.gone | self.unheard:
+            return
+        engine = await self.do("engine", index=index)
+        self.foreign[index] = self.foreign.get(index, 0) + 1
+        await self.write_bad_entry(engine["id"], index, variant)
+        self.close(index, engine["id"], f"its entry became unreadable ({variant})")
+        await asyncio.sleep(fault.for_s + promises.DRAIN)
+        self.foreign[index] -= 1
+        if self.foreign[index] or index in self.gone | self.unheard:
+            return
+        if not self.drains(index):
+            self.reopen(index)
+        await self.do("engine", index=index, act="list")
+
+    async def write_bad_entry(self, key, index, variant):
+        engine = await self.do("engine", index=index)
+        value = base64.b64encode(bad_entry(variant, engine["port"])).decode()
+        await self.do("write", table="servers", key=key, bytes=value)
+
     async def link(self, fault, how):
         link = fault.pick % len(self.proxy.links)
         to_store = link == len(self.proxy.links) - 1
@@ -177,5 +264,5 @@
         for gateway in self.fleet.gateways:
             gateway.signal(gateways.CONT)
         await self.do("store", mode="ok", lose=0.0, late=0.0)
-        for index in range(4):
+        for index in range(ENGINES):
             await self.do("engine", index=index, cut=0.0, extra=0.0)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -3,7 +3,7 @@
 
 import collections
 
-# Seconds. A drained engine gets nothing new after DRAIN, a configuration is in force after
+# Seconds. An engine that is closed gets nothing new after DRAIN, a configuration is in force after
 # CONFIG, an ended job stops after CANCEL; SETTLE is what a process or the store may need to
 # be itself again after trouble, LATE how long after its deadline an answer may still come.
 DRAIN, CONFIG, CANCEL, SETTLE, LATE = 2.0, 2.0, 3.0, 3.0, 0.7
@@ -97,12 +97,14 @@
                 yield f"{run['id']}: ran {run['at'] - job.ended_at:.1f} s after its job's end"
 
 
-def drained_engines_rest(record):
+def closed_engines_rest(record):
     for run in record.runs:
-        since = run["at"] - record.drained.get(run["engine"], run["at"])
-        if since > DRAIN and not record.in_trouble(run["at"] - since - SETTLE, run["at"],
-                                                   kinds=GATEWAY_TROUBLE):
-            yield f"{run['id']}: reached {run['engine']} {since:.1f} s after it began to drain"
+        for closed in record.closed:
+            since = run["at"] - closed.begun
+            if closed.engine != run["engine"] or since <= DRAIN or run["at"] > closed.ended:
+                continue
+            if not record.in_trouble(run["at"] - DRAIN - SETTLE, run["at"], kinds=GATEWAY_TROUBLE):
+                yield f"{run['id']}: reached {run['engine']} {since:.1f} s after {closed.why}"
 
 
 def configuration_is_in_force(record):
@@ -130,7 +132,7 @@
 
 
 ALL = (whole_and_own, once, not_run_is_true, answered_in_time, shutdown_cuts_nothing,
-       items_exactly_once, ended_jobs_stop, drained_engines_rest, configuration_is_in_force,
+       items_exactly_once, ended_jobs_stop, closed_engines_rest, configuration_is_in_force,
        all_is_well_again)
 
 
--- a/soak/record.py
+++ b/soak/record.py
@@ -56,6 +56,15 @@
         return self.begun <= ended and begun <= self.ended
 
 
+@dataclasses.dataclass
+class Closed:
+    """While nothing new may go to an engine: it drains, or its entry can't be read."""
+    engine: str  # id
+    why: str
+    begun: float
+    ended: float = float("inf")
+
+
 @dataclasses.dataclass
 class Record:
     requests: list = dataclasses.field(default_factory=list)
@@ -63,7 +72,7 @@
     probes: list = dataclasses.field(default_factory=list)
     troubles: list = dataclasses.field(default_factory=list)
     runs: list = dataclasses.field(default_factory=list)
-    drained: dict = dataclasses.field(default_factory=dict)  # engine -> when it said so
+    closed: list = dataclasses.field(default_factory=list)
     routes: dict = dataclasses.field(default_factory=dict)   # added route -> when acknowledged
     final: list = dataclasses.field(default_factory=list)    # statuses after all has healed
     all_ready: bool = True
--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -18,7 +18,7 @@
 import gateways  # noqa: E402
 import promises  # noqa: E402
 import run as soak  # noqa: E402
-from record import Job, Probe, Record, Request, Trouble  # noqa: E402
+from record import Closed, Job, Probe, Record, Request, Trouble  # noqa: E402
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 # One for each way in which processes end, and one on top of a sick store.
@@ -98,9 +98,17 @@
                          {"ended_jobs_stop"})
         self.assertEqual(self.broken_by(jobs=[ended], runs=[ran("j-1", at=22.5)]), set())
 
-    def test_new_work_at_a_drained_engine(self):
-        self.assertEqual(self.broken_by(runs=[ran("x", at=12.5)], drained={"e1": 10.0}),
-                         {"drained_engines_rest"})
+    def test_new_work_at_a_closed_engine(self):
+        draining = Closed("e1", "it began to drain", 10.0)
+        self.assertEqual(self.broken_by(runs=[ran("x", at=12.5)], closed=[draining]),
+                         {"closed_engines_rest"})
+        self.assertEqual(self.broken_by(runs=[ran("x", at=11.9)], closed=[draining]), set())
+        readable_again = Closed("e1", "its entry became unreadable", 10.0, 12.0)
+        self.assertEqual(self.broken_by(runs=[ran("x", at=12.5)], closed=[readable_again]), set())
+        # Trouble that was over for long is no excuse.
+        kill = Trouble("kill", "g0", 9, 11)
+        self.assertEqual(self.broken_by(runs=[ran("x", at=17)], closed=[draining], troubles=[kill]),
+                         {"closed_engines_rest"})
 
     def test_a_configuration_that_is_late_or_goes_back(self):
         late = Probe("new", "g0", 7, 13.0, 404)
