--- a/soak/faults.py
+++ b/soak/faults.py
@@ -226,7 +226,7 @@
         self.foreign[index] = self.foreign.get(index, 0) + 1
         await self.write_bad_entry(engine["id"], index, variant)
         self.close(index, engine["id"], f"its entry became unreadable ({variant})")
-        await asyncio.sleep(fault.for_s + promises.DRAIN)
+        await asyncio.sleep(fault.for_s + 2 * promises.DRAIN)  # long enough for the check
         self.foreign[index] -= 1
         if self.foreign[index] or index in self.gone | self.unheard:
             return
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -98,12 +98,17 @@
 
 
 def closed_engines_rest(record):
+    # Whoever took a request sent it on, so that only its own trouble excuses it. The
+    # gateway that sent an item is not known.
+    taken_by = {request.id: request.gateway for request in record.requests}
     for run in record.runs:
         for closed in record.closed:
             since = run["at"] - closed.begun
             if closed.engine != run["engine"] or since <= DRAIN or run["at"] > closed.ended:
                 continue
-            if not record.in_trouble(run["at"] - DRAIN - SETTLE, run["at"], kinds=GATEWAY_TROUBLE):
+            gateway = taken_by.get(run["id"])
+            if not record.in_trouble(run["at"] - DRAIN - SETTLE, run["at"], gateway=gateway,
+                                     kinds=None if gateway else GATEWAY_TROUBLE):
                 yield f"{run['id']}: reached {run['engine']} {since:.1f} s after {closed.why}"
 
 
--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -102,6 +102,12 @@
         draining = Closed("e1", "it began to drain", 10.0)
         self.assertEqual(self.broken_by(runs=[ran("x", at=12.5)], closed=[draining]),
                          {"closed_engines_rest"})
+        # The trouble of another gateway than the one that took the request is no excuse.
+        sent = request(id="x", kind="resumable", gateway="g0", data=[])
+        for target, breaks in (("g1", {"closed_engines_rest"}), ("g0", set())):
+            kill = Trouble("kill", target, 11, 12)
+            self.assertEqual(self.broken_by(requests=[sent], runs=[ran("x", at=12.5)],
+                                            closed=[draining], troubles=[kill]), breaks)
         self.assertEqual(self.broken_by(runs=[ran("x", at=11.9)], closed=[draining]), set())
         readable_again = Closed("e1", "its entry became unreadable", 10.0, 12.0)
         self.assertEqual(self.broken_by(runs=[ran("x", at=12.5)], closed=[readable_again]), set())
