--- a/test/gateways.py
+++ b/test/gateways.py
@@ -8,34 +8,19 @@
 import json
 import os
 import pathlib
-import random
 import signal
-import socket
 import subprocess
 import sys
 import tempfile
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
-HOST = "farm.example"
-NEVER = 30  # seconds after which a condition counts as never met
-
-
-# Below the range from which the system takes the ports of outgoing connections: one that
-# it names as free may be such a port by the time at which a gateway wants to listen there.
-PORTS = range(15000, 30000)
+sys.path.append(str(ROOT / "support"))
 
+from ports import Ports  # noqa: E402
 
-def free_port():
-    while True:
-        port = random.choice(PORTS)
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            try:
-                tcp.bind(("127.0.0.1", port))
-                udp.bind(("127.0.0.1", port))
-                return port
-            except OSError:
-                continue  # taken; another one
+HOST = "farm.example"
+NEVER = 30  # seconds after which a condition counts as never met
 
 
 def wait_for(what, condition, seconds=NEVER):
@@ -87,11 +72,9 @@
 
 
 class Gateway:
-    def __init__(self, build, name, zone, store, folder, seeds=(), ports=None, options=()):
+    def __init__(self, build, name, zone, store, folder, ports, seeds=(), options=()):
         self.name, self.log = name, folder / f"{name}.log"
-        self.ports = ports or [free_port() for _ in range(4)]
-        self.callers, self.health, self.peers, self.metrics = (
-            f"127.0.0.1:{port}" for port in self.ports)
+        self.callers, self.health, self.peers, self.metrics = (ports.address() for _ in range(4))
         self.arguments = [
             build / "figmilld", "gateway", "--node", name, "--data-centre", zone,
             "--callers", self.callers, "--health", self.health, "--peers", self.peers,
@@ -111,6 +94,13 @@
     def ready(self):
         return call(self.health, "GET", "/", timeout=1)[0] == 200
 
+    def await_ready(self):
+        """Raises AssertionError, at once if the process has ended."""
+        wait_for(f"{self.name} is ready", lambda: self.process.poll() is not None or self.ready())
+        if self.process.poll() is not None:
+            last = self.log.read_text(errors="replace").splitlines()[-1:]
+            raise AssertionError(f"{self.name} ended with {self.process.returncode}: {last}")
+
     def stop(self):
         if self.process.poll() is None:
             self.process.kill()
@@ -128,20 +118,22 @@
         self.build, self.options = pathlib.Path(build).resolve(), options
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="figmill-gateways-"))
         self.world = World(**world)
+        self.ports = Ports()
         self.gateways = []
         for i in range(gateways):
             self.add(i)
 
     def add(self, i, store=None):
         gateway = Gateway(self.build, f"g{i}", f"north-{'ab'[i % 2]}", store or self.world.store,
-                          self.folder, [g.peers for g in self.gateways], options=self.options)
+                          self.folder, self.ports, [g.peers for g in self.gateways],
+                          self.options)
         self.gateways.append(gateway)
         return gateway
 
     def __enter__(self):
         try:
             for gateway in self.gateways:
-                wait_for(f"{gateway.name} is ready", gateway.ready)
+                gateway.await_ready()
         except AssertionError:
             self.__exit__(AssertionError)
             raise
@@ -153,6 +145,7 @@
         for gateway in self.gateways:
             gateway.stop()
         self.world.stop()
+        self.ports.release()
         if kind:
             print(f"logs are in {self.folder}", file=sys.stderr)
 
