--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -128,7 +128,7 @@
 void PeerTable::AskJoining(Watch& watch, Time now) const {
   for (const auto& [node, entry] : others_) {
     if (!entry.peer.joining || !IsLive(node, now)) continue;
-    const auto is_same = [&node](const Peer& peer) { return peer.node == node; };
+    const auto is_same = [&id = node](const Peer& peer) { return peer.node == id; };
     if (std::none_of(watch.to_ask.begin(), watch.to_ask.end(), is_same)) {
       watch.to_ask.push_back(entry.peer);
     }
