--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -82,7 +82,7 @@
     bool taking = false;
     std::optional<Time> free_since;  // nobody who is there owns it
     Time take_again_at{};            // after a try that failed
-    Time load_after{};  // its items could not be read
+    Time load_after{};               // its items could not be read
   };
 
   void OnRow(const TableMirror::Change& change);
