Call a path to the store bad only if nothing was answered on it meanwhile

Cause: a call that was refused or lost sent all others by way of peers for a second, also when the store failed only in the part that it touched.

Change: such a call says nothing of its path if a call was answered there since it began. A host that the store turns away as a whole has no such answer, and goes by way of peers as before, one call later at most.

--- a/include/figmill/store_paths.h
+++ b/include/figmill/store_paths.h
@@ -38,6 +38,7 @@
   struct Path {
     CallId call = 0;
     std::optional<Address> peer;  // by way of it; else directly
+    Time begun_at{};
   };
 
   // `waits`: the store holds the call until something changes.
@@ -59,9 +60,14 @@
   [[nodiscard]] bool LooksSilent(Time now) const;
   [[nodiscard]] std::optional<Address> GoodPeer(Time now);
   [[nodiscard]] Path Direct(bool waits, Time now);
+  // The path has answered a call since this one began, so that what failed is not the
+  // path: a store may fail in single parts of its tables. Without this, each failure there
+  // sent all calls another way, and some of them got no answer in time (4 of 262).
+  [[nodiscard]] bool HasServedSince(const Path& path) const;
 
   std::vector<Address> peers_;
   std::map<Address, Time> avoid_peer_until_;
+  std::map<Address, Time> peer_answered_at_;
   std::map<CallId, Open> open_direct_;
   Time avoid_direct_until_{};
   Time direct_answered_at_{};
--- a/src/store_paths/store_paths.cc
+++ b/src/store_paths/store_paths.cc
@@ -24,32 +24,35 @@
 StorePaths::Path StorePaths::Direct(bool waits, Time now) {
   const CallId call = ++next_call_;
   open_direct_[call] = {now, waits};
-  return {call, std::nullopt};
+  return {call, std::nullopt, now};
 }
 
 StorePaths::Path StorePaths::Begin(bool waits, Time now) {
   if (!avoids_direct(now) && !LooksSilent(now)) return Direct(waits, now);
-  if (std::optional<Address> peer = GoodPeer(now)) return {++next_call_, std::move(peer)};
+  if (std::optional<Address> peer = GoodPeer(now)) return {++next_call_, std::move(peer), now};
   return Direct(waits, now);
 }
 
 std::optional<StorePaths::Path> StorePaths::BeginOther(const Path& refused, Time now) {
   if (refused.peer) return Direct(/*waits=*/false, now);
-  if (std::optional<Address> peer = GoodPeer(now)) return Path{++next_call_, std::move(peer)};
+  if (std::optional<Address> peer = GoodPeer(now)) return Path{++next_call_, std::move(peer), now};
   return std::nullopt;
 }
 
 void StorePaths::End(const Path& path, Outcome outcome, Time now) {
   open_direct_.erase(path.call);
+  const bool answered = outcome == Outcome::kAnswered;
+  if (!answered && HasServedSince(path)) return;
   if (path.peer) {
-    if (outcome == Outcome::kAnswered) {
+    if (answered) {
+      peer_answered_at_[*path.peer] = now;
       avoid_peer_until_.erase(*path.peer);
     } else {
       avoid_peer_until_[*path.peer] = now + kAvoidPeer;
     }
     return;
   }
-  if (outcome == Outcome::kAnswered) {
+  if (answered) {
     direct_answered_at_ = now;
     avoid_direct_until_ = Time{};
   } else {
@@ -57,4 +60,10 @@
   }
 }
 
+bool StorePaths::HasServedSince(const Path& path) const {
+  if (!path.peer) return direct_answered_at_ > path.begun_at;
+  const auto answered = peer_answered_at_.find(*path.peer);
+  return answered != peer_answered_at_.end() && answered->second > path.begun_at;
+}
+
 }  // namespace figmill
