End what ran at a backend server that has started again, and free its places

A backend server may start again under its id; its entry then differs in the time of its start alone, which nothing read. Its entry is decoded into a typed incarnation, a later one is a change of its own, and an earlier one that comes late is not taken. The place book starts a fresh record for it; a place is taken in a record, so that late ends count for nothing at the next one. Open sends to the ended incarnation end when the row comes, unless they still give bytes: then they were sent to the new one.

Ruled out: closing all connections to its address. One of a request that crossed the restart leads to the new incarnation, and such a request would fail for nothing.

--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -36,8 +36,10 @@
   DataCentre data_centre;
   int places = 1;  // requests that run at once
   BackendState state = BackendState::kReady;
+  BackendIncarnation incarnation = {};
   bool operator==(const BackendInfo&) const = default;
 };
+[[nodiscard]] BackendAddress AddressOf(const BackendInfo& info);
 
 // --- Health ------------------------------------------------------------------------
 
@@ -92,6 +94,14 @@
   std::span<const BackendId> tried;  // never picked again
 };
 
+// A place of a backend server that this entry has taken for one send.
+struct TakenPlace {
+  BackendId backend;
+  WorkClass work = WorkClass::kOnline;
+  // Of what the book knew of the backend server then; 0: nothing.
+  std::uint64_t record = 0;
+};
+
 class PlaceBook {
  public:
   // Online requests that may wait in a full engine's own queue. Each waits for
@@ -121,7 +131,9 @@
   PlaceBook(DataCentre here, RandomBits random)
       : here_(std::move(here)), random_(std::move(random)) {}
 
-  // Adds it or changes what is known of it.
+  // Adds it or changes what is known of it. A new incarnation starts with a fresh record: its
+  // places are free, and nothing is held against it. Otherwise a backend server that has
+  // started again stays left out for the faults and the silence of what ran there before.
   void Learn(const BackendInfo& info);
   void Forget(const BackendId& id);
   [[nodiscard]] const BackendInfo* Find(const BackendId& id) const;
@@ -134,11 +146,13 @@
   // Errors: kNoBackend (none is left to try), kOverloaded (all are full); ran no.
   [[nodiscard]] Result<BackendAddress> Choose(const PlaceQuery& query, Time now);
 
-  void Began(const BackendId& id, WorkClass work, Time now);
-  // Any byte of an answer came from it.
-  void Heard(const BackendId& id, Time now);
+  [[nodiscard]] TakenPlace Began(const BackendId& id, WorkClass work, Time now);
+  // Any byte of an answer came from it. A place of an earlier record counts for nothing, here
+  // and when it ends: without this, late ends of sends to an ended incarnation would free places
+  // that others use at the new one, and their faults would leave it out.
+  void Heard(const TakenPlace& place, Time now);
   // `took`: from its send to its end.
-  void Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Duration took, Time now);
+  void Ended(const TakenPlace& place, relay::SendEnd end, Duration took, Time now);
   // What the backend server's keeper says: what other entries have there, and how
   // many batch items this one may have.
   // And whether it is left out for what others have seen of it.
@@ -164,6 +178,7 @@
  private:
   struct Backend {
     BackendInfo info;
+    std::uint64_t record = 0;  // another one with each fresh record
     PlaceUse use;
     FaultRate fault_rate;
     bool ejected_by_keeper = false;
@@ -175,6 +190,8 @@
     [[nodiscard]] bool LooksDead(Time now) const;
     [[nodiscard]] bool IsSound(Time now) const;
   };
+  // The record that the place was taken in; null: it is gone.
+  [[nodiscard]] Backend* RecordOf(const TakenPlace& place);
   [[nodiscard]] double Cost(const Backend& backend) const;
   [[nodiscard]] const Backend& Draw(std::vector<const Backend*>& open);
   [[nodiscard]] std::vector<const Backend*> Usable(const PlaceQuery& query, Time now) const;
@@ -183,6 +200,7 @@
   DataCentre here_;
   RandomBits random_;
   std::map<BackendId, Backend> backends_;
+  std::uint64_t last_record_ = 0;
   std::function<void(const BackendId&)> on_use_ = [](const BackendId&) {};
 };
 
--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -22,15 +22,31 @@
 
 namespace figmill {
 
-// A backend server in one incarnation.
+// A backend server. One that starts again may keep its id.
 struct BackendId {
   std::string value;
   auto operator<=>(const BackendId&) const = default;
   [[nodiscard]] bool empty() const { return value.empty(); }
 };
+
+// One life of a backend server, from a start of its process to its end. A later one has a
+// higher number, and nothing of what an earlier one held or was sent.
+struct BackendIncarnation {
+  std::uint64_t number = 0;  // 0: not known
+  auto operator<=>(const BackendIncarnation&) const = default;
+  [[nodiscard]] bool known() const { return number != 0; }
+};
+// Whether `now` began after `before` had ended. One that is not known is neither before nor
+// after any other.
+[[nodiscard]] inline bool IsLater(BackendIncarnation now, BackendIncarnation before) {
+  return before.known() && now > before;
+}
+
+// Where a backend server is reached, and in which incarnation it was when it was chosen.
 struct BackendAddress {
   BackendId id;
   Address address;
+  BackendIncarnation incarnation = {};
 };
 
 // Numbers the sends of one request; events of an earlier one are late and dropped.
@@ -94,10 +110,15 @@
   bool sent = true;
   std::string why;
 };
+// The incarnation of the backend server that it was sent to has ended.
+struct BackendRestarted {
+  SendNumber send = 0;
+};
 struct TimerFired {};
 struct CallerGone {};
 
-using Event = std::variant<Start, Placed, NoPlace, Head, Bytes, End, Broke, TimerFired, CallerGone>;
+using Event = std::variant<Start, Placed, NoPlace, Head, Bytes, End, Broke, BackendRestarted,
+                           TimerFired, CallerGone>;
 
 // --- Actions -----------------------------------------------------------------------
 
@@ -222,6 +243,7 @@
   void On(Time now, const relay::Bytes& event);
   void On(Time now, const relay::End& event);
   void On(Time now, const relay::Broke& event);
+  void On(Time now, const relay::BackendRestarted& event);
   void On(Time now, const relay::TimerFired& event);
   void On(Time now, const relay::CallerGone& event);
 
--- a/src/fleet/place_book.cc
+++ b/src/fleet/place_book.cc
@@ -39,8 +39,18 @@
   return !ejected_by_keeper && !fault_rate.IsEjected(now) && !LooksDead(now);
 }
 
+BackendAddress AddressOf(const BackendInfo& info) {
+  return {info.id, info.address, info.incarnation};
+}
+
 void PlaceBook::Learn(const BackendInfo& info) {
-  backends_[info.id].info = info;
+  const auto [at, added] = backends_.try_emplace(info.id);
+  Backend& backend = at->second;
+  const bool restarted = !added && IsLater(info.incarnation, backend.info.incarnation);
+  if (restarted) backend = Backend{};
+  if (added || restarted) backend.record = ++last_record_;
+  backend.info = info;
+  if (restarted) on_use_(info.id);
 }
 
 void PlaceBook::Forget(const BackendId& id) {
@@ -107,7 +117,7 @@
   });
   if (open.empty()) return std::nullopt;
   const Backend& best = Draw(open);
-  return BackendAddress{best.info.id, best.info.address};
+  return AddressOf(best.info);
 }
 
 Result<BackendAddress> PlaceBook::Choose(const PlaceQuery& query, Time now) {
@@ -119,40 +129,43 @@
   if (open.empty()) {
     return Error{ErrorKind::kOverloaded, "all backend servers are full", Ran::kNo};
   }
-  const Backend& best = Draw(open);
-  return BackendAddress{best.info.id, best.info.address};
+  return AddressOf(Draw(open).info);
 }
 
-void PlaceBook::Began(const BackendId& id, WorkClass work, Time now) {
+TakenPlace PlaceBook::Began(const BackendId& id, WorkClass work, Time now) {
   const auto found = backends_.find(id);
-  if (found == backends_.end()) return;
+  if (found == backends_.end()) return {id, work, 0};
   Backend& backend = found->second;
   if (backend.open() == 0) backend.sign_at = now;
   ++(work == WorkClass::kOnline ? backend.use.online : backend.use.batch);
   on_use_(id);
+  return {id, work, backend.record};
 }
 
-void PlaceBook::Heard(const BackendId& id, Time now) {
-  const auto found = backends_.find(id);
-  if (found == backends_.end()) return;
-  Backend& backend = found->second;
-  backend.usual_pause += (now - backend.sign_at - backend.usual_pause) / kPausesForUsual;
-  backend.sign_at = now;
+PlaceBook::Backend* PlaceBook::RecordOf(const TakenPlace& place) {
+  const auto found = backends_.find(place.backend);
+  if (found == backends_.end() || found->second.record != place.record) return nullptr;
+  return &found->second;
 }
 
-void PlaceBook::Ended(const BackendId& id, WorkClass work, relay::SendEnd end, Duration took,
-                      Time now) {
-  const auto found = backends_.find(id);
-  if (found == backends_.end()) return;
-  Backend& backend = found->second;
-  int& mine = work == WorkClass::kOnline ? backend.use.online : backend.use.batch;
-  mine = std::max(0, mine - 1);
-  if (work == WorkClass::kOnline && end == relay::SendEnd::kAnswered) {
-    Duration& usual = backend.use.usual_run;
+void PlaceBook::Heard(const TakenPlace& place, Time now) {
+  Backend* backend = RecordOf(place);
+  if (backend == nullptr) return;
+  backend->usual_pause += (now - backend->sign_at - backend->usual_pause) / kPausesForUsual;
+  backend->sign_at = now;
+}
+
+void PlaceBook::Ended(const TakenPlace& place, relay::SendEnd end, Duration took, Time now) {
+  Backend* backend = RecordOf(place);
+  if (backend == nullptr) return;
+  const bool online = place.work == WorkClass::kOnline;
+  --(online ? backend->use.online : backend->use.batch);
+  if (online && end == relay::SendEnd::kAnswered) {
+    Duration& usual = backend->use.usual_run;
     usual = usual.count() == 0 ? took : usual + (took - usual) / kRunsForUsual;
   }
-  Judge(backend, work, end, now);
-  on_use_(id);
+  Judge(*backend, place.work, end, now);
+  on_use_(place.backend);
 }
 
 void PlaceBook::Judge(Backend& backend, WorkClass work, relay::SendEnd end, Time now) {
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -195,23 +195,26 @@
        {"batch", std::to_string(use.batch + use.batch_other)}});
   Run& run = runs_[key];
   run = Run{};
-  run.backend = {backend.id, backend.address};
-  run.number = ++next_number_;
+  run.backend = AddressOf(backend);
   run.started_at = run.heard_at = Loop::Now();
   run.due = due;
-  tools_.places.Began(backend.id, WorkClass::kBatch, run.started_at);
+  run.place = tools_.places.Began(backend.id, WorkClass::kBatch, run.started_at);
+  run.number = tools_.sends.Add(run.backend, run.started_at, [this, key] {
+    Requeue(key, relay::SendEnd::kBroken, "the backend server has started again", Duration{0});
+  });
   run.cancel = tools_.client.Start(
       std::move(call),
       [this, key, number = run.number](HttpEvent event) { OnHttp(key, number, std::move(event)); });
 }
 
-void BatchRunner::OnHttp(const JobItemRef& key, std::uint64_t number, HttpEvent event) {
+void BatchRunner::OnHttp(const JobItemRef& key, OpenSends::Number number, HttpEvent event) {
   const auto found = runs_.find(key);
   if (found == runs_.end() || found->second.number != number) return;
   Run& run = found->second;
   run.heard_at = Loop::Now();
   if (!std::holds_alternative<HttpFailure>(event)) {
-    tools_.places.Heard(run.backend.id, run.heard_at);
+    tools_.places.Heard(run.place, run.heard_at);
+    tools_.sends.Heard(run.number, run.heard_at);
   }
   std::visit(Overloaded{
                  [&](const HttpHead& head) { OnHead(key, head); },
@@ -289,7 +292,8 @@
   runs_.erase(found);
   run.cancel();
   const Time now = Loop::Now();
-  tools_.places.Ended(run.backend.id, WorkClass::kBatch, end, now - run.started_at, now);
+  tools_.sends.Remove(run.number);
+  tools_.places.Ended(run.place, end, now - run.started_at, now);
 }
 
 void BatchRunner::Requeue(const JobItemRef& key, relay::SendEnd end, std::string_view why,
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -48,7 +48,8 @@
  private:
   struct Run {
     BackendAddress backend;
-    std::uint64_t number = 0;
+    TakenPlace place;
+    OpenSends::Number number = 0;
     CancelCall cancel;
     bool answering = false;
     Time started_at{};
@@ -65,7 +66,7 @@
   void StartAllowed();
   bool StartOn(const BackendInfo& backend);
   void Start(const JobItemRef& key, StoreTime due, const BackendInfo& backend);
-  void OnHttp(const JobItemRef& key, std::uint64_t number, HttpEvent event);
+  void OnHttp(const JobItemRef& key, OpenSends::Number number, HttpEvent event);
   void OnHead(const JobItemRef& key, const HttpHead& head);
   void OnBytes(const JobItemRef& key, std::string_view bytes);
   void OnEnd(const JobItemRef& key);
@@ -90,7 +91,6 @@
   std::shared_ptr<const RouteTable> routes_;
   ItemWork work_;
   std::map<JobItemRef, Run> runs_;
-  std::uint64_t next_number_ = 0;
   bool check_routes_ = false;  // of open items: the configuration or the jobs have changed
   Timer sweep_timer_, keep_timer_;
 };
--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -1,23 +1,34 @@
 #include "gateway/fleet_view.h"
 
+#include <utility>
+
 namespace figmill {
 namespace {
 
-// Those of `some` that `others` don't have at the same address.
-void AddMissing(const std::map<BackendId, BackendInfo>& some,
-                const std::map<BackendId, BackendInfo>& others, std::vector<Address>& addresses) {
+// Those of `some` that `others` don't have at the same address in the same incarnation.
+void AddMissing(const BackendList& some, const BackendList& others,
+                std::vector<Address>& addresses) {
   for (const auto& [id, info] : some) {
     const auto found = others.find(id);
-    if (found == others.end() || found->second.address != info.address) {
-      addresses.push_back(info.address);
-    }
+    const bool same = found != others.end() && found->second.address == info.address &&
+                      found->second.incarnation == info.incarnation;
+    if (!same) addresses.push_back(info.address);
   }
 }
 
 }  // namespace
 
-std::vector<Address> ChangedAddresses(const std::map<BackendId, BackendInfo>& before,
-                                      const std::map<BackendId, BackendInfo>& now) {
+ListChange List(BackendList& backends, BackendInfo&& info) {
+  BackendInfo& mine = backends[info.id];
+  if (!info.incarnation.known()) info.incarnation = mine.incarnation;
+  if (IsLater(mine.incarnation, info.incarnation)) return ListChange::kOutdated;
+  if (mine == info) return ListChange::kNone;
+  const bool restarted = IsLater(info.incarnation, mine.incarnation);
+  mine = std::move(info);
+  return restarted ? ListChange::kRestarted : ListChange::kUpdated;
+}
+
+std::vector<Address> ChangedAddresses(const BackendList& before, const BackendList& now) {
   std::vector<Address> addresses;
   AddMissing(before, now, addresses);
   AddMissing(now, before, addresses);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -3,6 +3,7 @@
 // What traffic needs to know of the configuration and the backend servers: an
 // immutable view that the control thread publishes.
 
+#include <cstdint>
 #include <map>
 #include <memory>
 #include <vector>
@@ -13,17 +14,30 @@
 
 namespace figmill {
 
+using BackendList = std::map<BackendId, BackendInfo>;
+
 struct FleetView {
   std::shared_ptr<const RouteTable> routes;  // null: no configuration is known yet
-  std::map<BackendId, BackendInfo> backends;
+  BackendList backends;
   bool backends_listed = false;     // the list has been read whole at least once
   RowVersion backends_version = 0;  // of the list
 };
 
-// Addresses at which another backend server listens now, or none. Connections kept to
-// them lead to one that is gone: a request on such a connection is reset, and may not be
-// sent again if it is not idempotent.
-[[nodiscard]] std::vector<Address> ChangedAddresses(const std::map<BackendId, BackendInfo>& before,
-                                                    const std::map<BackendId, BackendInfo>& now);
+// What an entry of the list changed.
+enum class ListChange : std::uint8_t {
+  kNone,
+  kUpdated,
+  kRestarted,  // the entry is of a later incarnation
+  kOutdated,   // the entry is of an earlier incarnation, and was not taken
+};
+// Takes an entry into the list. One that doesn't say its incarnation leaves the one that is
+// known: nothing in it says that the backend server started again.
+[[nodiscard]] ListChange List(BackendList& backends, BackendInfo&& info);
+
+// Addresses at which another backend server listens now, another incarnation, or none.
+// Connections kept to them lead to one that is gone: a request on such a connection is reset,
+// and may not be sent again if it is not idempotent.
+[[nodiscard]] std::vector<Address> ChangedAddresses(const BackendList& before,
+                                                    const BackendList& now);
 
 }  // namespace figmill
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -3,6 +3,22 @@
 #include <utility>
 
 namespace figmill {
+namespace {
+
+std::string_view EventOf(ListChange change) {
+  switch (change) {
+    case ListChange::kRestarted:
+      return "backend_restarted";
+    case ListChange::kOutdated:
+      return "backend_outdated";
+    case ListChange::kNone:
+    case ListChange::kUpdated:
+      break;
+  }
+  return "backend_listed";
+}
+
+}  // namespace
 
 FleetWatch::FleetWatch(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter,
                        Metrics& metrics,
@@ -58,16 +74,19 @@
   Result<BackendInfo> info = adapter_.ParseBackend(id.value, change.row->value);
   if (!IsOk(info)) return OnUnreadableBackend(id, change.row->version, ErrorOf(info));
   refused_backends_.Forget(id.value);
-  BackendInfo& mine = view_.backends[id];
-  if (mine == ValueOf(info)) return;
-  mine = std::move(ValueOf(info));
-  Log(LogLevel::kInfo, "backend_listed",
+  const BackendIncarnation told = ValueOf(info).incarnation;
+  const ListChange made = List(view_.backends, std::move(ValueOf(info)));
+  if (made == ListChange::kNone) return;
+  const BackendInfo& mine = view_.backends.at(id);
+  Log(LogLevel::kInfo, EventOf(made),
       {{"backend", id.value},
+       {"told_incarnation", std::to_string(told.number)},
+       {"incarnation", std::to_string(mine.incarnation.number)},
        {"service", mine.service.value},
        {"address", ToString(mine.address)},
        {"state", std::string(ToString(mine.state))},
        {"row_version", std::to_string(change.row->version)}});
-  changed_ = true;
+  changed_ |= made != ListChange::kOutdated;
 }
 
 // Left in force as it was, an entry that another writer has spoilt would draw requests to a
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -14,6 +14,7 @@
 #include "gateway/job_desk.h"
 #include "gateway/job_store.h"
 #include "gateway/member_watch.h"
+#include "gateway/open_sends.h"
 #include "gateway/peer_link.h"
 #include "gateway/store_caller.h"
 
@@ -104,7 +105,7 @@
                [this](const Peer& peer) { control_.RemoveMember(peer); },
                [this](const Peer& self) { control_.Rename(self); }}),
         finder_(loop_, places_, link_),
-        tools_{loop_, client_, places_, finder_, adapter.names(), gateway_metrics_},
+        tools_{loop_, client_, places_, finder_, sends_, adapter.names(), gateway_metrics_},
         jobs_(loop_, clocked_tables_, metrics_, peers_, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
                  runner_.OnOwned(job, progress);
@@ -226,6 +227,21 @@
     for (const auto& [id, info] : view->backends) backends.push_back(info);
     link_.SetBackends(std::move(backends));
     if (view->backends_listed) link_.Joined();
+    EndOutdatedSends();
+  }
+
+  // After the place book has heard of the new incarnations: what ends here goes on at them.
+  void EndOutdatedSends() {
+    const OpenSends::Ended ended = sends_.EndOutdated(backends_, Loop::Now());
+    if (ended.lost > 0) {
+      Log(LogLevel::kWarning, "sends_lost",
+          {{"why", "their backend server has started again"},
+           {"sends", std::to_string(ended.lost)},
+           {"in_doubt", std::to_string(ended.in_doubt)}});
+      runner_.Pump();
+    }
+    if (ended.in_doubt == 0) return outdated_timer_.Reset();
+    outdated_timer_ = loop_.After(OpenSends::kSignOfLife, [this] { EndOutdatedSends(); });
   }
 
   bool Listen(const Address& at, std::unique_ptr<HttpServer>& server, HttpHandler handler) {
@@ -275,7 +291,8 @@
   StoreClock clock_;
   ClockedTables clocked_tables_;
   PlaceBook places_;
-  std::map<BackendId, BackendInfo> backends_;  // of the view in use
+  BackendList backends_;  // of the view in use
+  OpenSends sends_;
   PeerTable peers_;
   PeerLink link_;
   PlaceFinder finder_;
@@ -287,7 +304,7 @@
   std::unique_ptr<HttpServer> callers_, health_, peers_server_, metrics_server_;
   bool leaving_ = false;
   bool jobs_left_ = false;
-  Timer grace_timer_, idle_timer_, last_request_timer_, peers_timer_;
+  Timer grace_timer_, idle_timer_, last_request_timer_, peers_timer_, outdated_timer_;
   Control control_;
 };
 
--- /dev/null
+++ b/src/gateway/open_sends.h
@@ -0,0 +1,55 @@
+#pragma once
+
+// The sends of this entry that are open, by the incarnation of the backend server that they
+// went to. No I/O: the caller passes the time in.
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include "figmill/fleet.h"
+#include "gateway/fleet_view.h"
+
+namespace figmill {
+
+// Ends what was sent to an incarnation that has ended. A host that lost its power resets no
+// connection: without this its streams and items stand still until their silence is noticed,
+// and requests that may not be repeated until their deadlines.
+class OpenSends {
+ public:
+  // A send that was heard within this time may be at the new incarnation: it was sent after the
+  // start, and before this entry had heard of it. Ended at once, a request that may not be
+  // repeated would fail for nothing. Backend servers give an event each 10 to 40 ms, so that
+  // the bytes of an ended one are older than this soon.
+  static constexpr Duration kSignOfLife{100'000};
+
+  using Number = std::uint64_t;
+  using OnLost = std::function<void()>;
+
+  [[nodiscard]] Number Add(const BackendAddress& backend, Time now, OnLost on_lost);
+  void Heard(Number send, Time now);
+  void Remove(Number send);
+
+  struct Ended {
+    int lost = 0;
+    int in_doubt = 0;  // call again after kSignOfLife
+  };
+  // Calls `on_lost` of those whose incarnation has ended, by the list.
+  Ended EndOutdated(const BackendList& listed, Time now);
+
+ private:
+  struct Send {
+    BackendId backend;
+    BackendIncarnation incarnation;
+    Time heard_at{};
+    Time doubted_at{};  // when a later incarnation was first listed; the start of time: never
+    OnLost on_lost;
+  };
+  enum class Fate : std::uint8_t { kOpen, kInDoubt, kLost };
+  static Fate Judge(Send& send, const BackendInfo& listed, Time now);
+
+  std::map<Number, Send> sends_;
+  Number last_ = 0;
+};
+
+}  // namespace figmill
--- a/src/gateway/place_finder.cc
+++ b/src/gateway/place_finder.cc
@@ -39,7 +39,7 @@
     finder_.link_.ActedOn(keeper_, search_.number());
     const BackendInfo* info = finder_.places_.Find(take.backend);
     if (info != nullptr && finder_.places_.IsUsable(take.backend, Loop::Now())) {
-      return Finish(BackendAddress{info->id, info->address});
+      return Finish(AddressOf(*info));
     }
     // The keeper has not heard yet that it leaves, or that it is silent to this entry.
     const bool leaves = info == nullptr || info->state != BackendState::kReady;
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -102,8 +102,17 @@
        {"batch_other", std::to_string(use.batch_other)},
        {"use_age_ms", AgeMs(use.known_at)},
        {"left_ms", Milliseconds(action.time_left)}});
+  BeginSend(action);
+}
+
+void RelayCall::BeginSend(const relay::Send& action) {
   sent_at_ = Loop::Now();
-  tools_.places.Began(action.backend.id, WorkClass::kOnline, sent_at_);
+  place_ = tools_.places.Began(action.backend.id, WorkClass::kOnline, sent_at_);
+  open_send_ =
+      tools_.sends.Add(action.backend, sent_at_, [weak = weak_from_this(), send = action.send] {
+        const auto self = weak.lock();
+        if (self) self->Step(relay::BackendRestarted{send});
+      });
   cancel_ = tools_.client.Start(CallFor(action),
                                 [self = shared_from_this(), send = action.send](HttpEvent event) {
                                   self->OnHttp(send, std::move(event));
@@ -113,7 +122,8 @@
 void RelayCall::OnHttp(SendNumber send, HttpEvent event) {
   const WireNames& names = tools_.names;
   if (!std::holds_alternative<HttpFailure>(event)) {
-    tools_.places.Heard(BackendId{backend_}, Loop::Now());
+    tools_.places.Heard(place_, Loop::Now());
+    tools_.sends.Heard(open_send_, Loop::Now());
   }
   std::visit(Overloaded{
                  [&](HttpHead& head) {
@@ -138,7 +148,8 @@
 void RelayCall::Do(const relay::SendOver& action) {
   if (const CancelCall cancel = std::exchange(cancel_, nullptr)) cancel();
   const Time now = Loop::Now();
-  tools_.places.Ended(action.backend.id, WorkClass::kOnline, action.end, now - sent_at_, now);
+  tools_.sends.Remove(open_send_);
+  tools_.places.Ended(place_, action.end, now - sent_at_, now);
   tools_.metrics.SendEnded(action.end);
   if (action.end == relay::SendEnd::kAnswered) return;
   Log(LogLevel::kInfo, "send_over",
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -12,6 +12,7 @@
 #include "figmill/gateway.h"
 #include "figmill/relay.h"
 #include "gateway/gateway_metrics.h"
+#include "gateway/open_sends.h"
 #include "gateway/place_finder.h"
 
 namespace figmill {
@@ -22,6 +23,7 @@
   ExchangeClient& client;
   PlaceBook& places;
   PlaceFinder& finder;
+  OpenSends& sends;
   const WireNames& names;
   GatewayMetrics& metrics;
   bool leaving = false;  // answers from now on end their connections
@@ -60,6 +62,7 @@
   void Do(const relay::BreakOff& action);
   void Do(const relay::SetTimer& action);
   void OnHttp(SendNumber send, HttpEvent event);
+  void BeginSend(const relay::Send& action);
   void Finished(std::string_view outcome, const std::string& why);
   [[nodiscard]] HttpCall CallFor(const relay::Send& action) const;
   [[nodiscard]] HttpResponse ResponseOf(HttpHead head, std::string body) const;
@@ -71,6 +74,8 @@
   std::shared_ptr<HttpReply> reply_;
   std::function<void()> finished_;
   CancelCall cancel_;
+  TakenPlace place_;
+  OpenSends::Number open_send_ = 0;
   std::shared_ptr<PlaceFinder::Search> search_;
   Timer timer_;
   Time timer_at_{};
--- a/src/relay/relay_run.cc
+++ b/src/relay/relay_run.cc
@@ -161,6 +161,15 @@
   TryElsewhere(now, relay::SendEnd::kBroken, event.why, Ran::kUnknown);
 }
 
+// Whether it ran can't be known: it may have run at the incarnation that has ended, and a
+// request that crossed the restart runs at the new one, which goes by the same id. The new one
+// may be tried: it is as good as any other backend server.
+void RelayRun::On(Time now, const relay::BackendRestarted& event) {
+  if (!IsCurrent(event.send)) return;
+  std::erase(tried_, backend_.id);
+  TryElsewhere(now, relay::SendEnd::kBroken, "the backend server has started again", Ran::kUnknown);
+}
+
 void RelayRun::On(Time now, const relay::TimerFired& /*event*/) {
   if (now >= plan_.limit) return OnTimeUp();
   if (state_ != State::kSent && state_ != State::kAnswering) return;
--- a/test/backend-restart-test.py
+++ b/test/backend-restart-test.py
@@ -33,8 +33,8 @@
     nothing but the time of its start; open connections to it stay open and say nothing. The
     cause: an entry that was equal otherwise was taken for no change."""
 
-    def begin(self, **world):
-        self.fleet = Fleet(BUILD, gateways=1, services=1, **world).__enter__()
+    def begin(self, gateways=1, **world):
+        self.fleet = Fleet(BUILD, gateways=gateways, services=1, **world).__enter__()
         self.addCleanup(self.fleet.__exit__, None)
         self.gateway = self.fleet.gateways[0]
 
@@ -50,8 +50,8 @@
         told = self.fleet.world.do("engine", index=index, act=act)
         return told["id"], time.monotonic()
 
-    async def ask(self, path, request_id, tokens=LONG):
-        connection = Connection(self.gateway.callers)
+    async def ask(self, path, request_id, tokens=LONG, gateway=0):
+        connection = Connection(self.fleet.gateways[gateway].callers)
         try:
             return await connection.request("POST", path, headers(request_id, tokens))
         finally:
@@ -101,19 +101,26 @@
             self.assertLess(answer.ended_at - at, AT_ONCE)
         self.assertEqual(sorted(run["id"] for run in runs), sorted(lost))
 
-    def test_places_of_the_ended_incarnation_are_free(self):
-        self.begin(engines=1, places=2)
-
+    def fill_and_restart(self, asker):
+        """Answers of this gateway to new streams, after gateway 0 had taken all places."""
         async def play():
             asks = [asyncio.create_task(self.ask("/flags/1", f"old{i}")) for i in range(2)]
             await asyncio.to_thread(self.open_runs, 2)
             await asyncio.to_thread(self.restart)
-            await asyncio.sleep(0.2)
-            new = await asyncio.gather(*(self.ask("/flags/1", f"new{i}", 20) for i in range(2)))
+            await asyncio.sleep(0.3)
+            new = await asyncio.gather(*(self.ask("/flags/1", f"new{i}", 20, asker)
+                                         for i in range(2)))
             await asyncio.gather(*asks)
             return new
-        for answer in asyncio.run(play()):
-            self.assertEqual((answer.status, answer.whole), (200, True))
+        return [(answer.status, answer.whole) for answer in asyncio.run(play())]
+
+    def test_places_of_the_ended_incarnation_are_free(self):
+        self.begin(engines=1, places=2)
+        self.assertEqual(self.fill_and_restart(0), [(200, True)] * 2)
+
+    def test_places_that_another_gateway_had_at_the_ended_incarnation_are_free(self):
+        self.begin(gateways=2, engines=1, places=2)
+        self.assertEqual(self.fill_and_restart(1), [(200, True)] * 2)
 
     def test_items_go_on_at_once_from_what_had_arrived(self):
         self.begin(engines=2, places=4)
@@ -135,6 +142,22 @@
         self.assertEqual(done, {f"j1-{n}": output_of(f"j1-{n}", LONG) for n in range(8)})
         self.assert_go_on_at_once(lost, at, self.fleet.world.runs())
 
+    def test_streams_that_were_sent_to_the_new_incarnation_before_its_entry_came_go_on(self):
+        """A backend server starts again while it can't reach the store, and serves what is sent
+        to it; then its entry comes, and tells of a restart."""
+        self.begin(engines=1, places=8)
+        self.fleet.world.do("engine", index=0, muted=True, act="restart_dark")
+
+        async def play():
+            asks = [asyncio.create_task(self.ask("/flags/1", f"r{i}")) for i in range(4)]
+            await asyncio.to_thread(self.open_runs, 4)
+            await asyncio.to_thread(self.fleet.world.do, "engine", index=0, muted=False,
+                                    act="list")
+            return await asyncio.gather(*asks)
+        answers = asyncio.run(play())
+        self.assertTrue(self.gateway.lines("backend_restarted"))
+        self.assertTrue(all(answer.whole for answer in answers))
+
     def test_an_entry_of_an_earlier_incarnation_that_comes_late_changes_nothing(self):
         self.begin(engines=1, places=8)
         engine, _ = self.restart()
--- a/test/fleet-health-test.cc
+++ b/test/fleet-health-test.cc
@@ -27,8 +27,8 @@
     }
   }
   void End(int engine, relay::SendEnd end, Time now, WorkClass work = WorkClass::kOnline) {
-    book.Began(Engine(engine), work, now);
-    book.Ended(Engine(engine), work, end, kMillisecond, now);
+    const TakenPlace place = book.Began(Engine(engine), work, now);
+    book.Ended(place, end, kMillisecond, now);
   }
   // How often each engine is chosen.
   std::map<BackendId, int> Choices(Time now) {
@@ -89,12 +89,12 @@
 // Sequence: its host loses power; connections to it stay open and say nothing.
 TEST_CASE("a backend server that gives no sign of life gets nothing more until it gives one") {
   Book b;
-  b.book.Began(Engine(0), WorkClass::kOnline, kStart);
+  const TakenPlace place = b.book.Began(Engine(0), WorkClass::kOnline, kStart);
   CHECK(b.book.IsUsable(Engine(0), kStart + PlaceBook::kSilence));
   const Time silent = kStart + PlaceBook::kSilence + kMillisecond;
   CHECK_FALSE(b.book.IsUsable(Engine(0), silent));
   CHECK(b.Choices(silent)[Engine(0)] == 0);
-  b.book.Heard(Engine(0), silent);
+  b.book.Heard(place, silent);
   CHECK(b.book.IsUsable(Engine(0), silent));
 }
 
@@ -102,12 +102,12 @@
   Book b;
   Time now = kStart;
   for (int i = 0; i < 40; ++i) {
-    b.book.Began(Engine(0), WorkClass::kOnline, now);
+    const TakenPlace place = b.book.Began(Engine(0), WorkClass::kOnline, now);
     now += 1'000 * kMillisecond;
-    b.book.Heard(Engine(0), now);
-    b.book.Ended(Engine(0), WorkClass::kOnline, relay::SendEnd::kAnswered, kMillisecond, now);
+    b.book.Heard(place, now);
+    b.book.Ended(place, relay::SendEnd::kAnswered, kMillisecond, now);
   }
-  b.book.Began(Engine(0), WorkClass::kOnline, now);
+  (void)b.book.Began(Engine(0), WorkClass::kOnline, now);
   CHECK(b.book.IsUsable(Engine(0), now + 3'000 * kMillisecond));
 }
 
--- a/test/foreign-entries-test.cc
+++ b/test/foreign-entries-test.cc
@@ -250,8 +250,8 @@
   f.Until([&] { return f.Is("i-1", BackendState::kReady) && f.Is("i-2", BackendState::kReady); });
   PlaceBook book(DataCentre{"north-a"}, SystemRandom());
   for (const auto& [id, info] : f.view->backends) book.Learn(info);
-  book.Began(kEngine, WorkClass::kOnline, Time{});
-  book.Ended(kEngine, WorkClass::kOnline, relay::SendEnd::kRejected, Duration{1'000}, Time{});
+  const TakenPlace place = book.Began(kEngine, WorkClass::kOnline, Time{});
+  book.Ended(place, relay::SendEnd::kRejected, Duration{1'000}, Time{});
   for (int i = 0; i < 20; ++i) {
     const auto chosen = book.Choose({ServiceName{"llm"}, {}}, Time{});
     REQUIRE(IsOk(chosen));
--- a/test/place-sim.h
+++ b/test/place-sim.h
@@ -97,6 +97,7 @@
   struct OnlineRun {
     int entry = 0;
     Time sent_at{};
+    TakenPlace place;
   };
   struct Item {
     Duration left{0};  // work
@@ -107,6 +108,7 @@
     std::uint64_t number = 0;
     Item item;
     Time since{};
+    TakenPlace place;
   };
   struct Engine {
     BackendInfo info;
@@ -270,11 +272,11 @@
   }
 
   void SendOnline(int e, const BackendId& id, Time arrived) {
-    entries_[e]->book.Began(id, WorkClass::kOnline, now_);
+    const TakenPlace place = entries_[e]->book.Began(id, WorkClass::kOnline, now_);
     Report(e, keeper_of_.at(id));
-    At(load_.datagram / 2, [this, e, id, arrived] {
+    At(load_.datagram / 2, [this, e, id, arrived, place] {
       Engine& engine = engines_[index_.at(id)];
-      engine.waiting.push_back({e, arrived});
+      engine.waiting.push_back({e, arrived, place});
       if (engine.online + static_cast<int>(engine.batch.size()) >= load_.places &&
           engine.online < load_.places) {
         ++outcome_.overfull;
@@ -291,10 +293,9 @@
       engine.waiting.pop_front();
       if (now_ - run.sent_at > Duration{200'000}) ++outcome_.late;
       ++engine.online;
-      At(load_.online_run, [this, i, e = run.entry] {
+      At(load_.online_run, [this, i, e = run.entry, place = run.place] {
         --engines_[i].online;
-        entries_[e]->book.Ended(engines_[i].info.id, WorkClass::kOnline, relay::SendEnd::kAnswered,
-                                load_.online_run, now_);
+        entries_[e]->book.Ended(place, relay::SendEnd::kAnswered, load_.online_run, now_);
         Report(e, keeper_of_.at(engines_[i].info.id));
         Admit(i);
       });
@@ -375,9 +376,9 @@
     Entry& entry = *entries_[e];
     const std::uint64_t number = ++batch_runs_;
     const Item item = TakeItem(entry);
-    entry.book.Began(id, WorkClass::kBatch, now_);
+    const TakenPlace place = entry.book.Began(id, WorkClass::kBatch, now_);
     const int i = index_.at(id);
-    engines_[i].batch.push_back({e, number, item, now_});
+    engines_[i].batch.push_back({e, number, item, now_, place});
     At(item.left, [this, i, number] { EndBatch(i, number); });
   }
 
@@ -387,10 +388,10 @@
       if (at->number != number) continue;
       const int e = at->entry;
       if (now_ <= at->item.due) ++outcome_.items_in_time;
+      const TakenPlace place = at->place;
       engine.batch.erase(at);
       ++outcome_.items;
-      entries_[e]->book.Ended(engine.info.id, WorkClass::kBatch, relay::SendEnd::kAnswered, {},
-                              now_);
+      entries_[e]->book.Ended(place, relay::SendEnd::kAnswered, {}, now_);
       Report(e, keeper_of_.at(engine.info.id));
       return Admit(i);
     }
@@ -405,8 +406,9 @@
       Item item = at->item;
       item.left -= now_ - at->since;
       entries_[e]->items.push_back(item);
+      const TakenPlace place = at->place;
       engine.batch.erase(at);
-      entries_[e]->book.Ended(id, WorkClass::kBatch, relay::SendEnd::kAbandoned, {}, now_);
+      entries_[e]->book.Ended(place, relay::SendEnd::kAbandoned, {}, now_);
       return Admit(i);
     }
   }
--- a/test/relay-run-test.cc
+++ b/test/relay-run-test.cc
@@ -316,3 +316,29 @@
   CHECK(Last<relay::SendOver>(sent.actions) == nullptr);
   CHECK(Last<relay::AskPlace>(sent.actions) == nullptr);
 }
+
+// Symptom: a request that may not be repeated runs twice.
+// Sequence: it crosses the restart of its backend server and runs at the new incarnation, which
+// goes by the same id; the entry that tells of the restart comes after it.
+TEST_CASE("what may not be repeated is not sent again when its backend server started again") {
+  Sent sent(Plan());
+  sent.Step(relay::BackendRestarted{1});
+  const auto* refusal = Last<relay::Refuse>(sent.actions);
+  REQUIRE(refusal != nullptr);
+  CHECK(refusal->error.ran == Ran::kUnknown);
+  CHECK(Last<relay::AskPlace>(sent.actions) == nullptr);
+}
+
+TEST_CASE("a stream goes on when its backend server started again, there too") {
+  Sent sent(ResumablePlan());
+  sent.Step(relay::Head{1, Answer(200)});
+  sent.Step(relay::Bytes{1, "id: 1\ndata: x\n\nid: 2\nda"});
+  sent.Step(relay::BackendRestarted{2});
+  CHECK(sent.actions.empty());  // of no send that is open
+  sent.Step(relay::BackendRestarted{1});
+  const auto* ask = Last<relay::AskPlace>(sent.actions);
+  REQUIRE(ask != nullptr);
+  CHECK(ask->tried.empty());
+  sent.Step(relay::Placed{Backend("a")});
+  CHECK(Last<relay::Send>(sent.actions)->after_event == "1");
+}
