--- a/test/gateway-fakes.h
+++ b/test/gateway-fakes.h
@@ -99,8 +99,8 @@
 
   // With a start of its own, as in any other host.
   static StoreTime Clock() {
-    static const Time start = Loop::Now();
-    return Loop::Now() - start + std::chrono::seconds(1);
+    static const Time kStart = Loop::Now();
+    return Loop::Now() - kStart + std::chrono::seconds(1);
   }
   static Error Down() { return {ErrorKind::kStoreUnavailable, "down"}; }
 
