Play seeds that find unreadable entries in use

Cause: an entry that can't be read leaves what it said before in force, and a state that isn't known counts as ready.

--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -21,8 +21,9 @@
 from record import Closed, Job, Probe, Record, Request, Trouble  # noqa: E402
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
-# One for each way in which processes end, and one on top of a sick store.
-SEEDS = (1, 104)
+# One for each way in which processes end, one on top of a sick store, and one in which entries of
+# other writers and engines that start again overlap with links that fail and a kill.
+SEEDS = (1, 104, 335)
 SECONDS = 6
 
 
