--- a/soak/faults.py
+++ b/soak/faults.py
@@ -1,7 +1,6 @@
 """The faults of a soak run: drawn from its seed, brought about from outside the processes."""
 
 import asyncio
-import base64
 import contextlib
 import dataclasses
 import json
@@ -9,9 +8,8 @@
 import subprocess
 
 import gateways
-import promises
-from foreign import VARIANTS, bad_entry
-from record import Closed, Trouble
+from engine_faults import ENGINES, EngineFaults
+from record import Trouble
 
 
 @dataclasses.dataclass
@@ -27,9 +25,6 @@
          "engine_sick", "link_delay", "link_cut", "link_silent", "link_partition", "configure")
 # Engines that start again under their id, and entries by other writers.
 LIST_KINDS = ("restart_reset", "restart_dark", "foreign_own", "foreign_own", "foreign_new")
-ENGINES = 4  # those that faults strike; others join while a soak runs
-FOREIGN_ROWS = 5
-DRAINS = "it began to drain"
 
 
 def draw(seed, seconds):
@@ -74,14 +69,9 @@
     def __init__(self, fleet, proxy, record, clock):
         self.fleet, self.proxy, self.record, self.clock = fleet, proxy, record, clock
         self.names = []  # routes that were added
-        # Links of the proxy lead to these engines, the last one from one gateway to the store.
-        self.linked = []
         # A process that is being stopped and started isn't struck again meanwhile.
         self.busy = set()
-        self.gone = set()  # engines that have crashed
-        self.unheard = set()  # engines whose new life the store has not heard of
-        self.foreign = {}  # engine -> how many other writers claim its entry
-        self.closed = {}  # engine -> what is open in the record
+        self.engines = EngineFaults(self.do, self.trouble, record, clock)
 
     def trouble(self, what, target=""):
         trouble = Trouble(what, target, self.clock())
@@ -91,8 +81,9 @@
     async def strike(self, fault):
         what, _, how = fault.kind.partition("_")
         await {"kill": self.kill, "pause": self.pause, "leave": self.leave, "store": self.store,
-               "engine": self.engine, "link": self.link, "configure": self.configure,
-               "restart": self.restart_engine, "foreign": self.write_foreign}[what](fault, how)
+               "engine": self.engines.strike, "link": self.link, "configure": self.configure,
+               "restart": self.engines.restart,
+               "foreign": self.engines.write_foreign}[what](fault, how)
 
     async def do(self, order, **more):
         return await asyncio.to_thread(self.fleet.world.do, order, **more)
@@ -152,93 +143,6 @@
             await self.do("store", mode="ok")
         trouble.ended = self.clock() + 1
 
-    async def engine(self, fault, how):
-        index = fault.pick % ENGINES
-        trouble = self.trouble("engine", str(index))
-        if how == "sick":
-            await self.do("engine", index=index, cut=0.3, extra=0.3)
-            await asyncio.sleep(fault.for_s)
-            await self.do("engine", index=index, cut=0.0, extra=0.0)
-        elif how == "crash" and index == 3:  # one of the four may go; another one comes
-            self.gone.add(index)
-            await self.do("engine", index=index, act="crash")
-            await asyncio.sleep(fault.for_s)
-            await self.do("engine", index=index, act="leave")
-            await self.do("add", service="llm")
-        elif how == "drain" and index == 2 and index not in self.unheard:
-            if not self.drains(index):
-                self.reopen(index)  # its word replaces that of another writer
-            drained = await self.do("engine", index=index, act="drain")
-            self.close(index, drained["id"], DRAINS)
-            await self.do("add", service="llm")
-        trouble.ended = self.clock() + 1
-
-    def close(self, index, engine_id, why):
-        if index not in self.closed:
-            self.closed[index] = Closed(engine_id, why, self.clock())
-            self.record.closed.append(self.closed[index])
-
-    def drains(self, index):
-        return index in self.closed and self.closed[index].why == DRAINS
-
-    def reopen(self, index):
-        """Call it before the entry that says so can be read: from then on requests may come."""
-        if index in self.closed:
-            self.closed.pop(index).ended = self.clock()
-
-    async def restart_engine(self, fault, how):
-        """An engine starts again under its id, and knows nothing of before. In the dark, its
-        callers hear nothing, and the store hears of its new life only later."""
-        index = fault.pick % ENGINES
-        if index in self.gone | self.unheard:
-            return
-        trouble = self.trouble("engine", str(index))
-        if how == "dark":
-            self.unheard.add(index)
-            await self.do("engine", index=index, muted=True, act="restart_dark")
-            await asyncio.sleep(fault.for_s)
-            self.unheard.discard(index)
-            if index not in self.gone:
-                self.reopen(index)
-                await self.do("engine", index=index, muted=False, act="list")
-        else:
-            self.reopen(index)
-            await self.do("engine", index=index, act="restart")
-        trouble.ended = self.clock() + 1
-
-    async def write_foreign(self, fault, how):
-        """Another writer's bytes, under the id of an engine or under ids of nobody. It excuses
-        nothing: those that run there are left to end, and the others hold."""
-        variants = [VARIANTS[(fault.pick // 7 + n) % len(VARIANTS)] for n in range(FOREIGN_ROWS)]
-        if how == "new":
-            keys = {f"foreign-{fault.pick}-{n}": variant for n, variant in enumerate(variants)}
-            for key, variant in keys.items():
-                await self.write_bad_entry(key, 0, variant)
-            await asyncio.sleep(fault.for_s)
-            for key in keys:
-                await self.do("remove", table="servers", key=key)
-            return
-        variant = variants[0]
-        index = fault.pick % ENGINES
-        if index in self.gone | self.unheard:
-            return
-        engine = await self.do("engine", index=index)
-        self.foreign[index] = self.foreign.get(index, 0) + 1
-        await self.write_bad_entry(engine["id"], index, variant)
-        self.close(index, engine["id"], f"its entry became unreadable ({variant})")
-        await asyncio.sleep(fault.for_s + 2 * promises.DRAIN)  # long enough for the check
-        self.foreign[index] -= 1
-        if self.foreign[index] or index in self.gone | self.unheard:
-            return
-        if not self.drains(index):
-            self.reopen(index)
-        await self.do("engine", index=index, act="list")
-
-    async def write_bad_entry(self, key, index, variant):
-        engine = await self.do("engine", index=index)
-        value = base64.b64encode(bad_entry(variant, engine["port"])).decode()
-        await self.do("write", table="servers", key=key, bytes=value)
-
     async def link(self, fault, how):
         link = fault.pick % len(self.proxy.links)
         to_store = link == len(self.proxy.links) - 1
