Take times of a clock that began long ago for times

The store tells a steady clock, which may count from 1970; then each of its answers would be refused, and each job's row. They may be a thousand years now, far from where sums overflow.

Before: ledger-rows-test's new case fails. After: ledger-rows, foreign-entries, foreign-jobs and job-store tests pass.

--- a/include/figmill/json_fields.h
+++ b/include/figmill/json_fields.h
@@ -24,8 +24,9 @@
 // Bytes of the reason why a document was refused: the parser quotes what it read, and that
 // may be the whole document.
 inline constexpr std::size_t kMaxReasonBytes = 200;
-// Longer times are taken for mistakes, and could overflow when they are added up.
-inline constexpr Duration kLongestTime = std::chrono::hours(24) * 366 * 10;
+// Longer times are taken for mistakes, and could overflow when they are added up. A clock
+// may count from long ago: one that counts from 1970 tells 56 years.
+inline constexpr Duration kLongestTime = std::chrono::hours(24) * 366 * 1000;
 // Doubles hold whole numbers exactly up to here.
 inline constexpr double kLargestWhole = 9007199254740992.0;
 
--- a/test/ledger-rows-test.cc
+++ b/test/ledger-rows-test.cc
@@ -105,3 +105,20 @@
   CHECK_FALSE(IsOk(ledger::DecodeItems(job, rows)));
   CHECK_FALSE(IsOk(ledger::DecodeHead(std::string(60'000, '\xa1'))));
 }
+
+// Symptom: no job is ever owned, though each is accepted.
+// Sequence: the store's clock counts from 1970, as a clock may, so that all times of a job are
+// some 56 years.
+// Cause: longer times than ten years were taken for mistakes of another writer.
+TEST_CASE("a job's times may be those of a clock that began long ago") {
+  JobHead head;
+  head.id.value = "j";
+  head.total = 1;
+  head.done = ".";
+  head.submitted = std::chrono::hours(24) * 365 * 56;
+  head.due = head.submitted + std::chrono::seconds(18);
+  head.expires = head.submitted + std::chrono::seconds(60);
+  const auto back = ledger::DecodeHead(ledger::EncodeHead(head));
+  REQUIRE(IsOk(back));
+  CHECK(ValueOf(back).expires == head.expires);
+}
