Say that the store is lost or back by the feed while it is followed

Found on reading the diff: while some part was not listed yet, a failed read of it counted as an answer, so that with the store down the log said in turn that it was back and lost. A part that can't be read says nothing of the store now. An accessor that nobody called is gone.

--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -50,14 +50,17 @@
   const std::string why = IsOk(page) ? "" : ErrorOf(page).detail;
   mirror_.Listed(part, page);
   SetPartRead(part, IsOk(page), why);
-  // A store that can't read one part has not gone, as long as the others are followed.
-  Answered(IsOk(page) || mirror_.following(), "part '" + part + "': " + why);
+  // A part that can't be read says nothing of the store while the others are followed.
+  if (IsOk(page) || !mirror_.following()) SetConnected(IsOk(page), "part '" + part + "': " + why);
+  GoOn();
 }
 
 void TableFollower::OnFollowed(const FeedOutcome& outcome) {
   mirror_.Followed(outcome);
   const Error* error = std::get_if<Error>(&outcome);
-  Answered(error == nullptr, error == nullptr ? "" : error->detail);
+  if (error != nullptr) troubled_until_ = Loop::Now() + kTroubled;
+  SetConnected(error == nullptr, error == nullptr ? "" : error->detail);
+  GoOn();
 }
 
 void TableFollower::SetPartRead(const std::string& part, bool read, const std::string& why) {
@@ -68,16 +71,16 @@
       {{"table", table_}, {"part", part}, {"why", why}});
 }
 
-void TableFollower::Answered(bool ok, const std::string& why) {
-  if (!ok) troubled_until_ = Loop::Now() + kTroubled;
-  if (ok != connected_) {
-    connected_ = ok;
-    changed_at_ = Loop::Now();
-    Log(ok ? LogLevel::kInfo : LogLevel::kWarning, ok ? "store_regained" : "store_lost",
-        {{"table", table_},
-         {"version", std::to_string(mirror_.version())},
-         {"why", ok ? "" : why}});
-  }
+void TableFollower::SetConnected(bool connected, const std::string& why) {
+  if (connected == connected_) return;
+  connected_ = connected;
+  Log(connected ? LogLevel::kInfo : LogLevel::kWarning, connected ? "store_regained" : "store_lost",
+      {{"table", table_},
+       {"version", std::to_string(mirror_.version())},
+       {"why", connected ? "" : why}});
+}
+
+void TableFollower::GoOn() {
   settled_();
   const bool follows = std::holds_alternative<mirror::FollowFrom>(mirror_.Next());
   if (pace_.count() == 0 || !follows) return Step();
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -37,9 +37,8 @@
   void SetPace(Duration pace) { pace_ = pace; }
   [[nodiscard]] const TableMirror& mirror() const { return mirror_; }
   void Learn(const TableRow& row) { mirror_.Learn(row); }
-  // Whether the last call was answered, and since when that is so.
+  // Whether the last call was answered.
   [[nodiscard]] bool connected() const { return connected_.value_or(false); }
-  [[nodiscard]] Time changed_at() const { return changed_at_; }
 
  private:
   void Step();
@@ -49,7 +48,9 @@
   void OnFollowed(const FeedOutcome& outcome);
   // Says once when a part can't be read, and when it can again.
   void SetPartRead(const std::string& part, bool read, const std::string& why);
-  void Answered(bool ok, const std::string& why);
+  // Says when the store is lost and when it is back.
+  void SetConnected(bool connected, const std::string& why);
+  void GoOn();
 
   Loop& loop_;
   SharedTables& tables_;
@@ -58,7 +59,6 @@
   std::function<void()> settled_;
   Duration pace_{0};
   std::optional<bool> connected_;  // nothing before the first answer
-  Time changed_at_{};
   Time troubled_until_{};
   std::set<std::string> unread_parts_;
   Timer pause_;
