Take an early entry of another service for a foreign one, not for a late write

Cause: an entry of an earlier incarnation was kept out as a late write of the backend server, whatever it said; the entry that it had overwritten stayed in use, though the list names nothing to use there. An id keeps its service, so one that names another service is another writer's: nothing new goes there until a readable entry comes.

Found by the soak: eleven requests reached an engine 5.8 to 6.6 s after its entry was overwritten.

--- a/src/gateway/fleet_view.cc
+++ b/src/gateway/fleet_view.cc
@@ -21,7 +21,9 @@
 ListChange List(BackendList& backends, BackendInfo&& info) {
   BackendInfo& mine = backends[info.id];
   if (!info.incarnation.known()) info.incarnation = mine.incarnation;
-  if (IsLater(mine.incarnation, info.incarnation)) return ListChange::kOutdated;
+  if (IsLater(mine.incarnation, info.incarnation)) {
+    return info.service == mine.service ? ListChange::kOutdated : ListChange::kForeign;
+  }
   if (mine == info) return ListChange::kNone;
   const bool restarted = IsLater(info.incarnation, mine.incarnation);
   mine = std::move(info);
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -29,6 +29,9 @@
   kUpdated,
   kRestarted,  // the entry is of a later incarnation
   kOutdated,   // the entry is of an earlier incarnation, and was not taken
+  // The entry is of an earlier incarnation and of another service, and was not taken. An id
+  // keeps its service, so that this is no late write of the backend server.
+  kForeign,
 };
 // Takes an entry into the list. One that doesn't say its incarnation leaves the one that is
 // known: nothing in it says that the backend server started again.
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -13,6 +13,7 @@
       return "backend_outdated";
     case ListChange::kNone:
     case ListChange::kUpdated:
+    case ListChange::kForeign:
       break;
   }
   return "backend_listed";
@@ -73,9 +74,13 @@
   }
   Result<BackendInfo> info = adapter_.ParseBackend(id.value, change.row->value);
   if (!IsOk(info)) return OnUnreadableBackend(id, change.row->version, ErrorOf(info));
-  refused_backends_.Forget(id.value);
   const BackendIncarnation told = ValueOf(info).incarnation;
   const ListChange made = List(view_.backends, std::move(ValueOf(info)));
+  if (made == ListChange::kForeign) {
+    const Error error{ErrorKind::kBadRequest, "an earlier incarnation of another service"};
+    return OnUnreadableBackend(id, change.row->version, error);
+  }
+  refused_backends_.Forget(id.value);
   if (made == ListChange::kNone) return;
   const BackendInfo& mine = view_.backends.at(id);
   Log(LogLevel::kInfo, EventOf(made),
--- a/test/foreign-entries-test.cc
+++ b/test/foreign-entries-test.cc
@@ -210,6 +210,25 @@
   CHECK(f.view->backends.size() == 2);
 }
 
+// Symptom: requests reach a backend server 6 s after another writer overwrote its entry.
+// Sequence: the new entry names a service that there is not, and an early time of birth.
+// Cause: it was taken for a late write of the incarnation before, and the entry that it had
+// overwritten stayed in use.
+TEST_CASE("an entry of an earlier incarnation that names another service is no late write") {
+  Watched f;
+  f.Put("servers", "i-1", GoodBackend().dump());
+  f.Until([&] { return f.Is("i-1", BackendState::kReady); });
+  Json foreign = GoodBackend();
+  foreign["born"] = 1;
+  foreign["service"] = "nobody";
+  f.Put("servers", "i-1", foreign.dump());
+  f.Settle();
+  CHECK(f.Is("i-1", BackendState::kUnreadable));
+  f.Put("servers", "i-1", GoodBackend().dump());
+  f.Settle();
+  CHECK(f.Is("i-1", BackendState::kReady));
+}
+
 TEST_CASE("an unreadable entry that is removed is gone") {
   Watched f;
   f.Put("servers", "i-1", GoodBackend().dump());
