Tell refused callers when to come back, and queue only what will be served

Cause: a refused caller was told the wait behind those that were queued then, 0.2 s, while a wave lasts seconds: it came back into the same wave. The keeper's expected wait came from the number of places, as if runs ended evenly; at the rise of a wave all runs are young. A second try was known only by a tenth of the route's time, which nobody had used after 0.2 s.

Ruled out: ages of the runs alone (tried before, no fewer waited in vain); what was missing is the spread, and a margin that misses correct.

Change: a library of its own, `overload`: ages of runs, admission to the queue with a margin that follows the share that waits in vain, the lengths of earlier overloads, a book of returns, last tries that wait beyond their goal while that helps, and second tries known by the time that callers begin with.

--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -22,6 +22,7 @@
 
 #include "figmill/base.h"
 #include "figmill/fleet.h"
+#include "figmill/overload.h"
 #include "figmill/peers.h"
 #include "figmill/tables.h"
 
@@ -77,6 +78,8 @@
   Kind kind = Kind::kFull;
   BackendId backend;
   Duration wait{0};  // expected until there would be a place
+  // For a request that may queue and was refused: after this its caller should come back.
+  Duration come_back{0};
 };
 
 // Batch items of one entry that wait for a place and are due at the same time.
@@ -155,12 +158,12 @@
     NodeId from;
     PlaceAsk ask;
     Time goal_at{};
-    Time gone_at{};
+    Time gone_at{};  // served later, it would not be whole when its caller leaves
   };
   void Add(Entry entry) { entries_.push_back(std::move(entry)); }
   void Forget(const NodeId& from);
-  // Takes out those that waited in vain: their callers are gone, or their goal has
-  // passed and they would rather be told.
+  // Takes out those that waited in vain: their callers would be gone before they were served,
+  // or their goal has passed and they would rather be told.
   [[nodiscard]] std::vector<Entry> TakeExpired(Time now);
   // Takes out the first one, by its order, for which `serve` finds a place.
   [[nodiscard]] std::optional<Entry> TakeFirst(Time now,
@@ -267,6 +270,14 @@
     std::vector<Reservation> reserved;
     FaultRate fault_rate;
     bool ejected = false;
+    RunAges ages;  // of the online runs there
+  };
+  // What is learned of one service's online load here.
+  struct ServiceLoad {
+    std::optional<Duration> usual_run;
+    QueueAdmission admission;
+    LastChances last_chances;
+    ReturnBook returns;
   };
   struct EntryState {
     Incarnation incarnation = 0;
@@ -283,6 +294,7 @@
   };
 
   [[nodiscard]] static int OnlineOf(const Kept& kept);
+  void CountRuns(Time now);
   // Run there, or allowed to.
   [[nodiscard]] static int BatchOf(const Kept& kept);
   // An entry's part in the division of one backend server.
@@ -309,6 +321,13 @@
   // There is no place in time. Said by one that knows of none at all, "full" would have a
   // request refused while places are free; it is told that nothing is known here instead.
   void AnswerNoPlace(const NodeId& to, const PlaceAsk& ask, std::optional<Duration> wait);
+  void CountEnd(const AskQueue::Entry& entry, bool served, Time now);
+  // Its caller is told to come back.
+  void Refuse(const NodeId& to, const PlaceAsk& ask, Duration wait, Time now);
+  [[nodiscard]] bool WillBeServed(const PlaceAsk& ask, std::size_t before, Duration wait, Time now);
+  [[nodiscard]] ExpectedEnds EndsWithin(const ServiceName& service, Duration span, Time now) const;
+  [[nodiscard]] Duration UsualRun(const ServiceName& service) const;
+  [[nodiscard]] int PlacesOf(const ServiceName& service) const;
   void CountStarted(int started, Time now);
   static void CountEnds(Kept& kept, Share& share, const PlaceReport::Line& line, Time now);
   // Leaves out and takes back in, for all entries at once.
@@ -328,7 +347,7 @@
   AskQueue queue_;
   std::vector<Outgoing> answers_;
   std::vector<Ejection> ejections_;
-  std::map<ServiceName, Duration> usual_run_;
+  std::map<ServiceName, ServiceLoad> loads_;
   // Online runs that began: as fast places fall free in the long run.
   double started_per_s_ = 0;
   int started_ = 0;
@@ -363,7 +382,7 @@
 // No keeper answers: choose by what is known here.
 struct TakeUnasked {};
 struct GiveUp {
-  Duration wait{0};  // until there may be a place
+  Duration wait{0};  // until the caller should come back
 };
 using Action = std::variant<AskKeeper, Wait, Take, TakeUnasked, GiveUp>;
 
@@ -394,6 +413,7 @@
   // The full keeper whose queue moves on soonest.
   std::optional<NodeId> soonest_;
   Duration shortest_wait_ = Duration::max();
+  std::optional<Duration> come_back_;  // said by the keeper that refused it
   Time goal_at_{};
   Time gone_at_{};
 };
--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -18,8 +18,6 @@
 constexpr int kSilentGoals = 3;
 // The same within a stream, in pauses that are still in time.
 constexpr int kSilentGaps = 2;
-// A caller that leaves less than this part of the route's time has waited before.
-constexpr double kSecondTry = 0.9;
 
 std::optional<Duration> DeadlineOf(std::string_view text) {
   std::int64_t ms = 0;
@@ -47,7 +45,11 @@
     : tools_(tools), adapter_(adapter), jobs_(jobs), random_(std::move(random)) {}
 
 void CallerDoor::Update(std::shared_ptr<const FleetView> view) {
+  const bool routes_changed = !view_ || view_->routes != view->routes;
   view_ = std::move(view);
+  // Callers may begin with less time under other routes; by what they began with before, all of
+  // them would be taken for second tries.
+  if (routes_changed) first_tries_ = {};
 }
 
 void CallerDoor::SetLeaving() {
@@ -120,7 +122,8 @@
   relayed.target = request.path;
   if (!request.query.empty()) relayed.target += "?" + request.query;
   relayed.goal_at = Loop::Now() + route.goal;
-  relayed.last_chance = plan.limit - Loop::Now() < route.timeout * kSecondTry;
+  const Time now = Loop::Now();
+  relayed.last_chance = first_tries_.IsSecond(route.name, plan.limit - now, now);
   relayed.service = ChooseShare(route, random_());
   relayed.route = route.name;
   relayed.config_version = view_->routes->version();
--- a/src/gateway/caller_door.h
+++ b/src/gateway/caller_door.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "figmill/gateway.h"
+#include "figmill/overload.h"
 #include "gateway/fleet_view.h"
 #include "gateway/job_desk.h"
 #include "gateway/relay_call.h"
@@ -39,6 +40,7 @@
   JobDesk& jobs_;
   RandomBits random_;
   std::shared_ptr<const FleetView> view_;
+  FirstTries first_tries_;
   std::size_t in_flight_ = 0;
   bool refusing_ = false;
 };
--- a/src/sharing/peer_codec.cc
+++ b/src/sharing/peer_codec.cc
@@ -87,11 +87,12 @@
 }
 
 void Pack(Packer& packer, const PlaceAnswer& answer) {
-  packer.pack_array(4);
+  packer.pack_array(5);
   packer.pack(answer.number);
   packer.pack(static_cast<int>(answer.kind));
   packer.pack(answer.backend.value);
   packer.pack(answer.wait.count());
+  packer.pack(answer.come_back.count());
 }
 
 template <typename T>
@@ -267,6 +268,8 @@
   answer.kind = static_cast<PlaceAnswer::Kind>(kind);
   answer.backend.value = GetName(object, 2);
   answer.wait = GetDuration(object, 3);
+  // Entries of an earlier version, which run beside this one during a release, don't send it.
+  answer.come_back = SizeOf(object) > 4 ? GetDuration(object, 4) : answer.wait;
   return answer;
 }
 
--- a/src/sharing/place_asks.cc
+++ b/src/sharing/place_asks.cc
@@ -62,17 +62,49 @@
 }
 
 void PlaceKeeper::OnAsk(const NodeId& from, const PlaceAsk& ask, Time now) {
-  const AskQueue::Entry entry{from, ask, now + ask.goal_left - kFirstEvent, now + ask.time_left};
+  const AskQueue::Entry entry{from, ask, now + ask.goal_left - kFirstEvent,
+                              now + ask.time_left - UsualRun(ask.service)};
   const std::size_t before = queue_.CountBefore(entry, now);
   if (before == 0 && Place(from, ask, now)) return;
   const std::optional<Duration> wait = WaitFor(ask.service, before + 1);
-  const Duration budget =
-      ask.last_chance ? ask.time_left - 2 * kUsualRun : ask.goal_left - kFirstEvent;
-  if (!ask.may_queue || !wait || *wait > budget) return AnswerNoPlace(from, ask, wait);
+  if (!ask.may_queue || !wait) return AnswerNoPlace(from, ask, wait);
+  if (!WillBeServed(ask, before, *wait, now)) return Refuse(from, ask, *wait, now);
   Answer(from, {ask.number, PlaceAnswer::Kind::kQueued, {}, *wait});
   queue_.Add(entry);
 }
 
+bool PlaceKeeper::WillBeServed(const PlaceAsk& ask, std::size_t before, Duration wait, Time now) {
+  ServiceLoad& load = loads_[ask.service];
+  const Duration budget = ask.goal_left - kFirstEvent;
+  const bool in_time =
+      budget > Duration{0} && load.admission.Admits(before, EndsWithin(ask.service, budget, now));
+  if (in_time || !ask.last_chance) return in_time;
+  const LastChances::Ask last{ask.time_left, wait, UsualRun(ask.service)};
+  return load.last_chances.Admits(last, load.returns.watch(), now);
+}
+
+// Those that still can be in time tell of the queue, the others of the overload.
+void PlaceKeeper::CountEnd(const AskQueue::Entry& entry, bool served, Time now) {
+  ServiceLoad& load = loads_[entry.ask.service];
+  if (!entry.ask.last_chance) {
+    served ? load.admission.Served() : load.admission.WaitedInVain();
+  } else if (now >= entry.goal_at) {
+    served ? load.last_chances.Served() : load.last_chances.WaitedInVain();
+  }
+}
+
+ExpectedEnds PlaceKeeper::EndsWithin(const ServiceName& service, Duration span, Time now) const {
+  const Duration usual = UsualRun(service);
+  ExpectedEnds all;
+  for (const auto& [id, kept] : kept_) {
+    if (kept.backend.service != service || kept.backend.frozen || kept.ejected) continue;
+    const ExpectedEnds ends = kept.ages.EndsWithin(span, usual, now);
+    all.mean += ends.mean;
+    all.variance += ends.variance;
+  }
+  return all;
+}
+
 // One that nobody uses, on the backend server with most of them. If all are used,
 // batch gives way where online has the fewest. A run that is stopped must read its
 // prompt and its text again when it goes on, at the cost of all that run there.
@@ -92,6 +124,7 @@
   }
   if (best == kept_.end()) return false;
   best->second.reserved.push_back({from, ask.number, now + kReservationLife});
+  best->second.ages.SetCount(static_cast<std::size_t>(OnlineOf(best->second)), now);
   MarkOthersStale(best->second, from);
   Divide(best->second, now);
   Answer(from, {ask.number, PlaceAnswer::Kind::kPlaced, best->first, Duration{0}});
@@ -100,14 +133,21 @@
 
 void PlaceKeeper::ServeQueue(Time now) {
   for (const AskQueue::Entry& entry : queue_.TakeExpired(now)) {
+    CountEnd(entry, /*served=*/false, now);
     const std::size_t position = queue_.CountBefore(entry, now) + 1;
-    AnswerNoPlace(entry.from, entry.ask, WaitFor(entry.ask.service, position));
+    const std::optional<Duration> wait = WaitFor(entry.ask.service, position);
+    if (!wait) {
+      AnswerNoPlace(entry.from, entry.ask, wait);
+      continue;
+    }
+    Refuse(entry.from, entry.ask, *wait, now);
   }
   while (!queue_.empty()) {
     const auto served = queue_.TakeFirst(now, [this, now](const AskQueue::Entry& entry) {
       return Place(entry.from, entry.ask, now);
     });
     if (!served) return;
+    CountEnd(*served, /*served=*/true, now);
   }
 }
 
@@ -129,6 +169,13 @@
   Answer(to, {ask.number, kind, {}, wait.value_or(Duration{0})});
 }
 
+void PlaceKeeper::Refuse(const NodeId& to, const PlaceAsk& ask, Duration wait, Time now) {
+  const Duration place_every = UsualRun(ask.service) / std::max(1, PlacesOf(ask.service));
+  const Duration come_back =
+      loads_[ask.service].returns.ComeBackAfter({ask.time_left, wait, place_every}, now);
+  Answer(to, {ask.number, PlaceAnswer::Kind::kFull, {}, wait, come_back});
+}
+
 void PlaceKeeper::CountStarted(int started, Time now) {
   started_ += started;
   if (started_since_ == Time{}) started_since_ = now;
@@ -151,21 +198,30 @@
 }
 
 void PlaceKeeper::LearnRun(const ServiceName& service, Duration usual) {
-  const auto [at, fresh] = usual_run_.try_emplace(service, usual);
-  if (!fresh) at->second += (usual - at->second) / kReportsForUsual;
+  std::optional<Duration>& known = loads_[service].usual_run;
+  known = known ? *known + (usual - *known) / kReportsForUsual : usual;
 }
 
-// All places are taken: one falls free each usual run over their number.
-std::optional<Duration> PlaceKeeper::WaitFor(const ServiceName& service,
-                                             std::size_t position) const {
+Duration PlaceKeeper::UsualRun(const ServiceName& service) const {
+  const auto found = loads_.find(service);
+  if (found == loads_.end()) return kUsualRun;
+  return found->second.usual_run.value_or(kUsualRun);
+}
+
+int PlaceKeeper::PlacesOf(const ServiceName& service) const {
   int places = 0;
   for (const auto& [id, kept] : kept_) {
     if (kept.backend.service == service && !kept.backend.frozen) places += kept.backend.places;
   }
+  return places;
+}
+
+// All places are taken: one falls free each usual run over their number.
+std::optional<Duration> PlaceKeeper::WaitFor(const ServiceName& service,
+                                             std::size_t position) const {
+  const int places = PlacesOf(service);
   if (places == 0) return std::nullopt;
-  const auto usual = usual_run_.find(service);
-  const Duration run = usual == usual_run_.end() ? kUsualRun : usual->second;
-  return run * static_cast<Duration::rep>(position) / places;
+  return UsualRun(service) * static_cast<Duration::rep>(position) / places;
 }
 
 }  // namespace figmill
--- a/src/sharing/place_keeper.cc
+++ b/src/sharing/place_keeper.cc
@@ -35,7 +35,7 @@
     // Nothing of what was reported runs there any more, so that there is nothing to wait for
     // before its places are granted.
     if (!added && IsLater(backend.incarnation, kept.backend.incarnation)) {
-      kept = Kept{{}, kept.since, {}, {}, {}, kept.ejected};
+      kept = Kept{{}, kept.since, {}, {}, {}, kept.ejected, {}};
       restarted = true;
     }
     if (added) kept.since = now;
@@ -88,9 +88,18 @@
     share.batch = line.batch;
     Divide(found->second, now);
   }
+  CountRuns(now);
   ServeQueue(now);
 }
 
+// Once a message is acted on whole: a place that was held for a request and the request that
+// took it are one run.
+void PlaceKeeper::CountRuns(Time now) {
+  for (auto& [id, kept] : kept_) {
+    kept.ages.SetCount(static_cast<std::size_t>(OnlineOf(kept)), now);
+  }
+}
+
 void PlaceKeeper::Forget(const NodeId& entry, Time now) {
   for (auto& [id, kept] : kept_) {
     std::erase_if(kept.reserved, [&](const Reservation& each) { return each.entry == entry; });
@@ -100,6 +109,7 @@
   }
   queue_.Forget(entry);
   entries_.erase(entry);
+  CountRuns(now);
 }
 
 void PlaceKeeper::MarkOthersStale(const Kept& kept, const NodeId& but) {
--- a/src/sharing/place_search.cc
+++ b/src/sharing/place_search.cc
@@ -27,7 +27,7 @@
   if (next_ < keepers_.size()) return Ask(keepers_[next_++], now);
   // Those that keep places say that all are taken; silence says nothing.
   if (!soonest_) return search::TakeUnasked{};
-  if (ask_.may_queue) return search::GiveUp{shortest_wait_};
+  if (ask_.may_queue) return search::GiveUp{come_back_.value_or(shortest_wait_)};
   ask_.may_queue = true;
   return Ask(*soonest_, now);
 }
@@ -43,6 +43,7 @@
       return search::Wait{std::max(until - now, kAnswerPatience)};
     }
     case PlaceAnswer::Kind::kFull:
+      if (ask_.may_queue) come_back_ = answer.come_back;
       if (answer.wait < shortest_wait_ && next_ > 0) {
         shortest_wait_ = answer.wait;
         if (!ask_.may_queue) soonest_ = keepers_[next_ - 1];
