--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -10,8 +10,8 @@
 #include <vector>
 
 #include "figmill/ledger.h"
+#include "figmill/peer_messages.h"
 #include "figmill/runtime.h"
-#include "figmill/sharing.h"
 #include "gateway/refused_rows.h"
 #include "gateway/table_follower.h"
 
--- a/src/gateway/member_watch.h
+++ b/src/gateway/member_watch.h
@@ -4,7 +4,7 @@
 
 #include <functional>
 
-#include "figmill/sharing.h"
+#include "figmill/peer_messages.h"
 #include "gateway/refused_rows.h"
 #include "gateway/table_follower.h"
 
--- a/src/sharing/peer_codec.cc
+++ b/src/peer_messages/peer_codec.cc
@@ -2,7 +2,7 @@
 #include <msgpack.hpp>
 #include <stdexcept>
 
-#include "figmill/sharing.h"
+#include "figmill/peer_messages.h"
 
 namespace figmill {
 namespace {
@@ -314,6 +314,12 @@
 
 }  // namespace
 
+int CountOf(std::span<const WaitingItems> waiting) {
+  int items = 0;
+  for (const WaitingItems& each : waiting) items += each.items;
+  return items;
+}
+
 IncarnationTag TagOf(BackendIncarnation incarnation) {
   constexpr std::uint64_t kTags = 0xFFFF;  // without 0
   if (!incarnation.known()) return {};
--- a/src/sharing/place_division.cc
+++ b/src/sharing/place_division.cc
@@ -19,12 +19,6 @@
 
 }  // namespace
 
-int CountOf(std::span<const WaitingItems> waiting) {
-  int items = 0;
-  for (const WaitingItems& each : waiting) items += each.items;
-  return items;
-}
-
 int PlaceKeeper::UnusedElsewhere(const NodeId& entry, const Kept& but) const {
   const EntryState& state = entries_.at(entry);
   const bool under_way = state.urgent || state.acted < state.granted;
