Count refusals that come late

A refusal after a quarter of the goal says that the forecast of the keeper missed; figmill_refused_late_total counts them.

--- a/src/gateway/gateway_metrics.cc
+++ b/src/gateway/gateway_metrics.cc
@@ -30,6 +30,13 @@
   if (first.count() > 0) first_byte_seconds_.Add(Seconds(first));
 }
 
+void GatewayMetrics::RefusedLate() {
+  metrics_
+      .counter("figmill_refused_late_total",
+               "Requests refused after a quarter of their goal, or later")
+      .Add();
+}
+
 void GatewayMetrics::SendEnded(relay::SendEnd end) {
   metrics_
       .counter("figmill_sends_total", "Sends to backend servers that have ended",
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -16,6 +16,9 @@
   // its answer, 0 if there was none.
   void RequestEnded(std::string_view outcome, Duration whole, Duration first);
   // One send to a backend server has ended.
+  // A request was refused after a quarter of its goal or later: the forecast that it would be
+  // served missed.
+  void RefusedLate();
   void SendEnded(relay::SendEnd end);
   void ItemEnded(bool complete, Duration whole);
   void ItemStopped(relay::SendEnd end);
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -8,6 +8,9 @@
 namespace figmill {
 namespace {
 
+// A caller that is told before this share of its goal has passed still can be in time when it
+// comes back.
+constexpr int kPromptShare = 4;
 // A connection within a data centre region takes a few ms; a host that is gone
 // does not answer at all.
 constexpr Duration kConnectTimeout{250'000};
@@ -197,6 +200,8 @@
   status_ = response.status;
   retry_after_ = action.error.retry_after.value_or(Duration{0});
   reply_->Send(std::move(response));
+  const Duration goal = request_.goal_at - started_at_;
+  if (Loop::Now() - started_at_ > goal / kPromptShare) tools_.metrics.RefusedLate();
   Finished("refused", action.error.detail);
 }
 
