--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -36,12 +36,12 @@
     NodeId from;
     PlaceAsk ask;
     Time goal_at{};
-    Time gone_at{};  // served later, it would not be whole when its caller leaves
+    Time gone_at{};  // it waits no longer
   };
   void Add(Entry entry) { entries_.push_back(std::move(entry)); }
   void Forget(const NodeId& from);
-  // Takes out those that waited in vain: their callers would be gone before they were served,
-  // or their goal has passed and they would rather be told.
+  // Takes out those that waited in vain: their time to wait is over, or their goal has passed
+  // and they would rather be told.
   [[nodiscard]] std::vector<Entry> TakeExpired(Time now);
   // Takes out the first one, by its order, for which `serve` finds a place.
   [[nodiscard]] std::optional<Entry> TakeFirst(Time now,
--- a/src/sharing/place_asks.cc
+++ b/src/sharing/place_asks.cc
@@ -58,8 +58,9 @@
 }
 
 void PlaceKeeper::OnAsk(const NodeId& from, const PlaceAsk& ask, Time now) {
-  const AskQueue::Entry entry{from, ask, now + ask.goal_left - kFirstEvent,
-                              now + ask.time_left - UsualRun(ask.service)};
+  // Served later, one on its last try would not have a whole answer when its caller leaves.
+  const Duration patience = ask.time_left - (ask.last_chance ? UsualRun(ask.service) : Duration{0});
+  const AskQueue::Entry entry{from, ask, now + ask.goal_left - kFirstEvent, now + patience};
   const std::size_t before = queue_.CountBefore(entry, now);
   if (before == 0 && Place(from, ask, now)) return;
   const std::optional<Duration> wait = WaitFor(ask, before + 1);
