Log which request was lost with a backend server, and whether that still listens

On-call could not tell from the logs whether two attempts are the same request, since each has an id of its own, nor whether a broken answer came from a process that ended.

A send whose connection is lost is now followed by one attempt to connect, and by a line send_lost with the request's fingerprint (method, path, host, credentials and body) and the result (connected, refused, no_answer). The connection is kept for later calls. Decisions are as before. ContentDigest moves from once to base, as fingerprints use it too.

--- a/include/figmill/base.h
+++ b/include/figmill/base.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -183,6 +184,10 @@
 // 32 hexadecimal digits.
 [[nodiscard]] Token FreshToken(const RandomBits& random);
 
+// 32 hexadecimal digits over the parts and their lengths. Not for secrets: whoever chooses the
+// parts can make two digests equal.
+[[nodiscard]] std::string ContentDigest(std::span<const std::string_view> parts);
+
 // Rendezvous weight of `node` for `key`: the node with the highest weight owns
 // the key, and a node's leaving moves only its own keys.
 [[nodiscard]] std::uint64_t RendezvousWeight(std::string_view key, std::string_view node);
--- a/include/figmill/exchange.h
+++ b/include/figmill/exchange.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <string_view>
 
 #include "figmill/base.h"
 #include "figmill/runtime.h"
@@ -25,6 +26,14 @@
   Duration idle_margin{500'000};
 };
 
+// What an attempt to connect found.
+enum class DialResult : std::uint8_t {
+  kConnected,
+  kRefused,   // the host is there, and no process listens
+  kNoAnswer,  // nothing in time, or another failure
+};
+[[nodiscard]] std::string_view ToString(DialResult result);
+
 // An HttpCall as HttpClient takes it. Used here: method, to, target, headers,
 // body, connect_timeout, total_timeout and fresh_connection. Host and
 // Content-Length are added unless the headers have them.
@@ -44,6 +53,10 @@
   // `ran` no (never sent) or unknown.
   CancelCall Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done);
 
+  // Connects without a call. The connection is kept for later calls. `done` comes on the loop,
+  // never inside this call.
+  void Dial(const Address& to, Duration patience, std::function<void(DialResult)> done);
+
   // Forgets the kept connections to an address, as after its server was replaced.
   void DropIdle(const Address& address);
   // Connections opened since the start.
--- a/include/figmill/once.h
+++ b/include/figmill/once.h
@@ -84,9 +84,6 @@
 // Errors: kInternal, when the value was not written by figmill.
 [[nodiscard]] Result<OnceRow> ParseOnceRow(std::string_view value);
 
-// 32 hexadecimal digits over the parts and their lengths.
-[[nodiscard]] std::string ContentDigest(std::span<const std::string_view> parts);
-
 inline constexpr std::size_t kInlineOutcomeBytes = 8U << 10;
 // Whether a body may travel in the row: small, and UTF-8 as JSON demands.
 [[nodiscard]] bool FitsInRow(std::string_view body);
--- a/src/exchange/exchange_client.cc
+++ b/src/exchange/exchange_client.cc
@@ -21,6 +21,7 @@
 using detail::AnswerState;
 
 constexpr std::size_t kReadBytes = 8192;
+constexpr std::string_view kNoConnectionInTime = "no connection in time";
 
 bool Has(const std::vector<Header>& headers, std::string_view name) {
   for (const Header& header : headers) {
@@ -46,11 +47,24 @@
 
 }  // namespace
 
+std::string_view ToString(DialResult result) {
+  switch (result) {
+    case DialResult::kConnected:
+      return "connected";
+    case DialResult::kRefused:
+      return "refused";
+    case DialResult::kNoAnswer:
+      return "no_answer";
+  }
+  return "unknown";
+}
+
 class ExchangeClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(Loop& loop, ExchangeLimits limits) : loop_(loop), limits_(limits) {}
 
   CancelCall Start(HttpCall call, std::function<void(HttpEvent)> on_event);
+  void Dial(const Address& to, Duration patience, std::function<void(DialResult)> done);
   void DropIdle(const Address& address);
   void CloseAll();
   [[nodiscard]] std::uint64_t opened() const { return opened_; }
@@ -62,6 +76,7 @@
     Time until;
   };
 
+  std::shared_ptr<Connection> Open(const Address& to);
   std::shared_ptr<Connection> TakeIdle(const Address& address);
   void Keep(const std::shared_ptr<Connection>& connection, int peer_seconds);
   void Forget(const Connection* connection);
@@ -92,12 +107,19 @@
       total_timer_ = owner_->loop_.After(call_.total_timeout,
                                          [this] { Fail(connected_, true, "no answer in time"); });
     }
-    connected_ ? Send() : Connect();
+    connected_ ? Send() : ConnectWithin(call_.connect_timeout);
   }
 
-  // Ends the call without a further event; does nothing between calls.
+  void Dial(Duration patience, std::function<void(DialResult)> on_dialed) {
+    on_dialed_ = std::move(on_dialed);
+    ConnectWithin(patience);
+  }
+
+  // Ends the call or the attempt to connect without a further event; does nothing between calls.
   void Cancel() {
-    if (std::exchange(on_event_, nullptr)) Close();
+    const bool dialing = std::exchange(on_dialed_, nullptr) != nullptr;
+    const bool calling = std::exchange(on_event_, nullptr) != nullptr;
+    if (dialing || calling) Close();
   }
 
   // Whether the peer has neither closed nor sent anything since the last answer.
@@ -134,16 +156,17 @@
     if (call_.bytes != nullptr) call_.bytes->Add(count);
   }
 
-  void Connect() {
+  void ConnectWithin(Duration patience) {
     asio::error_code bad;
     const auto host = asio::ip::make_address_v4(to_.host, bad);
     if (bad) {
       return asio::post(socket_.get_executor(), [self = shared_from_this()] {
-        self->Fail(false, false, "not an IPv4 address: " + self->to_.host);
+        self->OnUnconnected(DialResult::kNoAnswer, "not an IPv4 address: " + self->to_.host);
       });
     }
-    connect_timer_ = owner_->loop_.After(call_.connect_timeout,
-                                         [this] { Fail(false, true, "no connection in time"); });
+    connect_timer_ = owner_->loop_.After(patience, [this] {
+      OnUnconnected(DialResult::kNoAnswer, std::string(kNoConnectionInTime));
+    });
     socket_.async_connect(tcp::endpoint(host, to_.port),
                           [self = shared_from_this()](const asio::error_code& failure) {
                             self->OnConnected(failure);
@@ -151,13 +174,34 @@
   }
 
   void OnConnected(const asio::error_code& failure) {
-    if (!socket_.is_open() || !on_event_) return;
+    if (!socket_.is_open() || !(on_event_ || on_dialed_)) return;
     connect_timer_.Reset();
-    if (failure) return Fail(false, false, failure.message());
+    if (failure) {
+      const bool refused = failure == asio::error::connection_refused;
+      return OnUnconnected(refused ? DialResult::kRefused : DialResult::kNoAnswer,
+                           failure.message());
+    }
     connected_ = true;
     asio::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
-    Send();
+    on_event_ ? Send() : KeepUnused();
+  }
+
+  void KeepUnused() {
+    reading_ = true;
+    Watch();
+    owner_->Keep(shared_from_this(), /*peer_seconds=*/0);
+    std::exchange(on_dialed_, nullptr)(DialResult::kConnected);
+  }
+
+  void OnUnconnected(DialResult result, std::string why) {
+    const auto keep = shared_from_this();
+    if (const auto on_dialed = std::exchange(on_dialed_, nullptr)) {
+      Close();
+      return on_dialed(result);
+    }
+    const bool timed_out = why == kNoConnectionInTime;
+    Fail(false, timed_out, std::move(why));
   }
 
   void Send() {
@@ -240,6 +284,7 @@
   tcp::socket socket_;
   HttpCall call_;
   std::function<void(HttpEvent)> on_event_;
+  std::function<void(DialResult)> on_dialed_;
   std::string head_;
   std::unique_ptr<AnswerParser> parser_;
   std::array<char, kReadBytes> buffer_{};
@@ -253,10 +298,7 @@
 CancelCall ExchangeClient::Impl::Start(HttpCall call, std::function<void(HttpEvent)> on_event) {
   std::shared_ptr<Connection> connection;
   if (!call.fresh_connection) connection = TakeIdle(call.to);
-  if (!connection) {
-    connection = std::make_shared<Connection>(shared_from_this(), call.to);
-    ++opened_;
-  }
+  if (!connection) connection = Open(call.to);
   busy_.insert(connection);
   connection->Begin(std::move(call), std::move(on_event));
   // The connection may serve another call later: only this call may be cancelled.
@@ -266,6 +308,18 @@
   };
 }
 
+void ExchangeClient::Impl::Dial(const Address& to, Duration patience,
+                                std::function<void(DialResult)> done) {
+  const std::shared_ptr<Connection> connection = Open(to);
+  busy_.insert(connection);
+  connection->Dial(patience, std::move(done));
+}
+
+std::shared_ptr<ExchangeClient::Impl::Connection> ExchangeClient::Impl::Open(const Address& to) {
+  ++opened_;
+  return std::make_shared<Connection>(shared_from_this(), to);
+}
+
 std::shared_ptr<ExchangeClient::Impl::Connection> ExchangeClient::Impl::TakeIdle(
     const Address& address) {
   const auto found = idle_.find(address);
@@ -335,6 +389,11 @@
   return Start(std::move(call), CollectAnswer(std::move(done)));
 }
 
+void ExchangeClient::Dial(const Address& to, Duration patience,
+                          std::function<void(DialResult)> done) {
+  impl_->Dial(to, patience, std::move(done));
+}
+
 void ExchangeClient::DropIdle(const Address& address) {
   impl_->DropIdle(address);
 }
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -199,6 +199,8 @@
   run = Run{};
   run.backend = AddressOf(backend);
   run.started_at = run.heard_at = Loop::Now();
+  run.lost_send = {item.id, FingerprintOf(call.method, call.target, call.headers, call.body),
+                   run.backend, run.started_at};
   run.due = due;
   run.place = tools_.places.Began(backend.id, WorkClass::kBatch, run.started_at);
   run.number = tools_.sends.Add(run.backend, run.started_at, [this, key] {
@@ -223,6 +225,7 @@
                  [&](const HttpBytes& bytes) { OnBytes(key, bytes.bytes); },
                  [&](const HttpEnd&) { OnEnd(key); },
                  [&](const HttpFailure& failure) {
+                   if (failure.sent) tools_.crashes.Check(run.lost_send, [] {});
                    Requeue(key,
                            failure.sent ? relay::SendEnd::kBroken : relay::SendEnd::kUnreachable,
                            failure.why, kRetryPause);
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -55,6 +55,7 @@
     Time started_at{};
     Time heard_at{};
     StoreTime due{0};
+    CrashWatch::LostSend lost_send;  // if its connection is lost
   };
 
   void Queue(const JobItemRef& key, Duration pause);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,6 +10,7 @@
 #include "gateway/batch_runner.h"
 #include "gateway/caller_door.h"
 #include "gateway/clocked_tables.h"
+#include "gateway/crash_watch.h"
 #include "gateway/fleet_watch.h"
 #include "gateway/job_desk.h"
 #include "gateway/job_store.h"
@@ -105,8 +106,9 @@
                [this](const Peer& peer) { control_.RemoveMember(peer); },
                [this](const Peer& self) { control_.Rename(self); }}),
         finder_(loop_, places_, link_),
-        tools_{loop_,  client_,         places_,          finder_,
-               sends_, adapter.names(), gateway_metrics_, traffic_},
+        crashes_(client_),
+        tools_{loop_,    client_,         places_,          finder_, sends_,
+               crashes_, adapter.names(), gateway_metrics_, traffic_},
         jobs_(loop_, clocked_tables_, metrics_, peers_, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
                  runner_.OnOwned(job, progress);
@@ -298,6 +300,7 @@
   PeerTable peers_;
   PeerLink link_;
   PlaceFinder finder_;
+  CrashWatch crashes_;
   RelayTools tools_;
   JobStore jobs_;
   BatchRunner runner_;
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -98,12 +98,12 @@
 }
 
 void RelayCall::Do(const relay::Send& action) {
-  backend_ = action.backend.id.value;
+  sent_to_ = action.backend;
   const PlaceUse use = tools_.places.Use(action.backend.id);
   Log(LogLevel::kInfo, "placed",
       {{"request", run_.plan().request.value},
        {"send", std::to_string(action.send)},
-       {"backend", backend_},
+       {"backend", sent_to_.id.value},
        {"online", std::to_string(use.online)},
        {"online_other", std::to_string(use.online_other)},
        {"batch", std::to_string(use.batch)},
@@ -147,12 +147,19 @@
                  },
                  [&](const HttpEnd&) { Step(relay::End{send}); },
                  [&](const HttpFailure& failure) {
+                   if (failure.sent) tools_.crashes.Check(LostSend(), [] {});
                    Step(relay::Broke{send, failure.sent, failure.why});
                  },
              },
              event);
 }
 
+CrashWatch::LostSend RelayCall::LostSend() const {
+  const RequestFingerprint fingerprint =
+      FingerprintOf(request_.method, request_.target, request_.headers, request_.body);
+  return {run_.plan().request.value, fingerprint, sent_to_, sent_at_};
+}
+
 void RelayCall::Do(const relay::SendOver& action) {
   if (const CancelCall cancel = std::exchange(cancel_, nullptr)) cancel();
   const Time now = Loop::Now();
@@ -249,7 +256,7 @@
        {"config", std::to_string(request_.config_version)},
        {"outcome", std::string(outcome)},
        {"status", std::to_string(status_)},
-       {"backend", backend_},
+       {"backend", sent_to_.id.value},
        {"backends", std::to_string(run_.backends_used())},
        {"events", std::to_string(run_.events_passed())},
        {"first_ms", first.count() == 0 ? "" : Milliseconds(first)},
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -11,6 +11,7 @@
 #include "figmill/fleet.h"
 #include "figmill/gateway.h"
 #include "figmill/relay.h"
+#include "gateway/crash_watch.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/open_sends.h"
 #include "gateway/place_finder.h"
@@ -25,6 +26,7 @@
   PlaceBook& places;
   PlaceFinder& finder;
   OpenSends& sends;
+  CrashWatch& crashes;
   const WireNames& names;
   GatewayMetrics& metrics;
   TrafficMetrics& traffic;
@@ -68,6 +70,7 @@
   void Do(const relay::SetTimer& action);
   void OnHttp(SendNumber send, HttpEvent event);
   void BeginSend(const relay::Send& action);
+  [[nodiscard]] CrashWatch::LostSend LostSend() const;
   void Finished(std::string_view outcome, const std::string& why);
   [[nodiscard]] HttpCall CallFor(const relay::Send& action) const;
   [[nodiscard]] HttpResponse ResponseOf(HttpHead head, std::string body) const;
@@ -91,7 +94,7 @@
   Time first_byte_at_{};
   int status_ = 0;
   Duration retry_after_{0};  // said in a refusal
-  std::string backend_;
+  BackendAddress sent_to_;   // last
 };
 
 }  // namespace figmill
--- a/src/once/row.cc
+++ b/src/once/row.cc
@@ -1,12 +1,8 @@
-// The row of a keyed item as JSON, and the keys and digests around it.
+// The row of a keyed item as JSON, and the keys around it.
 
 #include <array>
-#include <cstdio>
 #include <nlohmann/json.hpp>
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include "figmill/once.h"
 
 namespace figmill {
@@ -129,22 +125,6 @@
   }
 }
 
-std::string ContentDigest(std::span<const std::string_view> parts) {
-  XXH3_state_t state;
-  XXH3_128bits_reset(&state);
-  for (const std::string_view part : parts) {
-    const std::uint64_t size = part.size();
-    XXH3_128bits_update(&state, &size, sizeof size);
-    XXH3_128bits_update(&state, part.data(), part.size());
-  }
-  const XXH128_hash_t hash = XXH3_128bits_digest(&state);
-  std::array<char, 33> text{};
-  std::snprintf(text.data(), text.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(hash.high64),
-                static_cast<unsigned long long>(hash.low64));
-  return text.data();
-}
-
 bool FitsInRow(std::string_view body) {
   if (body.size() > kInlineOutcomeBytes) return false;
   try {
