--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,6 +9,7 @@
 
 import gateways
 from engine_faults import ENGINES, EngineFaults
+from promises import KNOWN
 from record import Trouble
 
 
@@ -25,6 +26,9 @@
          "engine_sick", "link_delay", "link_cut", "link_silent", "link_partition", "configure")
 # Engines that start again under their id, and entries by other writers.
 LIST_KINDS = ("restart_reset", "restart_dark", "foreign_own", "foreign_own", "foreign_new")
+# Requests that crash what runs them.
+REQUEST_KINDS = ("crashing_request",)
+ATTEMPT_PAUSE = 0.25  # seconds between their attempts
 
 
 def draw(seed, seconds):
@@ -38,6 +42,7 @@
     faults = some(KINDS, dice.randint(4, 9))
     # Drawn after the others: a seed of before keeps all that it had.
     faults += some(LIST_KINDS, dice.randint(2, 5))
+    faults += some(REQUEST_KINDS, dice.randint(0, 2))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -82,7 +87,7 @@
         what, _, how = fault.kind.partition("_")
         await {"kill": self.kill, "pause": self.pause, "leave": self.leave, "store": self.store,
                "engine": self.engines.strike, "link": self.link, "configure": self.configure,
-               "restart": self.engines.restart,
+               "restart": self.engines.restart, "crashing": self.crashing,
                "foreign": self.engines.write_foreign}[what](fault, how)
 
     async def do(self, order, **more):
@@ -163,6 +168,21 @@
         await self.do("configure", extra=self.names)
         self.record.routes[name] = self.clock()
 
+    async def crashing(self, fault, _how):
+        """One caller, whose request comes again and again, at any gateway."""
+        trouble = self.trouble("engine")
+        end, name = self.clock() + 2 * fault.for_s + KNOWN, f"crash {fault.pick}"
+        while self.clock() < end:
+            attempt = f"c{fault.pick}-{len(self.record.crashing)}"
+            gateway = self.fleet.gateways[len(self.record.crashing) % len(self.fleet.gateways)]
+            self.record.crashing[attempt] = (name, gateway.name)
+            headers = {"Request-Id": attempt, "Deadline-Ms": 2000, "Model": "m", "Tokens": "10,20"}
+            connection = gateways.Connection(gateway.callers)
+            await connection.request("POST", "/flags/1", headers, name.encode(), timeout=2)
+            connection.close()
+            await asyncio.sleep(ATTEMPT_PAUSE)
+        trouble.ended = self.clock() + 1
+
     async def heal(self):
         """Ends what still goes on: processes are woken and started, all else is over by itself."""
         for gateway in self.fleet.gateways:
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -7,6 +7,9 @@
 # CONFIG, an ended job stops after CANCEL; SETTLE is what a process or the store may need to
 # be itself again after trouble, LATE how long after its deadline an answer may still come.
 DRAIN, CONFIG, CANCEL, SETTLE, LATE = 2.0, 2.0, 3.0, 3.0, 0.7
+# KNOWN seconds after a request has crashed its third engine, all gateways know of it: no more than
+# MAY_RETRY attempts reach an engine then.
+KNOWN, MAY_RETRY = 3.0, 3
 NOT_RUN = (408, 421, 429, 503)
 GATEWAY_TROUBLE = ("kill", "pause", "leave", "link")
 
@@ -128,6 +131,22 @@
                    "configuration")
 
 
+def crashing_requests_are_kept_away(record):
+    by_request = collections.defaultdict(list)
+    for run in record.runs:
+        if run["id"] in record.crashing:
+            by_request[record.crashing[run["id"]][0]].append(run)
+    for request, runs in by_request.items():
+        crashed = sorted(run["ended"] for run in runs if run["crashed"])
+        if len(crashed) < 3:
+            continue
+        late = [run for run in runs if run["at"] > crashed[2] + KNOWN and not record.in_trouble(
+            run["at"] - SETTLE, run["at"], gateway=record.crashing[run["id"]][1])]
+        if len(late) > MAY_RETRY:
+            yield (f"{request}: {len(late)} attempts reached engines later than {KNOWN} s after it "
+                   f"had crashed three; {len(crashed)} crashed")
+
+
 def all_is_well_again(record):
     if not record.all_ready:
         yield "not all gateways were ready again"
@@ -138,7 +157,7 @@
 
 ALL = (whole_and_own, once, not_run_is_true, answered_in_time, shutdown_cuts_nothing,
        items_exactly_once, ended_jobs_stop, closed_engines_rest, configuration_is_in_force,
-       all_is_well_again)
+       crashing_requests_are_kept_away, all_is_well_again)
 
 
 def broken(record):
--- a/soak/record.py
+++ b/soak/record.py
@@ -73,6 +73,8 @@
     troubles: list = dataclasses.field(default_factory=list)
     runs: list = dataclasses.field(default_factory=list)
     closed: list = dataclasses.field(default_factory=list)
+    # Attempts of requests that crash engines: id -> (which request, the gateway that took it).
+    crashing: dict = dataclasses.field(default_factory=dict)
     routes: dict = dataclasses.field(default_factory=dict)   # added route -> when acknowledged
     final: list = dataclasses.field(default_factory=list)    # statuses after all has healed
     all_ready: bool = True
--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -125,6 +125,18 @@
         self.assertEqual(self.broken_by(probes=back, routes={"new": 10.0}),
                          {"configuration_is_in_force"})
 
+    def test_a_request_that_goes_on_crashing_engines(self):
+        runs = [ran(f"c{n}", at=10 + n) | {"ended": 10.1 + n, "crashed": True} for n in range(10)]
+        attempts = {run["id"]: ("crash 1", "g0") for run in runs}
+        broken = {"crashing_requests_are_kept_away"}
+        # Crashes at 10.1, 11.1 and 12.1; known from 15.1 on.
+        self.assertEqual(self.broken_by(runs=runs, crashing=attempts), broken)
+        self.assertEqual(self.broken_by(runs=runs[:9], crashing=attempts), set())
+        paused = Trouble("pause", "g0", 10, 17)
+        self.assertEqual(self.broken_by(runs=runs, crashing=attempts, troubles=[paused]), set())
+        two_requests = {run["id"]: (f"crash {n % 4}", "g0") for n, run in enumerate(runs)}
+        self.assertEqual(self.broken_by(runs=runs, crashing=two_requests), set())
+
     def test_a_fleet_that_does_not_recover(self):
         self.assertEqual(self.broken_by(final=[200, 503]), {"all_is_well_again"})
         self.assertEqual(self.broken_by(all_ready=False), {"all_is_well_again"})
