--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -1,23 +1,11 @@
 #include "gateway/batch_runner.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 #include "gateway/item_call.h"
 
 namespace figmill {
-namespace {
-
-std::string Text(std::uint64_t number) {
-  return std::to_string(number);
-}
-
-std::string Milliseconds(Duration time) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
-}  // namespace
 
 BatchRunner::BatchRunner(RelayTools& tools, JobStore& jobs, const StoreClock& clock,
                          std::function<void()> wanted_changed)
@@ -124,7 +112,7 @@
 
 std::string BatchRunner::IdOf(const JobItemRef& key) const {
   const OwnedJob* job = jobs_.Owned(key.job);
-  return job == nullptr ? Text(key.item) : job->items()[key.item].id;
+  return job == nullptr ? std::to_string(key.item) : job->items()[key.item].id;
 }
 
 void BatchRunner::Pump() {
@@ -327,7 +315,7 @@
        {"item", IdOf(key)},
        {"backend", runs_[key].backend.id.value},
        {"end", std::string(relay::ToString(end))},
-       {"events", Text(progress.text.events())},
+       {"events", std::to_string(progress.text.events())},
        {"why", std::string(why)}});
   EndRun(key, end);
   Queue(key, pause);
@@ -345,66 +333,11 @@
        {"item", id},
        {"state", state == ResultState::kComplete ? "complete" : "dead"},
        {"runs", std::to_string(progress.runs)},
-       {"events", Text(progress.text.events())},
+       {"events", std::to_string(progress.text.events())},
        {"why", std::string(why)}});
   job->Finish(key.item, {id, state, state == ResultState::kComplete ? progress.text.text() : ""});
   jobs_.Write(*job);
   Pump();
 }
 
-void BatchRunner::Sweep() {
-  StopSilent();
-  GiveUpHopeless();
-  Pump();
-}
-
-void BatchRunner::GiveUpHopeless() {
-  const bool check_routes = std::exchange(check_routes_, false) && routes_;
-  std::vector<std::pair<JobItemRef, std::string_view>> hopeless;
-  for (const auto& [key, progress] : work_.open()) {
-    const OwnedJob* job = jobs_.Owned(key.job);
-    if (job == nullptr) continue;
-    const JobHead& head = job->head();
-    const bool has_route =
-        !check_routes || routes_->Find(head.host, job->items()[key.item].target) != nullptr;
-    const std::uint64_t version = routes_ ? routes_->version() : 0;
-    const auto why = WhyGivenUp(head, has_route, version, TimeNow().store);
-    if (why) hopeless.emplace_back(key, *why);
-  }
-  for (const auto& [key, why] : hopeless) {
-    LogGivenUp(key, why);
-    EndRun(key, relay::SendEnd::kAbandoned);
-    Finish(key, ResultState::kDead, why);
-  }
-}
-
-// What the verdict rests on: the end of the job's life by the store's clock, and how
-// long ago the store last told its time.
-void BatchRunner::LogGivenUp(const JobItemRef& key, std::string_view why) const {
-  const JobHead* head = jobs_.Known(key.job);
-  const std::optional<StoreTime> now = TimeNow().store;
-  const std::optional<Duration> age = clock_.Age(Loop::SinceBoot());
-  Log(LogLevel::kInfo, "item_given_up",
-      {{"job", key.job.value},
-       {"item", IdOf(key)},
-       {"why", std::string(why)},
-       {"submitted_ms", head == nullptr ? "" : Milliseconds(head->submitted)},
-       {"expires_ms", head == nullptr ? "" : Milliseconds(head->expires)},
-       {"store_now_ms", now ? Milliseconds(*now) : "unknown"},
-       {"store_heard_ms_ago", age ? Milliseconds(*age) : "never"},
-       {"config", Text(routes_ ? routes_->version() : 0)}});
-}
-
-void BatchRunner::StopSilent() {
-  const Time now = Loop::Now();
-  std::vector<JobItemRef> silent;
-  for (const auto& [key, run] : runs_) {
-    const Duration patience = run.answering ? kNextByteSilence : kFirstByteSilence;
-    if (now - run.heard_at >= patience) silent.push_back(key);
-  }
-  for (const JobItemRef& key : silent) {
-    Requeue(key, relay::SendEnd::kSilent, "no bytes in time", Duration{0});
-  }
-}
-
 }  // namespace figmill
--- a/src/gateway/clocked_tables.h
+++ b/src/gateway/clocked_tables.h
@@ -13,6 +13,7 @@
 #include "figmill/runtime.h"
 #include "figmill/store_clock.h"
 #include "figmill/tables.h"
+#include "gateway/log_text.h"
 
 namespace figmill {
 
@@ -63,9 +64,6 @@
     Log(LogLevel::kWarning, "store_clock_set",
         {{"told_ms", Milliseconds(*made_at)}, {"before_ms", Milliseconds(*before)}});
   }
-  static std::string Milliseconds(Duration time) {
-    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-  }
 
   SharedTables& tables_;
   StoreClock& clock_;
--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -4,16 +4,13 @@
 
 #include "figmill/observe.h"
 #include "figmill/runtime.h"
+#include "gateway/log_text.h"
 
 namespace figmill {
 namespace {
 
 constexpr const char* kTable = "crash_reports";
 
-std::string Milliseconds(Duration time) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
-}
-
 void LogLost(const CrashWatch::LostSend& lost, std::string_view found) {
   Log(LogLevel::kInfo, "send_lost",
       {{"request", lost.id},
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/log_text.h"
 #include "gateway/refusal.h"
 
 namespace figmill {
@@ -17,10 +18,6 @@
 // does not answer at all.
 constexpr Duration kConnectTimeout{250'000};
 
-std::string Milliseconds(Duration d) {
-  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
-}
-
 // Of what the keeper has told; empty: nothing yet.
 std::string AgeMs(Time known_at) {
   return known_at == Time{} ? std::string() : Milliseconds(Loop::Now() - known_at);
@@ -186,7 +183,7 @@
   return {run_.plan().request.value, Fingerprint(), sent_to_, sent_at_};
 }
 
-void RelayCall::TellWhole(int status) {
+void RelayCall::OnWholeAnswer(int status) {
   const bool success = status >= kFirstSuccess && status <= kLastSuccess;
   if (success && tools_.crashes.has_reports()) tools_.crashes.Completed(Fingerprint());
 }
@@ -230,13 +227,13 @@
 void RelayCall::Do(relay::PassAnswer& action) {
   status_ = action.head.status;
   reply_->Send(ResponseOf(std::move(action.head), std::move(action.body)));
-  TellWhole(status_);
+  OnWholeAnswer(status_);
   Finished("answered", "");
 }
 
 void RelayCall::Do(const relay::Finish& /*action*/) {
   reply_->End();
-  TellWhole(status_);
+  OnWholeAnswer(status_);
   Finished("answered", "");
 }
 
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -76,7 +76,7 @@
   // Tells the run once it is known whether the backend server has crashed, so that it doesn't
   // go on to the next one with a request that crashes them.
   void OnConnectionLost(SendNumber send, std::string why);
-  void TellWhole(int status);
+  void OnWholeAnswer(int status);
   [[nodiscard]] std::optional<Error> Quarantined();
   [[nodiscard]] const RequestFingerprint& Fingerprint();
   [[nodiscard]] CrashWatch::LostSend LostSend();
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -4,8 +4,8 @@
 
 #include <array>
 
-using namespace figmill;
-using namespace std::chrono_literals;
+using namespace figmill;               // NOLINT(google-build-using-namespace): tests read better
+using namespace std::chrono_literals;  // NOLINT(google-build-using-namespace): as above
 
 namespace {
 
@@ -28,7 +28,7 @@
   // A run of the request that began then ends with its backend server.
   CrashReport Crashes(int backend, Duration begun_at, Duration ended_at,
                       const RequestFingerprint& request = kRequest) {
-    const CrashReport report{CrashOf(request, backend), quarantine.ChainOf(request, At(begun_at))};
+    CrashReport report{CrashOf(request, backend), quarantine.ChainOf(request, At(begun_at))};
     quarantine.Add(report, At(ended_at));
     return report;
   }
@@ -212,9 +212,9 @@
       {"0123/7/i-1", R"({"chain": 2})"},
       {kRequest.value + "/x/i-1", R"({"chain": 2})"},
   }};
-  for (const auto& [name, value] : rows) {
-    CAPTURE(name);
-    CAPTURE(value);
-    CHECK_FALSE(IsOk(ParseCrashRow(RowOf(name, value))));
+  for (const auto& row : rows) {
+    CAPTURE(row.first);
+    CAPTURE(row.second);
+    CHECK_FALSE(IsOk(ParseCrashRow(RowOf(row.first, row.second))));
   }
 }
