--- a/src/gateway/crash_watch.cc
+++ b/src/gateway/crash_watch.cc
@@ -67,6 +67,7 @@
     quarantine_.Remove(surplus);
     Write(surplus, std::nullopt);
   }
+  ShowCount();
 }
 
 std::optional<Error> CrashWatch::WhyNot(const RequestFingerprint& request, WorkClass work) const {
@@ -91,8 +92,8 @@
 void CrashWatch::LogChange(const RequestFingerprint& request,
                            std::size_t quarantined_before) const {
   const std::size_t now = quarantine_.quarantined();
-  quarantined_.Set(static_cast<double>(now));
   if (now == quarantined_before) return;
+  ShowCount();
   const std::optional<Duration> left =
       quarantine_.TimeLeft(request, WorkClass::kOnline, Loop::Now());
   Log(LogLevel::kWarning, now > quarantined_before ? "request_quarantined" : "request_released",
@@ -101,6 +102,10 @@
        {"for_ms", left ? Milliseconds(*left) : ""}});
 }
 
+void CrashWatch::ShowCount() const {
+  quarantined_.Set(static_cast<double>(quarantine_.quarantined()));
+}
+
 // --- Table ------------------------------------------------------------------------
 
 void CrashWatch::OnRow(const TableMirror::Change& change) {
--- a/src/gateway/crash_watch.h
+++ b/src/gateway/crash_watch.h
@@ -56,6 +56,7 @@
   void Report(const LostSend& lost, Time seen_at);
   void OnRow(const TableMirror::Change& change);
   void LogChange(const RequestFingerprint& request, std::size_t quarantined_before) const;
+  void ShowCount() const;
   void Write(const Crash& crash, std::optional<std::string> value);
   void Flush();
   void OnWritten(std::map<std::string, std::optional<std::string>> written,
