--- a/include/figmill/quarantine.h
+++ b/include/figmill/quarantine.h
@@ -63,21 +63,21 @@
 
 class Quarantine {
  public:
-  // How long a request is kept away after a chain of crashes. Trials after it let one that was
-  // blamed wrongly be served again; after a chain of CrashReport::kMaxChain there are none.
+  // How long a request is kept away after a chain of crashes. A probe after it lets one that was
+  // blamed wrongly be served again; after a chain of CrashReport::kMaxChain there is none.
   struct Policy {
     int chain_limit = 0;    // the shortest chain that counts
-    Duration first_period;  // until a trial; twice as long after each further crash
+    Duration first_period;  // until a probe; twice as long after each further crash
   };
   // A request that merely ran beside the cause is short, and seldom meets a second end.
   static constexpr Policy kOnline{2, Duration{60'000'000}};
   // Items run for seconds, and meet the ends of several backend servers that fail for reasons of
   // their own. Their jobs wait for them.
   static constexpr Policy kBatch{4, Duration{8'000'000}};
-  // While one trial is under way no other begins here.
-  static constexpr Duration kTrialTime{10'000'000};
-  // When callers of a request without a further trial are told to come back.
-  static constexpr Duration kLongest = std::chrono::hours(1);
+  // While a probe may still be running no other begins here.
+  static constexpr Duration kProbeTimeout{10'000'000};
+  // What callers of a request that isn't probed any more are told to wait.
+  static constexpr Duration kLongestWait = std::chrono::hours(1);
   // Reports that are kept, of all requests.
   static constexpr std::size_t kMaxReports = 1000;
 
@@ -113,7 +113,7 @@
   };
   struct Suspect {
     std::map<Crash, Seen> crashes;
-    Time trial_until{};
+    Time probed_until{};
   };
   [[nodiscard]] static const Seen& Longest(const Suspect& suspect);
   [[nodiscard]] static bool IsQuarantined(const Suspect& suspect);
--- a/src/exchange/exchange_client.cc
+++ b/src/exchange/exchange_client.cc
@@ -47,18 +47,6 @@
 
 }  // namespace
 
-std::string_view ToString(DialResult result) {
-  switch (result) {
-    case DialResult::kConnected:
-      return "connected";
-    case DialResult::kRefused:
-      return "refused";
-    case DialResult::kNoAnswer:
-      return "no_answer";
-  }
-  return "unknown";
-}
-
 class ExchangeClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(Loop& loop, ExchangeLimits limits) : loop_(loop), limits_(limits) {}
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -55,8 +55,8 @@
   return found == suspects_.end() ? 0 : Longest(found->second).chain;
 }
 
-// Entries end it at different moments: else all of them would begin a trial with the first
-// attempts that come, and lose a backend server each.
+// Entries end it at different moments: else all of them would probe with the first attempts that
+// come, and lose a backend server each.
 std::optional<Duration> Quarantine::PeriodOf(const RequestFingerprint& request,
                                              const Policy& policy, int chain) const {
   if (chain >= CrashReport::kMaxChain) return std::nullopt;
@@ -74,8 +74,8 @@
   const Seen& last = Longest(found->second);
   if (last.chain < policy.chain_limit) return std::nullopt;
   const std::optional<Duration> period = PeriodOf(request, policy, last.chain);
-  if (!period) return kLongest;
-  const Time until = std::max(last.at + *period, found->second.trial_until);
+  if (!period) return kLongestWait;
+  const Time until = std::max(last.at + *period, found->second.probed_until);
   if (now >= until) return std::nullopt;
   return until - now;
 }
@@ -83,7 +83,7 @@
 void Quarantine::Began(const RequestFingerprint& request, Time now) {
   const auto found = suspects_.find(request);
   if (found == suspects_.end() || !IsQuarantined(found->second)) return;
-  found->second.trial_until = now + kTrialTime;
+  found->second.probed_until = now + kProbeTimeout;
 }
 
 std::vector<Crash> Quarantine::Completed(const RequestFingerprint& request) {
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -136,19 +136,19 @@
   CHECK(entry.quarantine.reports() == 1);
 }
 
-TEST_CASE("trials come after a time that doubles, one at a time, and end after some crashes") {
+TEST_CASE("probes come after a time that doubles, one at a time, and end after some crashes") {
   Entry entry;
   entry.CrashesInTurn(2, 0s);
   Duration last = 1100ms;
   for (int chain = 2; chain < CrashReport::kMaxChain; ++chain) {
     const Duration period = Quarantine::kOnline.first_period * (1 << (chain - 2));
     CHECK_FALSE(entry.MayRun(last + period - 1s));
-    const Duration trial = last + 2 * period;
-    CHECK(entry.MayRun(trial));
-    entry.quarantine.Began(kRequest, At(trial));
-    CHECK_FALSE(entry.MayRun(trial + 50ms));
-    last = trial + 100ms;
-    entry.Crashes(chain, trial, last);
+    const Duration probe = last + 2 * period;
+    CHECK(entry.MayRun(probe));
+    entry.quarantine.Began(kRequest, At(probe));
+    CHECK_FALSE(entry.MayRun(probe + 50ms));
+    last = probe + 100ms;
+    entry.Crashes(chain, probe, last);
   }
   CHECK_FALSE(entry.MayRun(last + 1000h));
 }
