--- a/include/figmill/base.h
+++ b/include/figmill/base.h
@@ -94,6 +94,7 @@
 // in the table of error_kinds.cc, which the compiler checks.
 enum class ErrorKind : std::uint8_t {
   kBadRequest,        // malformed: syntax, type, range, form
+  kUnauthorized,      // no key, or one that no team holds
   kTooLarge,          // body or job over its limit
   kNotFound,          // unknown job, key, path
   kUnknownService,    // no such model or plain service
@@ -115,7 +116,7 @@
   kFenced,            // a newer holder has taken over
   kInternal,          // a defect of figmill
 };
-inline constexpr int kErrorKindCount = 21;
+inline constexpr int kErrorKindCount = 22;
 
 // What a kind of error means at each door.
 struct ErrorRow {
--- a/include/figmill/gateway.h
+++ b/include/figmill/gateway.h
@@ -16,6 +16,7 @@
 #include "figmill/base.h"
 #include "figmill/fleet.h"
 #include "figmill/ledger.h"
+#include "figmill/quota.h"
 #include "figmill/routes.h"
 #include "figmill/runtime.h"
 #include "figmill/tables.h"
@@ -30,6 +31,7 @@
   std::string backend_id = "Figmill-Backend";             // who answers
   std::string not_run = "Figmill-Not-Run";                // the request was not run
   std::string last_event_id = "Last-Event-Id";
+  std::string team = "Figmill-Team";  // whose request it is, as the caller's key says
 };
 
 // Callers' calls about batch jobs that were accepted.
@@ -94,6 +96,19 @@
                                                   std::span<const ItemResult> results) const = 0;
 };
 
+struct TeamSettings {
+  // From the acknowledgement of a configuration until a key that it takes away works nowhere any
+  // more.
+  Duration revoke_within{5'000'000};
+  // Also at an entry that can't reach the store, which has to refuse all keys then.
+  bool strict_revocation = false;
+  QuotaBounds quota;
+
+  [[nodiscard]] std::optional<Duration> lease() const {
+    return strict_revocation ? std::optional(revoke_within) : std::nullopt;
+  }
+};
+
 struct GatewaySettings {
   NodeId node;
   DataCentre data_centre;
@@ -105,6 +120,7 @@
   Address store{"127.0.0.1", 9000};
   std::vector<Address> seeds;          // some other entries' peer addresses; may be stale
   Duration shutdown_grace{8'000'000};  // from the order to stop until the kill
+  TeamSettings teams;
   LogLevel log_level = LogLevel::kInfo;
 };
 
--- a/include/figmill/ledger.h
+++ b/include/figmill/ledger.h
@@ -49,6 +49,7 @@
   JobId id;
   std::string route;
   std::string host;
+  TeamId team;  // whose key submitted it; empty: callers needed none
   std::uint32_t total = 0;
   std::uint32_t listed = 0;  // results at positions 0 to listed - 1
   std::string done;          // an 'x' for each item that is listed, else '.'
@@ -134,7 +135,7 @@
                                                         const OnRefusedRow& refused);
 
 // For JobHead::digest.
-[[nodiscard]] std::uint64_t DigestOf(const JobSubmission& submission);
+[[nodiscard]] std::uint64_t DigestOf(const JobSubmission& submission, const TeamId& team = {});
 
 }  // namespace ledger
 
--- a/include/figmill/peer_messages.h
+++ b/include/figmill/peer_messages.h
@@ -14,6 +14,7 @@
 #include "figmill/base.h"
 #include "figmill/fleet.h"
 #include "figmill/peers.h"
+#include "figmill/quota.h"
 #include "figmill/tables.h"
 
 namespace figmill {
@@ -145,6 +146,8 @@
   std::vector<Peer> known;  // peers that the sender knows; on first contact
   enum class Wants : std::uint8_t { kNothing, kAnswer, kKnown };
   Wants wants = Wants::kNothing;
+  std::optional<QuotaAsk> quota_ask;
+  std::optional<QuotaGrant> quota_grant;
 };
 
 // MessagePack. A message that does not fit a datagram loses its last lines, which come
--- a/include/figmill/peers.h
+++ b/include/figmill/peers.h
@@ -94,6 +94,9 @@
 
   [[nodiscard]] const Peer& self() const { return self_; }
   [[nodiscard]] bool IsLive(const NodeId& node, Time now) const;
+  // Of the entries that this one watches, more than half have spoken lately; true if there are
+  // none. One that is cut off hears nobody, whatever it believes of the others.
+  [[nodiscard]] bool HearsMost(Time now);
   [[nodiscard]] const Peer* Find(const NodeId& node) const;
   // All that are known, live or not, without this one; in the order of their names, from the one
   // that follows it. A list of them that is cut goes on where its last one's list begins.
--- a/include/figmill/quarantine.h
+++ b/include/figmill/quarantine.h
@@ -29,10 +29,10 @@
   std::string value;  // 32 hexadecimal digits
   auto operator<=>(const RequestFingerprint&) const = default;
 };
-// `target`: path and query. Of the headers those that tell whose request it is.
+// `target`: path and query. A caller's key is no part of it: digests are written to the store.
 [[nodiscard]] RequestFingerprint FingerprintOf(std::string_view method, std::string_view target,
                                                std::span<const Header> headers,
-                                               std::string_view body);
+                                               std::string_view body, const TeamId& team);
 
 // The end of a backend server that was running a request.
 struct Crash {
--- a/include/figmill/routes.h
+++ b/include/figmill/routes.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "figmill/base.h"
+#include "figmill/teams.h"
 
 namespace figmill {
 
@@ -42,6 +43,7 @@
   int max_backends = 1;             // on how many backend servers one request may run
   bool shares_prompts = false;      // its requests name the shared parts of their prompts
   bool resumable = false;           // a stream can go on at another backend server
+  bool open = false;                // takes requests without a key
   Duration job_due{0};              // batch: from submission until all results are due
   Duration job_life{0};             // batch: from submission until an item may be given up
 };
@@ -75,6 +77,8 @@
   std::vector<Route> routes;
   std::vector<RoutedService> services;
   CallerLimits limits;
+  // Nothing: callers need no keys. None of them: no key is any good.
+  std::optional<std::vector<Team>> teams;
 };
 
 // Errors: kBadRequest, naming the first thing that is wrong.
@@ -83,7 +87,8 @@
 // A configuration made ready for look-ups; immutable, shared between threads.
 class RouteTable {
  public:
-  explicit RouteTable(RoutingConfig config);
+  // `secret` as for TeamDirectory.
+  explicit RouteTable(RoutingConfig config, std::uint64_t secret = 0);
   RouteTable(const RouteTable&) = delete;
   RouteTable& operator=(const RouteTable&) = delete;
 
@@ -92,11 +97,14 @@
   [[nodiscard]] const Route* Find(std::string_view host, std::string_view path) const;
   [[nodiscard]] const Route* Named(std::string_view name) const;
   [[nodiscard]] const RoutedService* Service(const ServiceName& name) const;
+  // Null when callers need no keys.
+  [[nodiscard]] const TeamDirectory* teams() const { return teams_ ? &*teams_ : nullptr; }
   [[nodiscard]] const RoutingConfig& config() const { return config_; }
   [[nodiscard]] std::uint64_t version() const { return config_.version; }
 
  private:
   RoutingConfig config_;
+  std::optional<TeamDirectory> teams_;
   // Of one host, the longest prefix first.
   std::unordered_map<std::string, std::vector<const Route*>> by_host_;
 };
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -6,6 +6,7 @@
 import random
 
 import gateways
+import teams
 from record import Job, Probe, Request
 
 DEADLINE = 3.0   # seconds, of an online request
@@ -50,7 +51,7 @@
         expected = (f"answer to {name}" if kind == "idempotent" else list(range(1, tokens + 1)))
         request = Request(name, kind, gateway.name, self.clock(), DEADLINE, expected)
         headers = {"Request-Id": name, "Deadline-Ms": int(DEADLINE * 1000), "Model": "m",
-                   "Tokens": f"10,{tokens}"}
+                   "Tokens": f"10,{tokens}"} | teams.AUTHORIZATION
         answer = await connection.request("POST", PATHS[kind], headers, b"x", timeout=DEADLINE + 3)
         request.ended_at = self.clock()
         request.status, request.whole = answer.status, answer.whole
@@ -72,7 +73,8 @@
         """Status and body; 0 when there was no answer."""
         try:
             status, _, answer = await asyncio.to_thread(
-                gateways.call, gateway.callers, method, path, body, headers, timeout)
+                gateways.call, gateway.callers, method, path, body,
+                teams.AUTHORIZATION | (headers or {}), timeout)
             return status, answer
         except (OSError, gateways.http.client.HTTPException):
             return 0, b""
@@ -109,8 +111,14 @@
                 job.ended_at = self.clock()
         while self.open and job.accepted:
             await self.read(job, self.dice.choice((0, 0, 1, count)))
+            await self.read_as_another_team(job)
             await asyncio.sleep(0.5)
 
+    async def read_as_another_team(self, job):
+        status, _ = await self.call(self.gateway(), "GET", f"/-/lots/{job.id}?after=0",
+                                    headers={"Authorization": f"Bearer {teams.HOT_KEY}"})
+        self.record.foreign_reads.append((job.id, status))
+
     async def read(self, job, after):
         status, body = await self.call(self.gateway(), "GET", f"/-/lots/{job.id}?after={after}")
         if status != 200:
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 import subprocess
 
 import gateways
+import teams
 from engine_faults import ENGINES, EngineFaults
 from promises import KNOWN
 from record import Trouble
@@ -43,6 +44,7 @@
     # Drawn after the others: a seed of before keeps all that it had.
     faults += some(LIST_KINDS, dice.randint(2, 5))
     faults += some(REQUEST_KINDS, dice.randint(0, 2))
+    faults += some(teams.KINDS, dice.randint(0, 2))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -76,6 +78,7 @@
         self.names = []  # routes that were added
         # A process that is being stopped and started isn't struck again meanwhile.
         self.busy = set()
+        self.teams = teams.TeamFaults(fleet, self.do, record, clock)
         self.engines = EngineFaults(self.do, self.trouble, record, clock)
 
     def trouble(self, what, target=""):
@@ -88,7 +91,8 @@
         await {"kill": self.kill, "pause": self.pause, "leave": self.leave, "store": self.store,
                "engine": self.engines.strike, "link": self.link, "configure": self.configure,
                "restart": self.engines.restart, "crashing": self.crashing,
-               "foreign": self.engines.write_foreign}[what](fault, how)
+               "foreign": self.engines.write_foreign, "revoke": self.teams.revoke,
+               "hot": self.teams.press}[what](fault, how)
 
     async def do(self, order, **more):
         return await asyncio.to_thread(self.fleet.world.do, order, **more)
@@ -177,6 +181,7 @@
             gateway = self.fleet.gateways[len(self.record.crashing) % len(self.fleet.gateways)]
             self.record.crashing[attempt] = (name, gateway.name)
             headers = {"Request-Id": attempt, "Deadline-Ms": 2000, "Model": "m", "Tokens": "10,20"}
+            headers |= teams.AUTHORIZATION
             connection = gateways.Connection(gateway.callers)
             await connection.request("POST", "/flags/1", headers, name.encode(), timeout=2)
             connection.close()
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -3,6 +3,8 @@
 
 import collections
 
+import teams
+
 # Seconds. An engine that is closed gets nothing new after DRAIN, a configuration is in force after
 # CONFIG, an ended job stops after CANCEL; SETTLE is what a process or the store may need to
 # be itself again after trouble, LATE how long after its deadline an answer may still come.
@@ -157,7 +159,7 @@
 
 ALL = (whole_and_own, once, not_run_is_true, answered_in_time, shutdown_cuts_nothing,
        items_exactly_once, ended_jobs_stop, closed_engines_rest, configuration_is_in_force,
-       crashing_requests_are_kept_away, all_is_well_again)
+       crashing_requests_are_kept_away, all_is_well_again, *teams.PROMISES)
 
 
 def broken(record):
--- a/soak/record.py
+++ b/soak/record.py
@@ -45,6 +45,15 @@
     status: int
 
 
+@dataclasses.dataclass
+class TeamRequest:
+    id: str
+    key: str
+    gateway: str
+    sent_at: float
+    status: int = 0
+
+
 @dataclasses.dataclass
 class Trouble:
     what: str    # kill, pause, leave, store, engine, link
@@ -76,6 +85,10 @@
     # Attempts of requests that crash engines: id -> (which request, the gateway that took it).
     crashing: dict = dataclasses.field(default_factory=dict)
     routes: dict = dataclasses.field(default_factory=dict)   # added route -> when acknowledged
+    team_requests: list = dataclasses.field(default_factory=list)
+    revoked: dict = dataclasses.field(default_factory=dict)  # key -> when that was acknowledged
+    # (job, status) of reads with the key of a team that didn't submit it.
+    foreign_reads: list = dataclasses.field(default_factory=list)
     final: list = dataclasses.field(default_factory=list)    # statuses after all has healed
     all_ready: bool = True
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -18,6 +18,7 @@
 
 import gateways  # noqa: E402
 import promises  # noqa: E402
+import teams  # noqa: E402
 from callers import Callers  # noqa: E402
 from faults import Faults, Proxy, draw  # noqa: E402
 from record import Record  # noqa: E402
@@ -85,7 +86,7 @@
     """The breaks of one seed, the record, and the folder of the logs. The last of `count`
     gateways reaches the store by way of the fault proxy. Raises NotPlayed."""
     fleet = gateways.Fleet(build, gateways=count - 1, engines=4, services=2, seed=seed,
-                           options=("--shutdown-grace-ms", str(GRACE_MS)))
+                           options=("--shutdown-grace-ms", str(GRACE_MS), *teams.OPTIONS))
     proxy = None
     try:
         engines = fleet.world.engines[:2]
@@ -94,6 +95,7 @@
             fleet.world.do("engine", index=index, path=link)
         fleet.add(count - 1, store=proxy.links[-1])
         with fleet:
+            teams.begin(fleet)
             record = asyncio.run(play(fleet, proxy, seed, seconds))
     except (AssertionError, OSError, ValueError, http.client.HTTPException) as problem:
         raise NotPlayed(problem, fleet.folder) from problem
--- a/src/base/error_kinds.cc
+++ b/src/base/error_kinds.cc
@@ -11,6 +11,7 @@
 // 8 unknown outcome, 9 defect.
 constexpr std::array<ErrorRow, kErrorKindCount> kTable = {{
     {ErrorKind::kBadRequest, "bad-request", 400, -32602, 2, false, "The request is malformed"},
+    {ErrorKind::kUnauthorized, "unauthorized", 401, -32019, 2, false, "A team's key is needed"},
     {ErrorKind::kTooLarge, "too-large", 413, -32001, 2, false, "The request is too large"},
     {ErrorKind::kNotFound, "not-found", 404, -32002, 3, false, "There is no such thing"},
     {ErrorKind::kUnknownService, "unknown-service", 404, -32003, 3, false,
--- a/src/figmilld/settings.cc
+++ b/src/figmilld/settings.cc
@@ -2,6 +2,7 @@
 
 #include <CLI/CLI.hpp>
 #include <charconv>
+#include <functional>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -185,6 +186,69 @@
   return addresses;
 }
 
+// May be filled in from a template whose value is missing: an empty text leaves the default.
+template <typename T>
+struct OptionalNumber {
+  T least;
+  T most;
+  T standing;
+  std::function<void(T)> set;
+};
+
+template <typename T>
+CLI::Option* Add(CLI::App& app, const Setting& setting, const OptionalNumber<T>& number) {
+  const auto read = [setting, number](const std::string& text) {
+    if (text.empty()) return;
+    T value{};
+    const char* const last = text.data() + text.size();
+    const auto [end, failure] = std::from_chars(text.data(), last, value);
+    const bool whole = failure == std::errc{} && end == last;
+    if (whole && value >= number.least && value <= number.most) return number.set(value);
+    std::ostringstream allowed;
+    allowed << "a number from " << number.least << " to " << number.most << ", or nothing";
+    Refuse(setting, text, allowed.str());
+  };
+  std::ostringstream standing;
+  standing << number.standing;
+  return Add(app, setting, "NUMBER", read)->default_str(standing.str())->expected(0, 1);
+}
+
+void AddRevocation(CLI::App& app, TeamSettings& teams) {
+  const Setting strict{"--strict-revocation", "FIGMILL_STRICT_REVOCATION",
+                       "refuse keys when the store has not confirmed the configuration in time"};
+  const auto read = [&teams, strict](const std::string& text) {
+    if (text.empty()) return;
+    if (text != "true" && text != "false") Refuse(strict, text, "true, false, or nothing");
+    teams.strict_revocation = text == "true";
+  };
+  Add(app, strict, "true|false", read)->default_str("false")->expected(0, 1)->group("Teams");
+  const Setting within{"--revoke-within-ms", "FIGMILL_REVOKE_WITHIN_MS",
+                       "from the acknowledgement of a configuration until a key that it takes "
+                       "away works nowhere any more"};
+  const auto set = [&teams](std::int64_t ms) { teams.revoke_within = ms * kMillisecond; };
+  Add(app, within,
+      OptionalNumber<std::int64_t>{500, 600'000, teams.revoke_within / kMillisecond, set})
+      ->group("Teams");
+}
+
+void AddQuota(CLI::App& app, QuotaBounds& quota) {
+  const Setting window{"--quota-window-s", "FIGMILL_QUOTA_WINDOW_S",
+                       "window of time in which a team's limit must hold, seconds"};
+  const auto set_window = [&quota](std::int64_t s) { quota.window = std::chrono::seconds(s); };
+  Add(app, window,
+      OptionalNumber<std::int64_t>{1, 3'600, quota.window / std::chrono::seconds(1), set_window})
+      ->group("Teams");
+  const Setting excess{"--quota-excess", "FIGMILL_QUOTA_EXCESS",
+                       "share by which a window may pass a team's limit"};
+  const auto set_excess = [&quota](double share) { quota.excess = share; };
+  Add(app, excess, OptionalNumber<double>{0.01, 1, quota.excess, set_excess})->group("Teams");
+  const Setting slack{"--quota-slack", "FIGMILL_QUOTA_SLACK",
+                      "requests by which a window may pass it besides"};
+  const auto set_slack = [&quota](std::uint32_t requests) { quota.slack = requests; };
+  Add(app, slack, OptionalNumber<std::uint32_t>{0, 100'000, quota.slack, set_slack})
+      ->group("Teams");
+}
+
 void AddGateway(CLI::App& app, GatewaySettings& gateway) {
   AddId(app, {"--node", "FIGMILL_NODE", "name of this process's slot, kept over restarts"},
         gateway.node.value)
@@ -225,6 +289,8 @@
                    "from the order to stop until the process is killed"},
                   {1'000, 600'000}, gateway.shutdown_grace)
       ->group("Times");
+  AddRevocation(app, gateway.teams);
+  AddQuota(app, gateway.teams.quota);
 }
 
 // What no setting can tell alone.
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -85,8 +85,9 @@
 // what is listed as dead stays dead, and another request may have been the cause.
 Duration BatchRunner::QuarantineLeft(const OwnedJob& job, const JobItemRef& key) const {
   if (!tools_.crashes.quarantines()) return Duration{0};
-  const HttpCall call = ItemCall(job.head(), job.items()[key.item]);
-  const std::optional<Error> why = tools_.crashes.WhyNot(FingerprintOf(call), WorkClass::kBatch);
+  const HttpCall call = ItemCall(tools_.names, job.head(), job.items()[key.item]);
+  const std::optional<Error> why =
+      tools_.crashes.WhyNot(FingerprintOf(job.head(), call), WorkClass::kBatch);
   return why ? why->retry_after.value_or(Duration{0}) : Duration{0};
 }
 
@@ -169,8 +170,8 @@
   const OwnedJob* job = jobs_.Owned(key.job);
   const JobItem& item = job->items()[key.item];
   const ItemProgress& progress = work_.Of(key);
-  HttpCall call = ItemCall(job->head(), item);
-  const RequestFingerprint fingerprint = FingerprintOf(call);
+  HttpCall call = ItemCall(tools_.names, job->head(), item);
+  const RequestFingerprint fingerprint = FingerprintOf(job->head(), call);
   call.to = backend.address;
   call.headers.push_back({tools_.names.request_id, item.id});
   call.headers.push_back({tools_.names.expect_backend, backend.id.value});
--- a/src/gateway/caller_door.cc
+++ b/src/gateway/caller_door.cc
@@ -3,6 +3,8 @@
 #include <charconv>
 #include <utility>
 
+#include "gateway/item_call.h"
+#include "gateway/log_text.h"
 #include "gateway/refusal.h"
 
 namespace figmill {
@@ -66,18 +68,23 @@
         request, *reply,
         {ErrorKind::kNoBackend, "no configuration is known yet", Ran::kNo, kFirstConfiguration});
   }
-  if (const std::optional<Result<JobCall>> call = adapter_.ParseJobCall(request)) {
-    if (!IsOk(*call)) return Refuse(request, *reply, ErrorOf(*call));
-    return jobs_.Call(ValueOf(*call), std::move(reply));
-  }
-  const Route* route = view_->routes->Find(request.HeaderOr("Host"), request.path);
-  if (route == nullptr) {
+  const std::optional<Result<JobCall>> call = adapter_.ParseJobCall(request);
+  const Route* route = call ? nullptr : view_->routes->Find(request.HeaderOr("Host"), request.path);
+  if (!call && route == nullptr) {
     return Refuse(request, *reply, {ErrorKind::kNotFound, "no route for this host and path"});
   }
+  const Result<std::optional<TeamId>> identified = tools_.teams.Identify(request, route);
+  if (!IsOk(identified)) return Refuse(request, *reply, ErrorOf(identified));
+  const auto& team = std::get<std::optional<TeamId>>(identified);
+  if (call) {
+    if (!IsOk(*call)) return Refuse(request, *reply, ErrorOf(*call));
+    return jobs_.Call(ValueOf(*call), team, std::move(reply));
+  }
   if (route->kind == RouteKind::kBatch) {
-    return jobs_.Submit(*route, view_->routes->version(), std::move(request), std::move(reply));
+    return jobs_.Submit(*route, view_->routes->version(), team, std::move(request),
+                        std::move(reply));
   }
-  Relay(*route, std::move(request), std::move(reply));
+  Relay(*route, team, std::move(request), std::move(reply));
 }
 
 void CallerDoor::Refuse(const HttpRequest& request, HttpReply& reply, const Error& error) const {
@@ -92,6 +99,7 @@
        {"host", std::string(request.HeaderOr("Host"))},
        {"path", request.path},
        {"config", view_ && view_->routes ? std::to_string(view_->routes->version()) : "none"},
+       {"config_age_ms", Milliseconds(tools_.teams.age().value_or(Duration{0}))},
        {"why", error.detail}});
   reply.Send(std::move(response));
 }
@@ -115,7 +123,19 @@
   return plan;
 }
 
-void CallerDoor::Relay(const Route& route, HttpRequest request, std::shared_ptr<HttpReply> reply) {
+std::vector<Header> CallerDoor::HeadersFor(const std::optional<TeamId>& team,
+                                           std::vector<Header> headers) const {
+  const WireNames& names = tools_.names;
+  const bool has_teams = view_->routes->teams() != nullptr;
+  std::erase_if(headers, [&names, has_teams](const Header& header) {
+    return IsReplaced(names, header.name) || (has_teams && TellsTeam(names, header.name));
+  });
+  if (team) headers.push_back({names.team, team->value});
+  return headers;
+}
+
+void CallerDoor::Relay(const Route& route, std::optional<TeamId> team, HttpRequest request,
+                       std::shared_ptr<HttpReply> reply) {
   RelayPlan plan = PlanOf(route, request);
   RelayedRequest relayed;
   relayed.method = std::move(request.method);
@@ -128,9 +148,8 @@
   relayed.route = route.name;
   relayed.config_version = view_->routes->version();
   relayed.body = std::move(request.body);
-  relayed.headers = std::move(request.headers);
-  std::erase_if(relayed.headers,
-                [this](const Header& header) { return IsReplaced(tools_.names, header.name); });
+  relayed.headers = HeadersFor(team, std::move(request.headers));
+  relayed.team = std::move(team);
   ++in_flight_;
   const auto call = std::make_shared<RelayCall>(tools_, std::move(plan), std::move(relayed),
                                                 std::move(reply), [this] { --in_flight_; });
--- a/src/gateway/caller_door.h
+++ b/src/gateway/caller_door.h
@@ -31,7 +31,12 @@
   }
 
  private:
-  void Relay(const Route& route, HttpRequest request, std::shared_ptr<HttpReply> reply);
+  void Relay(const Route& route, std::optional<TeamId> team, HttpRequest request,
+             std::shared_ptr<HttpReply> reply);
+  // What is sent on of a request's headers. With teams the caller's key stays here, and whose
+  // request it is says the key, whatever the caller says.
+  [[nodiscard]] std::vector<Header> HeadersFor(const std::optional<TeamId>& team,
+                                               std::vector<Header> headers) const;
   void Refuse(const HttpRequest& request, HttpReply& reply, const Error& error) const;
   [[nodiscard]] RelayPlan PlanOf(const Route& route, const HttpRequest& request) const;
 
--- a/src/gateway/fleet_watch.cc
+++ b/src/gateway/fleet_watch.cc
@@ -1,5 +1,6 @@
 #include "gateway/fleet_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figmill {
@@ -22,20 +23,26 @@
 }  // namespace
 
 FleetWatch::FleetWatch(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter,
-                       Metrics& metrics,
-                       std::function<void(std::shared_ptr<const FleetView>)> publish)
+                       Metrics& metrics, std::optional<Duration> revoke_within, Hooks hooks)
     : loop_(loop),
       adapter_(adapter),
-      publish_(std::move(publish)),
+      hooks_(std::move(hooks)),
       refused_configs_(metrics, {"config", "config_refused", "row"}),
       refused_backends_(metrics, {"backend", "backend_refused", "backend"}),
+      secret_(SystemRandom()()),
       config_(
           loop, tables, adapter.config_row().table, {adapter.config_row().part},
           [this](const TableMirror::Change& change) { OnConfig(change); },
-          [this] { SchedulePublish(); }),
+          [this] {
+            SchedulePublish();
+            Confirm();
+          }),
       backends_(
           loop, tables, adapter.backend_table(), {""},
           [this](const TableMirror::Change& change) { OnBackend(change); }, [this] { Publish(); }) {
+  if (revoke_within) {
+    config_.SetWait(std::min<Duration>(TableFollower::kWait, *revoke_within / kConfirmations));
+  }
 }
 
 void FleetWatch::Start() {
@@ -59,7 +66,7 @@
       {{"version", std::to_string(next)},
        {"before", std::to_string(now)},
        {"row_version", std::to_string(change.row->version)}});
-  view_.routes = std::make_shared<const RouteTable>(std::move(ValueOf(config)));
+  view_.routes = std::make_shared<const RouteTable>(std::move(ValueOf(config)), secret_);
   changed_ = true;
 }
 
@@ -119,7 +126,15 @@
   if (!std::exchange(changed_, false) && !first_list) return;
   view_.backends_listed = backends_.mirror().complete();
   view_.backends_version = backends_.mirror().version();
-  publish_(std::make_shared<const FleetView>(view_));
+  hooks_.publish(std::make_shared<const FleetView>(view_));
+  Confirm();
+}
+
+void FleetWatch::Confirm() {
+  const std::optional<Duration> at = config_.confirmed_at();
+  if (changed_ || !view_.routes || !at || at == confirmed_at_) return;
+  confirmed_at_ = at;
+  hooks_.confirmed(*at);
 }
 
 }  // namespace figmill
--- a/src/gateway/fleet_watch.h
+++ b/src/gateway/fleet_watch.h
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 #include "figmill/gateway.h"
 #include "gateway/fleet_view.h"
@@ -19,9 +20,20 @@
   // backend server writes its own row.
   static constexpr Duration kPublishPause{20'000};
 
-  // `publish` is called on `loop` with each new view.
+  // The store is asked so often within the time in which a key must be taken away, so that a lost
+  // answer or two don't make the configuration too old.
+  static constexpr int kConfirmations = 5;
+
+  // Called on `loop`.
+  struct Hooks {
+    std::function<void(std::shared_ptr<const FleetView>)> publish;  // each new view
+    // The configuration published last was in force when the store was asked, by
+    // Loop::SinceBoot.
+    std::function<void(Duration asked_at)> confirmed;
+  };
+  // `revoke_within`: see TeamSettings::lease.
   FleetWatch(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter, Metrics& metrics,
-             std::function<void(std::shared_ptr<const FleetView>)> publish);
+             std::optional<Duration> revoke_within, Hooks hooks);
 
   void Start();
 
@@ -31,15 +43,19 @@
   void OnUnreadableBackend(const BackendId& id, RowVersion version, const Error& error);
   void SchedulePublish();
   void Publish();
+  // Only what has been published may be confirmed: traffic goes by an older one until then.
+  void Confirm();
 
   Loop& loop_;
   const PlatformAdapter& adapter_;
-  std::function<void(std::shared_ptr<const FleetView>)> publish_;
+  Hooks hooks_;
   RefusedRows refused_configs_;
   RefusedRows refused_backends_;
   FleetView view_;
   bool changed_ = false;
   bool publish_scheduled_ = false;
+  std::uint64_t secret_;  // of the look-up by key
+  std::optional<Duration> confirmed_at_;
   TableFollower config_;
   TableFollower backends_;
 };
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -18,6 +18,7 @@
 #include "gateway/open_sends.h"
 #include "gateway/peer_link.h"
 #include "gateway/store_caller.h"
+#include "gateway/team_access.h"
 
 namespace figmill {
 namespace {
@@ -38,7 +39,7 @@
 class Control {
  public:
   struct Hooks {
-    std::function<void(std::shared_ptr<const FleetView>)> publish;
+    FleetWatch::Hooks fleet;
     MemberWatch::Hooks members;
   };
 
@@ -47,7 +48,7 @@
       : client_(loop_),
         store_(loop_, client_, settings.store, traffic),
         tables_(adapter.Connect(store_)),
-        fleet_(loop_, *tables_, adapter, metrics, std::move(hooks.publish)),
+        fleet_(loop_, *tables_, adapter, metrics, settings.teams.lease(), std::move(hooks.fleet)),
         members_(loop_, *tables_, metrics, self, std::move(hooks.members)),
         thread_([this] {
           // In this order most have joined by the time at which others hear of them.
@@ -104,11 +105,14 @@
               {[this] { return runner_.Waiting(); }, [this] { runner_.Pump(); },
                [this](const PlaceAnswer& answer) { finder_.OnAnswer(answer); },
                [this](const Peer& peer) { control_.RemoveMember(peer); },
-               [this](const Peer& self) { control_.Rename(self); }}),
+               [this](const Peer& self) { control_.Rename(self); },
+               [this](const Peer& from, const QuotaAsk& ask) { teams_.OnAsk(from, ask); },
+               [this](const QuotaGrant& grant) { teams_.OnGrant(grant); }}),
+        teams_(loop_, peers_, link_, metrics_, settings.teams),
         finder_(loop_, places_, link_),
         crashes_(loop_, client_, clocked_tables_, metrics_, settings.node),
-        tools_{loop_,    client_,         places_,          finder_, sends_,
-               crashes_, adapter.names(), gateway_metrics_, traffic_},
+        tools_{loop_,    client_, places_,         finder_,          sends_,
+               crashes_, teams_,  adapter.names(), gateway_metrics_, traffic_},
         jobs_(loop_, clocked_tables_, metrics_, peers_, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& progress) {
                  runner_.OnOwned(job, progress);
@@ -165,11 +169,13 @@
 
  private:
   Control::Hooks ControlHooks() {
-    return {[this](std::shared_ptr<const FleetView> view) {
-              loop_.Post([this, view = std::move(view)] { Update(view); });
-            },
-            {[this](const Peer& peer) { loop_.Post([this, peer] { link_.Named(peer); }); },
-             [this](const NodeId& node) { loop_.Post([this, node] { link_.Unlisted(node); }); }}};
+    return {
+        {[this](std::shared_ptr<const FleetView> view) {
+           loop_.Post([this, view = std::move(view)] { Update(view); });
+         },
+         [this](Duration asked_at) { loop_.Post([this, asked_at] { teams_.Confirm(asked_at); }); }},
+        {[this](const Peer& peer) { loop_.Post([this, peer] { link_.Named(peer); }); },
+         [this](const NodeId& node) { loop_.Post([this, node] { link_.Unlisted(node); }); }}};
   }
 
   void OnPeerRequest(HttpRequest request, std::shared_ptr<HttpReply> reply) {
@@ -198,14 +204,17 @@
     set("figmill_connections_opened", "Connections opened since the start",
         static_cast<double>(client_.opened()));
     set("figmill_store_clock_age_seconds",
-        "Since the store last told its time; -1 before it first did", StoreClockAge());
+        "Since the store last told its time; -1 before it first did",
+        SecondsOr(clock_.Age(Loop::SinceBoot()), -1));
+    set("figmill_config_confirmed_age_seconds",
+        "Since the store was last asked whether the configuration still holds; -1 before it was",
+        SecondsOr(teams_.age(), -1));
     set("figmill_log_lines_dropped", "Log lines left out or lost since the start",
         static_cast<double>(LogLinesDropped()));
   }
 
-  [[nodiscard]] double StoreClockAge() const {
-    const std::optional<Duration> age = clock_.Age(Loop::SinceBoot());
-    return age ? std::chrono::duration<double>(*age).count() : -1;
+  [[nodiscard]] static double SecondsOr(std::optional<Duration> time, double fallback) {
+    return time ? std::chrono::duration<double>(*time).count() : fallback;
   }
 
   // By way of whom the store may be reached.
@@ -224,6 +233,7 @@
       client_.DropIdle(address);
     }
     backends_ = view->backends;
+    teams_.SetRoutes(view->routes);
     door_.Update(view);
     runner_.SetRoutes(view->routes);
     std::vector<BackendInfo> backends;
@@ -261,6 +271,7 @@
   void TellReadiness(HttpReply& reply) const {
     if (leaving_) return reply.Send({503, "text/plain", {}, "leaving\n"});
     if (!door_.ready()) return reply.Send({503, "text/plain", {}, "no configuration yet\n"});
+    if (!teams_.ready()) return reply.Send({503, "text/plain", {}, "keys not confirmed\n"});
     reply.Send({200, "text/plain", {}, "ready\n"});
   }
 
@@ -300,6 +311,7 @@
   OpenSends sends_;
   PeerTable peers_;
   PeerLink link_;
+  TeamAccess teams_;
   PlaceFinder finder_;
   CrashWatch crashes_;
   RelayTools tools_;
--- a/src/gateway/job_desk.cc
+++ b/src/gateway/job_desk.cc
@@ -66,7 +66,8 @@
   leaving_ = true;
 }
 
-void JobDesk::Submit(const Route& route, std::uint64_t config_version, HttpRequest request,
+void JobDesk::Submit(const Route& route, std::uint64_t config_version,
+                     const std::optional<TeamId>& team, HttpRequest request,
                      std::shared_ptr<HttpReply> reply) {
   Result<JobSubmission> submission = adapter_.ParseSubmission(request);
   const std::string id(request.HeaderOr(adapter_.names().request_id));
@@ -81,12 +82,13 @@
   head.id = job.id;
   head.route = route.name;
   head.host = route.host;
+  head.team = team.value_or(TeamId{});
   head.total = static_cast<std::uint32_t>(job.items.size());
   head.done = std::string(job.items.size(), '.');
   head.submitted = *now;
   head.due = head.submitted + route.job_due;
   head.expires = head.submitted + route.job_life;
-  head.digest = ledger::DigestOf(job);
+  head.digest = ledger::DigestOf(job, head.team);
   head.config_version = config_version;
   jobs_.Accept(std::move(head), std::move(job), [this, answer](const Result<Ok>& accepted) {
     if (!IsOk(accepted)) return answer->Refuse(ErrorOf(accepted));
@@ -94,13 +96,25 @@
   });
 }
 
-void JobDesk::Call(const JobCall& call, std::shared_ptr<HttpReply> reply) {
-  std::visit(
-      [&](const auto& each) {
-        On(each, std::make_shared<Answer>(*this, std::string(each.kName), each.job.value,
-                                          std::move(reply)));
-      },
-      call);
+void JobDesk::Call(const JobCall& call, const std::optional<TeamId>& team,
+                   std::shared_ptr<HttpReply> reply) {
+  const auto [name, job] = std::visit(
+      [](const auto& each) { return std::pair(std::string(each.kName), each.job); }, call);
+  const auto answer = std::make_shared<Answer>(*this, name, job.value, std::move(reply));
+  if (!team) return Serve(call, answer);
+  jobs_.Find(job, [this, call, team, answer, job](const Result<JobHead>& head) {
+    if (!IsOk(head)) return answer->Refuse(ErrorOf(head));
+    const TeamId& holder = ValueOf(head).team;
+    if (holder.empty() || holder == *team) return Serve(call, answer);
+    // Asked for in the store like one that nobody knows, so that the time is the same.
+    jobs_.Refresh(job, [answer](const Result<JobHead>& /*head*/) {
+      answer->Refuse({ErrorKind::kNotFound, "no such job"});
+    });
+  });
+}
+
+void JobDesk::Serve(const JobCall& call, const std::shared_ptr<Answer>& answer) {
+  std::visit([&](const auto& each) { On(each, answer); }, call);
 }
 
 void JobDesk::On(const JobReadCall& call, std::shared_ptr<Answer> answer) {
--- a/src/gateway/job_desk.h
+++ b/src/gateway/job_desk.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <vector>
 
 #include "figmill/gateway.h"
@@ -17,10 +18,13 @@
  public:
   JobDesk(Loop& loop, JobStore& jobs, const StoreClock& clock, const PlatformAdapter& adapter);
 
-  // `config_version`: of the configuration that `route` is from.
-  void Submit(const Route& route, std::uint64_t config_version, HttpRequest request,
-              std::shared_ptr<HttpReply> reply);
-  void Call(const JobCall& call, std::shared_ptr<HttpReply> reply);
+  // `config_version`: of the configuration that `route` is from. `team`: nothing when callers need
+  // no keys.
+  void Submit(const Route& route, std::uint64_t config_version, const std::optional<TeamId>& team,
+              HttpRequest request, std::shared_ptr<HttpReply> reply);
+  // For a job of another team as if it weren't there.
+  void Call(const JobCall& call, const std::optional<TeamId>& team,
+            std::shared_ptr<HttpReply> reply);
   // The job has new results, or has ended.
   void OnChanged(const JobHead& head);
   void SetLeaving();
@@ -35,6 +39,7 @@
   // A reply that counts as in flight until it is sent.
   class Answer;
 
+  void Serve(const JobCall& call, const std::shared_ptr<Answer>& answer);
   void On(const JobReadCall& call, std::shared_ptr<Answer> answer);
   void On(const JobItemCall& call, std::shared_ptr<Answer> answer);
   void On(const JobEndCall& call, std::shared_ptr<Answer> answer);
--- a/src/gateway/peer_link.cc
+++ b/src/gateway/peer_link.cc
@@ -14,6 +14,7 @@
   if (message.grant) return TrafficKind::kGrant;
   if (message.ask) return TrafficKind::kAsk;
   if (message.answer) return TrafficKind::kAnswer;
+  if (message.quota_ask || message.quota_grant) return TrafficKind::kQuota;
   return TrafficKind::kPresence;
 }
 
@@ -136,6 +137,18 @@
   socket_->Send(bytes, to.address);
 }
 
+void PeerLink::SendQuota(const Peer& to, const QuotaAsk& ask) {
+  PeerMessage message;
+  message.quota_ask = ask;
+  Send(to, std::move(message));
+}
+
+void PeerLink::SendQuota(const Peer& to, const QuotaGrant& grant) {
+  PeerMessage message;
+  message.quota_grant = grant;
+  Send(to, std::move(message));
+}
+
 // --- In ---------------------------------------------------------------------------
 
 // Anybody may send to this port.
@@ -183,6 +196,8 @@
   }
   if (message.grant) OnGrant(message.from, *message.grant);
   if (message.answer) hooks_.answered(*message.answer);
+  if (message.quota_ask) hooks_.quota_asked(message.from, *message.quota_ask);
+  if (message.quota_grant) hooks_.quota_granted(*message.quota_grant);
 }
 
 bool PeerLink::IsNear(const Peer& peer) const {
--- a/src/gateway/peer_link.h
+++ b/src/gateway/peer_link.h
@@ -26,6 +26,8 @@
     std::function<void(const Peer&)> silent;
     // This entry goes by another incarnation from now on.
     std::function<void(const Peer& self)> renamed;
+    std::function<void(const Peer& from, const QuotaAsk&)> quota_asked;
+    std::function<void(const QuotaGrant&)> quota_granted;
   };
   // Entries report to their keepers at least this often.
   static constexpr Duration kHeartbeat = PlaceKeeper::kHeartbeat;
@@ -67,6 +69,8 @@
   void Ask(const NodeId& keeper, const PlaceAsk& ask);
   // This entry has acted on the keeper's answer, or wants no place any more.
   void ActedOn(const NodeId& keeper, std::uint64_t ask);
+  void SendQuota(const Peer& to, const QuotaAsk& ask);
+  void SendQuota(const Peer& to, const QuotaGrant& grant);
   // Keepers of a service's backend servers in the order in which to ask them for a
   // place: by the share that is free of what they keep, this data centre first.
   [[nodiscard]] std::vector<NodeId> KeepersFor(const ServiceName& service,
--- a/src/gateway/refusal.cc
+++ b/src/gateway/refusal.cc
@@ -6,6 +6,9 @@
 
 HttpResponse RefusalOf(const Error& error) {
   HttpResponse response = ProblemOf(error);
+  if (error.kind == ErrorKind::kUnauthorized) {
+    response.headers.push_back({"WWW-Authenticate", "Bearer"});
+  }
   if (!error.retry_after) return response;
   const double seconds = std::chrono::duration<double>(*error.retry_after).count();
   for (Header& header : response.headers) {
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -53,6 +53,22 @@
     self->Step(relay::CallerGone{});
     self->Finished("caller_left", "");
   });
+  if (!request_.team) return Step(relay::Start{});
+  tools_.teams.Admit(*request_.team, run_.plan().limit - started_at_,
+                     [self = shared_from_this()](const Result<quota::Admitted>& verdict) {
+                       self->OnQuota(verdict);
+                     });
+}
+
+void RelayCall::OnQuota(const Result<quota::Admitted>& verdict) {
+  const bool caller_left = !finished_;
+  if (!IsOk(verdict)) {
+    if (!caller_left) Do(relay::Refuse{ErrorOf(verdict)});
+    return;
+  }
+  const auto& admitted = std::get<quota::Admitted>(verdict);
+  if (caller_left) return tools_.teams.GiveBack(*request_.team, admitted);
+  charged_ = admitted;
   Step(relay::Start{});
 }
 
@@ -92,7 +108,8 @@
 
 const RequestFingerprint& RelayCall::Fingerprint() {
   if (!fingerprint_) {
-    fingerprint_ = FingerprintOf(request_.method, request_.target, request_.headers, request_.body);
+    fingerprint_ = FingerprintOf(request_.method, request_.target, request_.headers, request_.body,
+                                 request_.team.value_or(TeamId{}));
   }
   return *fingerprint_;
 }
@@ -238,6 +255,7 @@
 }
 
 void RelayCall::Do(const relay::Refuse& action) {
+  if (charged_ && action.error.ran == Ran::kNo) tools_.teams.GiveBack(*request_.team, *charged_);
   HttpResponse response = RefusalOf(action.error);
   response.close = tools_.leaving;
   status_ = response.status;
@@ -283,6 +301,7 @@
   Log(LogLevel::kInfo, "request",
       {{"request", run_.plan().request.value},
        {"route", request_.route},
+       {"team", request_.team.value_or(TeamId{}).value},
        {"config", std::to_string(request_.config_version)},
        {"outcome", std::string(outcome)},
        {"status", std::to_string(status_)},
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -16,6 +16,7 @@
 #include "gateway/gateway_metrics.h"
 #include "gateway/open_sends.h"
 #include "gateway/place_finder.h"
+#include "gateway/team_access.h"
 #include "gateway/traffic_metrics.h"
 
 namespace figmill {
@@ -28,6 +29,7 @@
   PlaceFinder& finder;
   OpenSends& sends;
   CrashWatch& crashes;
+  TeamAccess& teams;
   const WireNames& names;
   GatewayMetrics& metrics;
   TrafficMetrics& traffic;
@@ -44,6 +46,7 @@
   std::vector<Header> headers;  // without those of one connection
   std::string body;
   ServiceName service;
+  std::optional<TeamId> team;  // whose key it carried, if callers need keys
   std::string route;
   std::uint64_t config_version = 0;
   Time goal_at{};            // its first answer is late after this
@@ -59,6 +62,8 @@
 
  private:
   void Step(const relay::Event& event);
+  // Its team has a request left, or none.
+  void OnQuota(const Result<quota::Admitted>& verdict);
   void Do(const relay::AskPlace& action);
   void Do(const relay::Send& action);
   void Do(const relay::SendOver& action);
@@ -103,6 +108,7 @@
   Time first_byte_at_{};
   int status_ = 0;
   Duration retry_after_{0};                        // said in a refusal
+  std::optional<quota::Admitted> charged_;         // to its team
   BackendAddress sent_to_;                         // by the last send
   std::optional<RequestFingerprint> fingerprint_;  // once it was asked for
 };
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -34,29 +34,40 @@
 
 void TableFollower::List(const mirror::ListPart& list) {
   tables_.Read({table_, list.part, list.from, {}, TableRange{}.limit},
-               [self = self_, part = list.part](const Result<TablePage>& page) {
-                 if (*self != nullptr) (*self)->OnListed(part, page);
+               [self = self_, list, asked_at = Loop::SinceBoot()](const Result<TablePage>& page) {
+                 if (*self != nullptr) (*self)->OnListed(list, page, asked_at);
                });
 }
 
 void TableFollower::Follow(const mirror::FollowFrom& from) {
-  const Duration wait = Loop::Now() < troubled_until_ ? kTroubledWait : kWait;
-  tables_.Follow(table_, from.version, wait, [self = self_](const FeedOutcome& outcome) {
-    if (*self != nullptr) (*self)->OnFollowed(outcome);
-  });
+  const Duration wait = Loop::Now() < troubled_until_ ? kTroubledWait : wait_;
+  tables_.Follow(table_, from.version, wait,
+                 [self = self_, asked_at = Loop::SinceBoot()](const FeedOutcome& outcome) {
+                   if (*self != nullptr) (*self)->OnFollowed(outcome, asked_at);
+                 });
 }
 
-void TableFollower::OnListed(const std::string& part, const Result<TablePage>& page) {
+void TableFollower::OnListed(const mirror::ListPart& list, const Result<TablePage>& page,
+                             Duration asked_at) {
+  const std::string& part = list.part;
   const std::string why = IsOk(page) ? "" : ErrorOf(page).detail;
+  const RowVersion before = mirror_.version();
   mirror_.Listed(part, page);
+  const bool whole = IsOk(page) && list.from.empty() && !ValueOf(page).truncated;
+  if (whole && ValueOf(page).version >= before && mirror_.following()) confirmed_at_ = asked_at;
   SetPartRead(part, IsOk(page), why);
   // A part that can't be read says nothing of the store while the others are followed.
   if (IsOk(page) || !mirror_.following()) SetConnected(IsOk(page), "part '" + part + "': " + why);
   GoOn();
 }
 
-void TableFollower::OnFollowed(const FeedOutcome& outcome) {
+void TableFollower::OnFollowed(const FeedOutcome& outcome, Duration asked_at) {
+  const RowVersion before = mirror_.version();
   mirror_.Followed(outcome);
+  const auto* changes = std::get_if<TableChanges>(&outcome);
+  // An answer from before what was heard already, of a store that lags, confirms nothing.
+  const bool confirms = changes != nullptr && changes->version >= before && mirror_.complete();
+  if (confirms) confirmed_at_ = asked_at;
   const Error* error = std::get_if<Error>(&outcome);
   if (error != nullptr) troubled_until_ = Loop::Now() + kTroubled;
   SetConnected(error == nullptr, error == nullptr ? "" : error->detail);
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -35,6 +35,11 @@
   void Start() { Step(); }
   // Changes that come within this time are asked for together. 0: at once.
   void SetPace(Duration pace) { pace_ = pace; }
+  // Instead of kWait, for a table of which it must be known how old the copy is.
+  void SetWait(Duration wait) { wait_ = wait; }
+  // For a table of one part: when the last question was sent, by Loop::SinceBoot, whose answer
+  // shows that the copy is whole as of that moment.
+  [[nodiscard]] std::optional<Duration> confirmed_at() const { return confirmed_at_; }
   [[nodiscard]] const TableMirror& mirror() const { return mirror_; }
   void Learn(const TableRow& row) { mirror_.Learn(row); }
   // Whether the last call was answered.
@@ -44,8 +49,8 @@
   void Step();
   void List(const mirror::ListPart& list);
   void Follow(const mirror::FollowFrom& from);
-  void OnListed(const std::string& part, const Result<TablePage>& page);
-  void OnFollowed(const FeedOutcome& outcome);
+  void OnListed(const mirror::ListPart& list, const Result<TablePage>& page, Duration asked_at);
+  void OnFollowed(const FeedOutcome& outcome, Duration asked_at);
   // Says once when a part can't be read, and when it can again.
   void SetPartRead(const std::string& part, bool read, const std::string& why);
   // Says when the store is lost and when it is back.
@@ -58,6 +63,8 @@
   TableMirror mirror_;
   std::function<void()> settled_;
   Duration pace_{0};
+  Duration wait_ = kWait;
+  std::optional<Duration> confirmed_at_;
   std::optional<bool> connected_;  // nothing before the first answer
   Time troubled_until_{};
   std::set<std::string> unread_parts_;
--- a/src/gateway/traffic_metrics.cc
+++ b/src/gateway/traffic_metrics.cc
@@ -6,8 +6,9 @@
 namespace figmill {
 namespace {
 
-constexpr std::array<std::string_view, 9> kKindNames = {
-    "online", "batch", "store", "store_by_way", "report", "grant", "ask", "answer", "presence"};
+constexpr std::array<std::string_view, 10> kKindNames = {
+    "online", "batch", "store",  "store_by_way", "report",
+    "grant",  "ask",   "answer", "presence",     "quota"};
 constexpr std::array<std::string_view, 3> kReachNames = {"same_centre", "other_centre", "unknown"};
 
 }  // namespace
--- a/src/gateway/traffic_metrics.h
+++ b/src/gateway/traffic_metrics.h
@@ -21,6 +21,7 @@
   kAsk,
   kAnswer,
   kPresence,  // datagrams that only tell who is there
+  kQuota,     // credits of teams
 };
 
 enum class Reach : std::uint8_t {
@@ -36,7 +37,7 @@
   [[nodiscard]] Counter& Of(TrafficKind kind, Reach reach);
 
  private:
-  static constexpr std::size_t kKinds = 9;
+  static constexpr std::size_t kKinds = 10;
   static constexpr std::size_t kReaches = 3;
   std::array<std::array<Counter*, kReaches>, kKinds> counters_{};
 };
--- a/src/ledger/rows.cc
+++ b/src/ledger/rows.cc
@@ -119,6 +119,7 @@
   head.id.value = fields::Name(json, "id");
   head.route = fields::Text(json, "route");
   head.host = fields::Text(json, "host");
+  if (fields::Find(json, "team") != nullptr) head.team.value = fields::Name(json, "team");
   head.total = fields::Count<std::uint32_t>(json, "total");
   head.listed = fields::Count<std::uint32_t>(json, "listed");
   head.done = fields::Text(json, "done");
@@ -209,21 +210,16 @@
 }
 
 std::string EncodeHead(const JobHead& head) {
-  return ToBytes({{"id", head.id.value},
-                  {"route", head.route},
-                  {"host", head.host},
-                  {"total", head.total},
-                  {"listed", head.listed},
-                  {"done", head.done},
-                  {"owner", head.owner.value},
-                  {"incarnation", head.owner_incarnation},
-                  {"ended", head.ended},
-                  {"submitted", head.submitted.count()},
-                  {"due", head.due.count()},
-                  {"expires", head.expires.count()},
-                  {"digest", head.digest},
-                  {"config", head.config_version},
-                  {"token", head.token.value}});
+  Json json = {{"id", head.id.value},       {"route", head.route},
+               {"host", head.host},         {"total", head.total},
+               {"listed", head.listed},     {"done", head.done},
+               {"owner", head.owner.value}, {"incarnation", head.owner_incarnation},
+               {"ended", head.ended},       {"submitted", head.submitted.count()},
+               {"due", head.due.count()},   {"expires", head.expires.count()},
+               {"digest", head.digest},     {"config", head.config_version},
+               {"token", head.token.value}};
+  if (!head.team.empty()) json["team"] = head.team.value;
+  return ToBytes(json);
 }
 
 Result<JobHead> DecodeHead(std::string_view value) {
@@ -232,8 +228,8 @@
 
 std::optional<std::string_view> Contradiction(const JobHead& known, const JobHead& later) {
   const bool same = known.total == later.total && known.digest == later.digest &&
-                    known.submitted == later.submitted && known.due == later.due &&
-                    known.expires == later.expires;
+                    known.team == later.team && known.submitted == later.submitted &&
+                    known.due == later.due && known.expires == later.expires;
   if (!same) return "it is of another job";
   for (std::size_t i = 0; i < known.done.size(); ++i) {
     if (known.done[i] == 'x' && later.done[i] != 'x') return "an item is not listed any more";
@@ -353,8 +349,9 @@
   return pieces;
 }
 
-std::uint64_t DigestOf(const JobSubmission& submission) {
+std::uint64_t DigestOf(const JobSubmission& submission, const TeamId& team) {
   std::string text = submission.id.value;
+  if (!team.empty()) text.append("\n").append(team.value);
   for (const JobItem& item : submission.items) {
     text.append("\n").append(item.id).append(" ").append(item.target).append(" ").append(item.body);
   }
--- a/src/peer_messages/peer_codec.cc
+++ b/src/peer_messages/peer_codec.cc
@@ -104,6 +104,24 @@
   packer.pack(answer.come_back.count());
 }
 
+void Pack(Packer& packer, const QuotaAsk& ask) {
+  packer.pack_array(4);
+  packer.pack(ask.number);
+  packer.pack(ask.team.value);
+  packer.pack(ask.wanted);
+  packer.pack(ask.returned);
+}
+
+void Pack(Packer& packer, const QuotaGrant& grant) {
+  packer.pack_array(6);
+  packer.pack(grant.number);
+  packer.pack(grant.team.value);
+  packer.pack(grant.owned);
+  packer.pack(grant.credits);
+  packer.pack(grant.next_after.count());
+  packer.pack(grant.every.count());
+}
+
 template <typename T>
 void PackOptional(Packer& packer, const std::optional<T>& value) {
   if (value) {
@@ -116,7 +134,8 @@
 std::string Text(const PeerMessage& message) {
   msgpack::sbuffer buffer;
   Packer packer(buffer);
-  packer.pack_array(7);
+  const bool quota = message.quota_ask || message.quota_grant;
+  packer.pack_array(quota ? 9 : 7);
   Pack(packer, message.from);
   PackOptional(packer, message.report);
   PackOptional(packer, message.grant);
@@ -125,6 +144,10 @@
   packer.pack_array(static_cast<std::uint32_t>(message.known.size()));
   for (const Peer& peer : message.known) Pack(packer, peer);
   packer.pack(static_cast<int>(message.wants));
+  if (quota) {
+    PackOptional(packer, message.quota_ask);
+    PackOptional(packer, message.quota_grant);
+  }
   return {buffer.data(), buffer.size()};
 }
 
@@ -292,6 +315,26 @@
   return answer;
 }
 
+QuotaAsk ReadQuotaAsk(const Object& object) {
+  QuotaAsk ask;
+  ask.number = Get<std::uint64_t>(object, 0);
+  ask.team.value = GetName(object, 1);
+  ask.wanted = static_cast<std::uint32_t>(GetCount(object, 2));
+  ask.returned = static_cast<std::uint32_t>(GetCount(object, 3));
+  return ask;
+}
+
+QuotaGrant ReadQuotaGrant(const Object& object) {
+  QuotaGrant grant;
+  grant.number = Get<std::uint64_t>(object, 0);
+  grant.team.value = GetName(object, 1);
+  grant.owned = Get<bool>(object, 2);
+  grant.credits = static_cast<std::uint32_t>(GetCount(object, 3));
+  grant.next_after = GetDuration(object, 4);
+  grant.every = GetDuration(object, 5);
+  return grant;
+}
+
 PeerMessage ReadMessage(const Object& object) {
   PeerMessage message;
   message.from = ReadPeer(At(object, 0));
@@ -308,6 +351,10 @@
     throw std::invalid_argument("unknown wish");
   }
   message.wants = static_cast<PeerMessage::Wants>(wants);
+  // Only messages about quotas have these.
+  if (SizeOf(object) <= 8) return message;
+  if (!At(object, 7).is_nil()) message.quota_ask = ReadQuotaAsk(At(object, 7));
+  if (!At(object, 8).is_nil()) message.quota_grant = ReadQuotaGrant(At(object, 8));
   return message;
 }
 
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -169,6 +169,14 @@
   return watch;
 }
 
+bool PeerTable::HearsMost(Time now) {
+  const std::vector<Entry*> watched = Watched(Ring());
+  const auto heard = std::count_if(watched.begin(), watched.end(), [now](const Entry* entry) {
+    return entry->heard_at && now - *entry->heard_at < kSilence;
+  });
+  return watched.empty() || 2 * static_cast<std::size_t>(heard) > watched.size();
+}
+
 // A peer is suspected for its silence as a keeper as well, by entries that don't watch it; one
 // that nobody asks would stay suspected for good.
 void PeerTable::AskInTurn(const std::vector<Entry*>& ring, Watch& watch, Time now) {
--- a/src/quarantine/fingerprint.cc
+++ b/src/quarantine/fingerprint.cc
@@ -15,9 +15,10 @@
 }  // namespace
 
 RequestFingerprint FingerprintOf(std::string_view method, std::string_view target,
-                                 std::span<const Header> headers, std::string_view body) {
-  const std::array<std::string_view, 5> parts{method, target, ValueOf(headers, "Host"),
-                                              ValueOf(headers, "Authorization"), body};
+                                 std::span<const Header> headers, std::string_view body,
+                                 const TeamId& team) {
+  const std::array<std::string_view, 5> parts{method, target, ValueOf(headers, "Host"), team.value,
+                                              body};
   return {ContentDigest(parts)};
 }
 
--- /dev/null
+++ b/src/quota/quota_owner.cc
@@ -0,0 +1,74 @@
+#include <algorithm>
+#include <cmath>
+
+#include "figmill/quota.h"
+
+namespace figmill {
+namespace {
+
+constexpr double kMicrosPerSecond = 1e6;
+// A team that is limited may make at least one request.
+constexpr double kLeastCapacity = 1;
+
+Duration SecondsOf(double seconds) {
+  constexpr double kLongest = 60;
+  return Duration(
+      static_cast<Duration::rep>(std::clamp(seconds, 0.0, kLongest) * kMicrosPerSecond));
+}
+
+}  // namespace
+
+Duration QuotaBounds::CreditLife() const {
+  constexpr double kShare = 0.5;
+  return std::chrono::duration_cast<Duration>(window * excess * kShare);
+}
+
+void CreditBucket::Refill(double per_second, double capacity, Time now) {
+  const double seconds = static_cast<double>((now - at_).count()) / kMicrosPerSecond;
+  level_ = std::min(level_ + per_second * std::max(seconds, 0.0), capacity);
+  at_ = std::max(at_, now);
+}
+
+std::uint32_t CreditBucket::Take(std::uint32_t most) {
+  const auto whole = static_cast<std::uint32_t>(std::max(0.0, std::floor(level_)));
+  const std::uint32_t taken = std::min(whole, most);
+  level_ -= taken;
+  return taken;
+}
+
+Duration CreditBucket::UntilNext(double per_second) const {
+  return SecondsOf((1 - level_) / per_second);
+}
+
+void QuotaOwner::Restart(Time now) {
+  buckets_.clear();
+  changed_at_ = now;
+}
+
+void QuotaOwner::OnEntriesChanged(const std::function<bool(const TeamId&)>& owns, Time now) {
+  std::erase_if(buckets_, [&owns](const auto& entry) { return !owns(entry.first); });
+  changed_at_ = now;
+}
+
+QuotaGrant QuotaOwner::Grant(const QuotaAsk& ask, const Team& team, Time now) {
+  QuotaGrant grant;
+  grant.number = ask.number;
+  grant.team = ask.team;
+  auto found = buckets_.find(ask.team);
+  if (found == buckets_.end()) {
+    if (buckets_.size() >= kMaxTeams) return grant;
+    found = buckets_.emplace(ask.team, CreditBucket(kFirstLevel, changed_at_)).first;
+  }
+  grant.owned = true;
+  CreditBucket& bucket = found->second;
+  bucket.Return(ask.returned);
+  bucket.Refill(team.requests_per_second, std::max(team.burst, kLeastCapacity), now);
+  grant.credits = bucket.Take(ask.wanted);
+  if (grant.credits < ask.wanted) {
+    grant.next_after = bucket.UntilNext(team.requests_per_second);
+    grant.every = SecondsOf(1 / team.requests_per_second);
+  }
+  return grant;
+}
+
+}  // namespace figmill
--- a/src/routes/route_table.cc
+++ b/src/routes/route_table.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cctype>
+#include <utility>
 
 #include "figmill/routes.h"
 
@@ -67,10 +68,12 @@
     Result<Ok> verdict = ValidateRoute(config, route);
     if (!IsOk(verdict)) return verdict;
   }
+  if (config.teams) return Validate(*config.teams);
   return Ok{};
 }
 
-RouteTable::RouteTable(RoutingConfig config) : config_(std::move(config)) {
+RouteTable::RouteTable(RoutingConfig config, std::uint64_t secret) : config_(std::move(config)) {
+  if (config_.teams) teams_.emplace(*std::exchange(config_.teams, std::nullopt), secret);
   for (const Route& route : config_.routes) by_host_[HostKey(route.host)].push_back(&route);
   for (auto& [host, routes] : by_host_) {
     std::stable_sort(routes.begin(), routes.end(), [](const Route* a, const Route* b) {
--- /dev/null
+++ b/src/teams/team_directory.cc
@@ -0,0 +1,84 @@
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <cctype>
+#include <cmath>
+#include <set>
+
+#include "figmill/teams.h"
+
+namespace figmill {
+namespace {
+
+Error BadTeam(const Team& team, std::string_view why) {
+  return Error{ErrorKind::kBadRequest, "team '" + team.name.value + "': " + std::string(why)};
+}
+
+bool IsLimit(double limit) {
+  return std::isfinite(limit) && limit >= 0;
+}
+
+// It is sent as a header's value.
+bool IsPrintable(std::string_view name) {
+  return std::none_of(name.begin(), name.end(), [](char sign) {
+    return std::iscntrl(static_cast<unsigned char>(sign)) != 0;
+  });
+}
+
+// Takes as long for keys that differ in their first byte as for those that differ in their last.
+bool SameKey(std::string_view a, std::string_view b) {
+  if (a.size() != b.size()) return false;
+  unsigned difference = 0;
+  for (std::size_t i = 0; i < a.size(); ++i) {
+    difference |= static_cast<unsigned char>(a[i]) ^ static_cast<unsigned char>(b[i]);
+  }
+  return difference == 0;
+}
+
+}  // namespace
+
+Result<Ok> Validate(std::span<const Team> teams) {
+  std::set<TeamId> names;
+  std::set<std::string_view> keys;
+  for (const Team& team : teams) {
+    if (team.name.empty()) return BadTeam(team, "has no name");
+    if (!IsPrintable(team.name.value)) return BadTeam(team, "has a name with control characters");
+    if (!names.insert(team.name).second) return BadTeam(team, "stands there twice");
+    if (!IsLimit(team.requests_per_second) || !IsLimit(team.burst)) {
+      return BadTeam(team, "has a limit that is none");
+    }
+    for (const std::string& key : team.keys) {
+      if (key.empty()) return BadTeam(team, "has an empty key");
+      if (!keys.insert(key).second) return BadTeam(team, "has a key that stands there twice");
+    }
+  }
+  return Ok{};
+}
+
+TeamDirectory::TeamDirectory(std::vector<Team> teams, std::uint64_t secret)
+    : teams_(std::move(teams)), secret_(secret) {
+  for (const Team& team : teams_) {
+    by_name_.emplace(team.name, &team);
+    for (const std::string& key : team.keys) by_digest_.emplace(DigestOf(key), Holder{key, &team});
+  }
+}
+
+std::uint64_t TeamDirectory::DigestOf(std::string_view key) const {
+  return XXH3_64bits_withSeed(key.data(), key.size(), secret_);
+}
+
+const Team* TeamDirectory::HolderOf(std::string_view key) const {
+  const auto [first, last] = by_digest_.equal_range(DigestOf(key));
+  for (auto at = first; at != last; ++at) {
+    if (SameKey(at->second.key, key)) return at->second.team;
+  }
+  return nullptr;
+}
+
+const Team* TeamDirectory::Find(const TeamId& name) const {
+  const auto found = by_name_.find(name);
+  return found == by_name_.end() ? nullptr : found->second;
+}
+
+}  // namespace figmill
--- a/test/foreign-entries-test.cc
+++ b/test/foreign-entries-test.cc
@@ -136,8 +136,13 @@
   Metrics metrics;
   std::shared_ptr<const FleetView> view;
   int settled = 0;
-  FleetWatch watch{loop, tables, *adapter, metrics,
-                   [this](std::shared_ptr<const FleetView> next) { view = std::move(next); }};
+  FleetWatch watch{loop,
+                   tables,
+                   *adapter,
+                   metrics,
+                   std::nullopt,
+                   {[this](std::shared_ptr<const FleetView> next) { view = std::move(next); },
+                    [](Duration /*asked_at*/) {}}};
 };
 
 }  // namespace
--- a/test/foreign-jobs-test.cc
+++ b/test/foreign-jobs-test.cc
@@ -110,6 +110,9 @@
   with("due", std::numeric_limits<std::int64_t>::max());
   with("submitted", -5'000'000);
   with("id", "");
+  for (const Json& team : {Json(nullptr), Json(""), Json(7), Json::array(), Json::object()}) {
+    with("team", team);
+  }
   with("id", std::string(60'000, 'z'));
   return bad;
 }
--- a/test/job-desk-test.cc
+++ b/test/job-desk-test.cc
@@ -50,12 +50,12 @@
     request.body = R"({"requests":[{"id":"i0","path":"/b/0","headers":{},"body":"YQ=="},)"
                    R"({"id":"i1","path":"/b/1","headers":{},"body":"Yg=="}]})";
     auto reply = std::make_shared<FakeReply>();
-    desk.Submit(route, 1, std::move(request), reply);
+    desk.Submit(route, 1, team, std::move(request), reply);
     return Await(*reply);
   }
   HttpResponse Call(const JobCall& call) {
     auto reply = std::make_shared<FakeReply>();
-    desk.Call(call, reply);
+    desk.Call(call, team, reply);
     return Await(*reply);
   }
   HttpResponse Await(const FakeReply& reply) {
@@ -81,6 +81,7 @@
   JobStore store;
   JobDesk desk;
   Route route;
+  std::optional<TeamId> team;  // of all calls
 };
 
 }  // namespace
@@ -107,7 +108,7 @@
   Desk a(loop, data, "a");
   CHECK(a.Submit("job").status == 202);
   auto reply = std::make_shared<FakeReply>();
-  a.desk.Call(JobReadCall{JobId{"job"}, 0, Duration{2'000'000}}, reply);
+  a.desk.Call(JobReadCall{JobId{"job"}, 0, Duration{2'000'000}}, std::nullopt, reply);
   fake::RunFor(loop, Duration{50'000});
   CHECK_FALSE(reply->answer);
   a.Finish(0);
@@ -154,7 +155,7 @@
   request.headers = {{a.adapter->names().request_id, "job"}};
   request.body = R"({"requests":[{"id":"i0"}]})";
   auto reply = std::make_shared<FakeReply>();
-  a.desk.Submit(a.route, 1, std::move(request), reply);
+  a.desk.Submit(a.route, 1, std::nullopt, std::move(request), reply);
   const HttpResponse answer = a.Await(*reply);
   CHECK(answer.status == 400);
   CHECK(answer.body.find("'path' is missing") != std::string::npos);
@@ -180,3 +181,55 @@
   fake::RunUntil(loop, [&] { return follower.connected(); });
   CHECK(tables.waits.back() == TableFollower::kTroubledWait);
 }
+
+TEST_CASE("a job is there for its team alone") {
+  Loop loop;
+  fake::TableData data;
+  Desk rye(loop, data, "a");
+  rye.team = TeamId{"rye"};
+  Desk shore(loop, data, "b");
+  shore.team = TeamId{"shore"};
+  CHECK(rye.Submit("job").status == 202);
+  const HttpResponse never = shore.Call(JobReadCall{JobId{"none"}, 0, Duration{0}});
+  for (const JobCall& call :
+       std::initializer_list<JobCall>{JobReadCall{JobId{"job"}, 0, Duration{0}},
+                                      JobItemCall{JobId{"job"}, "i0"}, JobEndCall{JobId{"job"}}}) {
+    const HttpResponse theirs = shore.Call(call);
+    CHECK(theirs.status == 404);
+    CHECK(theirs.body == never.body);
+  }
+  CHECK(rye.Call(JobItemCall{JobId{"job"}, "i0"}).body == "a");
+  CHECK(rye.Call(JobReadCall{JobId{"job"}, 0, Duration{0}}).status == 200);
+}
+
+// Guards against an answer that shows by its time that another team's job is there.
+TEST_CASE("another team's job takes as many calls to the store as one that never was") {
+  Loop loop;
+  fake::TableData data;
+  Desk rye(loop, data, "a");
+  rye.team = TeamId{"rye"};
+  CHECK(rye.Submit("job").status == 202);
+  rye.team = TeamId{"shore"};
+  fake::RunFor(loop, Duration{200'000});  // the entry's own reads are over
+  const auto reads = [&rye](const std::string& job) {
+    const int before = rye.tables.reads;
+    CHECK(rye.Call(JobReadCall{JobId{job}, 0, Duration{0}}).status == 404);
+    return rye.tables.reads - before;
+  };
+  CHECK(reads("job") == reads("none"));
+}
+
+TEST_CASE("a job keeps its team over a restart") {
+  Loop loop;
+  fake::TableData data;
+  {
+    Desk a(loop, data, "a");
+    a.team = TeamId{"rye"};
+    CHECK(a.Submit("job").status == 202);
+  }
+  Desk b(loop, data, "b");
+  b.team = TeamId{"shore"};
+  CHECK(b.Call(JobReadCall{JobId{"job"}, 0, Duration{0}}).status == 404);
+  b.team = TeamId{"rye"};
+  CHECK(b.Call(JobReadCall{JobId{"job"}, 0, Duration{0}}).status == 200);
+}
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -320,3 +320,20 @@
   REQUIRE(map.Update(table, kStart));
   CHECK(map.used().contains(BackendId{"rare"}));
 }
+
+// Guards against an entry that is cut off and takes itself for the only one.
+TEST_CASE("an entry hears most of those that it watches, or is cut off") {
+  PeerTable table(PeerNamed("self"));
+  CHECK(table.HearsMost(kStart));  // alone
+  for (const char* name : {"a", "b", "c"}) {
+    table.Named(PeerNamed(name));
+    table.Heard(PeerNamed(name), kStart);
+  }
+  CHECK(table.HearsMost(kStart));
+  const Time later = kStart + PeerTable::kSilence;
+  CHECK_FALSE(table.HearsMost(later));
+  table.Heard(PeerNamed("a"), later);
+  CHECK_FALSE(table.HearsMost(later));
+  table.Heard(PeerNamed("b"), later);
+  CHECK(table.HearsMost(later));
+}
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -56,17 +56,19 @@
   const std::vector<Header> headers{{"Host", "farm.example"}, {"Request-Id", "a1"}};
   const std::vector<Header> again{
       {"host", "farm.example"}, {"Request-Id", "a2"}, {"Deadline-Ms", "9"}};
-  const RequestFingerprint first = FingerprintOf("POST", "/notes/1?x=1", headers, "rye");
+  const RequestFingerprint first = FingerprintOf("POST", "/notes/1?x=1", headers, "rye", {});
   CHECK(first.value.size() == 32);
-  CHECK(FingerprintOf("POST", "/notes/1?x=1", again, "rye") == first);
+  CHECK(FingerprintOf("POST", "/notes/1?x=1", again, "rye", {}) == first);
 
   const std::vector<Header> others_host{{"Host", "shore.example"}};
   const std::vector<Header> others_key{{"Host", "farm.example"}, {"Authorization", "Bearer k"}};
-  CHECK(FingerprintOf("PUT", "/notes/1?x=1", headers, "rye") != first);
-  CHECK(FingerprintOf("POST", "/notes/1?x=2", headers, "rye") != first);
-  CHECK(FingerprintOf("POST", "/notes/1?x=1", others_host, "rye") != first);
-  CHECK(FingerprintOf("POST", "/notes/1?x=1", others_key, "rye") != first);
-  CHECK(FingerprintOf("POST", "/notes/1?x=1", headers, "oats") != first);
+  CHECK(FingerprintOf("PUT", "/notes/1?x=1", headers, "rye", {}) != first);
+  CHECK(FingerprintOf("POST", "/notes/1?x=2", headers, "rye", {}) != first);
+  CHECK(FingerprintOf("POST", "/notes/1?x=1", others_host, "rye", {}) != first);
+  // Whose request it is tells the team, and a key is no part of what is written to the store.
+  CHECK(FingerprintOf("POST", "/notes/1?x=1", headers, "rye", TeamId{"shore"}) != first);
+  CHECK(FingerprintOf("POST", "/notes/1?x=1", others_key, "rye", {}) == first);
+  CHECK(FingerprintOf("POST", "/notes/1?x=1", headers, "oats", {}) != first);
 }
 
 // Guards against a request that is passed on to one backend server after the other.
--- /dev/null
+++ b/test/quota-load-test.cc
@@ -0,0 +1,98 @@
+// The load that quotas have to answer: one team before many entries, evenly, skewed, through one
+// entry, from nothing to ten times its limit, while the owner of its quota fails.
+
+#include <doctest/doctest.h>
+
+#include "test/quota-sim.h"
+
+using namespace figmill;       // NOLINT(google-build-using-namespace): tests read better
+using namespace figmill::sim;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+std::vector<double> Skewed(int entries) {
+  std::vector<double> weights;
+  for (int i = 0; i < entries; ++i) weights.push_back(1.0 / (i + 1));
+  return weights;
+}
+
+std::vector<double> AllAtOne(int entries) {
+  std::vector<double> weights(static_cast<std::size_t>(entries), 0.0);
+  weights.back() = 1;
+  return weights;
+}
+
+void CheckBound(QuotaLoad load) {
+  for (unsigned seed = 1; seed <= 3; ++seed) {
+    load.seed = seed;
+    CAPTURE(load.entries);
+    CAPTURE(load.rate);
+    CAPTURE(seed);
+    CHECK(Play<Credits>(load).worst_window <= 1);
+  }
+}
+
+}  // namespace
+
+TEST_CASE("below its limit a team is served, wherever its requests come in") {
+  for (const int entries : {30, 100, 300}) {
+    for (const double rate : {2.0, 40.0, 400.0}) {
+      QuotaLoad load;
+      load.entries = entries;
+      load.rate = load.burst = rate;
+      load.offered = 0.6 * rate;
+      CAPTURE(entries);
+      CAPTURE(rate);
+      CHECK(Play<Credits>(load).admitted >= 0.95);
+      load.weights = Skewed(entries);
+      CHECK(Play<Credits>(load).admitted >= 0.85);
+      load.weights = AllAtOne(entries);
+      CHECK(Play<Credits>(load).admitted >= 0.85);
+    }
+  }
+}
+
+TEST_CASE("a team that sends ten times its limit gets all of it, and no more") {
+  for (const int entries : {30, 100, 300}) {
+    for (const double rate : {2.0, 40.0, 400.0}) {
+      QuotaLoad load;
+      load.entries = entries;
+      load.rate = load.burst = rate;
+      load.offered = 10 * rate;
+      load.span = Duration{12'000'000};
+      CheckBound(load);
+      CAPTURE(entries);
+      CAPTURE(rate);
+      CHECK(Play<Credits>(load).admitted >= 0.95);
+    }
+  }
+}
+
+// Guards against a limit that holds only while its owner is there.
+TEST_CASE("a limit holds while its owner is killed, stands still or is cut off") {
+  using Fault = QuotaLoad::Fault;
+  for (const Fault fault : {Fault::kOwnerKilled, Fault::kOwnerFrozen, Fault::kOwnerCut,
+                            Fault::kSomeCut, Fault::kAllRestarted}) {
+    for (const int entries : {30, 100, 300}) {
+      for (const double rate : {2.0, 40.0, 400.0}) {
+        QuotaLoad load;
+        load.entries = entries;
+        load.rate = load.burst = rate;
+        load.offered = 10 * rate;
+        load.span = Duration{18'000'000};
+        load.fault = fault;
+        CAPTURE(static_cast<int>(fault));
+        CheckBound(load);
+      }
+    }
+  }
+}
+
+// Guards against a team that is refused for as long as the owner of its quota is gone.
+TEST_CASE("a team below its limit is served while the owner of its quota is replaced") {
+  QuotaLoad load;
+  load.rate = load.burst = 400;
+  load.offered = 100;
+  load.fault = QuotaLoad::Fault::kOwnerKilled;
+  CHECK(Play<Credits>(load).admitted >= 0.95);
+}
--- /dev/null
+++ b/test/quota-sim.h
@@ -0,0 +1,423 @@
+#pragma once
+
+// Entries that share the quota of one team, in simulated time, over datagrams that take a while
+// and may be lost; and ways to divide the quota, which are compared on the same load.
+
+#include <algorithm>
+#include <cmath>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <random>
+#include <vector>
+
+#include "figmill/online.h"
+#include "figmill/quota.h"
+
+namespace figmill::sim {
+
+struct QuotaLoad {
+  int entries = 30;
+  double rate = 40;  // the team's limit
+  double burst = 40;
+  double offered = 32;          // requests a second
+  std::vector<double> weights;  // of the entries; empty: even
+  Duration span{30'000'000};
+  double loss = 0.01;  // of datagrams
+  Duration latency{1'000};
+  // From here on the owner of the quota is killed, stands still, or is cut off, for so long.
+  enum class Fault { kNone, kOwnerKilled, kOwnerFrozen, kOwnerCut, kSomeCut, kAllRestarted };
+  Fault fault = Fault::kNone;
+  Duration fault_at{10'000'000};
+  Duration fault_for{5'000'000};
+  unsigned seed = 1;
+};
+
+struct QuotaResult {
+  double worst_window = 0;  // requests in some window, of what is allowed in one
+  double admitted = 0;      // of what a single bucket would have admitted
+  double median_ms = 0;     // that a request waited for the decision
+  double p99_ms = 0;
+  double messages = 0;  // datagrams a request
+};
+
+// An entry that has fallen silent is taken for gone after this.
+constexpr Duration kNoticed = std::chrono::milliseconds(2500);
+// One that is back says so at once, or is asked by the others.
+constexpr Duration kBackAfterCut = std::chrono::milliseconds(1000);
+constexpr Duration kBackAfterStop = std::chrono::milliseconds(100);
+
+class QuotaWorld {
+ public:
+  explicit QuotaWorld(const QuotaLoad& load) : load_(load), random_(load.seed) {
+    team_.name.value = "harbour";
+    team_.requests_per_second = load.rate;
+    team_.burst = load.burst;
+    for (int i = 0; i < load.entries; ++i) {
+      nodes_.push_back({"entry" + std::to_string(i)});
+      weights_.push_back(RendezvousWeight("quota/" + team_.name.value, nodes_.back().value));
+    }
+    first_owner_ = OwnerAmong([](int) { return true; });
+    owner_without_faulty_ = OwnerAmong([this](int entry) {
+      const bool cut = load_.fault == QuotaLoad::Fault::kSomeCut && entry % 6 == 0;
+      return entry != first_owner_ && !cut;
+    });
+    for (int i = 0; i < load.entries; ++i) {
+      ranks_.push_back(static_cast<int>(std::count_if(
+          weights_.begin(), weights_.end(),
+          [&](std::uint64_t other) { return other > weights_[static_cast<std::size_t>(i)]; })));
+    }
+  }
+
+  [[nodiscard]] Time now() const { return now_; }
+  [[nodiscard]] const QuotaLoad& load() const { return load_; }
+  [[nodiscard]] const Team& team() const { return team_; }
+  [[nodiscard]] const NodeId& node(int entry) const {
+    return nodes_[static_cast<std::size_t>(entry)];
+  }
+  [[nodiscard]] int entries() const { return load_.entries; }
+
+  void After(Duration delay, std::function<void()> task) {
+    tasks_.push({now_ + delay, ++order_, std::move(task)});
+  }
+  void Every(Duration period, const std::function<void()>& task) {
+    After(period, [this, period, task] {
+      task();
+      Every(period, task);
+    });
+  }
+  void Send(int from, int to, std::function<void()> arrived) {
+    ++messages_;
+    if (Draw() < load_.loss || IsCut(from) != IsCut(to) || (IsCut(from) && from != to)) return;
+    After(load_.latency, [this, to, arrived = std::move(arrived)] {
+      if (Runs(to)) arrived();
+    });
+  }
+  void RunUntil(Time end) {
+    while (!tasks_.empty() && tasks_.top().at <= end) {
+      const Task task = tasks_.top();
+      tasks_.pop();
+      now_ = task.at;
+      task.run();
+    }
+    now_ = end;
+  }
+
+  // --- Who is there ---
+  [[nodiscard]] bool InFault() const {
+    const Time begin = Start() + load_.fault_at;
+    return now_ >= begin && now_ < begin + load_.fault_for;
+  }
+  [[nodiscard]] bool FaultIsNoticed() const {
+    const Time begin = Start() + load_.fault_at;
+    const Duration back = IsOwnerFault() ? kBackAfterStop : kBackAfterCut;
+    return now_ >= begin + kNoticed && now_ < begin + load_.fault_for + back;
+  }
+  [[nodiscard]] int FirstOwner() const {
+    return OwnerAmong([](int) { return true; });
+  }
+  [[nodiscard]] bool IsOwnerFault() const {
+    return load_.fault == QuotaLoad::Fault::kOwnerKilled ||
+           load_.fault == QuotaLoad::Fault::kOwnerFrozen;
+  }
+  [[nodiscard]] bool Runs(int entry) const {
+    return !(IsOwnerFault() && InFault() && entry == FirstOwner());
+  }
+  [[nodiscard]] bool IsCut(int entry) const {
+    if (!InFault()) return false;
+    if (load_.fault == QuotaLoad::Fault::kOwnerCut) return entry == FirstOwner();
+    return load_.fault == QuotaLoad::Fault::kSomeCut && entry % 6 == 0;
+  }
+  // What `viewer` believes, some time after it is true.
+  [[nodiscard]] bool SeesLive(int viewer, int entry) const {
+    if (viewer == entry || !FaultIsNoticed()) return true;
+    if (IsOwnerFault()) return entry != FirstOwner();
+    return !IsCut(viewer) && !IsCut(entry);
+  }
+  // Which of them that is depends on the moment and on the viewer's side alone.
+  [[nodiscard]] int OwnerSeenBy(int viewer) const {
+    if (!FaultIsNoticed() || viewer == first_owner_) return first_owner_;
+    if (IsCut(viewer)) return viewer;
+    return SeesLive(viewer, first_owner_) ? first_owner_ : owner_without_faulty_;
+  }
+  [[nodiscard]] static Time Start() { return Time{Duration{1'000'000'000}}; }
+  // One that is cut off hears of nobody.
+  [[nodiscard]] bool MayOwn(int entry) const { return !(IsCut(entry) && FaultIsNoticed()); }
+  [[nodiscard]] int Rank(int entry) const { return ranks_[static_cast<std::size_t>(entry)]; }
+
+  double Draw() { return std::uniform_real_distribution<double>(0, 1)(random_); }
+  std::mt19937& random() { return random_; }
+  [[nodiscard]] int messages() const { return messages_; }
+
+ private:
+  struct Task {
+    Time at{};
+    std::uint64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const Task& other) const {
+      return std::pair(at, order) > std::pair(other.at, other.order);
+    }
+  };
+  [[nodiscard]] std::uint64_t Weight(int entry) const {
+    return weights_[static_cast<std::size_t>(entry)];
+  }
+  template <typename Counts>
+  [[nodiscard]] int OwnerAmong(Counts counts) const {
+    int best = -1;
+    for (int entry = 0; entry < load_.entries; ++entry) {
+      if (counts(entry) && (best < 0 || Weight(entry) > Weight(best))) best = entry;
+    }
+    return best;
+  }
+
+  QuotaLoad load_;
+  std::mt19937 random_;
+  Team team_;
+  std::vector<NodeId> nodes_;
+  std::vector<std::uint64_t> weights_;
+  std::vector<int> ranks_;
+  int first_owner_ = 0;
+  int owner_without_faulty_ = 0;  // while the first one, or each sixth, isn't there
+  Time now_ = Start();
+  std::priority_queue<Task> tasks_;
+  std::uint64_t order_ = 0;
+  int messages_ = 0;
+};
+
+using Decided = std::function<void(bool admitted)>;
+
+// Each entry has an equal part.
+class EqualShares {
+ public:
+  explicit EqualShares(QuotaWorld& world)
+      : world_(world), buckets_(static_cast<std::size_t>(world.entries())) {
+    const double part = 1.0 / world.entries();
+    for (TokenBucket& bucket : buckets_) {
+      bucket.SetRate(world.load().rate * part, std::max(1.0, world.load().burst * part),
+                     world.now());
+    }
+  }
+  void Admit(int entry, const Decided& decided) {
+    TokenBucket& bucket = buckets_[static_cast<std::size_t>(entry)];
+    const bool admitted = bucket.Level(world_.now()) >= 1;
+    if (admitted) bucket.Take(1);
+    decided(admitted);
+  }
+  void RestartAll() { *this = EqualShares(world_); }
+  EqualShares& operator=(EqualShares&& other) noexcept {
+    buckets_ = std::move(other.buckets_);
+    return *this;
+  }
+
+ private:
+  QuotaWorld& world_;
+  std::vector<TokenBucket> buckets_;
+};
+
+// The owner divides the limit by the demand that the entries report.
+class DemandShares {
+ public:
+  explicit DemandShares(QuotaWorld& world) : world_(world) {
+    auto config = std::make_shared<Config>();
+    config->limits[world.team().name] = {world.team().name, world.load().rate, 0,
+                                         world.load().burst / world.load().rate};
+    snapshot_.config = config;
+    for (int i = 0; i < world.entries(); ++i) {
+      Member member;
+      member.node = world.node(i);
+      snapshot_.members.push_back(member);
+    }
+    RestartAll();
+    for (int i = 0; i < world.entries(); ++i) {
+      world_.After(TeamLimits::kReportPeriod * i / world.entries(), [this, i] {
+        world_.Every(TeamLimits::kReportPeriod, [this, i] { Report(i); });
+      });
+    }
+  }
+  void Admit(int entry, const Decided& decided) {
+    decided(
+        IsOk(limits_[static_cast<std::size_t>(entry)].Admit(world_.team().name, 1, world_.now())));
+  }
+  void RestartAll() {
+    limits_.clear();
+    homes_.clear();
+    for (int i = 0; i < world_.entries(); ++i) {
+      limits_.emplace_back(world_.node(i));
+      limits_.back().Update(snapshot_, world_.now());
+    }
+  }
+
+ private:
+  void Report(int entry) {
+    if (!world_.Runs(entry)) return;
+    for (const ShareAsk& ask : limits_[static_cast<std::size_t>(entry)].Due(world_.now())) {
+      const int home = world_.OwnerSeenBy(entry);
+      world_.Send(entry, home, [this, entry, home, report = ask.report] {
+        const TeamRates share =
+            homes_[home].Report(world_.node(entry), report,
+                                snapshot_.config->limits.at(world_.team().name), world_.now());
+        world_.Send(home, entry, [this, entry, share] {
+          limits_[static_cast<std::size_t>(entry)].Granted(world_.team().name, share, world_.now());
+        });
+      });
+    }
+  }
+
+  QuotaWorld& world_;
+  Snapshot snapshot_;
+  std::deque<TeamLimits> limits_;
+  std::map<int, TeamShares> homes_;
+};
+
+// The owner grants credits that are valid for a short time.
+class Credits {
+ public:
+  explicit Credits(QuotaWorld& world) : world_(world) {
+    RestartAll();
+    world_.Every(QuotaClient::kAskAgain / 2, [this] {
+      for (int i = 0; i < world_.entries(); ++i) {
+        if (!world_.Runs(i)) continue;
+        WatchOwner(i);
+        const Time before = std::exchange(At(i).watched_at, world_.now());
+        const bool stood_still = world_.now() - before > std::chrono::seconds(1);
+        if (stood_still || !world_.MayOwn(i)) At(i).owner.Restart(world_.now());
+        At(i).client.OnTime(world_.now());
+        Flush(i);
+      }
+    });
+  }
+  void Admit(int entry, const Decided& decided) {
+    Entry& at = At(entry);
+    const std::uint64_t ticket = ++tickets_;
+    const bool free = world_.Rank(entry) < static_cast<int>(QuotaBounds{}.FreeEntries());
+    const quota::Verdict verdict =
+        at.client.Admit(world_.team(), {static_cast<std::size_t>(world_.entries()), free},
+                        {ticket, Duration{5'000'000}}, world_.now());
+    if (std::holds_alternative<quota::Waits>(verdict)) {
+      at.waiting.emplace(ticket, decided);
+    } else {
+      decided(std::holds_alternative<quota::Admitted>(verdict));
+    }
+    Flush(entry);
+  }
+  void RestartAll() {
+    entries_.clear();
+    for (int i = 0; i < world_.entries(); ++i) {
+      entries_.push_back(std::make_unique<Entry>(Entry{QuotaClient(QuotaBounds{}),
+                                                       QuotaOwner(world_.now()),
+                                                       world_.OwnerSeenBy(i),
+                                                       world_.now(),
+                                                       {}}));
+    }
+  }
+
+ private:
+  struct Entry {
+    QuotaClient client;
+    QuotaOwner owner;
+    int owner_seen = -1;
+    Time watched_at{};
+    std::map<std::uint64_t, Decided> waiting;
+  };
+  Entry& At(int entry) { return *entries_[static_cast<std::size_t>(entry)]; }
+  void WatchOwner(int entry) {
+    const int now = world_.OwnerSeenBy(entry);
+    if (std::exchange(At(entry).owner_seen, now) == now) return;
+    At(entry).client.OnOwnerChanged(world_.team().name);
+    At(entry).owner.OnEntriesChanged([&](const TeamId&) { return now == entry; }, world_.now());
+  }
+  [[nodiscard]] QuotaGrant Grant(int owner, const QuotaAsk& ask) {
+    const bool owned = At(owner).owner_seen == owner && world_.MayOwn(owner);
+    if (!owned) return {ask.number, ask.team, false, 0, Duration{0}, Duration{0}};
+    return At(owner).owner.Grant(ask, world_.team(), world_.now());
+  }
+  void Flush(int entry) {
+    Entry& at = At(entry);
+    for (const QuotaAsk& ask : at.client.TakeAsks()) {
+      const int owner = at.owner_seen;
+      if (owner == entry) {
+        at.client.OnGrant(Grant(entry, ask), world_.now());
+        continue;
+      }
+      world_.Send(entry, owner, [this, entry, owner, ask] {
+        world_.Send(owner, entry, [this, entry, grant = Grant(owner, ask)] {
+          At(entry).client.OnGrant(grant, world_.now());
+          Flush(entry);
+        });
+      });
+    }
+    for (const quota::Decision& decision : at.client.TakeDecisions()) {
+      auto waiting = at.waiting.extract(decision.ticket);
+      if (!waiting.empty()) waiting.mapped()(IsOk(decision.verdict));
+    }
+  }
+
+  QuotaWorld& world_;
+  std::uint64_t tickets_ = 0;
+  std::vector<std::unique_ptr<Entry>> entries_;
+};
+
+template <typename Policy>
+QuotaResult Play(const QuotaLoad& load) {
+  QuotaWorld world(load);
+  Policy policy(world);
+  // The owner has been there for a while when the first requests come.
+  const Time first = world.now() + std::chrono::seconds(5);
+  world.RunUntil(first);
+  std::vector<double> weights = load.weights;
+  if (weights.empty()) weights.assign(static_cast<std::size_t>(load.entries), 1);
+  std::discrete_distribution<int> entry(weights.begin(), weights.end());
+  std::exponential_distribution<double> gap(load.offered);
+  std::vector<Time> admitted;
+  std::vector<double> waits;
+  TokenBucket reference;
+  reference.SetRate(load.rate, load.burst, first);
+  double allowed = 0;
+  int offered = 0;
+  std::function<void()> arrive = [&] {
+    if (world.now() >= first + load.span) return;
+    const int at = entry(world.random());
+    if (world.Runs(at)) {
+      ++offered;
+      if (reference.Level(world.now()) >= 1) {
+        reference.Take(1);
+        ++allowed;
+      }
+      policy.Admit(at, [&, since = world.now()](bool yes) {
+        waits.push_back(static_cast<double>((world.now() - since).count()) / 1e3);
+        if (yes) admitted.push_back(world.now());
+      });
+    }
+    world.After(Duration(static_cast<Duration::rep>(gap(world.random()) * 1e6)), arrive);
+  };
+  world.After(Duration{0}, arrive);
+  if (load.fault == QuotaLoad::Fault::kAllRestarted) {
+    for (Duration at = load.fault_at; at < load.fault_at + load.fault_for;
+         at += Duration{1'000'000}) {
+      world.After(at - (first - QuotaWorld::Start()), [&] { policy.RestartAll(); });
+    }
+  }
+  world.RunUntil(first + load.span + std::chrono::seconds(1));
+
+  QuotaResult result;
+  const QuotaBounds bounds;
+  const double window = std::chrono::duration<double>(bounds.window).count();
+  const double most = (load.rate * window + load.burst) * (1 + bounds.excess) + bounds.slack;
+  std::sort(admitted.begin(), admitted.end());
+  for (std::size_t from = 0, to = 0; to < admitted.size(); ++to) {
+    while (admitted[from] < admitted[to] - bounds.window) ++from;
+    result.worst_window = std::max(result.worst_window, static_cast<double>(to - from + 1) / most);
+  }
+  result.admitted = static_cast<double>(admitted.size()) / std::max(allowed, 1.0);
+  std::sort(waits.begin(), waits.end());
+  if (!waits.empty()) {
+    result.median_ms = waits[waits.size() / 2];
+    result.p99_ms = waits[waits.size() * 99 / 100];
+  }
+  result.messages = static_cast<double>(world.messages()) / std::max(offered, 1);
+  return result;
+}
+
+}  // namespace figmill::sim
--- /dev/null
+++ b/test/quota-test.cc
@@ -0,0 +1,246 @@
+#include "figmill/quota.h"
+
+#include <doctest/doctest.h>
+
+#include <variant>
+#include <vector>
+
+#include "figmill/peer_messages.h"
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+constexpr Time kStart{Duration{100'000'000}};
+constexpr Duration kMs{1'000};
+const QuotaClient::Entries kEntries{10, true};
+
+Team Limited(double rate, double burst) {
+  Team team;
+  team.name.value = "rye";
+  team.requests_per_second = rate;
+  team.burst = burst;
+  return team;
+}
+
+QuotaAsk Ask(std::uint32_t wanted, std::uint32_t returned = 0) {
+  return {1, TeamId{"rye"}, wanted, returned};
+}
+
+QuotaClient::Request Request(std::uint64_t ticket) {
+  return {ticket, Duration{5'000'000}};
+}
+
+bool IsAdmitted(const quota::Verdict& verdict) {
+  return std::holds_alternative<quota::Admitted>(verdict);
+}
+bool Waits(const quota::Verdict& verdict) {
+  return std::holds_alternative<quota::Waits>(verdict);
+}
+
+QuotaGrant Answer(const QuotaAsk& ask, std::uint32_t credits, Duration next_after = Duration{0}) {
+  return {ask.number, ask.team, true, credits, next_after, next_after};
+}
+
+}  // namespace
+
+// --- Owner -------------------------------------------------------------------------
+
+TEST_CASE("an owner grants the burst and then the rate") {
+  QuotaOwner owner(kStart);
+  const Team team = Limited(10, 20);
+  const Time later = kStart + std::chrono::seconds(60);
+  CHECK(owner.Grant(Ask(30), team, later).credits == 20);
+  const QuotaGrant none = owner.Grant(Ask(1), team, later);
+  CHECK(none.credits == 0);
+  CHECK(none.next_after == 100 * kMs);
+  CHECK(none.every == 100 * kMs);
+  CHECK(owner.Grant(Ask(9), team, later + 500 * kMs).credits == 5);
+}
+
+// Guards against a whole burst for each entry that becomes the owner.
+TEST_CASE("an owner that has just begun grants no burst") {
+  QuotaOwner owner(kStart);
+  const Team team = Limited(10, 100);
+  CHECK(owner.Grant(Ask(100), team, kStart).credits == 2);
+  owner.OnEntriesChanged([](const TeamId&) { return true; }, kStart + std::chrono::seconds(60));
+  CHECK(owner.Grant(Ask(500), team, kStart + std::chrono::seconds(60)).credits == 100);
+  owner.OnEntriesChanged([](const TeamId&) { return false; }, kStart + std::chrono::seconds(60));
+  CHECK(owner.Grant(Ask(100), team, kStart + std::chrono::seconds(60)).credits == 2);
+  owner.Restart(kStart + std::chrono::seconds(90));
+  CHECK(owner.Grant(Ask(100), team, kStart + std::chrono::seconds(90)).credits == 2);
+}
+
+TEST_CASE("what an entry returns is granted again, up to the burst") {
+  QuotaOwner owner(kStart);
+  const Team team = Limited(1, 10);
+  const Time later = kStart + std::chrono::seconds(60);
+  CHECK(owner.Grant(Ask(10), team, later).credits == 10);
+  CHECK(owner.Grant(Ask(10, 4), team, later).credits == 4);
+  CHECK(owner.Grant(Ask(50, 40), team, later).credits == 10);
+}
+
+TEST_CASE("a limit that is cut binds what is granted from then on") {
+  QuotaOwner owner(kStart);
+  const Time later = kStart + std::chrono::seconds(60);
+  CHECK(owner.Grant(Ask(1), Limited(100, 100), later).credits == 1);
+  CHECK(owner.Grant(Ask(90), Limited(1, 5), later).credits == 5);
+}
+
+TEST_CASE("a team whose rate is under one a second may make a request now and then") {
+  QuotaOwner owner(kStart);
+  const Team team = Limited(0.1, 0);
+  CHECK(owner.Grant(Ask(1), team, kStart + std::chrono::seconds(20)).credits == 1);
+  CHECK(owner.Grant(Ask(1), team, kStart + std::chrono::seconds(21)).credits == 0);
+  CHECK(owner.Grant(Ask(1), team, kStart + std::chrono::seconds(31)).credits == 1);
+}
+
+// --- Entry -------------------------------------------------------------------------
+
+TEST_CASE("a team without a limit is asked for nowhere") {
+  QuotaClient client{QuotaBounds{}};
+  CHECK(IsAdmitted(client.Admit(Limited(0, 0), kEntries, Request(1), kStart)));
+  CHECK(client.TakeAsks().empty());
+  CHECK(client.tracked() == 0);
+}
+
+TEST_CASE("requests that come while an answer is on its way share the next ask") {
+  QuotaClient client{QuotaBounds{}};
+  const Team team = Limited(10, 10);
+  CHECK(Waits(client.Admit(team, kEntries, Request(1), kStart)));
+  const std::vector<QuotaAsk> first = client.TakeAsks();
+  REQUIRE(first.size() == 1);
+  CHECK(Waits(client.Admit(team, kEntries, Request(2), kStart)));
+  CHECK(Waits(client.Admit(team, kEntries, Request(3), kStart)));
+  CHECK(client.TakeAsks().empty());
+  client.OnGrant(Answer(first[0], 1), kStart + 2 * kMs);
+  REQUIRE(client.TakeDecisions().size() == 1);
+  const std::vector<QuotaAsk> second = client.TakeAsks();
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].wanted >= 2);
+}
+
+// Guards against credits that a process spends which stood still since they were granted.
+TEST_CASE("credits that are not spent in time go back to the owner") {
+  const QuotaBounds bounds;
+  QuotaClient client{bounds};
+  const Team team = Limited(100, 100);
+  (void)client.Admit(team, kEntries, Request(1), kStart);
+  client.OnGrant(Answer(client.TakeAsks()[0], 4), kStart + 2 * kMs);
+  CHECK(client.TakeDecisions().size() == 1);
+  CHECK(IsAdmitted(client.Admit(team, kEntries, Request(2), kStart + 3 * kMs)));
+  CHECK(Waits(client.Admit(team, kEntries, Request(3), kStart + bounds.CreditLife())));
+  CHECK(client.TakeAsks()[0].returned == 2);
+}
+
+TEST_CASE("a request that was refused and has not run is given back while it is young") {
+  const QuotaBounds bounds;
+  QuotaClient client{bounds};
+  const Team team = Limited(100, 100);
+  (void)client.Admit(team, kEntries, Request(1), kStart);
+  client.OnGrant(Answer(client.TakeAsks()[0], 1), kStart);
+  client.GiveBack(team.name, kStart, kStart + 10 * kMs);
+  client.GiveBack(team.name, kStart, kStart + bounds.CreditLife());
+  (void)client.Admit(team, kEntries, Request(2), kStart + std::chrono::seconds(1));
+  CHECK(client.TakeAsks()[0].returned == 1);
+}
+
+TEST_CASE("callers over the limit are told at once when to come back, one after the other") {
+  QuotaClient client{QuotaBounds{}};
+  const Team team = Limited(10, 10);
+  for (std::uint64_t ticket = 1; ticket <= 3; ++ticket) {
+    (void)client.Admit(team, {1, true}, Request(ticket), kStart);
+  }
+  client.OnGrant(Answer(client.TakeAsks()[0], 0, 100 * kMs), kStart + 2 * kMs);
+  const std::vector<quota::Decision> refused = client.TakeDecisions();
+  REQUIRE(refused.size() == 3);
+  for (const quota::Decision& decision : refused) {
+    REQUIRE_FALSE(IsOk(decision.verdict));
+    const Error& error = ErrorOf(decision.verdict);
+    CHECK(error.kind == ErrorKind::kTeamLimit);
+    CHECK(error.ran == Ran::kNo);
+    REQUIRE(error.retry_after);
+    CHECK(*error.retry_after >= 100 * kMs);
+  }
+  // The next one isn't asked for until a credit may be there.
+  const quota::Verdict next = client.Admit(team, {1, true}, Request(4), kStart + 10 * kMs);
+  CHECK(std::holds_alternative<Error>(next));
+  CHECK(client.TakeAsks().empty());
+}
+
+// Guards against one lost datagram that has all later requests wait for the next check.
+TEST_CASE("an ask that was lost is sent again, and does not hold up later ones") {
+  QuotaClient client{QuotaBounds{}};
+  const Team team = Limited(100, 100);
+  (void)client.Admit(team, kEntries, Request(1), kStart);
+  CHECK(client.TakeAsks().size() == 1);  // lost
+  client.OnTime(kStart + QuotaClient::kAskAgain);
+  const std::vector<QuotaAsk> again = client.TakeAsks();
+  REQUIRE(again.size() == 1);
+  client.OnGrant(Answer(again[0], 1), kStart + QuotaClient::kAskAgain + 2 * kMs);
+  CHECK(client.TakeDecisions().size() == 1);
+  CHECK(Waits(client.Admit(team, kEntries, Request(2), kStart + 2 * QuotaClient::kAskAgain)));
+  CHECK(client.TakeAsks().size() == 1);
+}
+
+TEST_CASE("with its owner silent an entry admits its own part, and asks whether it is back") {
+  QuotaClient client{QuotaBounds{}};
+  const Team team = Limited(2, 2);
+  (void)client.Admit(team, kEntries, Request(1), kStart);
+  (void)client.Admit(team, kEntries, Request(2), kStart);
+  CHECK(client.TakeAsks().size() == 1);
+  const Time late = kStart + QuotaClient::kOwnerPatience;
+  client.OnTime(late);
+  const std::vector<quota::Decision> decisions = client.TakeDecisions();
+  REQUIRE(decisions.size() == 2);
+  CHECK(IsOk(decisions[0].verdict));
+  REQUIRE_FALSE(IsOk(decisions[1].verdict));
+  CHECK(ErrorOf(decisions[1].verdict).kind == ErrorKind::kNoBackend);
+  CHECK(ErrorOf(decisions[1].verdict).ran == Ran::kNo);
+  const quota::Verdict at_once = client.Admit(team, kEntries, Request(3), late + kMs);
+  CHECK(std::holds_alternative<Error>(at_once));
+  (void)client.Admit(team, kEntries, Request(4), late + QuotaClient::kSilentPause);
+  const std::vector<QuotaAsk> asks = client.TakeAsks();
+  REQUIRE(asks.size() == 1);
+  client.OnGrant(Answer(asks[0], 1), late + QuotaClient::kSilentPause + 2 * kMs);
+  CHECK(IsAdmitted(
+      client.Admit(team, kEntries, Request(5), late + QuotaClient::kSilentPause + 3 * kMs)));
+}
+
+// Guards against entries that each admit one request, though hundreds of them may.
+TEST_CASE("few entries may admit a request of a small team on their own") {
+  QuotaClient client{QuotaBounds{}};
+  (void)client.Admit(Limited(1, 1), {300, false}, Request(1), kStart);
+  client.OnTime(kStart + QuotaClient::kOwnerPatience);
+  const std::vector<quota::Decision> decisions = client.TakeDecisions();
+  REQUIRE(decisions.size() == 1);
+  CHECK_FALSE(IsOk(decisions[0].verdict));
+  CHECK(QuotaBounds{}.FreeEntries() == 10);
+}
+
+TEST_CASE("an answer of an entry that is not the owner says nothing of the quota") {
+  QuotaClient client{QuotaBounds{}};
+  const Team team = Limited(100, 100);
+  (void)client.Admit(team, kEntries, Request(1), kStart);
+  QuotaGrant grant = Answer(client.TakeAsks()[0], 0);
+  grant.owned = false;
+  client.OnGrant(grant, kStart + 2 * kMs);
+  REQUIRE(client.TakeDecisions().size() == 1);
+  client.OnOwnerChanged(team.name);
+  CHECK(Waits(client.Admit(team, kEntries, Request(2), kStart + 3 * kMs)));
+}
+
+// --- Messages ----------------------------------------------------------------------
+
+TEST_CASE("asks and grants are read as they were written") {
+  PeerMessage message;
+  message.from = {NodeId{"a"}, 1, Address{"10.0.0.1", 1}, DataCentre{"dc"}, 1, false};
+  message.quota_ask = QuotaAsk{7, TeamId{"rye"}, 3, 2};
+  message.quota_grant = QuotaGrant{8, TeamId{"rye"}, true, 5, 20 * kMs, 10 * kMs};
+  const Result<PeerMessage> back = DecodePeerMessage(Encode(message));
+  REQUIRE(IsOk(back));
+  CHECK(std::get<PeerMessage>(back).quota_ask == message.quota_ask);
+  CHECK(std::get<PeerMessage>(back).quota_grant == message.quota_grant);
+  message.quota_grant.reset();
+  CHECK_FALSE(std::get<PeerMessage>(DecodePeerMessage(Encode(message))).quota_grant);
+}
--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -18,7 +18,8 @@
 import gateways  # noqa: E402
 import promises  # noqa: E402
 import run as soak  # noqa: E402
-from record import Closed, Job, Probe, Record, Request, Trouble  # noqa: E402
+import teams  # noqa: E402
+from record import Closed, Job, Probe, Record, Request, TeamRequest, Trouble  # noqa: E402
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 # One for each way in which processes end, one on top of a sick store, and one in which entries of
@@ -36,7 +37,7 @@
 
 
 def ran(name, at=10.1, engine="e1"):
-    return {"id": name, "at": at, "engine": engine}
+    return {"id": name, "at": at, "engine": engine, "team": "rye", "key": None}
 
 
 def job(**changes):
@@ -137,6 +138,28 @@
         two_requests = {run["id"]: (f"crash {n % 4}", "g0") for n, run in enumerate(runs)}
         self.assertEqual(self.broken_by(runs=runs, crashing=two_requests), set())
 
+    def test_keys_and_teams_that_are_not_kept_apart(self):
+        foreign = ran("r1") | {"team": "hot"}
+        self.assertEqual(self.broken_by(runs=[foreign]), {"engines_get_the_team"})
+        leaked = ran("r1") | {"key": "Bearer ryekey1234"}
+        self.assertEqual(self.broken_by(runs=[leaked]), {"engines_get_the_team"})
+        self.assertEqual(self.broken_by(foreign_reads=[("j", 404), ("j", 200)]),
+                         {"jobs_are_their_teams"})
+
+    def test_a_key_that_works_after_it_was_taken_away(self):
+        late = TeamRequest("spare1-1", "spare1", "g0", 10 + teams.REVOKE + 0.1)
+        early = TeamRequest("spare1-1", "spare1", "g0", 10 + teams.REVOKE)
+        revoked, runs = {"spare1": 10.0}, [ran("spare1-1", at=13)]
+        self.assertEqual(self.broken_by(team_requests=[late], revoked=revoked, runs=runs),
+                         {"keys_taken_away_work_nowhere"})
+        self.assertEqual(self.broken_by(team_requests=[early], revoked=revoked, runs=runs), set())
+
+    def test_a_limit_that_does_not_hold(self):
+        most = int((teams.RATE * teams.WINDOW + teams.BURST) * (1 + teams.EXCESS) + teams.SLACK)
+        runs = [ran(f"hot-{n}", at=10 + n * 0.01) | {"team": "hot"} for n in range(most + 1)]
+        self.assertEqual(self.broken_by(runs=runs), {"limits_hold"})
+        self.assertEqual(self.broken_by(runs=runs[1:]), set())
+
     def test_a_fleet_that_does_not_recover(self):
         self.assertEqual(self.broken_by(final=[200, 503]), {"all_is_well_again"})
         self.assertEqual(self.broken_by(all_ready=False), {"all_is_well_again"})
