Asks of unknown teams keep nothing; the ways to divide a quota in a file of their own

Cause: a datagram about a team that no configuration names left an entry in the map of owners, and anybody may send to that port: unbounded memory. Change: the team is looked up first.

--- a/bench/quota_bench.cc
+++ b/bench/quota_bench.cc
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "test/quota-sim.h"
+#include "test/quota-ways.h"
 
 namespace figmill::sim {
 namespace {
--- a/include/figmill/teams.h
+++ b/include/figmill/teams.h
@@ -70,8 +70,9 @@
 class KeyLease {
  public:
   using HostTime = Duration;
-  // Kept free of the allowed time: the store may be deaf to changes for a moment. Unit: share.
-  static constexpr int kMarginShare = 5;
+  // One part in so many of the allowed time is kept free: the store may be deaf to changes for a
+  // moment.
+  static constexpr int kMarginParts = 5;
 
   // `revoke_within`: from the acknowledgement of a configuration until none of the keys that it
   // takes away works any more; nothing: no bound.
--- a/src/gateway/team_access.cc
+++ b/src/gateway/team_access.cc
@@ -165,12 +165,13 @@
 }
 
 QuotaGrant TeamAccess::GrantOf(const QuotaAsk& ask) {
-  const std::optional<Peer>& owner = OwnerOf(ask.team).peer;
+  const QuotaGrant nothing{ask.number, ask.team, false, 0, Duration{0}, Duration{0}};
+  // Before anything is kept for its name: anybody may send to the port of the peers.
   const Team* team = TeamOf(ask.team);
-  const bool owned =
-      owner && owner->node == peers_.self().node && team != nullptr && team->limited() && MayOwn();
-  if (!owned) return {ask.number, ask.team, false, 0, Duration{0}, Duration{0}};
-  return owner_.Grant(ask, *team, Now());
+  if (team == nullptr || !team->limited()) return nothing;
+  const std::optional<Peer>& owner = OwnerOf(ask.team).peer;
+  const bool owned = owner && owner->node == peers_.self().node && MayOwn();
+  return owned ? owner_.Grant(ask, *team, Now()) : nothing;
 }
 
 bool TeamAccess::MayOwn() {
--- a/src/teams/key_lease.cc
+++ b/src/teams/key_lease.cc
@@ -11,7 +11,7 @@
 bool KeyLease::Holds(HostTime now) const {
   if (!revoke_within_) return true;
   const std::optional<Duration> age = Age(now);
-  return age && *age < *revoke_within_ - *revoke_within_ / kMarginShare;
+  return age && *age < *revoke_within_ - *revoke_within_ / kMarginParts;
 }
 
 std::optional<Duration> KeyLease::Age(HostTime now) const {
--- a/test/quota-load-test.cc
+++ b/test/quota-load-test.cc
@@ -4,6 +4,7 @@
 #include <doctest/doctest.h>
 
 #include "test/quota-sim.h"
+#include "test/quota-ways.h"
 
 using namespace figmill;       // NOLINT(google-build-using-namespace): tests read better
 using namespace figmill::sim;  // NOLINT(google-build-using-namespace): tests read better
