--- a/src/gateway/team_access.cc
+++ b/src/gateway/team_access.cc
@@ -165,13 +165,14 @@
 }
 
 QuotaGrant TeamAccess::GrantOf(const QuotaAsk& ask) {
-  const QuotaGrant nothing{ask.number, ask.team, false, 0, Duration{0}, Duration{0}};
+  QuotaGrant grant{ask.number, ask.team, false, 0, Duration{0}, Duration{0}};
   // Before anything is kept for its name: anybody may send to the port of the peers.
   const Team* team = TeamOf(ask.team);
-  if (team == nullptr || !team->limited()) return nothing;
+  if (team == nullptr || !team->limited()) return grant;
   const std::optional<Peer>& owner = OwnerOf(ask.team).peer;
   const bool owned = owner && owner->node == peers_.self().node && MayOwn();
-  return owned ? owner_.Grant(ask, *team, Now()) : nothing;
+  if (owned) grant = owner_.Grant(ask, *team, Now());
+  return grant;
 }
 
 bool TeamAccess::MayOwn() {
