Count calls to the store by table and kind

The fleet's calls to the store cost more than anything else there, and nothing told which table they are about. figmill_store_calls_total and figmill_store_body_bytes_total have labels for the tables that an entry uses; calls about any other table are counted together, so that the number of labels is bounded.

--- a/include/figmill/gateway.h
+++ b/include/figmill/gateway.h
@@ -4,6 +4,7 @@
 // platform's table service stores the routing configuration, the list of backend servers and all
 // durable state. PlatformAdapter hides the differences between platforms.
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -54,8 +55,12 @@
 };
 using JobCall = std::variant<JobReadCall, JobItemCall, JobEndCall>;
 
+enum class TableCallKind : std::uint8_t { kCommit, kRead, kListParts, kFollow };
+
 // One HTTP request to the platform's table service.
 struct TableCall {
+  TableCallKind kind = TableCallKind::kRead;
+  std::string table;  // of a commit: that of the first row it writes
   std::string method = "GET";
   std::string target;  // path and query
   std::vector<Header> headers;
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -9,8 +9,6 @@
 namespace figmill {
 namespace {
 
-constexpr const char* kTable = "crash_reports";
-
 void LogLostSend(const CrashTracker::LostSend& lost, std::string_view found) {
   Log(LogLevel::kInfo, "send_lost",
       {{"request", lost.id},
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -17,6 +17,7 @@
 
 class CrashTracker {
  public:
+  static constexpr const char* kTable = "crash_reports";
   // The port of a process that has ended refuses a connection within a round trip. A host that
   // doesn't answer may be busy or partitioned, which is no evidence against the request.
   static constexpr Duration kDialTimeout{50'000};
--- a/src/gateway/entry_registry.cc
+++ b/src/gateway/entry_registry.cc
@@ -5,10 +5,8 @@
 namespace figmill {
 namespace {
 
-constexpr const char* kTable = "members";
-
 TableKey KeyOf(const NodeId& node) {
-  return {kTable, "", node.value};
+  return {EntryRegistry::kTable, "", node.value};
 }
 
 }  // namespace
--- a/src/gateway/entry_registry.h
+++ b/src/gateway/entry_registry.h
@@ -12,6 +12,7 @@
 
 class EntryRegistry {
  public:
+  static constexpr const char* kTable = "members";
   static constexpr Duration kRetryDelay{300'000};
   // Delay before this process's own row is rewritten after another writer has corrupted it. Two
   // writers that keep overwriting each other cost the store one call per delay.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -44,9 +44,10 @@
   };
 
   ControlThread(const GatewaySettings& settings, const PlatformAdapter& adapter, Metrics& metrics,
-                TrafficMetrics& traffic, const Peer& self, Hooks hooks)
+                TrafficMetrics& traffic, StoreCallMetrics& store_calls, const Peer& self,
+                Hooks hooks)
       : client_(loop_),
-        store_(loop_, client_, settings.store, traffic),
+        store_(loop_, client_, settings.store, traffic, store_calls),
         tables_(adapter.Connect(store_)),
         fleet_(loop_, *tables_, adapter, metrics, settings.teams.key_lease(),
                std::move(hooks.fleet)),
@@ -85,6 +86,13 @@
   std::thread thread_;
 };
 
+std::vector<std::string> TablesOf(const PlatformAdapter& adapter) {
+  return {adapter.config_row().table,         adapter.backend_table(),
+          std::string(EntryRegistry::kTable), std::string(CrashTracker::kTable),
+          std::string(ledger::kJobTable),     std::string(ledger::kItemTable),
+          std::string(ledger::kResultTable),  std::string(ledger::kProgressTable)};
+}
+
 Peer SelfOf(const GatewaySettings& settings) {
   const auto incarnation = static_cast<Incarnation>(Loop::WallNow().time_since_epoch().count());
   Peer self{settings.node, incarnation, settings.peers, settings.data_centre, settings.cores};
@@ -97,7 +105,8 @@
   Gateway(const GatewaySettings& settings, const PlatformAdapter& adapter)
       : settings_(settings),
         client_(loop_),
-        store_(loop_, client_, settings.store, traffic_),
+        store_calls_(metrics_, TablesOf(adapter)),
+        store_(loop_, client_, settings.store, traffic_, store_calls_),
         tables_(adapter.Connect(store_)),
         clock_syncing_tables_(*tables_, clock_),
         backend_pool_(settings.data_centre, SystemRandom()),
@@ -126,7 +135,8 @@
         runner_(relay_context_, jobs_, clock_, [this] { peer_messenger_.OnWaitingChanged(); }),
         job_requests_(loop_, jobs_, clock_, adapter),
         request_dispatcher_(relay_context_, adapter, job_requests_, SystemRandom()),
-        control_thread_(settings, adapter, metrics_, traffic_, peers_.self(), ControlHooks()) {
+        control_thread_(settings, adapter, metrics_, traffic_, store_calls_, peers_.self(),
+                        ControlHooks()) {
     backend_pool_.SetUsageListener(
         [this](const BackendId& backend) { peer_messenger_.OnUsageChanged(backend); });
   }
@@ -314,6 +324,7 @@
   TrafficMetrics traffic_{metrics_};
   Loop loop_;
   NoRetryHttpClient client_;
+  StoreCallMetrics store_calls_;
   StoreTransport store_;
   std::unique_ptr<SharedTables> tables_;
   StoreClock clock_;
--- a/src/gateway/store_transport.cc
+++ b/src/gateway/store_transport.cc
@@ -84,6 +84,8 @@
         path.peer ? UnwrapForwarded(std::move(raw)) : std::move(raw);
     const StorePaths::Outcome outcome = OutcomeOf(result);
     paths_.End(path, outcome, Loop::Now());
+    const std::size_t received = IsOk(result) ? ValueOf(result).body.size() : 0;
+    call_metrics_.Record(call.kind, call.table, call.body.size() + received);
     // A refused call had no effect, and a read never has one: both may use another path.
     const bool retry_is_safe = outcome == StorePaths::Outcome::kRefused ||
                                (outcome == StorePaths::Outcome::kLost && call.method == "GET");
--- a/src/gateway/store_transport.h
+++ b/src/gateway/store_transport.h
@@ -10,14 +10,20 @@
 #include "figmill/exchange.h"
 #include "figmill/gateway.h"
 #include "figmill/store_paths.h"
+#include "gateway/store_call_metrics.h"
 #include "gateway/traffic_metrics.h"
 
 namespace figmill {
 
 class StoreTransport final : public TableTransport {
  public:
-  StoreTransport(Loop& loop, NoRetryHttpClient& client, Address store, TrafficMetrics& traffic)
-      : loop_(loop), client_(client), store_(std::move(store)), traffic_(traffic) {}
+  StoreTransport(Loop& loop, NoRetryHttpClient& client, Address store, TrafficMetrics& traffic,
+                 StoreCallMetrics& call_metrics)
+      : loop_(loop),
+        client_(client),
+        store_(std::move(store)),
+        traffic_(traffic),
+        call_metrics_(call_metrics) {}
 
   void Fetch(TableCall call, std::function<void(Result<HttpResponse>)> done) override;
   void SetPeers(std::vector<Address> peers) { paths_.SetPeers(std::move(peers)); }
@@ -35,6 +41,7 @@
   NoRetryHttpClient& client_;
   Address store_;
   TrafficMetrics& traffic_;
+  StoreCallMetrics& call_metrics_;
   StorePaths paths_;
 };
 
