Follow tables through relays in large data centres

Cause: each entry followed the configuration, the backend servers, the entries, the crash reports and the jobs by itself, so that calls and bytes at the store grew with entries times changes.

Writes, lists and reads stay at the store, whose conditions decide.

TableMirror remembers removals of rows that it never saw, and its eviction of old removals no longer drops a later one of the same row.

--- a/include/figmill/tables.h
+++ b/include/figmill/tables.h
@@ -89,6 +89,8 @@
   std::vector<TableRow> rows;
   RowVersion version = 0;  // where to continue from
   std::optional<StoreTime> now;
+  // How old the sender's copy was when it made the response; 0 if the store made it.
+  Duration age{0};
 };
 // The store has discarded the changes since that version: the table must be listed again.
 struct HistoryLost {};
@@ -169,6 +171,10 @@
   [[nodiscard]] RowVersion version() const { return version_; }
   [[nodiscard]] const std::map<TableKey, TableRow>& rows() const { return rows_; }
   [[nodiscard]] const TableRow* Find(const TableKey& at) const;
+  // The changes after `after`, for a process that knows the table as of that version. nullopt if
+  // this copy may lack some of them: parts are being listed, or removals that long ago are not
+  // remembered.
+  [[nodiscard]] std::optional<TableChanges> ChangesSince(RowVersion after) const;
 
  private:
   void StartListing();
@@ -177,6 +183,7 @@
   void OnPartFailed();
   void Apply(const TableRow& row, bool by_listing);
   void Remove(const TableKey& at, RowVersion version, bool by_listing);
+  void RememberRemoval(const TableKey& at, RowVersion version);
 
   std::string table_;
   std::vector<std::string> parts_;
@@ -185,6 +192,8 @@
   std::map<TableKey, RowVersion> removed_;  // versions at which rows were removed
   std::multimap<RowVersion, TableKey> removed_order_;
   RowVersion version_ = 0;
+  // All changes after this version are known, if all parts are listed.
+  RowVersion changes_known_from_ = 0;
   bool complete_ = false;
   bool following_ = false;
   bool in_retry_delay_ = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -11,11 +11,13 @@
 #include "gateway/clock_syncing_tables.h"
 #include "gateway/crash_tracker.h"
 #include "gateway/entry_registry.h"
+#include "gateway/feed_relay.h"
 #include "gateway/fleet_watcher.h"
 #include "gateway/job_request_handler.h"
 #include "gateway/job_store.h"
 #include "gateway/open_sends.h"
 #include "gateway/peer_messenger.h"
+#include "gateway/relayed_tables.h"
 #include "gateway/request_dispatcher.h"
 #include "gateway/store_transport.h"
 #include "gateway/team_access.h"
@@ -29,6 +31,7 @@
 constexpr Duration kIdleCheckPeriod{50'000};
 // Limit on the entries that may forward calls to the store; the store may refuse some of them too.
 constexpr std::size_t kMaxStoreProxies = 12;
+constexpr Duration kFeedRelaysCheckPeriod{500'000};
 // Requests that arrive less than this before the process is killed are refused, as they could be
 // cut off: a stream lasts about a second, after its wait for a slot.
 constexpr Duration kRequestCutoff{3'000'000};
@@ -49,9 +52,10 @@
       : client_(loop_),
         store_(loop_, client_, settings.store, traffic, store_calls),
         tables_(adapter.Connect(store_)),
-        fleet_(loop_, *tables_, adapter, metrics, settings.teams.key_lease(),
+        relayed_tables_(*tables_, client_, metrics),
+        fleet_(loop_, relayed_tables_, adapter, metrics, settings.teams.key_lease(),
                std::move(hooks.fleet)),
-        members_(loop_, *tables_, metrics, self, std::move(hooks.members)),
+        members_(loop_, relayed_tables_, metrics, self, std::move(hooks.members)),
         thread_([this] {
           // In this order most entries have joined before others learn of them.
           fleet_.Start();
@@ -75,12 +79,18 @@
   void SetPeers(std::vector<Address> peers) {
     loop_.Post([this, peers = std::move(peers)]() mutable { store_.SetPeers(std::move(peers)); });
   }
+  void SetRelays(std::vector<Address> relays) {
+    loop_.Post([this, relays = std::move(relays)]() mutable {
+      relayed_tables_.SetRelays(std::move(relays));
+    });
+  }
 
  private:
   Loop loop_;
   NoRetryHttpClient client_;
   StoreTransport store_;
   std::unique_ptr<SharedTables> tables_;
+  RelayedTables relayed_tables_;
   FleetWatcher fleet_;
   EntryRegistry members_;
   std::thread thread_;
@@ -93,6 +103,14 @@
           std::string(ledger::kResultTable),  std::string(ledger::kProgressTable)};
 }
 
+std::vector<FeedRelay::Table> RelayedFeeds(const PlatformAdapter& adapter) {
+  return {{adapter.config_row().table, {adapter.config_row().part}},
+          {adapter.backend_table(), {""}},
+          {EntryRegistry::kTable, {""}},
+          {CrashTracker::kTable, {""}},
+          {std::string(ledger::kJobTable), ledger::Parts(), JobStore::kMinFeedInterval}};
+}
+
 Peer SelfOf(const GatewaySettings& settings) {
   const auto incarnation = static_cast<Incarnation>(Loop::WallNow().time_since_epoch().count());
   Peer self{settings.node, incarnation, settings.peers, settings.data_centre, settings.cores};
@@ -108,7 +126,9 @@
         store_calls_(metrics_, TablesOf(adapter)),
         store_(loop_, client_, settings.store, traffic_, store_calls_),
         tables_(adapter.Connect(store_)),
-        clock_syncing_tables_(*tables_, clock_),
+        relayed_tables_(*tables_, client_, metrics_),
+        clock_syncing_tables_(relayed_tables_, clock_),
+        feed_relay_(loop_, *tables_, RelayedFeeds(adapter), metrics_),
         backend_pool_(settings.data_centre, SystemRandom()),
         peers_(SelfOf(settings)),
         peer_messenger_(loop_, peers_, backend_pool_, metrics_, traffic_,
@@ -169,6 +189,7 @@
     jobs_.Start();
     crash_tracker_.Start();
     store_proxies_timer_ = loop_.Every(PeerTable::kProbeInterval, [this] { UpdateStoreProxies(); });
+    feed_relays_timer_ = loop_.Every(kFeedRelaysCheckPeriod, [this] { UpdateFeedRelays(); });
     Log(LogLevel::kInfo, "started",
         {{"node", settings_.node.value},
          {"incarnation", std::to_string(peers_.self().incarnation)}});
@@ -201,6 +222,9 @@
     if (StoreTransport::IsForwarded(request)) {
       return store_.Forward(std::move(request), std::move(reply));
     }
+    if (FeedRelay::IsFeedRequest(request)) {
+      return feed_relay_.OnRequest(request, std::move(reply));
+    }
     reply->Send(ProblemOf({ErrorKind::kNotFound, "no such path: " + request.path}));
   }
 
@@ -247,6 +271,12 @@
     control_thread_.SetPeers(std::move(peers));
   }
 
+  void UpdateFeedRelays() {
+    std::vector<Address> relays = FeedSourceSelector::RelaysFor(peers_, Loop::Now());
+    relayed_tables_.SetRelays(relays);
+    control_thread_.SetRelays(std::move(relays));
+  }
+
   void ApplyFleetView(const std::shared_ptr<const FleetView>& view) {
     for (const Address& address : ChangedAddresses(backends_, view->backends)) {
       client_.CloseIdleConnections(address);
@@ -302,6 +332,7 @@
         {{"in_flight", std::to_string(request_dispatcher_.in_flight())}});
     request_dispatcher_.SetLeaving();
     job_requests_.SetLeaving();
+    feed_relay_.SetLeaving();
     peer_messenger_.Leave();
     control_thread_.Leave();
     jobs_.Leave([this] { jobs_released_ = true; });
@@ -327,8 +358,10 @@
   StoreCallMetrics store_calls_;
   StoreTransport store_;
   std::unique_ptr<SharedTables> tables_;
+  RelayedTables relayed_tables_;
   StoreClock clock_;
   ClockSyncingTables clock_syncing_tables_;
+  FeedRelay feed_relay_;
   BackendPool backend_pool_;
   BackendList backends_;  // of the FleetView in use
   OpenSends open_sends_;
@@ -345,7 +378,8 @@
   std::unique_ptr<HttpServer> callers_, health_, peers_server_, metrics_server_;
   bool leaving_ = false;
   bool jobs_released_ = false;
-  Timer grace_timer_, idle_timer_, request_cutoff_timer_, store_proxies_timer_, outdated_timer_;
+  Timer grace_timer_, idle_timer_, request_cutoff_timer_, store_proxies_timer_, outdated_timer_,
+      feed_relays_timer_;
   ControlThread control_thread_;
 };
 
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -1,5 +1,6 @@
 #include "gateway/table_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace figmill {
@@ -68,7 +69,8 @@
   // A response older than changes that were received already, of a store that lags, confirms
   // nothing.
   const bool confirms = changes != nullptr && changes->version >= before && mirror_.complete();
-  if (confirms) confirmed_at_ = asked_at;
+  if (confirms)
+    confirmed_at_ = std::max(confirmed_at_.value_or(Duration{0}), asked_at - changes->age);
   const Error* error = std::get_if<Error>(&outcome);
   if (error != nullptr) short_wait_until_ = Loop::Now() + kShortWaitPeriod;
   SetConnected(error == nullptr, error == nullptr ? "" : error->detail);
--- a/src/tables/table_mirror.cc
+++ b/src/tables/table_mirror.cc
@@ -63,6 +63,8 @@
   for (const TableKey& at : missing_rows) Remove(at, from, /*by_listing=*/true);
   for (const auto& [at, row] : listed_rows_) Apply(row, /*by_listing=*/true);
   if (!std::exchange(following_, true)) version_ = std::max(version_, from);
+  // Rows that were removed before the part was listed for the first time are unknown.
+  if (!complete_) changes_known_from_ = std::max(changes_known_from_, from);
   unlisted_.pop_front();
   consecutive_failures_ = 0;
   complete_ |= unlisted_.empty();
@@ -131,15 +133,43 @@
 
 void TableMirror::Remove(const TableKey& at, RowVersion version, bool by_listing) {
   const auto found = rows_.find(at);
-  if (found == rows_.end() || found->second.version > version) return;
+  if (found != rows_.end() && found->second.version > version) return;
+  RememberRemoval(at, version);
+  if (found == rows_.end()) return;
   rows_.erase(found);
-  removed_[at] = version;
+  on_change_({at, nullptr, by_listing});
+}
+
+// Removals of rows that were never seen here are remembered as well: a process that asks for the
+// changes may have seen the row.
+void TableMirror::RememberRemoval(const TableKey& at, RowVersion version) {
+  RowVersion& remembered = removed_[at];
+  if (remembered >= version) return;
+  remembered = version;
   removed_order_.emplace(version, at);
-  if (removed_order_.size() > kMaxRemoved) {
-    removed_.erase(removed_order_.begin()->second);
-    removed_order_.erase(removed_order_.begin());
+  if (removed_order_.size() <= kMaxRemoved) return;
+  const auto oldest = removed_order_.begin();
+  changes_known_from_ = std::max(changes_known_from_, oldest->first);
+  const auto found = removed_.find(oldest->second);
+  if (found != removed_.end() && found->second == oldest->first) removed_.erase(found);
+  removed_order_.erase(oldest);
+}
+
+std::optional<TableChanges> TableMirror::ChangesSince(RowVersion after) const {
+  if (!complete_ || !unlisted_.empty() || after < changes_known_from_) return std::nullopt;
+  TableChanges changes;
+  changes.version = version_;
+  for (const auto& [at, row] : rows_) {
+    if (row.version > after) changes.rows.push_back(row);
   }
-  on_change_({at, nullptr, by_listing});
+  for (auto at = removed_order_.upper_bound(after); at != removed_order_.end(); ++at) {
+    const auto removed = removed_.find(at->second);
+    const bool current = removed != removed_.end() && removed->second == at->first;
+    if (current) changes.rows.push_back({at->second, "", at->first, /*deleted=*/true});
+  }
+  std::sort(changes.rows.begin(), changes.rows.end(),
+            [](const TableRow& a, const TableRow& b) { return a.version < b.version; });
+  return changes;
 }
 
 }  // namespace figmill
--- a/test/table-mirror-test.cc
+++ b/test/table-mirror-test.cc
@@ -168,3 +168,67 @@
   // Rows of a part that can't be read are not treated as removed.
   CHECK(mirror.Find({"t", "a", "old"}) != nullptr);
 }
+
+TEST_CASE("a mirror gives the changes since a version, removals included") {
+  Fixture f;
+  CHECK_FALSE(f.mirror.ChangesSince(0));  // nothing is listed yet
+  f.mirror.OnListed("", Page({RowAt("a", "1", 4), RowAt("b", "1", 5)}, 10));
+  f.mirror.OnFollowed(TableChanges{{RowAt("a", "2", 11), RemovedAt("b", 12)}, 14});
+  const auto changes = f.mirror.ChangesSince(10);
+  REQUIRE(changes);
+  CHECK(changes->version == 14);
+  REQUIRE(changes->rows.size() == 2);
+  CHECK(changes->rows[0].value == "2");
+  CHECK(changes->rows[1].at.key == "b");
+  CHECK(changes->rows[1].deleted);
+  CHECK(f.mirror.ChangesSince(11)->rows.size() == 1);
+  CHECK(f.mirror.ChangesSince(14)->rows.empty());
+}
+
+// Guards against a row that a follower keeps for ever: it was removed before this copy was made,
+// so that this copy never saw it.
+TEST_CASE("a mirror gives no changes from before its first listing") {
+  Fixture f;
+  f.mirror.OnListed("", Page({RowAt("a", "1", 4)}, 10));
+  CHECK_FALSE(f.mirror.ChangesSince(9));
+  CHECK(f.mirror.ChangesSince(10));
+}
+
+// Guards against a row that a follower keeps for ever: it was written and removed between two
+// polls of this copy, while the follower saw it being written.
+TEST_CASE("a mirror tells of the removal of a row that it never saw") {
+  Fixture f;
+  f.mirror.OnListed("", Page({}, 10));
+  f.mirror.OnFollowed(TableChanges{{RemovedAt("a", 12)}, 12});
+  const auto changes = f.mirror.ChangesSince(11);
+  REQUIRE(changes);
+  REQUIRE(changes->rows.size() == 1);
+  CHECK(changes->rows[0].deleted);
+  CHECK(f.seen.empty());
+}
+
+// Guards against a follower that misses changes while the sender lists the table anew.
+TEST_CASE("a mirror that lost the history gives no changes until all parts are listed again") {
+  Fixture f;
+  f.mirror.OnListed("", Page({RowAt("a", "1", 4)}, 10));
+  f.mirror.OnFollowed(HistoryLost{});
+  CHECK_FALSE(f.mirror.ChangesSince(10));
+  f.mirror.OnListed("", Page({RowAt("b", "1", 15)}, 20));
+  const auto changes = f.mirror.ChangesSince(10);
+  REQUIRE(changes);
+  REQUIRE(changes->rows.size() == 2);
+  CHECK(changes->rows[0].at.key == "b");
+  CHECK(changes->rows[1].at.key == "a");  // its removal was found by the listing
+  CHECK(changes->rows[1].deleted);
+}
+
+TEST_CASE("a mirror that has evicted removals gives no changes from before them") {
+  Fixture f;
+  f.mirror.OnListed("", Page({}, 10));
+  for (std::size_t i = 0; i <= TableMirror::kMaxRemoved; ++i) {
+    const RowVersion version = 11 + i;
+    f.mirror.OnFollowed(TableChanges{{RemovedAt("k" + std::to_string(i), version)}, version});
+  }
+  CHECK_FALSE(f.mirror.ChangesSince(10));
+  CHECK(f.mirror.ChangesSince(11));
+}
