Owners that can't write retry one write at a time, with growing pauses

Cause: while the store was away, each new result and each piece of progress of a job began retries of its own, each 0.1 s for as long as it lasted.

Change: a job has one retry at a time; the pause doubles from 0.1 s to 0.8 s with each failure in a row.

--- a/include/figmill/ledger.h
+++ b/include/figmill/ledger.h
@@ -177,7 +177,10 @@
   // (FateUnknown, NotWritten or a rejection) NextWrite returns the same write again, unless
   // OnJobRecord has received a newer row.
   void OnCommitted(RowVersion version);
-  void OnFailed() { in_flight_ = false; }
+  void OnFailed();
+
+  // Writes in a row that failed.
+  [[nodiscard]] int consecutive_failures() const { return consecutive_failures_; }
 
   [[nodiscard]] bool writing() const { return in_flight_; }
   [[nodiscard]] bool all_written() const {
@@ -210,6 +213,7 @@
   std::vector<bool> finished_;
   bool end_requested_ = false;
   bool in_flight_ = false;
+  int consecutive_failures_ = 0;
   std::optional<Write> write_;
 };
 
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -204,7 +204,7 @@
 // --- Results --------------------------------------------------------------------------
 
 void JobStore::Write(OwnedJob& job) {
-  if (IsUnreadable(job.record().id)) return;
+  if (IsUnreadable(job.record().id) || write_retries_.contains(job.record().id)) return;
   std::optional<TableTransaction> write = job.NextWrite(random_);
   if (!write) return;
   HedgedCommit(
@@ -252,7 +252,18 @@
       std::holds_alternative<TableRejected>(outcome)) {
     return Write(*job);
   }
-  loop_.Later(kWriteRetryDelay, [this, id] {
+  RetryWriteLater(*job);
+}
+
+// One retry for each job at a time: new results and progress wait for it, or each of them would
+// begin retries of its own while the store is away.
+void JobStore::RetryWriteLater(const OwnedJob& job) {
+  const JobId& id = job.record().id;
+  write_retries_.insert(id);
+  Duration delay = kWriteRetryDelay;
+  for (int i = 1; i < job.consecutive_failures() && delay < kMaxWriteRetryDelay; ++i) delay *= 2;
+  loop_.Later(std::min(delay, kMaxWriteRetryDelay), [this, id] {
+    write_retries_.erase(id);
     if (OwnedJob* again = FindOwned(id)) Write(*again);
   });
 }
--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -31,7 +32,10 @@
   // each entry receives all changes. An owner knows its own at once; for the others this is soon
   // enough.
   static constexpr Duration kMinFeedInterval{150'000};
+  // Delay before a failed write is repeated; it doubles with each further failure, up to the
+  // maximum. Results are listed late by no more than that once the store is back.
   static constexpr Duration kWriteRetryDelay{100'000};
+  static constexpr Duration kMaxWriteRetryDelay{800'000};
   // Delay before the items of a job are read again after a failed read: the store was
   // unavailable or another writer corrupted them, and each attempt costs a call.
   static constexpr Duration kReloadDelay{300'000};
@@ -116,6 +120,7 @@
   [[nodiscard]] Peer ChooseOwner(const JobId& job) const;
   void DropOwned(const JobId& job);
   void OnWritten(const JobId& job, const TableOutcome& outcome);
+  void RetryWriteLater(const OwnedJob& job);
   void WriteEnd(const JobId& job, const JobRecord& head, RowVersion version, int attempts_left,
                 std::function<void(Result<Ok>)> done);
   void Release(const JobId& job);
@@ -131,6 +136,7 @@
   TableFollower follower_;
   std::map<JobId, KnownJob> known_;
   std::map<JobId, std::unique_ptr<OwnedJob>> owned_;
+  std::set<JobId> write_retries_;  // owned jobs whose failed write will be repeated
   std::function<void()> on_left_;
   bool leaving_ = false;
   std::size_t releasing_ = 0;
--- a/src/ledger/owned_job.cc
+++ b/src/ledger/owned_job.cc
@@ -88,8 +88,14 @@
   return transaction;
 }
 
+void OwnedJob::OnFailed() {
+  in_flight_ = false;
+  ++consecutive_failures_;
+}
+
 void OwnedJob::OnCommitted(RowVersion version) {
   in_flight_ = false;
+  consecutive_failures_ = 0;
   if (!write_) return;
   if (!write_->changes_row) return write_.reset();
   const JobRecord written = write_->record;  // a copy, since ApplyRecord resets the write
--- a/test/job-store-test.cc
+++ b/test/job-store-test.cc
@@ -294,3 +294,25 @@
   leaving.store.Leave([] {});
   fake::RunUntil(loop, [&] { return other.owned.contains("job"); });
 }
+
+// Guards against calls that grow while the store is away: each new result and each piece of
+// progress began retries of its own, and a store that recovers gets all of them.
+TEST_CASE("an owner that can't write retries seldom, and lists its results soon after") {
+  Fixture f;
+  CHECK(f.a.Accept(Submission()) == "accepted");
+  f.a.tables.refuse = true;
+  f.a.tables.commits = 0;
+  f.a.Finish("job", 0, "done");
+  for (int i = 0; i < 30; ++i) {
+    fake::RunFor(f.loop, Duration{100'000});
+    OwnedJob* job = f.a.store.FindOwned(JobId{"job"});
+    job->AddProgress({1, static_cast<std::uint32_t>(i), "text", "4", 4});
+    f.a.store.Write(*job);
+  }
+  // At 0, 0.1, 0.3, 0.7, 1.5 and 2.3 s.
+  CHECK(f.a.tables.commits <= 6);
+  f.a.tables.refuse = false;
+  fake::RunUntil(
+      f.loop, [&] { return f.a.Listed("job") == 1; },
+      JobStore::kMaxWriteRetryDelay + Duration{200'000});
+}
