Use the backend servers of small services nearby

Cause: an entry of a large fleet uses the backend servers of four allocators nearby and one for each other data centre. Of a service with three backend servers in each of six data centres that leaves some entries with a single one, often of another data centre, and others, which have none among them, with all eighteen.

Change: an entry uses four backend servers of each service at least, those of its own data centre first, then others in an order of its own. Services with many are used as before.

--- a/include/figmill/peers.h
+++ b/include/figmill/peers.h
@@ -176,6 +176,9 @@
   // of faults on each of two deployments, with 42 and 50 engines: score 0.802 and 0.797 with eight,
   // 0.812 and 0.809 with four).
   static constexpr std::size_t kRemoteAllocators = 4;
+  // Backend servers of each service that an entry uses at least, those of its own data centre
+  // first. An entry with a single one has nowhere else to go when that one leaves or stalls.
+  static constexpr std::size_t kMinBackendsPerService = 4;
 
   void SetBackends(std::vector<BackendInfo> backends);
   // Recomputes both sets if the peers or the backend servers have changed; returns true then.
@@ -194,6 +197,13 @@
   [[nodiscard]] static std::vector<Peer> ChooseAllocators(const std::vector<Peer>& allocators,
                                                           const PeerTable& peers, Time now);
   void AddUsed(const BackendInfo& info, const Peer& allocator);
+  // A backend server and its allocator.
+  struct Candidate {
+    const BackendInfo* info = nullptr;
+    const Peer* allocator = nullptr;
+  };
+  // Adds backend servers of services of which the chosen allocators own too few.
+  void AddForRareServices(std::vector<Candidate> not_chosen, const Peer& self);
 
   std::vector<BackendInfo> backends_;
   std::map<BackendId, Peer> used_allocators_;
--- a/src/peers/allocator_map.cc
+++ b/src/peers/allocator_map.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <map>
 #include <set>
 #include <utility>
 
@@ -72,24 +73,55 @@
     for (const Peer& peer : chosen) chosen_nodes.insert(peer.node);
   }
 
-  std::set<ServiceName> served_services;
-  std::vector<std::pair<const BackendInfo*, const Peer*>> not_chosen;
+  std::vector<Candidate> not_chosen;
   for (const BackendInfo& info : backends_) {
     const Peer* allocator = AllocatorFor(allocators[info.data_centre], info.id);
     if (allocator == nullptr) continue;
     if (allocator->node == self.node) owned_backends_[info.id] = ToManagedBackend(info);
     if (chosen_nodes.contains(allocator->node)) {
       AddUsed(info, *allocator);
-      served_services.insert(info.service);
     } else {
-      not_chosen.emplace_back(&info, allocator);
+      not_chosen.push_back({&info, allocator});
     }
   }
-  // A service with few backend servers may have none among those chosen so far.
-  for (const auto& [info, allocator] : not_chosen) {
-    if (!served_services.contains(info->service)) AddUsed(*info, *allocator);
-  }
+  AddForRareServices(std::move(not_chosen), self);
   return true;
 }
 
+void AllocatorMap::AddForRareServices(std::vector<Candidate> not_chosen, const Peer& self) {
+  const auto is_local = [&self](const BackendInfo& info) {
+    return info.data_centre == self.data_centre;
+  };
+  struct Count {
+    std::size_t all = 0;
+    std::size_t local = 0;
+  };
+  std::map<ServiceName, Count> used;
+  const auto add_to_count = [&](const BackendInfo& info) {
+    Count& count = used[info.service];
+    ++count.all;
+    if (is_local(info)) ++count.local;
+  };
+  for (const BackendInfo& info : used_backends_) add_to_count(info);
+  std::erase_if(not_chosen, [&](const Candidate& candidate) {
+    const Count& count = used[candidate.info->service];
+    return (is_local(*candidate.info) ? count.local : count.all) >= kMinBackendsPerService;
+  });
+  // In an order of its own for each entry, so that all of them are used evenly.
+  const auto rank = [&](const Candidate& candidate) {
+    return std::pair(!is_local(*candidate.info),
+                     RendezvousWeight(self.node.value, candidate.info->id.value));
+  };
+  std::sort(not_chosen.begin(), not_chosen.end(),
+            [&rank](const Candidate& a, const Candidate& b) { return rank(a) < rank(b); });
+  for (const Candidate& candidate : not_chosen) {
+    const Count& count = used[candidate.info->service];
+    const bool enough =
+        (is_local(*candidate.info) ? count.local : count.all) >= kMinBackendsPerService;
+    if (enough) continue;
+    AddUsed(*candidate.info, *candidate.allocator);
+    add_to_count(*candidate.info);
+  }
+}
+
 }  // namespace figmill
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -329,6 +329,50 @@
   CHECK(map.used_allocators().contains(BackendId{"rare"}));
 }
 
+// Guards against an entry that reaches a plain service by a single backend server, mostly of
+// another data centre, though its own data centre has some.
+TEST_CASE("an entry of a large fleet uses the backend servers of a small service nearby") {
+  constexpr int kEntries = 210;
+  constexpr int kDataCentres = 6;
+  const ServiceName rare{"rare"};
+  std::vector<Peer> peers;
+  std::vector<BackendInfo> backends;
+  const auto add_backends = [&](const ServiceName& service, int count) {
+    for (int i = 0; i < count; ++i) {
+      backends.push_back(
+          {BackendId{service.value + std::to_string(i)}, service, Address{"10.0.0.1", 1},
+           DataCentre{"dc" + std::to_string(i % kDataCentres)}, 8, BackendState::kReady});
+    }
+  };
+  add_backends(kLlm, 564);
+  add_backends(rare, 18);
+  for (int i = 0; i < kEntries; ++i) {
+    peers.push_back(
+        PeerNamed("e" + std::to_string(100 + i), "dc" + std::to_string(i % kDataCentres)));
+  }
+  std::map<BackendId, int> users;
+  for (const Peer& self : peers) {
+    PeerTable table(self);
+    for (const Peer& peer : peers) table.AddListed(peer);
+    AllocatorMap map;
+    map.SetBackends(backends);
+    REQUIRE(map.Update(table, kStart));
+    int local = 0;
+    int all = 0;
+    for (const BackendInfo& info : map.used_backends()) {
+      if (info.service != rare) continue;
+      ++all;
+      if (info.data_centre == self.data_centre) ++local;
+      ++users[info.id];
+    }
+    CHECK(local == 3);  // all that its data centre has
+    CHECK(all >= 4);
+    CHECK(all < 12);
+  }
+  CHECK(users.size() == 18);
+  for (const auto& [id, count] : users) CHECK(count < 2 * kEntries / kDataCentres + kEntries / 3);
+}
+
 // Guards against an entry that is cut off and believes to be the only one.
 TEST_CASE("an entry knows whether it hears from most of the peers that it monitors") {
   PeerTable table(PeerNamed("self"));
