Try more paths for a call that the store refuses

Cause: an entry that the store refuses asked one peer to forward a call. Where the store refuses a third of the hosts, one call in nine was refused there as well. All entries also used the same twelve proxies, the first by name, most in another data centre.

Change: a refused call, which had no effect, goes on to four more paths.

--- a/include/figmill/store_paths.h
+++ b/include/figmill/store_paths.h
@@ -43,7 +43,8 @@
 
   // `long_poll`: the store holds the call open until something changes.
   [[nodiscard]] Path Begin(bool long_poll, Time now);
-  // An alternative path for a call that failed, if there is one.
+  // An alternative path for a call that failed, if there is one; call it after End. Paths that
+  // failed a moment ago are not tried again.
   [[nodiscard]] std::optional<Path> BeginAlternative(const Path& refused, Time now);
   void End(const Path& path, Outcome outcome, Time now);
 
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -19,6 +19,7 @@
 #include "gateway/peer_messenger.h"
 #include "gateway/relayed_tables.h"
 #include "gateway/request_dispatcher.h"
+#include "gateway/store_proxies.h"
 #include "gateway/store_transport.h"
 #include "gateway/team_access.h"
 
@@ -29,8 +30,6 @@
 // probes; until then new connections arrive, and callers keep using open ones.
 constexpr Duration kBalancerDrainDelay{3'000'000};
 constexpr Duration kIdleCheckPeriod{50'000};
-// Limit on the entries that may forward calls to the store; the store may refuse some of them too.
-constexpr std::size_t kMaxStoreProxies = 12;
 constexpr Duration kFeedRelaysCheckPeriod{500'000};
 // Requests that arrive less than this before the process is killed are refused, as they could be
 // cut off: a stream lasts about a second, after its wait for a slot.
@@ -262,11 +261,7 @@
 
   // Sets the entries that may forward calls to the store.
   void UpdateStoreProxies() {
-    std::vector<Address> peers;
-    for (const Peer& peer : peers_.EligiblePeers(Loop::Now())) {
-      if (peer.node != peers_.self().node) peers.push_back(peer.address);
-      if (peers.size() == kMaxStoreProxies) break;
-    }
+    std::vector<Address> peers = StoreProxiesFor(peers_, Loop::Now());
     store_.SetPeers(peers);
     control_thread_.SetPeers(std::move(peers));
   }
--- a/src/gateway/store_transport.cc
+++ b/src/gateway/store_transport.cc
@@ -51,7 +51,7 @@
 
 void StoreTransport::Fetch(TableCall call, std::function<void(Result<HttpResponse>)> done) {
   const StorePaths::Path path = paths_.Begin(call.long_poll, Loop::Now());
-  Send(std::move(call), path, /*may_use_alternative=*/true, std::move(done));
+  Send(std::move(call), path, kMaxAlternatives, std::move(done));
 }
 
 HttpCall StoreTransport::CallFor(const TableCall& call, const StorePaths::Path& path) const {
@@ -75,10 +75,10 @@
   return http;
 }
 
-void StoreTransport::Send(TableCall call, const StorePaths::Path& path, bool may_use_alternative,
+void StoreTransport::Send(TableCall call, const StorePaths::Path& path, int alternatives_left,
                           std::function<void(Result<HttpResponse>)> done) {
   HttpCall http = CallFor(call, path);
-  client_.Fetch(std::move(http), [this, call = std::move(call), path, may_use_alternative,
+  client_.Fetch(std::move(http), [this, call = std::move(call), path, alternatives_left,
                                   done = std::move(done)](Result<HttpResponse> raw) mutable {
     const Result<HttpResponse> result =
         path.peer ? UnwrapForwarded(std::move(raw)) : std::move(raw);
@@ -86,12 +86,14 @@
     paths_.End(path, outcome, Loop::Now());
     const std::size_t received = IsOk(result) ? ValueOf(result).body.size() : 0;
     call_metrics_.Record(call.kind, call.table, call.body.size() + received);
-    // A refused call had no effect, and a read never has one: both may use another path.
-    const bool retry_is_safe = outcome == StorePaths::Outcome::kRefused ||
-                               (outcome == StorePaths::Outcome::kLost && call.method == "GET");
-    if (may_use_alternative && retry_is_safe) {
+    // A refused call had no effect, and a read never has one: both may use another path. A lost
+    // call has used up its time, so that one more path must do.
+    const bool lost_read = outcome == StorePaths::Outcome::kLost && call.method == "GET" &&
+                           alternatives_left == kMaxAlternatives;
+    if ((outcome == StorePaths::Outcome::kRefused && alternatives_left > 0) || lost_read) {
       if (const auto other = paths_.BeginAlternative(path, Loop::Now())) {
-        return Send(std::move(call), *other, /*may_use_alternative=*/false, std::move(done));
+        const int left = lost_read ? 0 : alternatives_left - 1;
+        return Send(std::move(call), *other, left, std::move(done));
       }
     }
     done(result);
--- a/src/gateway/store_transport.h
+++ b/src/gateway/store_transport.h
@@ -33,7 +33,11 @@
   void Forward(HttpRequest request, std::shared_ptr<HttpReply> reply);
 
  private:
-  void Send(TableCall call, const StorePaths::Path& path, bool may_use_alternative,
+  // Paths tried after one that refused the call. Where the store refuses a third of the hosts, one
+  // more path is refused as well for each tenth call.
+  static constexpr int kMaxAlternatives = 4;
+
+  void Send(TableCall call, const StorePaths::Path& path, int alternatives_left,
             std::function<void(Result<HttpResponse>)> done);
   [[nodiscard]] HttpCall CallFor(const TableCall& call, const StorePaths::Path& path) const;
 
--- a/src/store_paths/store_paths.cc
+++ b/src/store_paths/store_paths.cc
@@ -36,7 +36,7 @@
 }
 
 std::optional<StorePaths::Path> StorePaths::BeginAlternative(const Path& refused, Time now) {
-  if (refused.peer) return BeginDirect(/*long_poll=*/false, now);
+  if (refused.peer && !avoids_direct(now)) return BeginDirect(/*long_poll=*/false, now);
   if (std::optional<Address> peer = NextUsablePeer(now))
     return Path{++next_call_, std::move(peer), now};
   return std::nullopt;
--- a/test/store-paths-test.cc
+++ b/test/store-paths-test.cc
@@ -68,6 +68,23 @@
   CHECK_FALSE(paths.Begin(false, kStart).peer);
 }
 
+// Guards against jobs that are refused though most entries reach the store: the store refuses this
+// host and the first peer, and the call was tried nowhere else.
+TEST_CASE("a call that the store and a peer refused goes to another peer") {
+  StorePaths paths = WithPeers();
+  const auto direct = paths.Begin(false, kStart);
+  paths.End(direct, StorePaths::Outcome::kRefused, kStart);
+  const auto first = paths.BeginAlternative(direct, kStart);
+  REQUIRE(first);
+  paths.End(*first, StorePaths::Outcome::kRefused, kStart);
+  const auto second = paths.BeginAlternative(*first, kStart);
+  REQUIRE(second);
+  REQUIRE(second->peer);
+  CHECK(*second->peer != *first->peer);
+  paths.End(*second, StorePaths::Outcome::kRefused, kStart);
+  CHECK_FALSE(paths.BeginAlternative(*second, kStart));
+}
+
 // Guards against job submissions that get no answer in time (4 of 262, when none should), though
 // the store answers all calls about their part of the table. The store fails in another part
 // only, and calls that touch it are lost; each of them used to move all calls off a path that
