Coalesce what a starting fleet reads, and find relays sooner

Polls of backend servers now begin 50 ms after the last one ended, those of members 100 ms, and relays are chosen each 50 ms in the first 3 s. The control thread asks the store directly only when it has no relay; only the main thread needs the time on the store's clock.

--- a/include/figmill/feeds.h
+++ b/include/figmill/feeds.h
@@ -7,6 +7,7 @@
 // caller passes the time in.
 
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -28,8 +29,7 @@
   static constexpr std::size_t kMinRelays = 2;
   // A relay that failed is not asked for this long.
   static constexpr Duration kRelayBackoff{2'000'000};
-  // The store itself is asked at least this often: its responses tell the time on its clock and
-  // whether the direct path works.
+  // An interval for SetDirectInterval. The clocks of two hosts drift apart by a few ms in it.
   static constexpr Duration kDirectInterval{30'000'000};
 
   // The relays of this entry's data centre, the one to ask first in front. Empty if the data centre
@@ -37,6 +37,8 @@
   [[nodiscard]] static std::vector<Address> RelaysFor(const PeerTable& peers, Time now);
 
   void SetRelays(std::vector<Address> relays) { relays_ = std::move(relays); }
+  // Asks the store itself at least this often, for the time on its clock, which its responses tell.
+  void SetDirectInterval(Duration interval) { direct_interval_ = interval; }
   // The relay to ask now; nullopt: the store.
   [[nodiscard]] std::optional<Address> Choose(Time now);
   void RecordFailure(const Address& relay, Time now);
@@ -44,7 +46,8 @@
  private:
   std::vector<Address> relays_;
   std::map<Address, Time> avoid_until_;
-  Time direct_at_{};
+  std::optional<Duration> direct_interval_;
+  std::optional<Time> direct_at_;
 };
 
 // Encodes the changes that a relay sends, as MessagePack.
--- a/src/feeds/feed_source_selector.cc
+++ b/src/feeds/feed_source_selector.cc
@@ -33,7 +33,7 @@
 }
 
 std::optional<Address> FeedSourceSelector::Choose(Time now) {
-  if (now - direct_at_ >= kDirectInterval) {
+  if (direct_interval_ && (!direct_at_ || now - *direct_at_ >= *direct_interval_)) {
     direct_at_ = now;
     return std::nullopt;
   }
--- a/src/gateway/entry_registry.cc
+++ b/src/gateway/entry_registry.cc
@@ -24,6 +24,7 @@
 
 void EntryRegistry::Start() {
   WriteOwnRow();
+  follower_.SetMinInterval(kMinFeedInterval);
   follower_.Start();
 }
 
--- a/src/gateway/entry_registry.h
+++ b/src/gateway/entry_registry.h
@@ -14,6 +14,9 @@
  public:
   static constexpr const char* kTable = "members";
   static constexpr Duration kRetryDelay{300'000};
+  // Minimum interval between calls for changes. All entries of a fleet may start at once, and each
+  // reads the rows of all.
+  static constexpr Duration kMinFeedInterval{100'000};
   // Delay before this process's own row is rewritten after another writer has corrupted it. Two
   // writers that keep overwriting each other cost the store one call per delay.
   static constexpr Duration kRewriteDelay{1'000'000};
--- a/src/gateway/fleet_watcher.cc
+++ b/src/gateway/fleet_watcher.cc
@@ -48,6 +48,7 @@
 
 void FleetWatcher::Start() {
   config_.Start();
+  backends_.SetMinInterval(kMinBackendsInterval);
   backends_.Start();
 }
 
--- a/src/gateway/fleet_watcher.h
+++ b/src/gateway/fleet_watcher.h
@@ -20,6 +20,10 @@
   // server writes its own row.
   static constexpr Duration kPublishDelay{20'000};
 
+  // Minimum interval between calls for changes of backend servers, which all register at once when
+  // a fleet starts. Short compared with the time in which a leaving one gets no new work.
+  static constexpr Duration kMinBackendsInterval{50'000};
+
   // Polls of the store within the time in which a key must be revoked, so that one or two lost
   // answers don't make the configuration too old.
   static constexpr int kPollsPerRevocationPeriod = 5;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -31,6 +31,9 @@
 constexpr Duration kBalancerDrainDelay{3'000'000};
 constexpr Duration kIdleCheckPeriod{50'000};
 constexpr Duration kFeedRelaysCheckPeriod{500'000};
+// The same for a while after the start, when the other entries become known.
+constexpr Duration kFeedRelaysStartPeriod{50'000};
+constexpr Duration kStartPhase{3'000'000};
 // Requests that arrive less than this before the process is killed are refused, as they could be
 // cut off: a stream lasts about a second, after its wait for a slot.
 constexpr Duration kRequestCutoff{3'000'000};
@@ -104,8 +107,8 @@
 
 std::vector<FeedRelay::Table> RelayedFeeds(const PlatformAdapter& adapter) {
   return {{adapter.config_row().table, {adapter.config_row().part}},
-          {adapter.backend_table(), {""}},
-          {EntryRegistry::kTable, {""}},
+          {adapter.backend_table(), {""}, FleetWatcher::kMinBackendsInterval},
+          {EntryRegistry::kTable, {""}, EntryRegistry::kMinFeedInterval},
           {CrashTracker::kTable, {""}},
           {std::string(ledger::kJobTable), ledger::Parts(), JobStore::kMinFeedInterval}};
 }
@@ -156,6 +159,7 @@
         request_dispatcher_(relay_context_, adapter, job_requests_, SystemRandom()),
         control_thread_(settings, adapter, metrics_, traffic_, store_calls_, peers_.self(),
                         ControlHooks()) {
+    relayed_tables_.SetDirectInterval(FeedSourceSelector::kDirectInterval);
     backend_pool_.SetUsageListener(
         [this](const BackendId& backend) { peer_messenger_.OnUsageChanged(backend); });
   }
@@ -188,7 +192,10 @@
     jobs_.Start();
     crash_tracker_.Start();
     store_proxies_timer_ = loop_.Every(PeerTable::kProbeInterval, [this] { UpdateStoreProxies(); });
-    feed_relays_timer_ = loop_.Every(kFeedRelaysCheckPeriod, [this] { UpdateFeedRelays(); });
+    feed_relays_timer_ = loop_.Every(kFeedRelaysStartPeriod, [this] { UpdateFeedRelays(); });
+    start_phase_timer_ = loop_.After(kStartPhase, [this] {
+      feed_relays_timer_ = loop_.Every(kFeedRelaysCheckPeriod, [this] { UpdateFeedRelays(); });
+    });
     Log(LogLevel::kInfo, "started",
         {{"node", settings_.node.value},
          {"incarnation", std::to_string(peers_.self().incarnation)}});
@@ -374,7 +381,7 @@
   bool leaving_ = false;
   bool jobs_released_ = false;
   Timer grace_timer_, idle_timer_, request_cutoff_timer_, store_proxies_timer_, outdated_timer_,
-      feed_relays_timer_;
+      feed_relays_timer_, start_phase_timer_;
   ControlThread control_thread_;
 };
 
--- a/src/gateway/relayed_tables.h
+++ b/src/gateway/relayed_tables.h
@@ -29,6 +29,7 @@
   RelayedTables& operator=(const RelayedTables&) = delete;
 
   void SetRelays(std::vector<Address> relays) { selector_.SetRelays(std::move(relays)); }
+  void SetDirectInterval(Duration interval) { selector_.SetDirectInterval(interval); }
 
   void Commit(TableTransaction transaction, std::function<void(TableOutcome)> done) override {
     store_.Commit(std::move(transaction), std::move(done));
--- a/test/feed-relay-test.cc
+++ b/test/feed-relay-test.cc
@@ -64,7 +64,7 @@
     Put("a", "1");
     follower.Start();
     AwaitValue("a", "1");
-    // The first poll goes to the store; this change ends it.
+    // Ends the poll that waits at the relay while it lists the table.
     Put("a", "2");
     AwaitValue("a", "2");
     fake::RunUntil(loop, [this] { return first.asked > 0; });
