Greet fewer entries at a start

Cause: each entry sent a query to each other one when the store listed it, got an answer, and announced itself to all once it had joined: three datagrams for each pair.

Change: with more than sixteen others, entries of other data centres get a message only if they have sent one. They hear of this entry from the store.

--- a/include/figmill/peers.h
+++ b/include/figmill/peers.h
@@ -102,6 +102,11 @@
   // about their state.
   [[nodiscard]] bool HearsMajority(Time now);
   [[nodiscard]] const Peer* Find(const NodeId& node) const;
+  // Whether to send the peer a message when the store first lists it, and when this entry has
+  // joined. In a large fleet, peers of other data centres get one only if they have sent one: they
+  // may know this entry as joining. If all did when a whole fleet starts, each entry would handle
+  // three datagrams for each other one.
+  [[nodiscard]] bool ShouldGreet(const Peer& peer) const;
   // All known peers, live or not, without this entry. The list is in the order of names, rotated to
   // start after this entry, so that a truncated list continues with the list of its last peer.
   [[nodiscard]] std::vector<Peer> others() const;
--- a/src/gateway/peer_messenger.cc
+++ b/src/gateway/peer_messenger.cc
@@ -69,7 +69,9 @@
 void PeerMessenger::Join() {
   if (!peers_.FinishJoining()) return;
   Log(LogLevel::kInfo, "joined", {{"node", peers_.self().node.value}});
-  AnnounceToAll();
+  for (const Peer& peer : peers_.others()) {
+    if (peers_.ShouldGreet(peer)) Send(peer, PeerMessage{});
+  }
   UpdateAllocators();
 }
 
@@ -86,7 +88,9 @@
 void PeerMessenger::OnPeerListed(const Peer& peer) {
   peer_listed_ = true;
   if (peer.node == peers_.self().node) return RaiseIncarnation(peer.incarnation);
-  if (peers_.AddListed(peer)) SendQuery(peer, PeerMessage::WantedReply::kAny);
+  if (peers_.AddListed(peer) && peers_.ShouldGreet(peer)) {
+    SendQuery(peer, PeerMessage::WantedReply::kAny);
+  }
 }
 
 void PeerMessenger::SendQuery(const Peer& to, PeerMessage::WantedReply wants) {
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -87,6 +87,12 @@
   return found == others_.end() ? nullptr : &found->second.peer;
 }
 
+bool PeerTable::ShouldGreet(const Peer& peer) const {
+  if (others_.size() <= kMonitorAllLimit || peer.data_centre == self_.data_centre) return true;
+  const auto found = others_.find(peer.node);
+  return found != others_.end() && found->second.heard_at.has_value();
+}
+
 std::vector<Peer> PeerTable::others() const {
   std::vector<Peer> peers;
   peers.reserve(others_.size());
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -373,6 +373,24 @@
   for (const auto& [id, count] : users) CHECK(count < 2 * kEntries / kDataCentres + kEntries / 3);
 }
 
+// Guards against a start of all that takes longer the larger the fleet is: each entry sent three
+// datagrams to each other one.
+TEST_CASE("an entry of a large fleet greets its own data centre and those that it heard from") {
+  PeerTable table(PeerNamed("self", "dc0"));
+  const Peer near = PeerNamed("near", "dc0");
+  const Peer far = PeerNamed("far", "dc1");
+  table.AddListed(far);
+  CHECK(table.ShouldGreet(far));  // a small fleet
+  for (int i = 0; i < 40; ++i) {
+    table.AddListed(PeerNamed("e" + std::to_string(i), "dc" + std::to_string(i % 2)));
+  }
+  table.AddListed(near);
+  CHECK(table.ShouldGreet(near));
+  CHECK_FALSE(table.ShouldGreet(far));
+  table.RecordMessage(far, kStart);
+  CHECK(table.ShouldGreet(far));
+}
+
 // Guards against an entry that is cut off and believes to be the only one.
 TEST_CASE("an entry knows whether it hears from most of the peers that it monitors") {
   PeerTable table(PeerNamed("self"));
