--- a/include/figmill/peers.h
+++ b/include/figmill/peers.h
@@ -102,6 +102,11 @@
   // about their state.
   [[nodiscard]] bool HearsMajority(Time now);
   [[nodiscard]] const Peer* Find(const NodeId& node) const;
+  // Whether to send the peer a message when the store first lists it, and when this entry has
+  // joined. In a large fleet, peers of other data centres get one only if they have sent one: they
+  // may know this entry as joining. If all did when a whole fleet starts, each entry would handle
+  // three datagrams for each other one.
+  [[nodiscard]] bool ShouldGreet(const Peer& peer) const;
   // All known peers, live or not, without this entry. The list is in the order of names, rotated to
   // start after this entry, so that a truncated list continues with the list of its last peer.
   [[nodiscard]] std::vector<Peer> others() const;
@@ -176,6 +181,9 @@
   // of faults on each of two deployments, with 42 and 50 engines: score 0.802 and 0.797 with eight,
   // 0.812 and 0.809 with four).
   static constexpr std::size_t kRemoteAllocators = 4;
+  // Backend servers of each service that an entry uses at least, those of its own data centre
+  // first. An entry with a single one has nowhere else to go when that one leaves or stalls.
+  static constexpr std::size_t kMinBackendsPerService = 4;
 
   void SetBackends(std::vector<BackendInfo> backends);
   // Recomputes both sets if the peers or the backend servers have changed; returns true then.
@@ -194,6 +202,13 @@
   [[nodiscard]] static std::vector<Peer> ChooseAllocators(const std::vector<Peer>& allocators,
                                                           const PeerTable& peers, Time now);
   void AddUsed(const BackendInfo& info, const Peer& allocator);
+  // A backend server and its allocator.
+  struct Candidate {
+    const BackendInfo* info = nullptr;
+    const Peer* allocator = nullptr;
+  };
+  // Adds backend servers of services of which the chosen allocators own too few.
+  void AddForRareServices(std::vector<Candidate> not_chosen, const Peer& self);
 
   std::vector<BackendInfo> backends_;
   std::map<BackendId, Peer> used_allocators_;
--- a/src/gateway/entry_registry.cc
+++ b/src/gateway/entry_registry.cc
@@ -5,10 +5,8 @@
 namespace figmill {
 namespace {
 
-constexpr const char* kTable = "members";
-
 TableKey KeyOf(const NodeId& node) {
-  return {kTable, "", node.value};
+  return {EntryRegistry::kTable, "", node.value};
 }
 
 }  // namespace
@@ -26,6 +24,7 @@
 
 void EntryRegistry::Start() {
   WriteOwnRow();
+  follower_.SetMinInterval(kMinFeedInterval);
   follower_.Start();
 }
 
--- a/src/gateway/store_transport.h
+++ b/src/gateway/store_transport.h
@@ -10,14 +10,20 @@
 #include "figmill/exchange.h"
 #include "figmill/gateway.h"
 #include "figmill/store_paths.h"
+#include "gateway/store_call_metrics.h"
 #include "gateway/traffic_metrics.h"
 
 namespace figmill {
 
 class StoreTransport final : public TableTransport {
  public:
-  StoreTransport(Loop& loop, NoRetryHttpClient& client, Address store, TrafficMetrics& traffic)
-      : loop_(loop), client_(client), store_(std::move(store)), traffic_(traffic) {}
+  StoreTransport(Loop& loop, NoRetryHttpClient& client, Address store, TrafficMetrics& traffic,
+                 StoreCallMetrics& call_metrics)
+      : loop_(loop),
+        client_(client),
+        store_(std::move(store)),
+        traffic_(traffic),
+        call_metrics_(call_metrics) {}
 
   void Fetch(TableCall call, std::function<void(Result<HttpResponse>)> done) override;
   void SetPeers(std::vector<Address> peers) { paths_.SetPeers(std::move(peers)); }
@@ -27,7 +33,11 @@
   void Forward(HttpRequest request, std::shared_ptr<HttpReply> reply);
 
  private:
-  void Send(TableCall call, const StorePaths::Path& path, bool may_use_alternative,
+  // Paths tried after one that refused the call. Where the store refuses a third of the hosts, one
+  // more path is refused as well for each tenth call.
+  static constexpr int kMaxAlternatives = 4;
+
+  void Send(TableCall call, const StorePaths::Path& path, int alternatives_left,
             std::function<void(Result<HttpResponse>)> done);
   [[nodiscard]] HttpCall CallFor(const TableCall& call, const StorePaths::Path& path) const;
 
@@ -35,6 +45,7 @@
   NoRetryHttpClient& client_;
   Address store_;
   TrafficMetrics& traffic_;
+  StoreCallMetrics& call_metrics_;
   StorePaths paths_;
 };
 
