Follow the configuration at the store where revocation is strict

With a strict bound on the revocation of keys, an entry believes keys for as long as the configuration was confirmed at the store within the bound. A relay's copy is up to 1.2 s older, and a relay that stalls costs 0.8 s more, so that entries would reject all keys for a moment where the bound is 2 s.

--- a/src/gateway/fleet_watcher.cc
+++ b/src/gateway/fleet_watcher.cc
@@ -22,7 +22,7 @@
 
 }  // namespace
 
-FleetWatcher::FleetWatcher(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter,
+FleetWatcher::FleetWatcher(Loop& loop, Tables tables, const PlatformAdapter& adapter,
                            Metrics& metrics, std::optional<Duration> revoke_within, Hooks hooks)
     : loop_(loop),
       adapter_(adapter),
@@ -31,14 +31,14 @@
       refused_backends_(metrics, {"backend", "backend_refused", "backend"}),
       key_lookup_secret_(SystemRandom()()),
       config_(
-          loop, tables, adapter.config_row().table, {adapter.config_row().part},
+          loop, tables.config, adapter.config_row().table, {adapter.config_row().part},
           [this](const TableMirror::Change& change) { OnConfig(change); },
           [this] {
             SchedulePublish();
             Confirm();
           }),
       backends_(
-          loop, tables, adapter.backend_table(), {""},
+          loop, tables.backends, adapter.backend_table(), {""},
           [this](const TableMirror::Change& change) { OnBackend(change); }, [this] { Publish(); }) {
   if (revoke_within) {
     config_.SetWait(
--- a/src/gateway/fleet_watcher.h
+++ b/src/gateway/fleet_watcher.h
@@ -35,8 +35,13 @@
     // (Loop::SinceBoot).
     std::function<void(Duration asked_at)> confirmed;
   };
+  // Where each of the two tables is followed; may be the same.
+  struct Tables {
+    SharedTables& config;
+    SharedTables& backends;
+  };
   // `revoke_within`: see TeamSettings::key_lease.
-  FleetWatcher(Loop& loop, SharedTables& tables, const PlatformAdapter& adapter, Metrics& metrics,
+  FleetWatcher(Loop& loop, Tables tables, const PlatformAdapter& adapter, Metrics& metrics,
                std::optional<Duration> revoke_within, Hooks hooks);
 
   void Start();
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -55,8 +55,8 @@
         store_(loop_, client_, settings.store, traffic, store_calls),
         tables_(adapter.Connect(store_)),
         relayed_tables_(*tables_, client_, metrics),
-        fleet_(loop_, relayed_tables_, adapter, metrics, settings.teams.key_lease(),
-               std::move(hooks.fleet)),
+        fleet_(loop_, {ConfigTables(settings), relayed_tables_}, adapter, metrics,
+               settings.teams.key_lease(), std::move(hooks.fleet)),
         members_(loop_, relayed_tables_, metrics, self, std::move(hooks.members)),
         thread_([this] {
           // In this order most entries have joined before others learn of them.
@@ -88,6 +88,13 @@
   }
 
  private:
+  // With a strict bound on revocation the age of the configuration decides whether keys are
+  // believed, and a relay would add to it.
+  SharedTables& ConfigTables(const GatewaySettings& settings) {
+    if (settings.teams.key_lease()) return *tables_;
+    return relayed_tables_;
+  }
+
   Loop loop_;
   NoRetryHttpClient client_;
   StoreTransport store_;
