--- a/src/gateway/store_transport.h
+++ b/src/gateway/store_transport.h
@@ -33,8 +33,8 @@
   void Forward(HttpRequest request, std::shared_ptr<HttpReply> reply);
 
  private:
-  // Paths tried after one that refused the call. Where the store refuses a third of the hosts, one
-  // more path is refused as well for each tenth call.
+  // Paths tried after one that refused the call. Where the store refuses a third of the hosts, it
+  // refuses one call in nine on two paths, and one in 243 on five.
   static constexpr int kMaxAlternatives = 4;
 
   void Send(TableCall call, const StorePaths::Path& path, int alternatives_left,
