--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -346,6 +346,7 @@
   };
   add_backends(kLlm, 564);
   add_backends(rare, 18);
+  peers.reserve(kEntries);
   for (int i = 0; i < kEntries; ++i) {
     peers.push_back(
         PeerNamed("e" + std::to_string(100 + i), "dc" + std::to_string(i % kDataCentres)));
