One bounded unpacking of MessagePack, and one condition of rare services

The decoders of datagrams and of relayed changes had the same limits twice; both call UnpackBounded now. AllocatorMap asked twice, in the same words, whether enough backend servers of a service are used. No change in behaviour; the tests of both are unchanged.

--- a/src/feeds/feed_codec.cc
+++ b/src/feeds/feed_codec.cc
@@ -1,6 +1,7 @@
 #include <msgpack.hpp>
 #include <stdexcept>
 
+#include "encoding/bounded_unpack.h"
 #include "figmill/feeds.h"
 
 namespace figmill {
@@ -78,15 +79,7 @@
 
 Result<TableChanges> DecodeChanges(std::string_view table, std::string_view bytes) {
   try {
-    // Each element takes at least one byte. Without this limit a few bytes that announce billions
-    // of elements would make the parser allocate memory for all of them.
-    const std::size_t max_elements = bytes.size();
-    const msgpack::unpack_limit limit(max_elements, max_elements, max_elements, max_elements,
-                                      max_elements, kMaxDepth);
-    std::size_t end = 0;
-    const msgpack::object_handle handle =
-        msgpack::unpack(bytes.data(), bytes.size(), end, nullptr, nullptr, limit);
-    if (end != bytes.size()) throw std::invalid_argument("bytes follow the message");
+    const msgpack::object_handle handle = UnpackBounded(bytes, kMaxDepth);
     return ReadMessage(table, handle.get());
   } catch (const std::exception& error) {
     return Error{ErrorKind::kBadRequest, std::string("relayed changes: ") + error.what()};
--- a/src/gateway/feed_relay.cc
+++ b/src/gateway/feed_relay.cc
@@ -42,7 +42,7 @@
   return request.path.starts_with(kPathPrefix);
 }
 
-Result<FeedRequest> FeedRelay::ParseRequest(const HttpRequest& request) const {
+Result<FeedRequest> FeedRelay::ParseRequest(const HttpRequest& request) {
   FeedRequest feed;
   feed.table = request.path.substr(kPathPrefix.size());
   const std::optional<std::uint64_t> after = ParseNumber(request.QueryValue("after"));
--- a/src/gateway/feed_relay.h
+++ b/src/gateway/feed_relay.h
@@ -74,7 +74,8 @@
     EncodedChanges last_sent;
   };
 
-  [[nodiscard]] Result<FeedRequest> ParseRequest(const HttpRequest& request) const;
+  // Errors: kBadRequest.
+  [[nodiscard]] static Result<FeedRequest> ParseRequest(const HttpRequest& request);
   Feed& FeedOf(const Table& table);
   // Answers the poll if there are changes, the copy can't be served, or `must_answer`; returns
   // whether it did.
--- a/src/peer_messages/peer_codec.cc
+++ b/src/peer_messages/peer_codec.cc
@@ -2,6 +2,7 @@
 #include <msgpack.hpp>
 #include <stdexcept>
 
+#include "encoding/bounded_unpack.h"
 #include "figmill/peer_messages.h"
 
 namespace figmill {
@@ -403,15 +404,7 @@
 
 Result<PeerMessage> DecodePeerMessage(std::string_view bytes) {
   try {
-    // Each element takes at least one byte. Without this limit five bytes that announce four
-    // billion elements would make the parser allocate memory for all of them.
-    const std::size_t max_elements = bytes.size();
-    const msgpack::unpack_limit limit(max_elements, max_elements, max_elements, max_elements,
-                                      max_elements, kMaxDepth);
-    std::size_t end = 0;
-    const msgpack::object_handle handle =
-        msgpack::unpack(bytes.data(), bytes.size(), end, nullptr, nullptr, limit);
-    if (end != bytes.size()) throw std::invalid_argument("bytes follow the message");
+    const msgpack::object_handle handle = UnpackBounded(bytes, kMaxDepth);
     return ReadMessage(handle.get());
   } catch (const std::exception& error) {
     return Error{ErrorKind::kBadRequest, std::string("peer message: ") + error.what()};
--- a/src/peers/allocator_map.cc
+++ b/src/peers/allocator_map.cc
@@ -103,10 +103,11 @@
     if (is_local(info)) ++count.local;
   };
   for (const BackendInfo& info : used_backends_) add_to_count(info);
-  std::erase_if(not_chosen, [&](const Candidate& candidate) {
+  const auto has_enough = [&](const Candidate& candidate) {
     const Count& count = used[candidate.info->service];
     return (is_local(*candidate.info) ? count.local : count.all) >= kMinBackendsPerService;
-  });
+  };
+  std::erase_if(not_chosen, has_enough);
   // In an order of its own for each entry, so that all of them are used evenly.
   const auto rank = [&](const Candidate& candidate) {
     return std::pair(!is_local(*candidate.info),
@@ -115,10 +116,7 @@
   std::sort(not_chosen.begin(), not_chosen.end(),
             [&rank](const Candidate& a, const Candidate& b) { return rank(a) < rank(b); });
   for (const Candidate& candidate : not_chosen) {
-    const Count& count = used[candidate.info->service];
-    const bool enough =
-        (is_local(*candidate.info) ? count.local : count.all) >= kMinBackendsPerService;
-    if (enough) continue;
+    if (has_enough(candidate)) continue;
     AddUsed(*candidate.info, *candidate.allocator);
     add_to_count(*candidate.info);
   }
