--- a/src/gateway/relayed_tables.cc
+++ b/src/gateway/relayed_tables.cc
@@ -19,9 +19,11 @@
 
 }  // namespace
 
-RelayedTables::RelayedTables(SharedTables& store, NoRetryHttpClient& client, Metrics& metrics)
+RelayedTables::RelayedTables(SharedTables& store, NoRetryHttpClient& client, Metrics& metrics,
+                             TrafficMetrics& traffic)
     : store_(store),
       client_(client),
+      traffic_(traffic),
       relayed_(metrics.counter("figmill_feed_polls_relayed_total",
                                "Polls for changes that a relay has answered")),
       failed_(metrics.counter("figmill_feed_relays_failed_total",
@@ -37,6 +39,7 @@
   call.target = FeedRelay::TargetOf({table, after, relay_wait});
   call.connect_timeout = kConnectTimeout;
   call.total_timeout = relay_wait + kRelayMargin;
+  call.bytes = &traffic_.CounterFor(TrafficKind::kFeed, Reach::kSameCentre);
   client_.Fetch(std::move(call),
                 [this, relay = *relay, table = std::move(table), after, wait,
                  done = std::move(done)](const Result<HttpResponse>& response) mutable {
--- a/src/gateway/relayed_tables.h
+++ b/src/gateway/relayed_tables.h
@@ -12,6 +12,7 @@
 #include "figmill/feeds.h"
 #include "figmill/runtime.h"
 #include "figmill/tables.h"
+#include "gateway/traffic_metrics.h"
 
 namespace figmill {
 
@@ -24,7 +25,8 @@
   static constexpr Duration kRelayMargin{300'000};
   static constexpr Duration kConnectTimeout{150'000};
 
-  RelayedTables(SharedTables& store, NoRetryHttpClient& client, Metrics& metrics);
+  RelayedTables(SharedTables& store, NoRetryHttpClient& client, Metrics& metrics,
+                TrafficMetrics& traffic);
   RelayedTables(const RelayedTables&) = delete;
   RelayedTables& operator=(const RelayedTables&) = delete;
 
@@ -47,6 +49,7 @@
  private:
   SharedTables& store_;
   NoRetryHttpClient& client_;
+  TrafficMetrics& traffic_;
   Counter& relayed_;
   Counter& failed_;
   FeedSourceSelector selector_;
--- a/src/gateway/traffic_metrics.cc
+++ b/src/gateway/traffic_metrics.cc
@@ -6,9 +6,9 @@
 namespace figmill {
 namespace {
 
-constexpr std::array<std::string_view, 10> kKindNames = {
-    "online", "batch", "store",  "store_by_way", "report",
-    "grant",  "ask",   "answer", "presence",     "quota"};
+constexpr std::array<std::string_view, 11> kKindNames = {
+    "online", "batch",  "store",    "store_by_way", "report", "grant",
+    "ask",    "answer", "presence", "quota",        "feed"};
 constexpr std::array<std::string_view, 3> kReachNames = {"same_centre", "other_centre", "unknown"};
 
 }  // namespace
--- a/test/feed-relay-test.cc
+++ b/test/feed-relay-test.cc
@@ -56,7 +56,8 @@
   fake::Tables direct{loop, data};  // the follower's own connection to the store
   NoRetryHttpClient client{loop};
   Metrics metrics;
-  RelayedTables relayed{direct, client, metrics};
+  TrafficMetrics traffic{metrics};
+  RelayedTables relayed{direct, client, metrics, traffic};
   TableFollower follower{loop, relayed, kTable, {""}, [](const TableMirror::Change&) {}, [] {}};
 
   Fixture() {
@@ -99,6 +100,7 @@
   fake::RunFor(f.loop, Duration{1'500'000});
   CHECK(f.direct.feed_waits.size() == polls);
   CHECK(f.second.asked == 0);
+  CHECK(f.traffic.CounterFor(TrafficKind::kFeed, Reach::kSameCentre).value() > 0);
   // The copy counts as no younger than the relay's.
   REQUIRE(f.follower.confirmed_at());
   CHECK(Loop::SinceBoot() - *f.follower.confirmed_at() < FeedRelay::kMaxAge + Duration{700'000});
