Confirm a table of several parts by its feed only

A relay vouches for the age of its copy. For the jobs, which have eight parts, the list of a single part counted as confirmation of all, although the others were listed earlier or, after a lost history, not yet: the age could be told too low by as long as the lists took. Found by reading; feed-relay-test failed on the code before. A relay holds the polls until the first confirmation.

--- a/src/gateway/feed_relay.cc
+++ b/src/gateway/feed_relay.cc
@@ -129,9 +129,10 @@
   }
   Result<TableChanges> changes = ChangesFor(feed, poll.after);
   if (!IsOk(changes)) {
-    // Once the table is listed the changes are known. Sent to the store meanwhile, all entries
-    // would list the table there.
-    if (feed.follower->mirror().listing() && !must_answer) return false;
+    // Once the table is listed and followed the changes are known. Sent to the store meanwhile, all
+    // entries would list the table there.
+    const bool starting = feed.follower->mirror().listing() || !feed.follower->confirmed_at();
+    if (starting && !must_answer) return false;
     Refuse(*poll.reply, ErrorOf(changes).detail);
     return true;
   }
--- a/src/gateway/table_follower.cc
+++ b/src/gateway/table_follower.cc
@@ -11,8 +11,9 @@
     : loop_(loop),
       tables_(tables),
       table_(table),
-      mirror_(std::move(table), std::move(parts), std::move(on_change)),
+      mirror_(std::move(table), parts, std::move(on_change)),
       after_response_(std::move(after_response)),
+      single_part_(parts.size() == 1),
       self_(std::make_shared<TableFollower*>(this)) {}
 
 TableFollower::~TableFollower() {
@@ -55,7 +56,8 @@
   const RowVersion before = mirror_.version();
   mirror_.OnListed(part, page);
   const bool complete = IsOk(page) && list.from.empty() && !ValueOf(page).truncated;
-  if (complete && ValueOf(page).version >= before && mirror_.following()) confirmed_at_ = asked_at;
+  const bool confirms = complete && single_part_ && ValueOf(page).version >= before;
+  if (confirms && mirror_.following()) confirmed_at_ = asked_at;
   SetPartReadable(part, IsOk(page), why);
   // While changes are received, a part that can't be read doesn't mean that the store is lost.
   if (IsOk(page) || !mirror_.following()) SetConnected(IsOk(page), "part '" + part + "': " + why);
@@ -68,7 +70,7 @@
   const auto* changes = std::get_if<TableChanges>(&outcome);
   // A response older than changes that were received already, of a store that lags, confirms
   // nothing.
-  const bool confirms = changes != nullptr && changes->version >= before && mirror_.complete();
+  const bool confirms = changes != nullptr && changes->version >= before && !mirror_.listing();
   if (confirms)
     confirmed_at_ = std::max(confirmed_at_.value_or(Duration{0}), asked_at - changes->age);
   const Error* error = std::get_if<Error>(&outcome);
--- a/src/gateway/table_follower.h
+++ b/src/gateway/table_follower.h
@@ -37,8 +37,9 @@
   void SetMinInterval(Duration interval) { min_interval_ = interval; }
   // Replaces kWait, for a table whose copy must have a known age.
   void SetWait(Duration wait) { wait_ = wait; }
-  // For a table of one part: when the last call was sent, by Loop::SinceBoot, whose response
-  // shows that the copy is complete as of that time.
+  // When the last call was sent, by Loop::SinceBoot, whose response shows that the copy is complete
+  // as of that time. Of a table with several parts no list shows that, as the parts are listed one
+  // after the other.
   [[nodiscard]] std::optional<Duration> confirmed_at() const { return confirmed_at_; }
   [[nodiscard]] const TableMirror& mirror() const { return mirror_; }
   void Learn(const TableRow& row) { mirror_.MergeRow(row); }
@@ -62,6 +63,7 @@
   std::string table_;
   TableMirror mirror_;
   std::function<void()> after_response_;
+  bool single_part_;
   Duration min_interval_{0};
   Duration wait_ = kWait;
   std::optional<Duration> confirmed_at_;
--- a/test/feed-relay-test.cc
+++ b/test/feed-relay-test.cc
@@ -3,6 +3,7 @@
 #include <doctest/doctest.h>
 
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "gateway-fakes.h"
@@ -186,6 +187,32 @@
   CHECK(f.direct.reads == reads);
 }
 
+// Guards against a copy that counts as current although its first part was listed long before the
+// last one.
+TEST_CASE("a list confirms a table of one part, and none of several parts") {
+  Loop loop;
+  fake::TableData data;
+  fake::Tables tables(loop, data);
+  const auto confirmed_once_listed = [&](std::vector<std::string> parts) {
+    std::optional<bool> confirmed;
+    TableFollower* current = nullptr;
+    TableFollower follower(
+        loop, tables, kTable, std::move(parts), [](const TableMirror::Change&) {},
+        [&] {
+          if (confirmed || !current->mirror().complete()) return;
+          confirmed = current->confirmed_at().has_value();
+        });
+    current = &follower;
+    follower.SetWait(Duration{50'000});
+    follower.Start();
+    fake::RunUntil(loop, [&] { return confirmed.has_value(); });
+    fake::RunUntil(loop, [&] { return follower.confirmed_at().has_value(); });
+    return *confirmed;
+  };
+  CHECK(confirmed_once_listed({""}));
+  CHECK_FALSE(confirmed_once_listed({"a", "b"}));
+}
+
 TEST_CASE("requests for other tables, and unreadable ones, are refused") {
   Fixture f;
   for (const char* target : {"/feeds/other?after=1&wait_ms=100", "/feeds/t?after=x&wait_ms=100",
