--- a/test/feeds-load-test.cc
+++ b/test/feeds-load-test.cc
@@ -27,8 +27,7 @@
 
 }  // namespace
 
-// Guards against calls that grow with the product of entries and changes: at 420 entries they were
-// a third of what the store can read on a day without faults.
+// Guards against calls that grow with the product of entries and changes.
 TEST_CASE("calls at the store per entry don't rise with the fleet") {
   const FeedFigures small = FeedSimulation(FleetOf(130)).Run();
   const FeedFigures fleet = FeedSimulation(FleetOf(420)).Run();
