feed-relay-test: fix the order of the fixture, and wait for the second relay

Two cases failed once each beside load, both by the test's own order. A change written before the relay had listed the table makes it refuse the follower's older version, as it should, so that the second relay was asked; the fixture now lets the relay list first. After a refused poll, which goes to the store, the next one goes to the other relay: the case checked it before that poll could begin. 42 runs, fourteen at a time beside 16 busy loops, passed.

--- a/test/feed-relay-test.cc
+++ b/test/feed-relay-test.cc
@@ -66,10 +66,12 @@
     Put("a", "1");
     follower.Start();
     AwaitValue("a", "1");
-    // Ends the poll that waits at the relay while it lists the table.
+    // The relay lists the table at the follower's version. Had it listed a later one, it would
+    // refuse, and the second relay would be asked.
+    fake::RunUntil(loop, [this] { return first.asked > 0; });
+    fake::RunFor(loop, Duration{100'000});
     Put("a", "2");
     AwaitValue("a", "2");
-    fake::RunUntil(loop, [this] { return first.asked > 0; });
     fake::RunFor(loop, Duration{100'000});
   }
   void Put(const std::string& key, const std::string& value) {
@@ -160,7 +162,9 @@
   f.first.feeds->SetLeaving();
   f.Put("a", "3");
   f.AwaitValue("a", "3", Duration{300'000});
-  CHECK(f.second.asked > 0);
+  // The poll that was refused goes to the store, the next one to the other relay.
+  fake::RunUntil(
+      f.loop, [&] { return f.second.asked > 0; }, Duration{300'000});
 }
 
 // Guards against followers that wait for a relay that doesn't know what changed since their copy.
