Tests: keep the logs of a run that fails, and show their ends

The failure of faults-handover-test left nothing to read: the tests' folders were deleted at the end of each run, also of one that failed, and nothing told from outside whether a job without a third owner was done or owned by nobody.

- They log what they did to a process, and each change of the job's state that they saw.
- Entries log whose lease they begin to watch, when they take it for expired, and how many chunks and items they have open when they begin to leave, and the end of it.

No check and no wait changed.

--- a/src/figmilld/batch/batch_lease.cc
+++ b/src/figmilld/batch/batch_lease.cc
@@ -1,5 +1,7 @@
 #include "figmilld/batch/batch_lease.h"
 
+#include "figmill/observe.h"
+
 namespace figmill {
 namespace {
 
@@ -133,7 +135,12 @@
 
 void BatchLeases::ReportOthers() {
   for (const auto& [owner, lease] : watched_) {
-    if (lease->Lapsed(owner.epoch)) report_(LeaseExpired{owner.owner, owner.epoch});
+    if (!lease->Lapsed(owner.epoch)) continue;
+    if (expired_.insert(owner).second) {
+      Log(LogLevel::kInfo, "owner_lease_expired",
+          {{"owner", owner.owner.value}, {"epoch", std::to_string(owner.epoch)}});
+    }
+    report_(LeaseExpired{owner.owner, owner.epoch});
   }
 }
 
@@ -141,12 +148,17 @@
   std::map<OwnerLease, std::unique_ptr<BatchLease>> watched;
   for (const OwnerLease& owner : owners) {
     auto node = watched_.extract(owner);
+    if (node.empty()) {
+      Log(LogLevel::kInfo, "owner_lease_watched",
+          {{"owner", owner.owner.value}, {"epoch", std::to_string(owner.epoch)}});
+    }
     watched[owner] = node.empty()
                          ? std::make_unique<BatchLease>(table_, SettingsFor(owner.owner),
                                                         BatchLease::Purpose::kFence, random_)
                          : std::move(node.mapped());
   }
   watched_ = std::move(watched);
+  std::erase_if(expired_, [this](const OwnerLease& owner) { return !watched_.contains(owner); });
 }
 
 void BatchLeases::Release() {
--- a/src/figmilld/batch/batch_lease.h
+++ b/src/figmilld/batch/batch_lease.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "figmill/batch.h"
@@ -72,6 +73,7 @@
   BatchLease own_;
   std::optional<Epoch> held_;
   std::map<OwnerLease, std::unique_ptr<BatchLease>> watched_;
+  std::set<OwnerLease> expired_;  // of those watched; logged already
   Time next_watch_;
   bool released_ = false;
 };
--- a/src/figmilld/batch/entry_batch.cc
+++ b/src/figmilld/batch/entry_batch.cc
@@ -110,6 +110,11 @@
   void Changed(const JobId& job) { Feed(JobChanged{job}); }
   void Drain(std::function<void()> done) {
     drained_ = std::move(done);
+    const BatchCounts counts = owner_.counts();
+    Log(LogLevel::kInfo, "batch_draining",
+        {{"jobs", std::to_string(counts.jobs)},
+         {"open_chunks", std::to_string(counts.open_chunks)},
+         {"in_flight", std::to_string(counts.in_flight)}});
     jobs_.SetDraining();
     Feed(DrainBatch{});
   }
@@ -183,6 +188,7 @@
     }
   }
   void OnDrained() {
+    Log(LogLevel::kInfo, "batch_drained", {});
     leases_.Release();
     if (drained_) server_loop_.Post(std::exchange(drained_, nullptr));
   }
--- a/test/batch-fleet-test.py
+++ b/test/batch-fleet-test.py
@@ -9,9 +9,10 @@
 import signal
 import subprocess
 import sys
-import tempfile
 import time
 
+from kept_logs import LogFolder
+
 BUILD = pathlib.Path(sys.argv[1]).resolve()
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 ITEMS = 3000
@@ -241,7 +242,7 @@
     assert ask(fleet.entry(), "GET", "/v1/jobs/bad")[0] == 404
 
 
-with tempfile.TemporaryDirectory() as scratch:
+with LogFolder(BUILD) as scratch:
     running = Fleet(scratch)
     try:
         running.read()
--- a/test/batch_job.py
+++ b/test/batch_job.py
@@ -44,12 +44,17 @@
     def __init__(self, fleet, name):
         self.fleet, self.name = fleet, name
         self.away = set()  # entries that can't answer
+        self.seen = None
 
     def entry(self):
         return next(e for e in self.fleet.entries if e["name"] not in self.away)
 
     def state(self):
-        return ask(self.entry()["address"], "GET", f"/v1/jobs/{self.name}")[1]
+        state = ask(self.entry()["address"], "GET", f"/v1/jobs/{self.name}")[1]
+        if state != self.seen:
+            self.fleet.note(f"job_state entry={self.entry()['name']} answer={json.dumps(state)}")
+            self.seen = state
+        return state
 
     def owner(self, above=0):
         """The living owner under an epoch above this one."""
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -6,6 +6,7 @@
 import collections
 import concurrent.futures
 import contextlib
+import datetime
 import http.client
 import json
 import os
@@ -13,11 +14,11 @@
 import signal
 import subprocess
 import sys
-import tempfile
 import threading
 import time
 
 import history_checker
+from kept_logs import LogFolder
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = pathlib.Path(sys.argv[1]).resolve()
@@ -138,13 +139,15 @@
 
     def __init__(self, entries, agents, *arguments, environment=None):
         self.environment = {**os.environ, **(environment or {})}
-        self.scratch = tempfile.TemporaryDirectory()
-        self.dir = pathlib.Path(self.scratch.name)
+        self.logs = LogFolder(BUILD)
+        self.dir = self.logs.path
         self.own = {}  # processes started here, by node
-        self.keeper = subprocess.Popen(
-            [sys.executable, ROOT / "support/local-fleet", "--build", BUILD, "--dir", self.dir,
-             "--entries", str(entries), "--agents", str(agents), "--services", "0", *arguments],
-            stdout=subprocess.DEVNULL, env=self.environment)
+        with open(self.dir / "local-fleet.log", "ab") as log:
+            self.keeper = subprocess.Popen(
+                [sys.executable, ROOT / "support/local-fleet", "--build", BUILD,
+                 "--dir", self.dir, "--entries", str(entries), "--agents", str(agents),
+                 "--services", "0", *arguments],
+                stdout=log, env=self.environment)
 
     def __enter__(self):
         state = self.dir / "fleet.json"
@@ -152,7 +155,7 @@
             wait_for("the fleet is up", lambda: self.keeper.poll() is not None or state.exists())
             fleet = json.loads(state.read_text(encoding="utf-8"))
         except BaseException:
-            self.__exit__()
+            self.__exit__(*sys.exc_info())
             raise
         self.entries, self.agents = fleet["entries"], fleet["agents"]
         self.engines = fleet["engines"]
@@ -162,7 +165,7 @@
         try:
             self.wait_in_force()
         except BaseException:
-            self.__exit__()
+            self.__exit__(*sys.exc_info())
             raise
         return self
 
@@ -176,7 +179,7 @@
             wait_for(f"{entry['name']} serves", lambda e=entry: call(
                 e["address"], "POST", "/v1/completions", body)[0] == 200)
 
-    def __exit__(self, *_):
+    def __exit__(self, kind, *_):
         for process in self.own.values():
             if process.poll() is None:
                 process.send_signal(signal.SIGCONT)
@@ -184,11 +187,18 @@
             process.wait()
         self.keeper.terminate()
         self.keeper.wait()
-        self.scratch.cleanup()
+        self.logs.close(failed=kind is not None)
+
+    def note(self, text):
+        """Adds a line to the test's own log, in the form of the processes' logs."""
+        at = datetime.datetime.now(datetime.timezone.utc)
+        with open(self.dir / "test.log", "a", encoding="utf-8") as log:
+            log.write(f"{at:%Y-%m-%dT%H:%M:%S.%fZ} I event={text}\n")
 
     # Members.
 
     def signal(self, name, number):
+        self.note(f"signal node={name} number={signal.Signals(number).name}")
         os.kill(self.pids[name], number)
 
     def is_dead(self, name):
@@ -213,6 +223,7 @@
             self.own[name] = subprocess.Popen(argv, stdin=subprocess.DEVNULL, stdout=log,
                                               stderr=log, env=self.environment)
         self.pids[name] = self.own[name].pid
+        self.note(f"started node={name} pid={self.pids[name]}")
 
     def replace(self, name, **changed):
         """Kills a member and starts it again, as a child whose exit code can be known."""
--- a/test/gateways.py
+++ b/test/gateways.py
@@ -17,6 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 sys.path.append(str(ROOT / "support"))
 
+from kept_logs import show_ends  # noqa: E402
 from ports import Ports  # noqa: E402
 
 HOST = "farm.example"
@@ -148,6 +149,7 @@
         self.world.stop()
         self.ports.release()
         if kind:
+            show_ends(self.folder)
             print(f"logs are in {self.folder}", file=sys.stderr)
 
 
--- a/test/local-fleet-test.py
+++ b/test/local-fleet-test.py
@@ -8,9 +8,10 @@
 import signal
 import subprocess
 import sys
-import tempfile
 import time
 
+from kept_logs import LogFolder
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BOUND_SECONDS = 90
 
@@ -73,11 +74,11 @@
 
 def main():
     build = sys.argv[1]
-    with tempfile.TemporaryDirectory() as folder:
+    with LogFolder(build) as folder:
         started = subprocess.Popen(
             [ROOT / "support" / "local-fleet", "--build", build, "--entries", "1", "--agents", "1",
              "--services", "1", "--dir", folder])
-        path = pathlib.Path(folder) / "fleet.json"
+        path = folder / "fleet.json"
         try:
             await_that("the fleet is ready",
                        lambda: path.exists() or started.poll() is not None)
@@ -93,7 +94,7 @@
             started.wait()
         for each in processes_of(fleet):
             assert not is_running(each["pid"]), f"{each['name']} is left over"
-            assert (pathlib.Path(folder) / f"{each['name']}.log").exists()
+            assert (folder / f"{each['name']}.log").exists()
 
 
 if __name__ == "__main__":
--- a/test/once-fleet-test.py
+++ b/test/once-fleet-test.py
@@ -16,10 +16,11 @@
 import signal
 import subprocess
 import sys
-import tempfile
 import threading
 import time
 
+from kept_logs import LogFolder
+
 BUILD = pathlib.Path(sys.argv[1]).resolve()
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 SEED = int(os.environ.get("ONCE_SEED", "1"))
@@ -242,7 +243,7 @@
 
 def main():
     chance = random.Random(SEED)
-    with tempfile.TemporaryDirectory() as folder:
+    with LogFolder(BUILD) as folder:
         fleet = Fleet(folder)
         try:
             lose_the_agents(fleet)
--- a/test/query-fleet-test.py
+++ b/test/query-fleet-test.py
@@ -7,9 +7,10 @@
 import signal
 import subprocess
 import sys
-import tempfile
 import time
 
+from kept_logs import LogFolder
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 BUILD = pathlib.Path(sys.argv[1]).resolve()
 BOUND_SECONDS = 60
@@ -131,7 +132,7 @@
 
 
 def main():
-    with tempfile.TemporaryDirectory() as folder:
+    with LogFolder(BUILD) as folder:
         arguments = ["--entries", "2", "--agents", "2", "--services", "1", "--dir", folder]
         launcher = subprocess.Popen(
             [sys.executable, str(ROOT / "support/local-fleet"), *arguments, "--build", str(BUILD)]
