gate: let a slow engine run streams side by side

What callers saw: 503 "the wait would pass the first-token target" from an engine that ran one stream and had 31 slots free.

Cause: the limit is the number of streams at which the predicted token gap reaches the target of 61 ms. When a single stream misses it already, that number is below one and was taken for one: no caller was served faster for it, and all others were refused, for as long as the engine, or the machine beneath it, was slow.

Evidence: the new log line `dispatch_overloaded` says running=1 queued=0 gap_limit=1 engine_slots=32 and a gap of 63 to 80 ms for one stream at each of these refusals, so it was the gap's limit and not the engine's slots.

Change: where a single stream misses the target, or comes near it, the gap to keep is 1.25 times that of a single stream. Below 49 ms for one stream nothing changes. Batch alone at an engine had the same limit and follows the same rule.

--- a/include/figmill/gate.h
+++ b/include/figmill/gate.h
@@ -178,7 +178,9 @@
   int batch_running = 0;
   int batch_queued = 0;  // not started yet
   int batch_paused = 0;  // stopped for online, to be resumed
-  int online_limit = 0;
+  int online_limit = 0;  // the lower of the next two
+  int gap_limit = 0;     // within the target of the token gap
+  int engine_slots = 0;  // what the engine is taken to run at once
   // Number of online streams up to which senders should fill this backend server
   // before they use another, so that the others stay free for batch
   // (docs/design/gate.md).
@@ -188,6 +190,8 @@
   std::uint64_t batch_stops = 0;   // batch streams stopped for online
   std::uint64_t batch_reruns = 0;  // stopped batch streams that were restarted from the beginning
   Duration predicted_token_gap{};  // predicted at the current concurrency
+  Duration single_token_gap{};     // predicted for a single stream
+  Duration online_service{};       // usual time of an online request from its start
 };
 
 class BackendScheduler {
--- a/src/figmilld/agent/dispatch_handler.cc
+++ b/src/figmilld/agent/dispatch_handler.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "figmill/observe.h"
+
 namespace figmill {
 namespace {
 
@@ -67,7 +69,9 @@
         return refuse != nullptr && refuse->arrival == arrival;
       });
   if (refused) {
-    metrics_.CountRefusal(std::get<FailRequest>(actions.front()).error, dispatched.headers().work);
+    const Error& error = std::get<FailRequest>(actions.front()).error;
+    metrics_.CountRefusal(error, dispatched.headers().work);
+    if (error.kind == ErrorKind::kOverloaded) LogOverload(dispatched.headers(), error);
   } else if (DispatchedRequest* existing = FindRequest(id);
              existing && settings_.backend_kind == BackendKind::kPlain) {
     existing->arrival = arrival;  // the running call continues; its answer is buffered
@@ -86,6 +90,22 @@
   batch_stop_timer_.reset();
 }
 
+// The inputs of the decision, which metrics show only as they were at the last tick.
+void DispatchHandler::LogOverload(const DispatchHeaders& headers, const Error& error) const {
+  const SchedulerStats counts = scheduler_.counts();
+  Log(LogLevel::kInfo, "dispatch_overloaded",
+      {{"request", headers.request.value},
+       {"online", headers.work == WorkClass::kOnline ? "yes" : "no"},
+       {"running", std::to_string(counts.online_running)},
+       {"queued", std::to_string(counts.online_queued)},
+       {"gap_limit", std::to_string(counts.gap_limit)},
+       {"engine_slots", std::to_string(counts.engine_slots)},
+       {"gap_us", std::to_string(counts.predicted_token_gap.count())},
+       {"single_gap_us", std::to_string(counts.single_token_gap.count())},
+       {"service_us", std::to_string(counts.online_service.count())},
+       {"why", error.detail}});
+}
+
 void DispatchHandler::OnSenderDisconnected(ArrivalId arrival) {
   const auto found = request_by_arrival_.find(arrival);
   if (found == request_by_arrival_.end()) return;
--- a/src/figmilld/agent/dispatch_handler.h
+++ b/src/figmilld/agent/dispatch_handler.h
@@ -72,6 +72,7 @@
   void PostFailure(const RequestId& request, Error error);
   void CancelAtBackend(const RequestId& request, std::shared_ptr<BatchStopTimer> timer);
   void OnStreamStopped(const RequestId& request, const std::shared_ptr<BatchStopTimer>& timer);
+  void LogOverload(const DispatchHeaders& headers, const Error& error) const;
   void OnSenderDisconnected(ArrivalId arrival);
   void FailArrival(ArrivalId arrival, const Error& error);
   void RemoveRequest(const RequestId& request, ArrivalId arrival, bool failed);
--- a/src/gate/admission_limit.cc
+++ b/src/gate/admission_limit.cc
@@ -28,8 +28,8 @@
 }
 
 int AdmissionLimit::limit() const {
-  const double fitted =
-      token_gap_model_.RunningAt(static_cast<double>(target_gap_.count()) - excess_p95_us_);
+  const double gap = token_gap_model_.ReachableGap(static_cast<double>(target_gap_.count()));
+  const double fitted = token_gap_model_.RunningAt(gap - excess_p95_us_);
   const double trusted = std::max(kInitialLimit, kMaxExtrapolation * peak_running_);
   return static_cast<int>(std::clamp<double>(std::min(fitted, trusted), 1, max_running_));
 }
--- a/src/gate/backend_scheduler.cc
+++ b/src/gate/backend_scheduler.cc
@@ -52,6 +52,8 @@
   counts.batch_queued = batch_queue_.unstarted();
   counts.batch_paused = batch_queue_.paused();
   counts.online_limit = OnlineLimit();
+  counts.gap_limit = online_limit_.limit();
+  counts.engine_slots = capacity_.slots();
   counts.online_mark = counts.online_limit * kFillNumerator / kFillDenominator;
   counts.batch_limit =
       batch_limit_policy_.Limit(token_gap_model_, OnlineDemand(), capacity_.slots(), now_);
@@ -61,6 +63,8 @@
   counts.batch_reruns = reruns_;
   counts.predicted_token_gap = Duration(
       static_cast<std::int64_t>(token_gap_model_.Predict(online_running_ + batch_running_)));
+  counts.single_token_gap = Duration(static_cast<std::int64_t>(token_gap_model_.Predict(1)));
+  counts.online_service = service_estimate_.whole();
   return counts;
 }
 
--- a/src/gate/batch_limit_policy.cc
+++ b/src/gate/batch_limit_policy.cc
@@ -30,8 +30,8 @@
 }
 
 int BatchLimitPolicy::Limit(const TokenGapModel& model, int online, int slots, Time now) const {
-  const double within_target =
-      model.RunningAt(static_cast<double>(config_.target_gap.count())) - online;
+  const double gap = model.ReachableGap(static_cast<double>(config_.target_gap.count()));
+  const double within_target = model.RunningAt(gap) - online;
   double limit = std::min<double>(within_target, slots - online);
   if (online > 0) {
     const double within_slowdown = config_.max_slowdown * model.Predict(online) / model.slope_us();
--- a/src/gate/token_gap_model.cc
+++ b/src/gate/token_gap_model.cc
@@ -12,6 +12,8 @@
 constexpr double kDecay = 0.9995;     // per sample: averages over about 2,000
 constexpr double kMinVariance = 1.0;  // of the running count; below it no slope can be fitted
 constexpr double kMinSlopeUs = 1;
+// Gap of many streams over that of a single one, where the target can't be kept.
+constexpr double kMaxSlowdown = 1.25;
 
 }  // namespace
 
@@ -27,6 +29,10 @@
   Fit();
 }
 
+double TokenGapModel::ReachableGap(double target_us) const {
+  return std::max(target_us, kMaxSlowdown * Predict(1));
+}
+
 void TokenGapModel::Fit() {
   const double mean_x = x_ / weight_;
   const double mean_y = y_ / weight_;
--- a/src/gate/token_gap_model.h
+++ b/src/gate/token_gap_model.h
@@ -15,6 +15,10 @@
   // Adds a gap measured while `running` streams ran and none was in prefill.
   void Add(double running, Duration gap);
   [[nodiscard]] double Predict(double running) const { return base_ + slope_ * running; }
+  // The gap to keep, in microseconds: the target, but on a backend server of which even a
+  // single stream misses it, or nearly, a gap somewhat above that of a single stream. Fewer
+  // streams would not be faster there, and all other callers would be refused.
+  [[nodiscard]] double ReachableGap(double target_us) const;
   // Number of streams at which the predicted gap reaches `gap_us`.
   [[nodiscard]] double RunningAt(double gap_us) const { return (gap_us - base_) / slope_; }
   [[nodiscard]] double base_us() const { return base_; }
