gate: bound what one stall weighs in the predicted token gap

Cause: an agent limits its streams by a line fitted to the gaps of some 2,000 tokens. When many callers come to an agent that had few, only some hundred gaps are measured. A stall of the agent or its engine adds one long gap for each stream: eight of 2 s outweigh 400 of 25 ms, the predicted gap passes the target, the limit falls to one stream, and one stream measures slowly.

One stall of the remaining agent of 2 s, 0.9 s after the other left, refused 183 of 316 requests; at each of them the agent logged gap_limit=1 engine_slots=32 and a predicted gap of 73 down to 62 ms at an engine of 20 ms a step. In virtual time the limit falls to 2 to 5.

Change: a gap counts as four predicted ones at most.

Test: gate-limit-test, "one stall of an engine refuses nobody after it", fails before in 5 of 20 combinations of moment and length.

--- a/src/gate/token_gap_model.cc
+++ b/src/gate/token_gap_model.cc
@@ -12,6 +12,10 @@
 constexpr double kDecay = 0.9995;     // per sample: averages over about 2,000
 constexpr double kMinVariance = 1.0;  // of the running count; below it no slope can be fitted
 constexpr double kMinSlopeUs = 1;
+// A longer gap counts as this many predicted ones. A single stall of a second, of the engine or
+// of a process, would outweigh hundreds of ordinary gaps, and the limit would fall to a few
+// streams until as many new ones were measured. A lasting slowdown still shows in every gap.
+constexpr double kMaxGapRatio = 4;
 // Gap of many streams over that of a single one, where the target can't be kept.
 constexpr double kMaxSlowdown = 1.25;
 
@@ -20,7 +24,7 @@
 TokenGapModel::TokenGapModel() : base_(kInitialBaseUs), slope_(kInitialSlopeUs) {}
 
 void TokenGapModel::Add(double running, Duration gap) {
-  const auto us = static_cast<double>(gap.count());
+  const double us = std::min(static_cast<double>(gap.count()), kMaxGapRatio * Predict(running));
   weight_ = weight_ * kDecay + 1;
   x_ = x_ * kDecay + running;
   y_ = y_ * kDecay + us;
--- a/test/gate-limit-test.cc
+++ b/test/gate-limit-test.cc
@@ -1,6 +1,7 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <utility>
 
 #include "test/gate-fixture.h"
 
@@ -26,12 +27,15 @@
       : callers_(callers), single_(single), per_stream_(per_stream) {}
 
   void SetGap(Duration single) { single_ = single; }
+  void SetCallers(int callers) { callers_ = callers; }
+  // Makes the next step longer.
+  void Stall(Duration time) { stall_ = time; }
   Outcomes Run(Duration time) {
     outcomes_ = {};
     for (const Time end = fixture_.now + time; fixture_.now < end;) {
       for (int caller = 0; caller < callers_; ++caller) SendIfDue(caller);
       const auto more = static_cast<int>(tokens_.empty() ? 0 : tokens_.size() - 1);
-      fixture_.AdvanceTime(single_ + more * per_stream_);
+      fixture_.AdvanceTime(single_ + more * per_stream_ + std::exchange(stall_, Duration(0)));
       TakeStep();
     }
     return outcomes_;
@@ -78,6 +82,7 @@
   SchedulerFixture fixture_;
   int callers_;
   Duration single_, per_stream_;
+  Duration stall_{0};
   int sent_ = 0;
   std::uint64_t started_ = 0;
   Outcomes outcomes_;
@@ -107,6 +112,23 @@
   CHECK(loop.Run(std::chrono::seconds(10)).refused == 0);
 }
 
+TEST_CASE("one stall of an engine refuses nobody after it") {
+  // Guards against a limit that falls to a few streams, for as long as it takes to outweigh one
+  // long gap: most when many streams have just come to an engine that had few.
+  for (const int delay_ms : {50, 100, 200, 400, 800}) {
+    for (const int stall_ms : {300, 600, 1000, 2000}) {
+      CAPTURE(delay_ms);
+      CAPTURE(stall_ms);
+      ClosedLoop loop(2, Duration(20'000), Duration(350));
+      loop.Run(std::chrono::seconds(4));
+      loop.SetCallers(8);
+      loop.Run(std::chrono::milliseconds(delay_ms));
+      loop.Stall(std::chrono::milliseconds(stall_ms));
+      CHECK(loop.Run(std::chrono::seconds(5)).refused == 0);
+    }
+  }
+}
+
 TEST_CASE("an engine that only many streams slow down keeps to the target") {
   ClosedLoop loop(60, Duration(20'000), Duration(2'000));
   loop.Run(std::chrono::seconds(60));
