batch: let the second in line claim a job that nobody has claimed

What callers saw: a job that was just accepted, or released by an owner that left, was not worked on for the 9 to 14 s until the death of the entry that should claim it was detected. Found by reading, looking for the fault of jobs of dead owners elsewhere.

Cause: a job without an owner was left to the first entry in line for its shard, and that entry stays first until the members have declared it dead.

Change: the second in line, which scans these shards already, claims a job that it has found without an owner in more than three scans in a row, one per second. The compare-and-set on the job's row decides if both try.

--- a/src/batch/claim_planner.cc
+++ b/src/batch/claim_planner.cc
@@ -8,6 +8,9 @@
 // With at most this many entries, one scan over all open jobs is cheaper than a scan
 // per shard: with 16 entries and one round per second, 16 scans instead of 256.
 constexpr std::size_t kMaxEntriesForFullScan = 16;
+// Scan rounds for which a job without an owner is left to the first in line, which may have died
+// unnoticed.
+constexpr int kRoundsLeftToFirst = 3;
 constexpr std::string_view kOpenJobsPrefix = "open/";
 
 }  // namespace
@@ -62,6 +65,21 @@
   return (owned_by_first ? claimants.second : claimants.first) == self_;
 }
 
+void ClaimPlanner::CountOwnerlessRounds(const std::vector<OpenJob>& open) {
+  std::map<JobId, int> rounds;
+  for (const OpenJob& job : open) {
+    if (!job.row.owner.empty() || !second_shards_.contains(ShardOf(job.job))) continue;
+    const auto before = ownerless_rounds_.find(job.job);
+    rounds[job.job] = before == ownerless_rounds_.end() ? 1 : before->second + 1;
+  }
+  ownerless_rounds_ = std::move(rounds);
+}
+
+bool ClaimPlanner::IsLeftToSecond(const OpenJob& job) const {
+  const auto rounds = ownerless_rounds_.find(job.job);
+  return rounds != ownerless_rounds_.end() && rounds->second > kRoundsLeftToFirst;
+}
+
 std::vector<std::string> ClaimPlanner::ScanPrefixes(const std::vector<JobId>& held) const {
   std::set<std::uint32_t> shards = first_shards_;
   shards.insert(second_shards_.begin(), second_shards_.end());
@@ -87,10 +105,12 @@
   ClaimPlan plan;
   std::set<JobId> confirmed;
   std::set<OwnerLease> watched;
+  CountOwnerlessRounds(open);
   for (const OpenJob& job : open) {
     const bool owned_here = job.row.owner == self_ && job.row.owner_lease == lease_;
     if (owned_here) confirmed.insert(job.job);
-    if (busy.contains(job.job) || !IsClaimant(ShardOf(job.job), job.row.owner)) continue;
+    const bool mine = IsClaimant(ShardOf(job.job), job.row.owner) || IsLeftToSecond(job);
+    if (busy.contains(job.job) || !mine) continue;
     if (Claimable(job.row.owner, job.row.owner_lease)) {
       plan.claim.push_back(job.job);
     } else {
--- a/src/batch/claim_planner.h
+++ b/src/batch/claim_planner.h
@@ -62,6 +62,9 @@
   [[nodiscard]] Claimants RankEntries(std::uint32_t shard) const;
   // Whether this process claims the shard's jobs of `owner` once they are free.
   [[nodiscard]] bool IsClaimant(std::uint32_t shard, const NodeId& owner) const;
+  void CountOwnerlessRounds(const std::vector<OpenJob>& open);
+  // Whether the first in line has left a job without an owner to this process, the second.
+  [[nodiscard]] bool IsLeftToSecond(const OpenJob& job) const;
 
   NodeId self_;
   Epoch lease_ = 0;
@@ -71,6 +74,8 @@
   std::set<OwnerLease> expired_leases_;
   std::set<OwnerLease> watched_leases_;
   bool watch_list_changed_ = false;
+  // Scan rounds in a row, of jobs for which this process is second in line.
+  std::map<JobId, int> ownerless_rounds_;
 };
 
 // Parses an `open/` row; nothing when it is malformed.
--- a/test/batch-owner-test.cc
+++ b/test/batch-owner-test.cc
@@ -153,6 +153,21 @@
   }
 }
 
+TEST_CASE("a job without an owner is claimed though the first in line has died unnoticed") {
+  // Guards against a job that was accepted, or released, and stands still until the death of
+  // the entry that should claim it is detected.
+  Simulation simulation(10, 3, 4);
+  simulation.death_detection = 20s;
+  simulation.RunUntil([] { return false; }, 2s);
+  simulation.KillOwner(0);
+  for (int i = 0; i < 12; ++i) {
+    const JobId job{"job-" + std::to_string(i)};
+    REQUIRE(IsOk(simulation.Put(job, Items(100, "p").ndjson)));
+    // Three scans, one per second, are left to the first in line.
+    CHECK(simulation.RunUntil([&] { return OwnerIndex(simulation, job) < 3; }, 6s));
+  }
+}
+
 TEST_CASE("a draining owner finishes its open chunks and releases its jobs") {
   // Guards against a restart of an entry that delays its jobs by a lease term and repeats
   // open work.
