batch: read watched leases no more often while the store is down

What the store would have seen: since leases are polled each tick and read when due, a failed read made a lease due again at once: ten reads a second of each watched lease by each entry, of a store that is down.

Cause: after a failed read watching starts afresh, so that silence counts only while the store can be read, and a fresh watcher has read nothing yet.

Change: the next read after a failed one comes a quarter of a term later, as before.

Test: batch-lease-test, 100 reads in a second before, one now.

--- a/src/figmilld/batch/batch_lease.cc
+++ b/src/figmilld/batch/batch_lease.cc
@@ -9,6 +9,8 @@
 // shorter term would take jobs over sooner, at the price of the store's writes;
 // jobs are due much later.
 constexpr Duration kTerm{15'000'000};
+// Between reads of another owner's lease while the store is down.
+constexpr Duration kRetryPeriod = kTerm / 4;
 // How long the owner may go on without being told again; it is told every
 // kBatchTick, so that one that was paused stops at its first event.
 constexpr Duration kActSlice = 5 * kBatchTick;
@@ -51,7 +53,8 @@
 }
 
 void BatchLease::Poll() {
-  if (!holder_ && watcher_->IsReadDue(Loop::Now())) Tick();
+  if (holder_ || Loop::Now() < next_read_ || !watcher_->IsReadDue(Loop::Now())) return;
+  Tick();
 }
 
 void BatchLease::Release() {
@@ -66,6 +69,7 @@
   if (down && purpose_ == Purpose::kFence && !holder_ &&
       std::holds_alternative<RowWasRead>(event)) {
     watcher_ = std::make_unique<LeaseWatcher>(settings_, random_);
+    next_read_ = Loop::Now() + kRetryPeriod;
     return;
   }
   Do(holder_ ? holder_->On(Loop::Now(), event) : watcher_->On(Loop::Now(), event));
--- a/src/figmilld/batch/batch_lease.h
+++ b/src/figmilld/batch/batch_lease.h
@@ -49,6 +49,7 @@
   std::unique_ptr<LeaseHolder> holder_;
   Epoch highest_ = 0;  // epoch taken here
   int failures_ = 0;   // answers in a row
+  Time next_read_;     // of a watched lease, after a failed read
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
