batch: send no item of a kept chunk before its intent is recorded

What callers would have seen: a not-repeatable item that runs twice, when its owner leaves while the store is slow and is killed later.

Cause: a chunk that is being returned is kept when one of its items has started after all. All its other items were queued again then, also not-repeatable ones whose intent was still on its way to the store.

Change: those wait for their intent, which queues them once it is recorded. An agent that says that a revoked item may have started makes its chunk kept at once: for a plain service the owner heard of it only with the answer, and held the other items until then.

Test: the simulated agents check that a chunk's row exists before a not-repeatable item of it is sent; drains come more often, commits take up to a second and revocations up to 0.1 s.

--- a/include/figmill/batch.h
+++ b/include/figmill/batch.h
@@ -462,8 +462,8 @@
   Epoch epoch = 0;
   auto operator<=>(const OwnerLease&) const = default;
 };
-// Revoke a request unless it has started. ItemEnded with Ran::kNo confirms it; a request that
-// has started goes on.
+// Revoke a request unless it has started. ItemEnded with Ran::kNo confirms it; for a request that
+// may have started, and goes on, ItemStarted follows.
 struct RevokeItem {
   RequestId request;
   NodeId agent;
--- a/src/batch/job_run.cc
+++ b/src/batch/job_run.cc
@@ -120,7 +120,9 @@
   const OpenChunk& open = open_.at(chunk);
   for (std::uint32_t i = 0; i < open.size(); ++i) {
     const std::uint32_t index = open.first_index() + i;
-    if (!open.has_ended(index) && !pending.contains(index)) EnqueueItem(index, {});
+    // A not-repeatable item is sent only once its intent is recorded.
+    const bool sendable = open.item(index).repeatable || !open.recording_intent;
+    if (sendable && !open.has_ended(index) && !pending.contains(index)) EnqueueItem(index, {});
   }
 }
 
--- a/src/figmilld/batch/batch_dispatcher.cc
+++ b/src/figmilld/batch/batch_dispatcher.cc
@@ -101,7 +101,8 @@
   const auto call = calls_.find(item.request);
   if (call == calls_.end()) return;
   CallRevoke(item.request, call->second, [this, request = item.request](bool never_started) {
-    if (!never_started) return;  // its answer is still to come
+    // Its answer is still to come. How many more items the agent accepts is not known here.
+    if (!never_started) return report_(ItemStarted{request, 0});
     End(request, Error{ErrorKind::kCancelled, "the item was revoked", Ran::kNo});
   });
 }
--- a/src/figmilld/batch/batch_dispatcher.h
+++ b/src/figmilld/batch/batch_dispatcher.h
@@ -22,7 +22,8 @@
   // Hangs up and tells the agent, so that the stream stops even if it is queued
   // behind a connection that dies slowly.
   void Cancel(const CancelItem& item);
-  // Reports the item as ended and not run if the agent confirms that it never started.
+  // Reports the item as ended and not run if the agent confirms that it never started, and as
+  // started otherwise.
   void Revoke(const RevokeItem& item);
   // Tells all agents to drop and stop what holders under lower epochs sent.
   void Supersede(const JobId& job, Epoch epoch);
--- a/test/batch-owner-test.cc
+++ b/test/batch-owner-test.cc
@@ -248,8 +248,9 @@
     CAPTURE(seed);
     Simulation simulation(seed, 3, 3);
     simulation.agent_concurrency = 1 + static_cast<std::uint32_t>(seed % 4);
-    simulation.item_time = 1ms * (50 + simulation.random() % 400);
+    simulation.item_time = 1ms * (20 + simulation.random() % 400);
     simulation.store.lost_response_rate = seed % 2 == 0 ? 0.1 : 0;
+    simulation.commit_latency = seed % 3 == 0 ? 1s : 40ms;  // intents take long to record
     JobText text;
     for (int i = 0; i < 300; ++i) {
       text.ids.push_back("m-" + std::to_string(i));
@@ -258,7 +259,7 @@
     REQUIRE(IsOk(simulation.Put(kJob, text.ndjson)));
     for (const Time end = simulation.now + 60s; simulation.now < end;) {
       simulation.Step();
-      if (simulation.random() % 100 != 0) continue;
+      if (simulation.random() % 30 != 0) continue;
       const std::size_t i = simulation.random() % 3;
       if (simulation.owners[i].drained) {
         simulation.StartOwner(i);
--- a/test/batch_model.h
+++ b/test/batch_model.h
@@ -230,6 +230,12 @@
   Result<JobAccepted> Put(const JobId& job, const std::string& text, const std::string& team = "t",
                           WallTime due = {}) {
     const SplitPart part = ValueOf(SplitItems(text));
+    std::uint32_t first_index = 0;
+    chunk_starts_[job].clear();
+    for (const ChunkEntry& chunk : part.index.chunks) {
+      chunk_starts_[job].push_back(first_index);
+      first_index += chunk.items;
+    }
     for (std::size_t i = 0; i < part.texts.size(); ++i) {
       store.objects[ItemsObjectKey(job, part.index.chunks[i].digest)] = part.texts[i];
     }
@@ -295,7 +301,8 @@
   std::vector<Dispatched> dispatched;
   std::vector<JobTransition> transitions;
   Duration item_time{50ms};
-  Duration death_detection{0};  // how long dead owners are still listed as entries
+  Duration commit_latency{40ms};  // upper bound
+  Duration death_detection{0};    // how long dead owners are still listed as entries
   std::uint32_t agent_concurrency = kAgentSlots;  // items beyond it are queued at the agent
 
  private:
@@ -364,16 +371,22 @@
                    },
                    [&](RevokeItem& a) {
                      const std::uint64_t generation = owners[i].generation;
-                     Schedule(5ms, [this, i, generation, a] {
-                       if (!Unqueue(a.agent, a.request)) return;
-                       Deliver(i, generation,
-                               ItemEnded{a.request, Error{ErrorKind::kCancelled, "", Ran::kNo}});
+                     Schedule(1ms * (random() % 100), [this, i, generation, a] {
+                       BatchEvent answer = ItemStarted{a.request, 0};
+                       if (Unqueue(a.agent, a.request)) {
+                         answer = ItemEnded{a.request, Error{ErrorKind::kCancelled, "", Ran::kNo}};
+                       }
+                       Deliver(i, generation, std::move(answer));
                      });
                    },
                    [&](DispatchItem& a) { StartItem(i, std::move(a)); },
                    [&](auto& call) {
                      const std::uint64_t generation = owners[i].generation;
-                     Schedule(1ms * (random() % 40), [this, i, generation, c = StoreCall(call)] {
+                     const Duration latency = std::holds_alternative<BatchCommit>(StoreCall(call))
+                                                  ? commit_latency
+                                                  : 40ms;
+                     const auto delay = random() % static_cast<std::uint64_t>(latency / 1ms);
+                     Schedule(1ms * delay, [this, i, generation, c = StoreCall(call)] {
                        const StoreResult answer = store.Answer(c, now);
                        std::visit([&](const auto& a) { Deliver(i, generation, a); }, answer);
                      });
@@ -383,6 +396,7 @@
   }
   void StartItem(std::size_t i, DispatchItem a) {
     dispatched.push_back({a.job, a.index, now});
+    if (!a.item.repeatable) CHECK(store.rows.contains(ChunkKey(a.job, ChunkOf(a.job, a.index))));
     const std::uint64_t generation = owners[i].generation;
     auto agent = std::find_if(agents.begin(), agents.end(),
                               [&](const Agent& g) { return g.node == a.agent; });
@@ -399,6 +413,11 @@
     if (agent->running < agent_concurrency) return RunItemAt(i, *agent, std::move(a));
     agent->queue.emplace_back(a.request, [this, i, agent, a] { RunItemAt(i, *agent, a); });
   }
+  std::uint32_t ChunkOf(const JobId& job, std::uint32_t index) const {
+    const std::vector<std::uint32_t>& starts = chunk_starts_.at(job);
+    const auto next = std::upper_bound(starts.begin(), starts.end(), index);
+    return static_cast<std::uint32_t>(next - starts.begin()) - 1;
+  }
   // Takes a request out of the agent's queue; false if it isn't there, as after its start.
   bool Unqueue(const NodeId& node, const RequestId& request) {
     for (Agent& agent : agents) {
@@ -447,6 +466,7 @@
   std::multimap<Time, std::function<void()>> queue_;
   Time next_heartbeat_;
   std::set<RequestId> cancelled_;
+  std::map<JobId, std::vector<std::uint32_t>> chunk_starts_;
 };
 
 }  // namespace batch_model
