--- a/test/gate-limit-test.cc
+++ b/test/gate-limit-test.cc
@@ -59,7 +59,7 @@
       if (--tokens_.at(request) > 0) continue;
       tokens_.erase(request);
       ++outcomes_.answered;
-      std::erase_if(open_, [&](const auto& each) { return each.second == request; });
+      std::erase_if(open_, [&id = request](const auto& each) { return each.second == id; });
       Take(fixture_.Step(StreamFinished{request}));
     }
   }
