gateway: name the team and its rank in slot requests

Cause: an allocator can't tell whose requests wait for its slots, and the rank of a team is decoded and used by nothing. Change: a slot request carries the team and its rank, the team's own before the route's, only where callers need keys; other messages stay byte for byte as they were.

--- a/include/figmill/peer_messages.h
+++ b/include/figmill/peer_messages.h
@@ -55,6 +55,8 @@
   bool last_try = false;
   bool may_queue = false;        // the allocator may queue it if no slot is free
   std::vector<BackendId> tried;  // backend servers to exclude
+  TeamId team;                   // whose request it is; empty if callers need no keys
+  int rank = 0;  // of the team, or of its route if the team has none; 0 is the highest priority
 };
 
 struct SlotResponse {
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -88,6 +88,8 @@
   slot_request.time_left = state_machine_.plan().deadline - now;
   slot_request.goal_left = std::max(request_.goal_deadline - now, Duration{0});
   slot_request.last_try = request_.last_try || action.resumes;
+  slot_request.team = request_.team.value_or(TeamId{});
+  slot_request.rank = request_.rank;
   search_ = context_.slot_finder.Find(slot_request,
                                       [weak = weak_from_this()](Result<BackendAddress> found) {
                                         if (const auto self = weak.lock())
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -139,6 +139,12 @@
   return headers;
 }
 
+int RequestDispatcher::RankOf(const Route& route, const std::optional<TeamId>& name) const {
+  const TeamDirectory* teams = view_->routes->teams();
+  const Team* team = teams != nullptr && name ? teams->Find(*name) : nullptr;
+  return team == nullptr ? route.rank : team->rank.value_or(route.rank);
+}
+
 void RequestDispatcher::Relay(const Route& route, std::optional<TeamId> team, HttpRequest request,
                               std::shared_ptr<HttpReply> reply) {
   RelayPlan plan = MakePlan(route, request);
@@ -154,6 +160,7 @@
   relayed.config_version = view_->routes->version();
   relayed.body = std::move(request.body);
   relayed.headers = ForwardedHeaders(team, std::move(request.headers));
+  relayed.rank = RankOf(route, team);
   relayed.team = std::move(team);
   ++in_flight_;
   const auto call = std::make_shared<RelayCall>(context_, std::move(plan), std::move(relayed),
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -39,6 +39,8 @@
   // team header is set from the key, whatever the caller sent in it.
   [[nodiscard]] std::vector<Header> ForwardedHeaders(const std::optional<TeamId>& team,
                                                      std::vector<Header> headers) const;
+  // The rank of the team goes before that of the route.
+  [[nodiscard]] int RankOf(const Route& route, const std::optional<TeamId>& name) const;
   void Refuse(const HttpRequest& request, HttpReply& reply, const Error& error) const;
   [[nodiscard]] RelayPlan MakePlan(const Route& route, const HttpRequest& request) const;
 
--- a/src/gateway/slot_finder.cc
+++ b/src/gateway/slot_finder.cc
@@ -106,6 +106,8 @@
   ask.time_left = request.time_left;
   ask.last_try = request.last_try;
   ask.tried = excluded;
+  ask.team = request.team;
+  ask.rank = request.rank;
   auto search = std::make_shared<Search>(
       *this, request, SlotSearch(std::move(ask), std::move(allocators), now), std::move(done));
   searches_[last_request_number_] = search;
--- a/src/gateway/slot_finder.h
+++ b/src/gateway/slot_finder.h
@@ -32,6 +32,8 @@
     Duration goal_left{0};
     Duration time_left{0};  // until the caller's deadline
     bool last_try = false;
+    TeamId team;   // empty if callers need no keys
+    int rank = 0;  // 0 is the highest priority
   };
 
   SlotFinder(Loop& loop, BackendPool& backend_pool, PeerMessenger& messenger);
--- a/src/peer_messages/peer_codec.cc
+++ b/src/peer_messages/peer_codec.cc
@@ -86,7 +86,8 @@
 }
 
 void Pack(Packer& packer, const SlotRequest& request) {
-  packer.pack_array(7);
+  const bool has_team = !request.team.empty();
+  packer.pack_array(has_team ? 9 : 7);
   packer.pack(request.number);
   packer.pack(request.service.value);
   packer.pack(request.goal_left.count());
@@ -95,6 +96,9 @@
   packer.pack(request.may_queue);
   packer.pack_array(static_cast<std::uint32_t>(request.tried.size()));
   for (const BackendId& id : request.tried) packer.pack(id.value);
+  if (!has_team) return;
+  packer.pack(request.team.value);
+  packer.pack(std::min(request.rank, kMaxCount));
 }
 
 void Pack(Packer& packer, const SlotResponse& answer) {
@@ -301,6 +305,10 @@
   for (std::uint32_t i = 0; i < SizeOf(tried); ++i) {
     request.tried.push_back(BackendId{GetName(tried, i)});
   }
+  // Only requests of teams have these elements.
+  if (SizeOf(object) <= 8) return request;
+  request.team.value = GetName(object, 7);
+  request.rank = GetCount(object, 8);
   return request;
 }
 
