soak: limited teams that press together, a slow engine, a plain service of one server

Cause: the soak had one team at its limit and engines of one speed, so nothing there could show that a limit or a line breaks when loads overlap. Change: three kinds of fault, drawn after the others so that seeds keep what they had; the limits of both teams are checked. soak-test plays two seeds more.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -116,7 +116,7 @@
 
     async def read_as_another_team(self, job):
         status, _ = await self.call(self.gateway(), "GET", f"/-/lots/{job.id}?after=0",
-                                    headers={"Authorization": f"Bearer {teams.HOT_KEY}"})
+                                    headers={"Authorization": f"Bearer {teams.LIMITED['hot']}"})
         self.record.foreign_reads.append((job.id, status))
 
     async def read(self, job, after):
--- a/soak/engine_faults.py
+++ b/soak/engine_faults.py
@@ -9,6 +9,8 @@
 
 ENGINES = 4  # those that faults strike; others join while a soak runs
 FOREIGN_ROWS = 5
+PLAIN = ENGINES  # the first server of the plain service
+SLOW_FACTOR = 3  # of the time that a slow engine needs for an event
 DRAINS = "it began to drain"
 
 
@@ -19,16 +21,23 @@
         self.do, self.trouble, self.record, self.clock = do, trouble, record, clock
         self.gone = set()  # engines that have crashed
         self.unheard = set()  # engines whose new life the store has not heard of
+        self.small = False  # the plain service is left with one server
         self.foreign = {}  # engine -> how many other writers claim its entry
         self.closed = {}  # engine -> what is open in the record
 
     async def strike(self, fault, how):
+        if how == "few":
+            return await self.leave_one_server(fault)
         index = fault.pick % ENGINES
         trouble = self.trouble("engine", str(index))
         if how == "sick":
             await self.do("engine", index=index, cut=0.3, extra=0.3)
             await asyncio.sleep(fault.for_s)
             await self.do("engine", index=index, cut=0.0, extra=0.0)
+        elif how == "slow":
+            await self.do("engine", index=index, slowdown=SLOW_FACTOR)
+            await asyncio.sleep(fault.for_s)
+            await self.do("engine", index=index, slowdown=1)
         elif how == "crash" and index == 3:  # one of the four may go; another one comes
             self.gone.add(index)
             await self.do("engine", index=index, act="crash")
@@ -43,6 +52,16 @@
             await self.do("add", service="llm")
         trouble.ended = self.clock() + 1
 
+    async def leave_one_server(self, fault):
+        """All but one server of the plain service leave, and another one comes later."""
+        if self.small:
+            return
+        self.small = True
+        drained = await self.do("engine", index=PLAIN, act="drain")
+        self.close(PLAIN, drained["id"], DRAINS)
+        await asyncio.sleep(fault.for_s)
+        await self.do("add", service="app")
+
     def close(self, index, engine_id, why):
         if index not in self.closed:
             self.closed[index] = Closed(engine_id, why, self.clock())
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,6 +29,8 @@
 LIST_KINDS = ("restart_reset", "restart_dark", "foreign_own", "foreign_own", "foreign_new")
 # Requests that crash what runs them.
 REQUEST_KINDS = ("crashing_request",)
+# Load that is uneven: limited teams that press together, a slow engine, a small plain service.
+LOAD_KINDS = ("press_all", "engine_slow", "engine_few")
 ATTEMPT_PAUSE = 0.25  # seconds between their attempts
 
 
@@ -45,6 +47,7 @@
     faults += some(LIST_KINDS, dice.randint(2, 5))
     faults += some(REQUEST_KINDS, dice.randint(0, 2))
     faults += some(teams.KINDS, dice.randint(0, 2))
+    faults += some(LOAD_KINDS, dice.randint(0, 2))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -92,7 +95,7 @@
                "engine": self.engines.strike, "link": self.link, "configure": self.configure,
                "restart": self.engines.restart, "crashing": self.crashing,
                "foreign": self.engines.write_foreign, "revoke": self.teams.revoke,
-               "hot": self.teams.press}[what](fault, how)
+               "hot": self.teams.press, "press": self.teams.press}[what](fault, how)
 
     async def do(self, order, **more):
         return await asyncio.to_thread(self.fleet.world.do, order, **more)
--- a/soak/teams.py
+++ b/soak/teams.py
@@ -13,15 +13,18 @@
 RATE, BURST, EXCESS, SLACK = 20, 10, 0.1, 20
 OPTIONS = ("--strict-revocation=true", f"--revoke-within-ms={int(REVOKE * 1000)}")
 KINDS = ("revoke_key", "hot_team")
-KEY, HOT_KEY = "ryekey1234", "hotkey1234"
+KEY = "ryekey1234"
+# Teams with a limit; the ids of their requests begin with the team's name.
+LIMITED = {"hot": "hotkey1234", "warm": "warmkey1234"}
 AUTHORIZATION = {"Authorization": f"Bearer {KEY}"}
 HOT_CALLERS = 8
 PAUSE = 0.05  # seconds between requests with a key that is taken away
 
 
 def configuration(spare_keys=()):
-    return [{"name": "rye", "apiKeys": [KEY, *spare_keys]},
-            {"name": "hot", "apiKeys": [HOT_KEY], "ratePerS": RATE, "burst": BURST}]
+    limited = [{"name": name, "apiKeys": [key], "ratePerS": RATE, "burst": BURST}
+               for name, key in LIMITED.items()]
+    return [{"name": "rye", "apiKeys": [KEY, *spare_keys]}, *limited]
 
 
 def begin(fleet):
@@ -66,8 +69,12 @@
                 await self.ask(connection, gateway, key, f"{key}-{number}")
             await asyncio.sleep(PAUSE)
 
-    async def press(self, fault, _how):
-        """A team that sends as fast as it can, at all gateways."""
+    async def press(self, fault, how):
+        """A team that sends as fast as it can, at all gateways; or all limited ones at once."""
+        names = LIMITED if how == "all" else ("hot",)
+        await asyncio.gather(*(self.press_as(name, fault) for name in names))
+
+    async def press_as(self, name, fault):
         end = self.clock() + fault.for_s + WINDOW
 
         async def caller(n):
@@ -75,15 +82,20 @@
             connection, number = gateways.Connection(gateway.callers), 0
             while self.clock() < end:
                 number += 1
-                await self.ask(connection, gateway, HOT_KEY, f"hot{fault.pick}-{n}-{number}")
+                request = f"{name}{fault.pick}-{n}-{number}"
+                await self.ask(connection, gateway, LIMITED[name], request)
                 await asyncio.sleep(0.01)
 
         await asyncio.gather(*(caller(n) for n in range(HOT_CALLERS)))
 
 
+def team_of(request_id):
+    return next((name for name in LIMITED if request_id.startswith(name)), "rye")
+
+
 def engines_get_the_team(record):
     for run in record.runs:
-        team = "hot" if run["id"].startswith("hot") else "rye"
+        team = team_of(run["id"])
         if run["key"] is not None or run["team"] != team:
             yield f"{run['id']}: an engine got the team {run['team']} and the key {run['key']}"
 
@@ -98,16 +110,16 @@
 
 
 def limits_hold(record):
-    at = sorted(run["at"] for run in record.runs if run["id"].startswith("hot"))
     most = (RATE * WINDOW + BURST) * (1 + EXCESS) + SLACK
-    window = collections.deque()
-    for moment in at:
-        window.append(moment)
-        while window[0] < moment - WINDOW:
-            window.popleft()
-        if len(window) > most:
-            yield f"{len(window)} requests of one team in {WINDOW} s, {most:.0f} are allowed"
-            return
+    for name in LIMITED:
+        window = collections.deque()
+        for moment in sorted(run["at"] for run in record.runs if team_of(run["id"]) == name):
+            window.append(moment)
+            while window[0] < moment - WINDOW:
+                window.popleft()
+            if len(window) > most:
+                yield f"{len(window)} requests of {name} in {WINDOW} s, {most:.0f} are allowed"
+                break
 
 
 def jobs_are_their_teams(record):
--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -23,8 +23,9 @@
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 # One for each way in which processes end, one on top of a sick store, and one in which entries of
-# other writers and engines that start again overlap with links that fail and a kill.
-SEEDS = (1, 104, 335)
+# other writers and engines that start again overlap with links that fail and a kill; two in which
+# limited teams press together, beside a slow engine and a plain service of one server.
+SEEDS = (1, 104, 335, 940001023, 940001071)
 SECONDS = 6
 
 
@@ -159,6 +160,10 @@
         runs = [ran(f"hot-{n}", at=10 + n * 0.01) | {"team": "hot"} for n in range(most + 1)]
         self.assertEqual(self.broken_by(runs=runs), {"limits_hold"})
         self.assertEqual(self.broken_by(runs=runs[1:]), set())
+        # Each limited team has a limit of its own.
+        warm = [run | {"id": "warm" + run["id"], "team": "warm"} for run in runs]
+        self.assertEqual(self.broken_by(runs=runs[1:] + warm[1:]), set())
+        self.assertEqual(self.broken_by(runs=runs[1:] + warm), {"limits_hold"})
 
     def test_a_fleet_that_does_not_recover(self):
         self.assertEqual(self.broken_by(final=[200, 503]), {"all_is_well_again"})
