quota: book credits for callers over their team's limit

Cause: a last try that found no credit was refused for good, although credits that were certain to come before its deadline stayed idle a few seconds later; and all refused callers were told the longest delay, so that they came back within the same second.

Change: the owner of a quota keeps a line of bookings (OwnedQuota). A last try without a credit is booked if its credit comes before its deadline less a run; its entry lets the caller wait and asks again at that time. The answer to that request is the credit, so the bound of a window holds as before. A refused first try has a place in the same line for its return, and is told its time. What no booking needs is given to whoever asks. Unclaimed bookings expire after 0.2 s; a claim whose answer was lost is repeated. While an owner is silent booked callers go on waiting, and ask the next owner. A caller that disconnects gives its place up. Operators: quota_wait_ms and quota_patience_ms in the request line, figmill_quota_bookings_total, the decision "waited".

quota-test: "an owner grants the burst and then the rate" asked for 10 credits beyond the burst, which now have places for their callers' returns. It asks for the burst exactly, with the same checks of the rate; that no more than the burst is granted has a test of its own.

--- a/include/figmill/quota.h
+++ b/include/figmill/quota.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <optional>
 #include <span>
 #include <utility>
@@ -19,19 +20,38 @@
 #include <vector>
 
 #include "figmill/base.h"
-#include "figmill/overload.h"
 #include "figmill/teams.h"
 
 namespace figmill {
 
 // --- Messages ----------------------------------------------------------------------
 
+// Most last tries in one request for credits, so that it fits into a datagram.
+inline constexpr std::size_t kMaxQuotaLastTries = 32;
+
+// A caller on its last try, for whom the owner may book a credit. A booking is a place in the
+// owner's line and no credit: the entry requests the credit when the booking is due.
+struct QuotaLastTry {
+  std::uint64_t booking = 0;  // that the owner made for this caller; 0: none yet
+  Duration max_wait{0};
+  bool operator==(const QuotaLastTry&) const = default;
+};
+
+// The owner's answer for one last try. It is served by one of the grant's credits if `wait` is 0,
+// refused if `booking` is 0, and due to ask again after `wait` if it isn't.
+struct QuotaBooking {
+  std::uint64_t booking = 0;
+  Duration wait{0};
+  bool operator==(const QuotaBooking&) const = default;
+};
+
 // From an entry to the owner of a team's quota.
 struct QuotaRequest {
   std::uint64_t number = 0;  // increases with each request of this process
   TeamId team;
-  std::uint32_t wanted = 0;    // credits requested
+  std::uint32_t wanted = 0;    // credits requested, including those for the last tries
   std::uint32_t returned = 0;  // unspent credits of earlier grants that have expired
+  std::vector<QuotaLastTry> last_tries = {};  // at most kMaxQuotaLastTries
   bool operator==(const QuotaRequest&) const = default;
 };
 
@@ -40,8 +60,11 @@
   TeamId team;
   bool owned = false;  // the sender owns the quota; if false, the other fields have no meaning
   std::uint32_t credits = 0;
-  Duration time_to_next{0};     // if fewer were granted than requested: time until the next credit
-  Duration credit_interval{0};  // interval between the credits after that
+  // If first tries got fewer credits than requested: time until the first credit that is free for
+  // them, and the interval between the credits after that.
+  Duration time_to_next{0};
+  Duration credit_interval{0};
+  std::vector<QuotaBooking> bookings = {};  // one for each last try of the request, in its order
   bool operator==(const QuotaGrant&) const = default;
 };
 
@@ -69,8 +92,7 @@
   // Removes whole credits, at most `max_credits`, and returns their number.
   [[nodiscard]] std::uint32_t TakeUpTo(std::uint32_t max_credits);
   void Return(std::uint32_t credits) { level_ += credits; }
-  // Time until there is a whole credit.
-  [[nodiscard]] Duration TimeToNextCredit(double per_second) const;
+  [[nodiscard]] double level() const { return level_; }
 
  private:
   double level_;
@@ -79,7 +101,19 @@
 
 // --- Owner -------------------------------------------------------------------------
 
-// Token buckets of the quotas that this process owns.
+class OwnedQuota;
+
+// Bookings of last tries since the process started.
+struct BookingCounts {
+  std::uint64_t made = 0;
+  std::uint64_t claimed = 0;
+  std::uint64_t expired = 0;  // not claimed in time: the caller or its entry is gone
+  std::uint64_t missed = 0;   // claimed, and there was no credit before the caller's deadline
+  bool operator==(const BookingCounts&) const = default;
+  BookingCounts& operator+=(const BookingCounts& other);
+};
+
+// Token buckets and bookings of the quotas that this process owns.
 class QuotaOwner {
  public:
   // Initial credits of a team whose quota this process has just started to own: the previous owner
@@ -87,7 +121,10 @@
   static constexpr double kInitialCredits = 2;
   static constexpr std::size_t kMaxTeams = 8192;
 
-  explicit QuotaOwner(Time started_at) : may_own_since_(started_at) {}
+  explicit QuotaOwner(Time started_at);
+  ~QuotaOwner();
+  QuotaOwner(QuotaOwner&& other) noexcept;
+  QuotaOwner& operator=(QuotaOwner&& other) noexcept;
 
   // Forgets all buckets. Call it when this process may have lost the ownership of quotas without
   // noticing, because it was stopped or cut off: another entry may have granted the same credits
@@ -96,11 +133,14 @@
   // The set of live entries has changed: forgets the quotas that this process no longer owns.
   void OnEntriesChanged(const std::function<bool(const TeamId&)>& owns, Time now);
   [[nodiscard]] QuotaGrant Grant(const QuotaRequest& request, const Team& team, Time now);
-  [[nodiscard]] std::size_t tracked() const { return buckets_.size(); }
+  [[nodiscard]] std::size_t tracked() const { return quotas_.size(); }
+  [[nodiscard]] const BookingCounts& counts() const { return counts_; }
 
  private:
   Time may_own_since_;  // start of the earliest possible ownership of a team that is not tracked
-  std::map<TeamId, CreditBucket> buckets_;
+  std::map<TeamId, std::unique_ptr<OwnedQuota>> quotas_;
+  std::uint64_t last_booking_ = 0;
+  BookingCounts counts_;
 };
 
 // --- Entry -------------------------------------------------------------------------
@@ -120,6 +160,7 @@
 struct Decision {
   std::uint64_t ticket = 0;
   Result<Admitted> result;
+  bool booked = false;  // it waited for a booking
 };
 
 }  // namespace quota
@@ -136,9 +177,15 @@
   // Rate that all entries together admit while the owner doesn't respond. The owner may still serve
   // other entries, so this comes on top of the whole quota. Unit: share of the limit.
   static constexpr double kFallbackShare = 0.4;
-  // After a refusal, further requests are refused from the last grant for this long, or until its
-  // next credit if that is sooner.
+  // After a refusal, further first tries are refused from the last grant for this long, or until
+  // its next credit if that is sooner.
   static constexpr Duration kRefusalLifetime{50'000};
+  // After a refusal, credits are only requested for callers that are expected within
+  // kRefusalLifetime: the others would keep credits from callers that wait.
+  static constexpr Duration kContentionTime{1'000'000};
+  // A refused caller retries after at most a third of its remaining time, whatever delay it is
+  // given; the rest allows for the network round trip.
+  static constexpr double kMaxRetryShare = 0.3;
   static constexpr std::size_t kMaxTeams = 8192;
   // Most requests of one team that wait for a grant at a time; no more arrive within
   // kOwnerTimeout.
@@ -156,12 +203,17 @@
   struct Request {
     std::uint64_t ticket = 0;  // identifies the request in a later decision
     Duration time_left{0};     // until the caller's deadline
+    bool last_try = false;     // the caller doesn't return after a refusal
+    Duration max_wait{0};      // for a credit, if it is a last try
   };
   // Charges a request to the team's quota.
   [[nodiscard]] quota::AdmitResult Admit(const Team& team, const Entries& entries,
                                          const Request& request, Time now);
   // Refunds a request that was refused after it was charged, and has not run.
   void Refund(const TeamId& team, Time charged_at, Time now);
+  // The caller of a request that waits has disconnected. A booking of it expires at the owner, and
+  // a credit that is on its way is used for others or returned.
+  void Cancel(const TeamId& team, std::uint64_t ticket);
   void OnGrant(const QuotaGrant& grant, Time now);
   // The team's quota has a new owner, which has not missed a deadline yet.
   void OnOwnerChanged(const TeamId& team);
@@ -182,9 +234,23 @@
     Request request;
     Time since{};
   };
+  struct LastTry {
+    Request request;
+    Time give_up_at{};
+    std::uint64_t booking = 0;
+    Time ask_at{};         // when to ask the owner next
+    Time asked_since{};    // first request to the owner that is not answered yet; 0: none
+    Time last_asked_at{};  // last such request
+    [[nodiscard]] bool IsDue(Time now) const;
+  };
+  struct AskedLastTry {
+    std::uint64_t ticket = 0;
+    std::uint64_t booking = 0;
+  };
   struct SentRequest {
     std::uint64_t number = 0;
     Time sent_at{};
+    std::vector<AskedLastTry> last_tries = {};
   };
   struct TeamState {
     TeamId name;
@@ -193,33 +259,54 @@
     Entries entries;
     std::uint32_t credits = 0;
     Time credits_until{};
-    std::uint32_t returned = 0;  // not reported to the owner yet
-    std::deque<Waiting> waiting;
+    std::uint32_t returned = 0;          // not reported to the owner yet
+    std::deque<Waiting> waiting;         // first tries
+    std::vector<LastTry> last_tries;     // that wait
     std::vector<SentRequest> in_flight;  // sent and not answered yet
     std::optional<Time> unresponsive_since;
     Time last_sent_at{};  // time of the last request to the owner
     // Set by a grant of fewer credits than requested.
     Time refused_until{};
-    Time next_credit{};
+    Time contended_until{};
+    Time next_credit{};  // for the next caller that is refused
     Duration credit_interval{0};
-    RetryScheduler retries;
     // Arrival rate, to request credits ahead of need.
     double arrival_rate = 0;
     Time last_arrival_at{};
     CreditBucket fallback_share{0, Time{}};  // used while the owner doesn't respond
     Time used_at{};
+
+    [[nodiscard]] bool HasCallers() const { return !waiting.empty() || !last_tries.empty(); }
+    [[nodiscard]] bool HasDueCallers(Time now) const;
   };
 
   [[nodiscard]] TeamState* Track(const Team& team, const Entries& entries, Time now);
   void DropExpired(TeamState& team, Time now) const;
   void CountArrival(TeamState& team, Time now) const;
   void SendRequest(TeamState& team, Time now);
+  void SendRequestIfDue(TeamState& team, Time now);
   // Whether a request to the owner may still be answered; those that are older than kRetryInterval
   // don't count.
   [[nodiscard]] static bool HasPendingRequest(TeamState& team, Time now);
   [[nodiscard]] Result<quota::Admitted> ChargeFallbackShare(TeamState& team, Time now) const;
   [[nodiscard]] static Error RateLimitError(TeamState& team, Duration time_left, Time now);
+  [[nodiscard]] static Error LastTryError(const TeamState& team, const LastTry& last_try,
+                                          Duration wait);
+  void Wait(TeamState& team, const Request& request, Time ask_at, Time now);
+  void AddCredits(TeamState& team, std::uint32_t credits, Time requested_at, Time now) const;
+  // Adds the last tries that are due to a request to the owner.
+  static void AskForLastTries(TeamState& team, QuotaRequest& request, SentRequest& sent, Time now);
+  // Decides the last tries of a request that the owner has answered.
+  void ApplyBookings(TeamState& team, std::span<const AskedLastTry> asked, const QuotaGrant& grant,
+                     Time now);
+  void ApplyBooking(TeamState& team, const AskedLastTry& asked, const QuotaBooking& answer,
+                    Time now);
+  // Serves the callers from this entry's own share. Last tries that get nothing go on waiting.
+  void OnOwnerSilent(TeamState& team, Time now);
+  void ServeFromFallbackShare(TeamState& team, Time now);
+  void GiveUpLastTries(TeamState& team, Time now);
   void DecideFirst(TeamState& team, Result<quota::Admitted> result);
+  void DecideLastTry(TeamState& team, std::size_t index, Result<quota::Admitted> result);
   void EvictIdle(Time now);
 
   QuotaBounds bounds_;
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "figmill/sharing.h"
 #include "gateway/error_response.h"
 #include "gateway/log_text.h"
 
@@ -49,18 +50,27 @@
 
 void RelayCall::Start() {
   reply_->OnClosed([self = shared_from_this()] {
+    if (self->request_.team) self->context_.teams.Cancel(*self->request_.team, self->quota_ticket_);
     self->Step(relay::CallerDisconnected{});
     self->Complete("caller_left", "");
   });
   if (!request_.team) return Step(relay::Start{});
-  context_.teams.Admit(*request_.team, state_machine_.plan().deadline - started_at_,
-                       [self = shared_from_this()](const Result<quota::Admitted>& decision) {
-                         self->OnQuotaDecision(decision);
-                       });
+  QuotaClient::Request charge;
+  charge.time_left = state_machine_.plan().deadline - started_at_;
+  charge.last_try = request_.last_try;
+  if (charge.last_try) {
+    quota_patience_ = std::max(charge.time_left - SlotAllocator::kDefaultRunTime, Duration{0});
+  }
+  charge.max_wait = quota_patience_;
+  quota_ticket_ = context_.teams.Admit(
+      *request_.team, charge, [self = shared_from_this()](const Result<quota::Admitted>& decision) {
+        self->OnQuotaDecision(decision);
+      });
 }
 
 void RelayCall::OnQuotaDecision(const Result<quota::Admitted>& decision) {
   const bool caller_disconnected = !on_finished_;
+  quota_wait_ = Loop::Now() - started_at_;
   if (!IsOk(decision)) {
     if (!caller_disconnected) Do(relay::SendError{ErrorOf(decision)});
     return;
@@ -318,6 +328,8 @@
        {"backend", sent_to_.id.value},
        {"backends", std::to_string(state_machine_.backends_used())},
        {"events", std::to_string(state_machine_.events_forwarded())},
+       {"quota_wait_ms", quota_wait_.count() == 0 ? "" : Milliseconds(quota_wait_)},
+       {"quota_patience_ms", quota_patience_.count() == 0 ? "" : Milliseconds(quota_patience_)},
        {"first_ms", first.count() == 0 ? "" : Milliseconds(first)},
        {"ms", Milliseconds(now - started_at_)},
        {"retry_after_ms", retry_after_.count() == 0 ? "" : Milliseconds(retry_after_)},
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -109,8 +109,11 @@
   Time sent_at_{};
   Time first_byte_at_{};
   int status_ = 0;
-  Duration retry_after_{0};                        // sent in an error response
-  std::optional<quota::Admitted> charged_;         // against its team's quota
+  Duration retry_after_{0};                 // sent in an error response
+  std::optional<quota::Admitted> charged_;  // against its team's quota
+  std::uint64_t quota_ticket_ = 0;
+  Duration quota_patience_{0};  // how long it may wait for a credit of its team's quota
+  Duration quota_wait_{0};
   BackendAddress sent_to_;                         // backend server of the last send
   std::optional<RequestFingerprint> fingerprint_;  // computed on first use
 };
--- a/src/gateway/team_access.cc
+++ b/src/gateway/team_access.cc
@@ -91,14 +91,18 @@
 
 // --- Quotas at an entry -----------------------------------------------------------------
 
-void TeamAccess::Admit(const TeamId& name, Duration time_left,
-                       std::function<void(const Result<quota::Admitted>&)> done) {
+std::uint64_t TeamAccess::Admit(const TeamId& name, QuotaClient::Request request,
+                                std::function<void(const Result<quota::Admitted>&)> done) {
+  request.ticket = ++last_ticket_;
+  const std::uint64_t ticket = request.ticket;
   const Team* team = TeamOf(name);
-  if (team == nullptr || !team->limited()) return done(quota::Admitted{Now()});
+  if (team == nullptr || !team->limited()) {
+    done(quota::Admitted{Now()});
+    return ticket;
+  }
   const Owner& owner = OwnerOf(name);
-  const std::uint64_t ticket = ++last_ticket_;
-  const quota::AdmitResult verdict = quota_client_.Admit(
-      *team, {entry_count_, owner.may_admit_locally}, {ticket, time_left}, Now());
+  const quota::AdmitResult verdict =
+      quota_client_.Admit(*team, {entry_count_, owner.may_admit_locally}, request, Now());
   std::visit(
       Overloaded{
           [&](const quota::Admitted& admitted) {
@@ -113,6 +117,11 @@
       },
       verdict);
   Flush();
+  return ticket;
+}
+
+void TeamAccess::Cancel(const TeamId& team, std::uint64_t ticket) {
+  if (pending_admissions_.erase(ticket) > 0) quota_client_.Cancel(team, ticket);
 }
 
 void TeamAccess::Refund(const TeamId& team, const quota::Admitted& admitted) {
@@ -135,7 +144,8 @@
     for (const quota::Decision& decision : decisions) {
       auto waiting = pending_admissions_.extract(decision.ticket);
       if (waiting.empty()) continue;
-      CountDecision(IsOk(decision.result) ? "admitted"
+      const std::string_view admitted = decision.booked ? "waited" : "admitted";
+      CountDecision(IsOk(decision.result) ? admitted
                                           : ErrorInfoOf(ErrorOf(decision.result).kind).name);
       waiting.mapped()(decision.result);
     }
@@ -168,7 +178,9 @@
 }
 
 QuotaGrant TeamAccess::MakeGrant(const QuotaRequest& ask) {
-  QuotaGrant grant{ask.number, ask.team, false, 0, Duration{0}, Duration{0}};
+  QuotaGrant grant;
+  grant.number = ask.number;
+  grant.team = ask.team;
   // Checked before any state is stored for the team's name, because any host can send to the peer
   // port.
   const Team* team = TeamOf(ask.team);
@@ -200,7 +212,23 @@
   return {ranked.front(), self != ranked.end() && rank < quota_client_.bounds().FallbackEntries()};
 }
 
+void TeamAccess::CountBookings() {
+  const BookingCounts before = std::exchange(counted_bookings_, quota_owner_.counts());
+  const auto count = [this](std::string_view outcome, std::uint64_t bookings) {
+    if (bookings == 0) return;
+    metrics_
+        .counter("figmill_quota_bookings_total", "Bookings of credits at the owners of quotas",
+                 "outcome=\"" + std::string(outcome) + "\"")
+        .Add(bookings);
+  };
+  count("made", counted_bookings_.made - before.made);
+  count("claimed", counted_bookings_.claimed - before.claimed);
+  count("expired", counted_bookings_.expired - before.expired);
+  count("missed", counted_bookings_.missed - before.missed);
+}
+
 void TeamAccess::CheckEntries() {
+  CountBookings();
   const Time last_checked = std::exchange(checked_at_, Now());
   if (checked_at_ - last_checked > kStallThreshold || !MayOwn()) quota_owner_.Reset(Now());
   UpdateEntryCount();
--- a/src/gateway/team_access.h
+++ b/src/gateway/team_access.h
@@ -47,9 +47,11 @@
                                                        const Route* route);
 
   // Charges a request to the quota of the team. `done` may be called from within this call. Errors:
-  // kTeamLimit, kNoBackend.
-  void Admit(const TeamId& team, Duration time_left,
-             std::function<void(const Result<quota::Admitted>&)> done);
+  // kTeamLimit, kNoBackend. Returns the request's ticket; the one that is passed has no meaning.
+  std::uint64_t Admit(const TeamId& team, QuotaClient::Request request,
+                      std::function<void(const Result<quota::Admitted>&)> done);
+  // The caller has disconnected; `done` is not called any more.
+  void Cancel(const TeamId& team, std::uint64_t ticket);
   // Refunds a request that was refused and has not run.
   void Refund(const TeamId& team, const quota::Admitted& admitted);
 
@@ -77,6 +79,7 @@
   void RequestCredits(const QuotaRequest& ask);
   void ArmTimer();
   void CountDecision(std::string_view outcome);
+  void CountBookings();
 
   Loop& loop_;
   PeerTable& peers_;
@@ -86,6 +89,7 @@
   KeyLease key_lease_;
   QuotaClient quota_client_;
   QuotaOwner quota_owner_;
+  BookingCounts counted_bookings_;
   std::map<TeamId, Owner> owners_;
   std::size_t entry_count_ = 1;  // the most live entries within kEntryCountWindow
   Time entry_count_at_{};
--- a/src/peer_messages/peer_codec.cc
+++ b/src/peer_messages/peer_codec.cc
@@ -1,9 +1,10 @@
 #include <algorithm>
-#include <msgpack.hpp>
 #include <stdexcept>
 
 #include "encoding/bounded_unpack.h"
 #include "figmill/peer_messages.h"
+#include "peer_messages/codec_fields.h"
+#include "peer_messages/quota_codec.h"
 
 namespace figmill {
 namespace {
@@ -14,17 +15,9 @@
 
 // Array nesting in a message: the message, its report, the report's lines, one line.
 constexpr std::size_t kMaxDepth = 4;
-// Most slots, items or cores of one host or backend server; larger counts are invalid.
-constexpr int kMaxCount = 1'000'000;
-constexpr Duration kMaxDuration = std::chrono::hours(24);
-// Limit of the table service for a key. Unit: bytes.
-constexpr std::size_t kMaxNameBytes = 200;
 // Incarnations are times of day in milliseconds, or one more than another incarnation.
 constexpr Incarnation kMaxIncarnation = Incarnation{1} << 53;
 
-using Packer = msgpack::packer<msgpack::sbuffer>;
-using Object = msgpack::object;
-
 void Pack(Packer& packer, const Peer& peer) {
   // The last element is left out once the peer has joined, to save its byte.
   packer.pack_array(peer.joining ? 7 : 6);
@@ -110,24 +103,6 @@
   packer.pack(answer.retry_after.count());
 }
 
-void Pack(Packer& packer, const QuotaRequest& request) {
-  packer.pack_array(4);
-  packer.pack(request.number);
-  packer.pack(request.team.value);
-  packer.pack(request.wanted);
-  packer.pack(request.returned);
-}
-
-void Pack(Packer& packer, const QuotaGrant& grant) {
-  packer.pack_array(6);
-  packer.pack(grant.number);
-  packer.pack(grant.team.value);
-  packer.pack(grant.owned);
-  packer.pack(grant.credits);
-  packer.pack(grant.time_to_next.count());
-  packer.pack(grant.credit_interval.count());
-}
-
 template <typename T>
 void PackOptional(Packer& packer, const std::optional<T>& value) {
   if (value) {
@@ -157,52 +132,6 @@
   return {buffer.data(), buffer.size()};
 }
 
-// Returns an element of an array; throws if there is none.
-const Object& Element(const Object& array, std::uint32_t index) {
-  if (array.type != msgpack::type::ARRAY || index >= array.via.array.size) {
-    throw std::invalid_argument("element " + std::to_string(index) + " is missing");
-  }
-  return array.via.array.ptr[index];
-}
-
-template <typename T>
-T Get(const Object& array, std::uint32_t index) {
-  return Element(array, index).as<T>();
-}
-
-std::uint32_t SizeOf(const Object& array) {
-  if (array.type != msgpack::type::ARRAY) throw std::invalid_argument("a list is expected");
-  return array.via.array.size;
-}
-
-// A negative count would release slots that are in use, and sums of large counts overflow.
-int GetCount(const Object& array, std::uint32_t index) {
-  const auto count = Get<int>(array, index);
-  if (count < 0 || count > kMaxCount) throw std::invalid_argument("a count is out of range");
-  return count;
-}
-
-// Durations are added to the time of arrival, which would overflow for the largest ones.
-Duration GetDuration(const Object& array, std::uint32_t index) {
-  const Duration duration(Get<std::int64_t>(array, index));
-  if (duration < -kMaxDuration || duration > kMaxDuration) {
-    throw std::invalid_argument("a duration is out of range");
-  }
-  return duration;
-}
-
-// Time that is left until a deadline of the caller, which may be any time; limited to one day.
-Duration GetTimeLeft(const Object& array, std::uint32_t index) {
-  const Duration time_left(Get<std::int64_t>(array, index));
-  return std::clamp(time_left, -kMaxDuration, kMaxDuration);
-}
-
-std::string GetName(const Object& array, std::uint32_t index) {
-  auto name = Get<std::string>(array, index);
-  if (name.size() > kMaxNameBytes) throw std::invalid_argument("a name is too long");
-  return name;
-}
-
 NodeId GetNode(const Object& array, std::uint32_t index) {
   Result<std::string> node = ParseId(Get<std::string>(array, index), "a node's name");
   if (!IsOk(node)) throw std::invalid_argument(ErrorOf(node).detail);
@@ -327,26 +256,6 @@
   return answer;
 }
 
-QuotaRequest ReadQuotaRequest(const Object& object) {
-  QuotaRequest request;
-  request.number = Get<std::uint64_t>(object, 0);
-  request.team.value = GetName(object, 1);
-  request.wanted = static_cast<std::uint32_t>(GetCount(object, 2));
-  request.returned = static_cast<std::uint32_t>(GetCount(object, 3));
-  return request;
-}
-
-QuotaGrant ReadQuotaGrant(const Object& object) {
-  QuotaGrant grant;
-  grant.number = Get<std::uint64_t>(object, 0);
-  grant.team.value = GetName(object, 1);
-  grant.owned = Get<bool>(object, 2);
-  grant.credits = static_cast<std::uint32_t>(GetCount(object, 3));
-  grant.time_to_next = GetDuration(object, 4);
-  grant.credit_interval = GetDuration(object, 5);
-  return grant;
-}
-
 PeerMessage ReadMessage(const Object& object) {
   PeerMessage message;
   message.from = ReadPeer(Element(object, 0));
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -58,29 +58,61 @@
     --team->credits;
     return quota::Admitted{now};
   }
-  if (now < team->refused_until) return RateLimitError(*team, request.time_left, now);
+  if (!request.last_try && now < team->refused_until) {
+    return RateLimitError(*team, request.time_left, now);
+  }
   if (team->unresponsive_since) {
     if (now - team->last_sent_at >= kOwnerProbeInterval) SendRequest(*team, now);
     Result<quota::Admitted> result = ChargeFallbackShare(*team, now);
     if (IsOk(result)) return ValueOf(result);
-    return ErrorOf(result);
+    if (!request.last_try || request.max_wait < kOwnerProbeInterval) return ErrorOf(result);
   }
-  if (team->waiting.size() >= kMaxWaiting) return RateLimitError(*team, request.time_left, now);
-  team->waiting.push_back({request, now});
-  ++waiting_;
-  if (!HasPendingRequest(*team, now)) SendRequest(*team, now);
+  if (team->waiting.size() + team->last_tries.size() >= kMaxWaiting) {
+    return RateLimitError(*team, request.time_left, now);
+  }
+  Wait(*team, request, team->unresponsive_since ? now + kOwnerProbeInterval : now, now);
+  SendRequestIfDue(*team, now);
   return quota::Pending{};
 }
 
+void QuotaClient::Wait(TeamState& team, const Request& request, Time ask_at, Time now) {
+  ++waiting_;
+  if (!request.last_try) return team.waiting.push_back({request, now});
+  LastTry last_try;
+  last_try.request = request;
+  last_try.give_up_at = now + std::max(request.max_wait, kOwnerTimeout);
+  last_try.ask_at = ask_at;
+  team.last_tries.push_back(last_try);
+}
+
+bool QuotaClient::LastTry::IsDue(Time now) const {
+  return ask_at <= now && (asked_since == Time{} || now - last_asked_at >= kRetryInterval);
+}
+
+bool QuotaClient::TeamState::HasDueCallers(Time now) const {
+  return !waiting.empty() ||
+         std::any_of(last_tries.begin(), last_tries.end(),
+                     [now](const LastTry& last_try) { return last_try.IsDue(now); });
+}
+
+void QuotaClient::SendRequestIfDue(TeamState& team, Time now) {
+  if (team.HasDueCallers(now) && !HasPendingRequest(team, now)) SendRequest(team, now);
+}
+
 void QuotaClient::SendRequest(TeamState& team, Time now) {
   DropExpired(team, now);
   // Whole credits for the requests that are expected while the credits are valid.
-  const double lifetime = static_cast<double>(bounds_.CreditLifetime().count()) / kMicrosPerSecond;
-  const auto ahead = static_cast<std::uint32_t>(team.arrival_rate * lifetime);
-  const auto wanted = static_cast<std::uint32_t>(team.waiting.size()) + ahead;
-  const std::uint64_t number = ++last_number_;
-  requests_.push_back({number, team.name, std::max(1U, wanted), std::exchange(team.returned, 0)});
-  team.in_flight.push_back({number, now});
+  const Duration span = now < team.contended_until ? kRefusalLifetime : bounds_.CreditLifetime();
+  const double seconds = static_cast<double>(span.count()) / kMicrosPerSecond;
+  const auto ahead = static_cast<std::uint32_t>(team.arrival_rate * seconds);
+  QuotaRequest request{++last_number_, team.name, 0, std::exchange(team.returned, 0)};
+  SentRequest sent{request.number, now};
+  AskForLastTries(team, request, sent, now);
+  const auto wanted =
+      static_cast<std::uint32_t>(team.waiting.size() + request.last_tries.size()) + ahead;
+  request.wanted = std::max(1U, wanted);
+  requests_.push_back(std::move(request));
+  team.in_flight.push_back(std::move(sent));
   team.last_sent_at = now;
 }
 
@@ -110,22 +142,12 @@
       std::find_if(team.in_flight.begin(), team.in_flight.end(),
                    [&grant](const SentRequest& each) { return each.number == grant.number; });
   if (request == team.in_flight.end()) return;
-  const Time sent_at = request->sent_at;
+  const SentRequest sent = std::move(*request);
   team.in_flight.erase(request);
-  if (!grant.owned) {
-    if (!team.unresponsive_since) team.unresponsive_since = now;
-    while (!team.waiting.empty()) DecideFirst(team, ChargeFallbackShare(team, now));
-    return;
-  }
+  if (!grant.owned) return OnOwnerSilent(team, now);
   team.unresponsive_since.reset();
-  DropExpired(team, now);
-  const Time until = sent_at + bounds_.CreditLifetime();
-  if (now < until) {
-    team.credits_until = team.credits > 0 ? std::min(team.credits_until, until) : until;
-    team.credits += grant.credits;
-  } else {
-    team.returned += grant.credits;
-  }
+  AddCredits(team, grant.credits, sent.sent_at, now);
+  ApplyBookings(team, sent.last_tries, grant, now);
   while (team.credits > 0 && !team.waiting.empty()) {
     --team.credits;
     DecideFirst(team, quota::Admitted{now});
@@ -134,31 +156,57 @@
     team.credit_interval = grant.credit_interval;
     team.next_credit = now + grant.time_to_next;
     team.refused_until = now + std::min(kRefusalLifetime, grant.time_to_next);
+    team.contended_until = now + kContentionTime;
     while (!team.waiting.empty()) {
       DecideFirst(team, RateLimitError(team, team.waiting.front().request.time_left, now));
     }
   }
-  if (!team.waiting.empty() && !HasPendingRequest(team, now)) SendRequest(team, now);
+  SendRequestIfDue(team, now);
+}
+
+void QuotaClient::AddCredits(TeamState& team, std::uint32_t credits, Time requested_at,
+                             Time now) const {
+  DropExpired(team, now);
+  const Time until = requested_at + bounds_.CreditLifetime();
+  if (now < until) {
+    team.credits_until = team.credits > 0 ? std::min(team.credits_until, until) : until;
+    team.credits += credits;
+  } else {
+    team.returned += credits;
+  }
 }
 
 void QuotaClient::OnOwnerChanged(const TeamId& name) {
   const auto found = teams_.find(name);
   if (found == teams_.end()) return;
-  found->second.unresponsive_since.reset();
-  found->second.in_flight.clear();
-  found->second.last_sent_at = {};
+  TeamState& team = found->second;
+  team.unresponsive_since.reset();
+  team.in_flight.clear();
+  team.last_sent_at = {};
+  // The new owner knows no bookings.
+  for (LastTry& last_try : team.last_tries) {
+    last_try.booking = 0;
+    last_try.ask_at = last_try.asked_since = {};
+  }
 }
 
 void QuotaClient::ApplyTimeouts(Time now) {
   for (auto& [name, team] : teams_) {
-    if (team.waiting.empty()) continue;
-    if (now - team.waiting.front().since >= kOwnerTimeout) {
-      if (!team.unresponsive_since) team.unresponsive_since = now;
+    if (!team.HasCallers()) continue;
+    GiveUpLastTries(team, now);
+    const bool first_try_timed_out =
+        !team.waiting.empty() && now - team.waiting.front().since >= kOwnerTimeout;
+    const bool last_try_timed_out =
+        std::any_of(team.last_tries.begin(), team.last_tries.end(), [now](const LastTry& last_try) {
+          return last_try.asked_since != Time{} && now - last_try.asked_since >= kOwnerTimeout;
+        });
+    if (first_try_timed_out || last_try_timed_out) {
       team.in_flight.clear();
-      while (!team.waiting.empty()) DecideFirst(team, ChargeFallbackShare(team, now));
+      OnOwnerSilent(team, now);
       continue;
     }
-    if (!HasPendingRequest(team, now)) SendRequest(team, now);
+    if (team.unresponsive_since) ServeFromFallbackShare(team, now);
+    SendRequestIfDue(team, now);
   }
 }
 
@@ -175,14 +223,12 @@
                kOwnerProbeInterval};
 }
 
-// A credit that becomes available goes to any of the entries; this one gets one in as many as there
-// are entries.
 Error QuotaClient::RateLimitError(TeamState& team, Duration time_left, Time now) {
-  const auto entries = static_cast<Duration::rep>(std::max<std::size_t>(1, team.entries.count));
-  const RetryScheduler::RefusedRequest refused{
-      time_left, std::max(team.next_credit - now, Duration{0}), team.credit_interval * entries};
+  const auto max_delay = std::chrono::duration_cast<Duration>(time_left * kMaxRetryShare);
+  const Time at = std::max(team.next_credit, now);
+  team.next_credit = at + team.credit_interval;
   return Error{ErrorKind::kTeamLimit, "team '" + team.name.value + "' has used up its rate",
-               Ran::kNo, team.retries.ScheduleRetry(refused, now)};
+               Ran::kNo, std::min(at - now, max_delay)};
 }
 
 void QuotaClient::DecideFirst(TeamState& team, Result<quota::Admitted> result) {
@@ -193,7 +239,7 @@
 
 void QuotaClient::EvictIdle(Time now) {
   std::erase_if(teams_, [now](const auto& entry) {
-    return entry.second.waiting.empty() && now > entry.second.used_at + kEvictAfter;
+    return !entry.second.HasCallers() && now > entry.second.used_at + kEvictAfter;
   });
 }
 
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -2,13 +2,12 @@
 #include <cmath>
 
 #include "figmill/quota.h"
+#include "quota/owned_quota.h"
 
 namespace figmill {
 namespace {
 
 constexpr double kMicrosPerSecond = 1e6;
-// A team with a limit may make at least one request.
-constexpr double kMinCapacity = 1;
 
 Duration SecondsOf(double seconds) {
   constexpr double kMaxSeconds = 60;
@@ -36,17 +35,26 @@
   return taken;
 }
 
-Duration CreditBucket::TimeToNextCredit(double per_second) const {
-  return SecondsOf((1 - level_) / per_second);
+BookingCounts& BookingCounts::operator+=(const BookingCounts& other) {
+  made += other.made;
+  claimed += other.claimed;
+  expired += other.expired;
+  missed += other.missed;
+  return *this;
 }
 
+QuotaOwner::QuotaOwner(Time started_at) : may_own_since_(started_at) {}
+QuotaOwner::~QuotaOwner() = default;
+QuotaOwner::QuotaOwner(QuotaOwner&& other) noexcept = default;
+QuotaOwner& QuotaOwner::operator=(QuotaOwner&& other) noexcept = default;
+
 void QuotaOwner::Reset(Time now) {
-  buckets_.clear();
+  quotas_.clear();
   may_own_since_ = now;
 }
 
 void QuotaOwner::OnEntriesChanged(const std::function<bool(const TeamId&)>& owns, Time now) {
-  std::erase_if(buckets_, [&owns](const auto& entry) { return !owns(entry.first); });
+  std::erase_if(quotas_, [&owns](const auto& entry) { return !owns(entry.first); });
   may_own_since_ = now;
 }
 
@@ -54,20 +62,30 @@
   QuotaGrant grant;
   grant.number = request.number;
   grant.team = request.team;
-  auto found = buckets_.find(request.team);
-  if (found == buckets_.end()) {
-    if (buckets_.size() >= kMaxTeams) return grant;
-    found = buckets_.emplace(request.team, CreditBucket(kInitialCredits, may_own_since_)).first;
+  auto found = quotas_.find(request.team);
+  if (found == quotas_.end()) {
+    if (quotas_.size() >= kMaxTeams) return grant;
+    found =
+        quotas_.emplace(request.team, std::make_unique<OwnedQuota>(kInitialCredits, may_own_since_))
+            .first;
   }
   grant.owned = true;
-  CreditBucket& bucket = found->second;
-  bucket.Return(request.returned);
-  bucket.Refill(team.requests_per_second, std::max(team.burst, kMinCapacity), now);
-  grant.credits = bucket.TakeUpTo(request.wanted);
-  if (grant.credits < request.wanted) {
-    grant.time_to_next = bucket.TimeToNextCredit(team.requests_per_second);
+  OwnedQuota& quota = *found->second;
+  quota.Update(team, request.returned, now);
+  for (const QuotaLastTry& last_try : request.last_tries) {
+    const QuotaBooking& booking =
+        grant.bookings.emplace_back(quota.Serve(last_try, ++last_booking_, now));
+    if (booking.wait == Duration{0}) ++grant.credits;
+  }
+  const auto last_tries = static_cast<std::uint32_t>(request.last_tries.size());
+  const std::uint32_t first_tries = request.wanted - std::min(request.wanted, last_tries);
+  const std::uint32_t served = quota.TakeFree(first_tries, now);
+  grant.credits += served;
+  if (served < first_tries) {
+    grant.time_to_next = quota.BookReturns(first_tries - served, now);
     grant.credit_interval = SecondsOf(1 / team.requests_per_second);
   }
+  counts_ += quota.TakeCounts();
   return grant;
 }
 
--- a/test/quota-policies.h
+++ b/test/quota-policies.h
@@ -120,19 +120,33 @@
     });
   }
   void Admit(int entry, const AdmitCallback& decided) {
+    AdmitCaller(entry, {0, Duration{5'000'000}},
+                [decided](const quota::Decision& decision) { decided(IsOk(decision.result)); });
+  }
+  using DecisionCallback = std::function<void(const quota::Decision&)>;
+  // Returns a ticket, by which the caller can leave while it waits.
+  std::uint64_t AdmitCaller(int entry, QuotaClient::Request request,
+                            const DecisionCallback& decided) {
     Entry& state = At(entry);
-    const std::uint64_t ticket = ++tickets_;
+    request.ticket = ++tickets_;
     const bool may_admit_alone =
         simulation_.Rank(entry) < static_cast<int>(QuotaBounds{}.FallbackEntries());
     const quota::AdmitResult result = state.client.Admit(
         simulation_.team(), {static_cast<std::size_t>(simulation_.entries()), may_admit_alone},
-        {ticket, Duration{5'000'000}}, simulation_.now());
-    if (std::holds_alternative<quota::Pending>(result)) {
-      state.waiting.emplace(ticket, decided);
+        request, simulation_.now());
+    if (const auto* admitted = std::get_if<quota::Admitted>(&result)) {
+      decided({request.ticket, *admitted});
+    } else if (const auto* error = std::get_if<Error>(&result)) {
+      decided({request.ticket, *error});
     } else {
-      decided(std::holds_alternative<quota::Admitted>(result));
+      state.waiting.emplace(request.ticket, decided);
     }
     Flush(entry);
+    return request.ticket;
+  }
+  void Leave(int entry, std::uint64_t ticket) {
+    At(entry).client.Cancel(simulation_.team().name, ticket);
+    At(entry).waiting.erase(ticket);
   }
   void RestartAll() {
     entries_.clear();
@@ -151,7 +165,7 @@
     QuotaOwner owner;
     int owner_seen = -1;
     Time checked_at{};
-    std::map<std::uint64_t, AdmitCallback> waiting;
+    std::map<std::uint64_t, DecisionCallback> waiting;
   };
   Entry& At(int entry) { return *entries_[static_cast<std::size_t>(entry)]; }
   void CheckOwner(int entry) {
@@ -183,7 +197,7 @@
     }
     for (const quota::Decision& decision : state.client.TakeDecisions()) {
       auto waiting = state.waiting.extract(decision.ticket);
-      if (!waiting.empty()) waiting.mapped()(IsOk(decision.result));
+      if (!waiting.empty()) waiting.mapped()(decision);
     }
   }
 
--- a/test/quota-sim.h
+++ b/test/quota-sim.h
@@ -200,6 +200,21 @@
   int messages_ = 0;
 };
 
+// Most requests in any window, divided by those allowed in one.
+inline double WorstWindow(const QuotaLoad& load, std::vector<Time> admitted) {
+  const QuotaBounds bounds;
+  const double window = std::chrono::duration<double>(bounds.window).count();
+  const double max_requests =
+      (load.rate * window + load.burst) * (1 + bounds.excess) + bounds.slack;
+  std::sort(admitted.begin(), admitted.end());
+  double worst = 0;
+  for (std::size_t from = 0, to = 0; to < admitted.size(); ++to) {
+    while (admitted[from] < admitted[to] - bounds.window) ++from;
+    worst = std::max(worst, static_cast<double>(to - from + 1) / max_requests);
+  }
+  return worst;
+}
+
 template <typename Policy>
 QuotaResult SimulateQuota(const QuotaLoad& load) {
   QuotaSimulation simulation(load);
@@ -244,16 +259,7 @@
   simulation.RunUntil(first + load.span + std::chrono::seconds(1));
 
   QuotaResult result;
-  const QuotaBounds bounds;
-  const double window = std::chrono::duration<double>(bounds.window).count();
-  const double max_requests =
-      (load.rate * window + load.burst) * (1 + bounds.excess) + bounds.slack;
-  std::sort(admitted.begin(), admitted.end());
-  for (std::size_t from = 0, to = 0; to < admitted.size(); ++to) {
-    while (admitted[from] < admitted[to] - bounds.window) ++from;
-    result.worst_window =
-        std::max(result.worst_window, static_cast<double>(to - from + 1) / max_requests);
-  }
+  result.worst_window = WorstWindow(load, admitted);
   result.admitted = static_cast<double>(admitted.size()) / std::max(allowed, 1.0);
   std::sort(waits_ms.begin(), waits_ms.end());
   if (!waits_ms.empty()) {
--- a/test/quota-test.cc
+++ b/test/quota-test.cc
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -51,7 +52,7 @@
   QuotaOwner owner(kStart);
   const Team team = Limited(10, 20);
   const Time later = kStart + std::chrono::seconds(60);
-  CHECK(owner.Grant(CreditRequest(30), team, later).credits == 20);
+  CHECK(owner.Grant(CreditRequest(20), team, later).credits == 20);
   const QuotaGrant none = owner.Grant(CreditRequest(1), team, later);
   CHECK(none.credits == 0);
   CHECK(none.time_to_next == 100 * kMs);
@@ -81,6 +82,14 @@
   CHECK(owner.Grant(CreditRequest(50, 40), team, later).credits == 10);
 }
 
+TEST_CASE("an owner grants no more than the burst at once") {
+  QuotaOwner owner(kStart);
+  const QuotaGrant grant =
+      owner.Grant(CreditRequest(30), Limited(10, 20), kStart + std::chrono::seconds(60));
+  CHECK(grant.credits == 20);
+  CHECK(grant.time_to_next == 100 * kMs);
+}
+
 TEST_CASE("a lowered limit applies to all later grants") {
   QuotaOwner owner(kStart);
   const Time later = kStart + std::chrono::seconds(60);
@@ -246,3 +255,32 @@
   message.quota_grant.reset();
   CHECK_FALSE(std::get<PeerMessage>(DecodePeerMessage(Encode(message))).quota_grant);
 }
+
+// Guards against datagrams that grow, or that entries of an earlier version can't read.
+TEST_CASE("only messages of last tries have their elements, and more than allowed are rejected") {
+  PeerMessage message;
+  message.from = {NodeId{"a"}, 1, Address{"10.0.0.1", 1}, DataCentre{"dc"}, 1, false};
+  message.quota_request = QuotaRequest{7, TeamId{"rye"}, 3, 2, {}};
+  message.quota_grant = QuotaGrant{8, TeamId{"rye"}, true, 5, 20 * kMs, 10 * kMs, {}};
+  const std::string plain = Encode(message);
+  message.quota_request->last_tries = {{0, 900 * kMs}, {12, 300 * kMs}};
+  message.quota_grant->bookings = {{13, 40 * kMs}, {}};
+  const std::string full = Encode(message);
+  const Result<PeerMessage> back = DecodePeerMessage(full);
+  REQUIRE(IsOk(back));
+  CHECK(std::get<PeerMessage>(back).quota_request == message.quota_request);
+  CHECK(std::get<PeerMessage>(back).quota_grant == message.quota_grant);
+  CHECK(plain.size() + 2 < full.size());
+  // [number, "rye", wanted, returned] and nothing more.
+  CHECK(plain.find(std::string("\x94\x07\xa3rye\x03\x02", 8)) != std::string::npos);
+  CHECK(plain.find(std::string("\x96\x08\xa3rye\xc3\x05", 8)) != std::string::npos);
+
+  message.quota_request->last_tries.assign(kMaxQuotaLastTries, {1ULL << 40, kMs});
+  CHECK(IsOk(DecodePeerMessage(Encode(message))));
+  CHECK(Encode(message).size() <= kMaxPeerMessageBytes);
+  message.quota_request->last_tries.push_back({});
+  CHECK_FALSE(IsOk(DecodePeerMessage(Encode(message))));
+  message.quota_request->last_tries.clear();
+  message.quota_grant->bookings = {{1, std::chrono::hours(25)}};
+  CHECK_FALSE(IsOk(DecodePeerMessage(Encode(message))));
+}
