quota: start a new owner with what the window's bound leaves

Cause: a new owner started with two credits, so that right after the loss of all gateways teams far below their limits were refused.

--- a/include/figmill/quota.h
+++ b/include/figmill/quota.h
@@ -82,6 +82,12 @@
   // Number of entries that may admit a team's requests on their own while its owner doesn't
   // respond.
   [[nodiscard]] std::size_t FallbackEntries() const { return slack / 2; }
+  // An owner that is lost is replaced no sooner than this, also if all processes are restarted.
+  static constexpr Duration kMinOwnership{1'000'000};
+  // What an entry may grant at once when it starts to own the team's quota, although its
+  // predecessors may have granted all that their buckets held: what the bound leaves, divided by
+  // the number of owners that may start within a window.
+  [[nodiscard]] double InitialCredits(const Team& team) const;
 };
 
 // A token bucket.
@@ -116,12 +122,9 @@
 // Token buckets and bookings of the quotas that this process owns.
 class QuotaOwner {
  public:
-  // Initial credits of a team whose quota this process has just started to own: the previous owner
-  // may have granted the whole burst.
-  static constexpr double kInitialCredits = 2;
   static constexpr std::size_t kMaxTeams = 8192;
 
-  explicit QuotaOwner(Time started_at);
+  explicit QuotaOwner(Time started_at, QuotaBounds bounds = {});
   ~QuotaOwner();
   QuotaOwner(QuotaOwner&& other) noexcept;
   QuotaOwner& operator=(QuotaOwner&& other) noexcept;
@@ -137,6 +140,7 @@
   [[nodiscard]] const BookingCounts& counts() const { return counts_; }
 
  private:
+  QuotaBounds bounds_;
   Time may_own_since_;  // start of the earliest possible ownership of a team that is not tracked
   std::map<TeamId, std::unique_ptr<OwnedQuota>> quotas_;
   std::uint64_t last_booking_ = 0;
--- a/src/gateway/team_access.cc
+++ b/src/gateway/team_access.cc
@@ -24,7 +24,7 @@
       metrics_(metrics),
       key_lease_(settings.key_lease()),
       quota_client_(settings.quota),
-      quota_owner_(Now()),
+      quota_owner_(Now(), settings.quota),
       checked_at_(Now()) {
   entry_check_timer_ = loop_.Every(kEntryCheckInterval, [this] { CheckEntries(); });
 }
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -22,6 +22,17 @@
   return std::chrono::duration_cast<Duration>(window * excess * kShare);
 }
 
+double QuotaBounds::InitialCredits(const Team& team) const {
+  const double lifetime = std::chrono::duration<double>(CreditLifetime()).count();
+  const double span = std::chrono::duration<double>(window).count();
+  const double allowed =
+      (team.requests_per_second * span + team.burst) * (1 + excess) + static_cast<double>(slack);
+  // One bucket without a change of its owner, on credits that were granted before the window.
+  const double granted = team.requests_per_second * (span + lifetime) + team.burst;
+  const auto owners = 1 + (window + CreditLifetime()) / kMinOwnership;
+  return std::max(allowed - granted, 0.0) / static_cast<double>(owners);
+}
+
 void CreditBucket::Refill(double per_second, double capacity, Time now) {
   const double seconds = static_cast<double>((now - at_).count()) / kMicrosPerSecond;
   level_ = std::min(level_ + per_second * std::max(seconds, 0.0), capacity);
@@ -43,7 +54,8 @@
   return *this;
 }
 
-QuotaOwner::QuotaOwner(Time started_at) : may_own_since_(started_at) {}
+QuotaOwner::QuotaOwner(Time started_at, QuotaBounds bounds)
+    : bounds_(bounds), may_own_since_(started_at) {}
 QuotaOwner::~QuotaOwner() = default;
 QuotaOwner::QuotaOwner(QuotaOwner&& other) noexcept = default;
 QuotaOwner& QuotaOwner::operator=(QuotaOwner&& other) noexcept = default;
@@ -65,9 +77,10 @@
   auto found = quotas_.find(request.team);
   if (found == quotas_.end()) {
     if (quotas_.size() >= kMaxTeams) return grant;
-    found =
-        quotas_.emplace(request.team, std::make_unique<OwnedQuota>(kInitialCredits, may_own_since_))
-            .first;
+    found = quotas_
+                .emplace(request.team,
+                         std::make_unique<OwnedQuota>(bounds_.InitialCredits(team), may_own_since_))
+                .first;
   }
   grant.owned = true;
   OwnedQuota& quota = *found->second;
