--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -14,11 +14,13 @@
 #include <map>
 #include <optional>
 #include <span>
+#include <string>
 #include <utility>
 #include <variant>
 #include <vector>
 
 #include "figmill/base.h"
+#include "figmill/fairness.h"
 #include "figmill/fleet.h"
 #include "figmill/overload.h"
 #include "figmill/peer_messages.h"
@@ -28,8 +30,10 @@
 
 // --- Allocator ---------------------------------------------------------------------
 
-// Online requests that wait for a slot. Requests that can still meet their goal come first, ordered
-// by goal deadline; the others follow, ordered by caller deadline.
+// Online requests that wait for a slot. The teams that wait for a service take turns by their
+// shares. Within a team, requests that can still meet their goal come first, ordered by goal
+// deadline; the others follow, ordered by caller deadline. Requests without a team count as one
+// team.
 class SlotRequestQueue {
  public:
   struct Entry {
@@ -37,6 +41,8 @@
     SlotRequest request;
     Time goal_deadline{};
     Time caller_deadline{};  // when it stops waiting
+    // Requests of teams below their share go first although they come later.
+    bool is_behind = false;
   };
   void Add(Entry entry) { entries_.push_back(std::move(entry)); }
   void RemoveFrom(const NodeId& from);
@@ -46,12 +52,27 @@
   // Removes and returns the first request, in queue order, for which `serve` finds a slot.
   [[nodiscard]] std::optional<Entry> PopFirst(Time now,
                                               const std::function<bool(const Entry&)>& serve);
+  // Whether a request with this many others ahead of it can still be served in time.
+  using CanWait = std::function<bool(const Entry& entry, std::size_t ahead)>;
+  // Removes and returns the requests that can't wait any longer now that `added` goes before them.
+  // Does nothing while a single team waits.
+  [[nodiscard]] std::vector<Entry> TakeDisplaced(const Entry& added, Time now,
+                                                 const CanWait& can_wait);
+  // A request got a slot, whether or not it had to wait: its team's next turn is later.
+  void OnServed(const SlotRequest& request);
+  [[nodiscard]] bool IsBelowShare(const SlotRequest& request) const {
+    return SharesOf(request.service).IsBelowShare(request.team);
+  }
   // Number of requests for the same service that are served before `entry`.
   [[nodiscard]] std::size_t CountAhead(const Entry& entry, Time now) const;
+  [[nodiscard]] std::span<const Entry> entries() const { return entries_; }
   [[nodiscard]] bool empty() const { return entries_.empty(); }
 
  private:
+  [[nodiscard]] const FairShares& SharesOf(const ServiceName& service) const;
+
   std::vector<Entry> entries_;
+  std::map<ServiceName, FairShares> shares_;
 };
 
 class SlotAllocator {
@@ -123,6 +144,20 @@
   // Ejections and readmissions since the last call.
   [[nodiscard]] std::vector<Ejection> TakeEjections() { return std::exchange(ejections_, {}); }
 
+  // How the slots of a service were shared while teams competed for them.
+  struct ShareSummary {
+    ServiceName service;
+    int refused = 0;
+    int displaced = 0;
+    std::size_t teams = 0;
+    std::string by_team;  // ShareCounts::Summary
+  };
+  // Span of a summary.
+  static constexpr Duration kShareSummarySpan{1'000'000};
+  // Summaries of the last span, once it is over: of each service of which requests of one team were
+  // refused or displaced while another team was served or waited.
+  [[nodiscard]] std::vector<ShareSummary> TakeShareSummaries(Time now);
+
   // Batch items that the entry may run on the backend server, as last granted.
   [[nodiscard]] int AllowedBatch(const BackendId& backend, const NodeId& entry) const;
 
@@ -158,7 +193,11 @@
     ArrivalRate arrivals;  // online requests that started
     QueueAdmission admission;
     LastTryAdmission last_try_admission;
+    // The same for requests that go after those of teams below their share.
+    QueueAdmission admission_behind;
+    LastTryAdmission last_try_behind;
     RetryScheduler retries;
+    ArrivalRate below_share;  // requests of teams below their share that got a slot or were queued
   };
   struct EntryState {
     Incarnation incarnation = 0;
@@ -208,6 +247,22 @@
   void RecordQueueOutcome(const SlotRequestQueue::Entry& entry, bool served, Time now);
   // Tells the caller when to retry.
   void Refuse(const NodeId& to, const SlotRequest& request, Duration wait, Time now);
+  void RecordServed(const SlotRequest& request);
+  void CountBelowShare(const SlotRequest& request, Time now);
+  // Requests a second that will go before this one although they come later.
+  [[nodiscard]] double RateBefore(const SlotRequest& request) const;
+  [[nodiscard]] QueueAdmission& AdmissionFor(const SlotRequest& request);
+  [[nodiscard]] LastTryAdmission& LastTryAdmissionFor(const SlotRequest& request);
+  // `wait`, which counts the requests that wait now, with those that will go before this one.
+  [[nodiscard]] Duration WaitBehindOthers(const SlotRequest& request, Duration wait,
+                                          Duration slot_interval) const;
+  // Slots that become free within `span`, less those that later requests get before this one.
+  [[nodiscard]] ExpectedCompletions SlotsWithin(const SlotRequest& request, Duration span,
+                                                Time now) const;
+  // Refuses the requests that can't be served in time any more because `added` goes before them.
+  void RefuseDisplaced(const SlotRequestQueue::Entry& added, Time now);
+  // The request as its entry would send it now.
+  [[nodiscard]] SlotRequest RequestAt(const SlotRequestQueue::Entry& entry, Time now) const;
   [[nodiscard]] bool ShouldQueue(const SlotRequest& request, std::size_t ahead, Duration wait,
                                  Time now);
   [[nodiscard]] static bool IsEligible(const BackendId& id, const OwnedBackend& owned,
@@ -246,6 +301,8 @@
   std::vector<Outgoing> answers_;
   std::vector<Ejection> ejections_;
   std::map<ServiceName, ServiceLoad> loads_;
+  std::map<ServiceName, ShareCounts> share_counts_;  // since share_counts_since_
+  Time share_counts_since_{};
 };
 
 // --- Search ------------------------------------------------------------------------
--- a/src/gateway/peer_messenger.cc
+++ b/src/gateway/peer_messenger.cc
@@ -33,6 +33,9 @@
                                       "Bytes of datagrams sent to other entries, without headers")),
       refused_datagrams_(metrics.counter("figmill_peer_messages_refused_total",
                                          "Datagrams that are no message of an entry")),
+      displaced_requests_(metrics.counter(
+          "figmill_displaced_requests_total",
+          "Requests refused by this allocator after it had queued them, for other teams' shares")),
       hooks_(std::move(hooks)) {}
 
 Result<Ok> PeerMessenger::Start(const std::vector<Address>& seeds) {
@@ -50,6 +53,7 @@
   grant_timer_ = loop_.Every(SlotAllocator::kCoalesce, [this] {
     allocator_.Tick(Loop::Now());
     LogEjections();
+    LogShares();
     SendGrants();
   });
   return Ok{};
--- a/src/gateway/peer_messenger.h
+++ b/src/gateway/peer_messenger.h
@@ -106,6 +106,7 @@
   void SendReport(const Peer& allocator, ReportLines lines);
   void SendGrants();
   void LogEjections();
+  void LogShares();
   void Send(const Peer& to, PeerMessage message);
   // Slots of one allocator, and how many of them are not used by online requests.
   struct AllocatorShare {
@@ -126,6 +127,7 @@
   Counter& datagrams_;
   Counter& datagram_bytes_;
   Counter& refused_datagrams_;
+  Counter& displaced_requests_;
   Hooks hooks_;
   SlotAllocator allocator_{kReservedSlots};
   std::unique_ptr<UdpSocket> socket_;
--- a/src/gateway/peer_messenger_slots.cc
+++ b/src/gateway/peer_messenger_slots.cc
@@ -211,6 +211,18 @@
   }
 }
 
+void PeerMessenger::LogShares() {
+  for (const SlotAllocator::ShareSummary& each : allocator_.TakeShareSummaries(Loop::Now())) {
+    displaced_requests_.Add(static_cast<std::uint64_t>(each.displaced));
+    Log(LogLevel::kInfo, "slots_shared",
+        {{"service", each.service.value},
+         {"teams", std::to_string(each.teams)},
+         {"refused", std::to_string(each.refused)},
+         {"displaced", std::to_string(each.displaced)},
+         {"by_team", each.by_team}});
+  }
+}
+
 void PeerMessenger::RequestSlot(const NodeId& allocator, const SlotRequest& ask) {
   if (allocator == peers_.self().node) {
     allocator_.OnRequest(allocator, ask, Loop::Now());
--- a/src/sharing/slot_allocator.cc
+++ b/src/sharing/slot_allocator.cc
@@ -215,7 +215,10 @@
   for (const NodeId& node : expired) RemoveEntry(node, now);
   ExpireReservations(now);
   UpdateEjections(now);
-  for (auto& [service, load] : loads_) load.arrivals.Count(0, now);
+  for (auto& [service, load] : loads_) {
+    load.arrivals.Count(0, now);
+    load.below_share.Count(0, now);
+  }
   // The number of spare slots changes with time, not only with reports.
   for (auto& [id, owned] : backends_) DivideBatchSlots(owned, now);
   ServeQueue(now);
--- a/src/sharing/slot_requests.cc
+++ b/src/sharing/slot_requests.cc
@@ -10,37 +10,50 @@
   // A request on its last try that is served later would not finish before its caller gives up.
   const Duration timeout =
       request.time_left - (request.last_try ? TypicalRunTime(request.service) : Duration{0});
-  const SlotRequestQueue::Entry entry{from, request, now + request.goal_left - kFirstEventLatency,
-                                      now + timeout};
+  SlotRequestQueue::Entry entry{from, request, now + request.goal_left - kFirstEventLatency,
+                                now + timeout};
   const std::size_t ahead = queue_.CountAhead(entry, now);
-  if (ahead == 0 && TryAssignSlot(from, request, now)) return;
+  if (ahead == 0 && TryAssignSlot(from, request, now)) {
+    CountBelowShare(request, now);
+    return RecordServed(request);
+  }
   const std::optional<Duration> wait = ExpectedWait(request, ahead + 1);
   if (!request.may_queue || !wait) return AnswerNoSlot(from, request, wait);
-  if (!ShouldQueue(request, ahead, *wait, now)) return Refuse(from, request, *wait, now);
+  if (!ShouldQueue(request, ahead, *wait, now)) {
+    share_counts_[request.service].Count(request.team, ShareCounts::Event::kRefused);
+    return Refuse(from, request, *wait, now);
+  }
   Answer(from, {request.number, SlotResponse::Kind::kQueued, {}, *wait});
+  CountBelowShare(request, now);
+  entry.is_behind = RateBefore(request) > 0;
   queue_.Add(entry);
+  RefuseDisplaced(entry, now);
 }
 
 bool SlotAllocator::ShouldQueue(const SlotRequest& request, std::size_t ahead, Duration wait,
                                 Time now) {
   ServiceLoad& load = loads_[request.service];
   const Duration budget = request.goal_left - kFirstEventLatency;
-  const bool in_time =
-      budget > Duration{0} && load.admission.Admits(ahead, CompletionsWithin(request, budget, now));
+  const bool in_time = budget > Duration{0} &&
+                       AdmissionFor(request).Admits(ahead, SlotsWithin(request, budget, now));
   if (in_time || !request.last_try) return in_time;
   const LastTryAdmission::Attempt attempt{request.time_left, wait, TypicalRunTime(request.service)};
-  return load.last_try_admission.Admits(attempt, load.retries.tracker(), now);
+  // The overload doesn't last for teams below their share.
+  if (queue_.IsBelowShare(request)) return wait <= attempt.time_left - attempt.run;
+  return LastTryAdmissionFor(request).Admits(attempt, load.retries.tracker(), now);
 }
 
 // Requests that can still meet their goal adjust the queue admission, the others the last-try
-// admission.
+// admission. Neither foresees the requests of other teams that go first.
 void SlotAllocator::RecordQueueOutcome(const SlotRequestQueue::Entry& entry, bool served,
                                        Time now) {
   ServiceLoad& load = loads_[entry.request.service];
   if (!entry.request.last_try) {
-    served ? load.admission.OnServed() : load.admission.OnExpired();
+    QueueAdmission& admission = entry.is_behind ? load.admission_behind : load.admission;
+    served ? admission.OnServed() : admission.OnExpired();
   } else if (now >= entry.goal_deadline) {
-    served ? load.last_try_admission.OnServed() : load.last_try_admission.OnExpired();
+    LastTryAdmission& admission = entry.is_behind ? load.last_try_behind : load.last_try_admission;
+    served ? admission.OnServed() : admission.OnExpired();
   }
 }
 
@@ -60,6 +73,7 @@
       return TryAssignSlot(entry.from, entry.request, now);
     });
     if (!served) return;
+    RecordServed(served->request);
     RecordQueueOutcome(*served, /*served=*/true, now);
   }
 }
--- a/src/sharing/slot_waits.cc
+++ b/src/sharing/slot_waits.cc
@@ -63,7 +63,8 @@
                                                     std::size_t position) const {
   const int slots = SlotsFor(request);
   if (slots == 0) return std::nullopt;
-  return TypicalRunTime(request.service) * static_cast<Duration::rep>(position) / slots;
+  const Duration run = TypicalRunTime(request.service);
+  return WaitBehindOthers(request, run * static_cast<Duration::rep>(position) / slots, run / slots);
 }
 
 }  // namespace figmill
--- a/test/slot-sim.h
+++ b/test/slot-sim.h
@@ -19,7 +19,21 @@
 
 namespace figmill::sim {
 
+// Teams with the same usual rate. One of them, kHeavyTeam, sends `factor` times as much between
+// `from` and `until`, and the last `low` ones have a lower priority.
+struct Teams {
+  static constexpr int kHeavyTeam = 0;
+  static constexpr int kLowRank = 3;
+  int count = 1;
+  bool named = false;  // requests name their team
+  double factor = 1;
+  Duration from{0};
+  Duration until = Duration::max();
+  int low = 0;
+};
+
 struct Load {
+  Teams teams;
   int entries = 36;
   int engines = 50;
   int slots = 7;
@@ -46,7 +60,18 @@
   Duration simulated_time{30'000'000};
 };
 
+struct TeamOutcome {
+  int online = 0;
+  int refused = 0;   // first tries
+  int unserved = 0;  // refused, and either not retried or refused again
+};
+
 struct Outcome {
+  std::vector<TeamOutcome> teams;
+  int started = 0;           // runs of online requests
+  int queued = 0;            // tries that an allocator queued
+  int queued_in_vain = 0;    // of these: refused afterwards
+  Duration time_in_vain{0};  // from the start of these tries to their refusal
   int online = 0;
   int late = 0;          // waited over 200 ms for a slot
   int refused = 0;       // first tries only
@@ -70,7 +95,9 @@
         ask_allocators_(ask_allocators),
         arrivals_(seed + 1),
         jobs_(seed + 2),
+        teams_(seed + 3),
         random_(seed) {
+    outcome_.teams.resize(load.teams.count);
     for (int i = 0; i < load.engines; ++i) {
       Engine& engine = engines_.emplace_back();
       engine.info.id = BackendId{"engine-" + std::to_string(i)};
@@ -121,11 +148,13 @@
     Time at{};
     Duration time_left{0};
     bool is_retry = false;
+    int team = 0;
   };
   struct Pending {
     int allocator = 0;  // asked last
     Try attempt;
     std::vector<BackendId> tried;
+    bool queued = false;
   };
   struct OnlineRun {
     int entry = 0;
@@ -192,16 +221,34 @@
 
   static double Seconds(Duration time) { return std::chrono::duration<double>(time).count(); }
 
+  bool IsHeavyTime() const {
+    const Duration at = now_.time_since_epoch();
+    return at >= load_.teams.from && at < load_.teams.until;
+  }
+  // Rate of the heavy team relative to its usual one.
+  double HeavyFactor() const { return IsHeavyTime() ? load_.teams.factor : 1; }
+
+  int ChooseTeam() {
+    const double heavy = HeavyFactor();
+    const double at =
+        std::uniform_real_distribution<double>(0, heavy + load_.teams.count - 1)(teams_);
+    return at < heavy ? Teams::kHeavyTeam : 1 + static_cast<int>(at - heavy);
+  }
+
   double Rate() const {
     const double phase = std::fmod(Seconds(now_.time_since_epoch()),
                                    Seconds(load_.low_duration + load_.high_duration));
-    return load_.online_per_s * (phase < Seconds(load_.low_duration) ? load_.low : load_.high);
+    const double usual =
+        load_.online_per_s * (phase < Seconds(load_.low_duration) ? load_.low : load_.high);
+    return usual * (HeavyFactor() + load_.teams.count - 1) / load_.teams.count;
   }
 
   void Arrive() {
     const int entry = static_cast<int>(arrivals_() % entries_.size());
+    const int team = ChooseTeam();
     ++outcome_.online;
-    FindSlot(entry, {now_, kCallerTimeout, /*is_retry=*/false});
+    ++outcome_.teams[team].online;
+    FindSlot(entry, {now_, kCallerTimeout, /*is_retry=*/false, team});
     const double gap = std::exponential_distribution<double>(Rate())(arrivals_);
     At(Duration(static_cast<Duration::rep>(gap * 1e6)), [this] { Arrive(); });
   }
@@ -294,6 +341,10 @@
     ask.time_left = attempt.time_left;
     ask.last_try = retry_detector_.IsRetry("", attempt.time_left, now_);
     ask.tried = tried;
+    if (load_.teams.named) {
+      ask.team = TeamId{"team-" + std::to_string(attempt.team)};
+      ask.rank = attempt.team >= load_.teams.count - load_.teams.low ? Teams::kLowRank : 0;
+    }
     if (load_.reports_dead_engines) {
       for (BackendId& id : entry.pool.ExcludedBackends(query, now_)) ask.tried.push_back(id);
     }
@@ -305,14 +356,15 @@
 
   void OnRefused(int e, const Try& attempt, Duration come_back) {
     if (now_ - attempt.at > Duration{75'000}) ++outcome_.refused_late;
-    if (!attempt.is_retry) ++outcome_.refused;
-    if (attempt.is_retry || !load_.retries) return void(++outcome_.unserved);
+    TeamOutcome& team = outcome_.teams[attempt.team];
+    if (!attempt.is_retry) ++outcome_.refused, ++team.refused;
+    if (attempt.is_retry || !load_.retries) return void((++outcome_.unserved, ++team.unserved));
     const Duration remaining = attempt.time_left - (now_ - attempt.at);
     const Duration after = std::min(come_back, remaining / 3);
     const int other = static_cast<int>((e + 1) % entries_.size());
-    At(after, [this, other, time_left = remaining - after] {
+    At(after, [this, other, time_left = remaining - after, team = attempt.team] {
       ++outcome_.retried;
-      FindSlot(other, {now_, time_left, /*is_retry=*/true});
+      FindSlot(other, {now_, time_left, /*is_retry=*/true, team});
     });
   }
 
@@ -363,7 +415,15 @@
       SendOnline(e, ValueOf(chosen).id, pending.attempt, pending.tried);
     } else if (const auto* give_up = std::get_if<search::RefuseRequest>(&action)) {
       entry.searches.erase(number);
-      OnRefused(e, entry.pending[number].attempt, give_up->wait);
+      const Pending& pending = entry.pending[number];
+      if (pending.queued) {
+        ++outcome_.queued_in_vain;
+        outcome_.time_in_vain += now_ - pending.attempt.at;
+      }
+      OnRefused(e, pending.attempt, give_up->wait);
+    } else if (std::holds_alternative<search::Wait>(action)) {
+      ++outcome_.queued;
+      entry.pending[number].queued = true;
     }
   }
 
@@ -406,6 +466,7 @@
         ++(run.attempt.is_retry ? outcome_.retried_late : outcome_.late);
       }
       ++engine.online;
+      ++outcome_.started;
       At(OnlineRunLength(), [this, i, e = run.entry, slot = run.slot] {
         --engines_[i].online;
         entries_[e]->pool.ReleaseSlot(slot, relay::SendEnd::kAnswered, load_.online_run, now_);
@@ -541,7 +602,7 @@
   Load load_;
   bool ask_allocators_;
   // Separate generators for each kind of arrival, so that two simulations get the same arrivals.
-  std::mt19937_64 arrivals_, jobs_;
+  std::mt19937_64 arrivals_, jobs_, teams_;
   std::mt19937_64 random_;
   Time now_{};
   std::uint64_t next_event_ = 0;
