--- a/include/figmill/overload.h
+++ b/include/figmill/overload.h
@@ -177,7 +177,7 @@
  public:
   // A service with at most this many slots on all of its ready backend servers is small. With more,
   // the completions of the next seconds vary too little to be worth a forecast for each request.
-  static constexpr int kMaxSlots = 24;
+  static constexpr int kMaxSlots = 12;
   // A refused caller that is this late is assumed not to return.
   static constexpr Duration kReturnGrace{200'000};
   // Returns expected at a time; more than a small service completes in a caller's time.
--- a/test/peers-test.cc
+++ b/test/peers-test.cc
@@ -408,3 +408,17 @@
   table.RecordMessage(PeerNamed("b"), later);
   CHECK(table.HearsMajority(later));
 }
+
+TEST_CASE("a managed backend server has the slots of all ready ones of its service") {
+  const Peer self = PeerNamed("e1", "dc0");
+  PeerTable table(self);
+  AllocatorMap map;
+  const auto backend = [](const std::string& id, BackendState state) {
+    return BackendInfo{BackendId{id}, kLlm, Address{"10.0.0.1", 1}, DataCentre{"dc0"}, 8, state};
+  };
+  map.SetBackends({backend("a", BackendState::kReady), backend("b", BackendState::kReady),
+                   backend("c", BackendState::kDraining)});
+  REQUIRE(map.Update(table, kStart));
+  REQUIRE(map.owned_backends().size() == 3);
+  for (const auto& [id, managed] : map.owned_backends()) CHECK(managed.service_slots == 16);
+}
