--- a/test/fairness-test.cc
+++ b/test/fairness-test.cc
@@ -148,8 +148,8 @@
     SlotRequestQueue queue;
     std::vector<SlotRequestQueue::Entry> reference;
     for (std::uint64_t i = 0; i < 40; ++i) {
-      SlotRequestQueue::Entry entry =
-          EntryOf(i, {}, Duration(static_cast<int>(random() % 60) - 30), random() % 3);
+      SlotRequestQueue::Entry entry = EntryOf(i, {}, Duration(static_cast<int>(random() % 60) - 30),
+                                              static_cast<int>(random() % 3));
       entry.caller_deadline += Duration(random() % 50);
       entry.request.service.value = random() % 2 == 0 ? "llm" : "other";
       const auto ahead = std::count_if(reference.begin(), reference.end(), [&](const auto& other) {
