--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -18,6 +18,10 @@
 // Connecting within the region takes a few ms; a host that is down doesn't answer at all.
 constexpr Duration kConnectTimeout{250'000};
 
+// Time that a caller on its last try keeps for its run when it waits for a credit: the run, and as
+// long again until it has a slot.
+constexpr Duration kReservedForRun = 2 * SlotAllocator::kDefaultRunTime;
+
 // Age of the slot usage that the allocator last sent; empty if it has sent none.
 std::string AgeMs(Time known_at) {
   return known_at == Time{} ? std::string() : Milliseconds(Loop::Now() - known_at);
@@ -59,7 +63,7 @@
   charge.time_left = state_machine_.plan().deadline - started_at_;
   charge.last_try = request_.last_try;
   if (charge.last_try) {
-    quota_patience_ = std::max(charge.time_left - SlotAllocator::kDefaultRunTime, Duration{0});
+    quota_patience_ = std::max(charge.time_left - kReservedForRun, Duration{0});
   }
   charge.max_wait = quota_patience_;
   quota_ticket_ = context_.teams.Admit(
