sharing: learn the speed of engines, and use it where speeds differ

Cause: engines of one service may differ in speed by a factor of 2.7. All slots counted alike: a third of the online requests went to any engine, and items were begun on slots that the next load peak took back.

Change: entries time the events of what runs on each engine and report the sums; allocators learn the time per event of each engine from all reports, and grants carry it back as one byte. Where engines of a service differ by half or more, online requests fill the fastest first, waits are reckoned by each engine's run time, and items go to the slowest engines first, and to slots that online reaches only if the load is likely to stay low for the item's run.

--- a/include/figmill/fleet.h
+++ b/include/figmill/fleet.h
@@ -14,6 +14,7 @@
 #include <vector>
 
 #include "figmill/base.h"
+#include "figmill/engine_speed.h"
 #include "figmill/relay.h"
 #include "figmill/routes.h"
 
@@ -86,7 +87,8 @@
   // whose caller disconnected, count in neither.
   std::uint64_t answers = 0;
   std::uint64_t faults = 0;
-  Time known_at{};  // when the allocator last reported the usage of others; the epoch: never
+  Time known_at{};     // when the allocator last reported the usage of others; the epoch: never
+  EventTiming timing;  // of this entry's runs there, since its start
 };
 
 struct BackendQuery {
@@ -94,6 +96,28 @@
   std::span<const BackendId> tried;  // excluded from the choice
 };
 
+// Slots of one service at one allocator that online requests leave free, by speed class.
+class FreeSlots {
+ public:
+  // Weight of the mean class of the free slots, which divides their share of all.
+  static constexpr double kSlowerPenalty = 0.5;
+
+  void Add(int speed_class, int slots, int free);
+  // Newer totals, without classes: online requests are taken to fill the fastest engines first.
+  void SetTotals(int slots, int online);
+  // The higher, the earlier the allocator is asked: the free share, less for slower engines; 0 if
+  // none is free.
+  [[nodiscard]] double Score() const;
+  [[nodiscard]] bool any() const;
+
+ private:
+  struct Slots {
+    int slots = 0;
+    int free = 0;
+  };
+  std::map<int, Slots> classes_;  // fastest first
+};
+
 // A slot that this entry has acquired for one send.
 struct AcquiredSlot {
   BackendId backend;
@@ -131,6 +155,8 @@
   // each entry chose the least used server, all requests of that interval would go to the same one.
   // So each chooses the best of this many random candidates.
   static constexpr int kRandomChoices = 3;
+  // Cost of using an engine of the next slower class (SpeedClass). Unit: share of its slots.
+  static constexpr double kSlowerClassPenalty = 0.5;
 
   BackendPool(DataCentre local_data_centre, RandomBits random)
       : local_data_centre_(std::move(local_data_centre)), random_(std::move(random)) {}
@@ -144,7 +170,8 @@
   [[nodiscard]] std::vector<BackendInfo> OfService(const ServiceName& service) const;
 
   // A backend server of this data centre with less than `share` of its slots in use, if there is
-  // one. It has so many free slots that concurrent choices of other entries don't matter.
+  // one. It has so many free slots that concurrent choices of other entries don't matter. Where
+  // speeds differ, only engines like the fastest here are chosen without asking.
   [[nodiscard]] std::optional<BackendAddress> ChooseLightlyLoaded(const BackendQuery& query,
                                                                   double share, Time now);
   // Ready backend servers of the service that this query must not use now: they fail, are
@@ -158,6 +185,8 @@
   // ReleaseSlot: otherwise late ends of sends to an ended incarnation would release slots that
   // others use on the new one, and their faults would eject it.
   void RecordActivity(const AcquiredSlot& slot, Time now);
+  // Events of the send, and the time between them.
+  void RecordEvents(const AcquiredSlot& slot, const EventTiming& timing);
   // `run_time`: from the send to its end.
   void ReleaseSlot(const AcquiredSlot& slot, relay::SendEnd end, Duration run_time, Time now);
   // What the backend server's allocator grants: the usage of other entries, the batch items that
@@ -167,6 +196,7 @@
     int batch_other = 0;
     int batch_allowed = 0;
     bool ejected = false;
+    std::optional<Duration> time_per_event = {};  // nullopt: unknown
   };
   void ApplyGrant(const BackendId& id, const Grant& grant, Time now);
   // The usage of others is unknown: no further batch item may start.
@@ -181,6 +211,11 @@
   // Ready, and neither ejected nor unresponsive nor in a backoff.
   [[nodiscard]] bool IsUsable(const BackendId& id, Time now) const;
   [[nodiscard]] SlotUsage UsageOf(const BackendId& id) const;
+  // Time per event of the fastest engine of the service, if its engines differ in speed.
+  [[nodiscard]] std::optional<Duration> FastestOf(const ServiceName& service) const;
+  // Class of the engine beside that fastest one: 0 where speeds don't differ, or its own is
+  // unknown.
+  [[nodiscard]] int SpeedClassOf(const BackendId& id, std::optional<Duration> fastest) const;
   [[nodiscard]] std::size_t size() const { return backends_.size(); }
   // Whether it is in this entry's data centre; false for an unknown one.
   [[nodiscard]] bool IsLocal(const BackendId& id) const;
@@ -197,6 +232,7 @@
     Time unreachable_until{};
     Time last_activity{};     // last byte received, or first send while none was active
     Duration usual_pause{0};  // mean time between bytes
+    std::optional<Duration> time_per_event;
 
     [[nodiscard]] int active_sends() const { return usage.online + usage.batch; }
     [[nodiscard]] bool IsUnresponsive(Time now) const;
@@ -207,8 +243,10 @@
   };
   // The state that the slot was acquired in; null if it was reset or removed.
   [[nodiscard]] Backend* FindGeneration(const AcquiredSlot& slot);
-  [[nodiscard]] double Cost(const Backend& backend) const;
+  [[nodiscard]] double Cost(const Backend& backend, std::optional<Duration> fastest) const;
   [[nodiscard]] const Backend& PickBest(std::vector<const Backend*>& candidates);
+  [[nodiscard]] static int ClassOf(const Backend& backend, std::optional<Duration> fastest);
+  static void KeepFastest(std::vector<const Backend*>& candidates, std::optional<Duration> fastest);
   [[nodiscard]] std::vector<const Backend*> Usable(const BackendQuery& query, Time now) const;
   static void RecordOutcome(Backend& backend, WorkClass work, relay::SendEnd end, Time now);
 
--- a/include/figmill/overload.h
+++ b/include/figmill/overload.h
@@ -11,6 +11,7 @@
 // The length of overloads is learned from the refusals. While it is unknown, callers are given the
 // longest delay that they accept. No I/O: the caller passes the time in.
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 #include <map>
@@ -64,6 +65,38 @@
   Time since_{};
 };
 
+// The highest value over about the last kSpan, up to twice as long.
+class RecentPeak {
+ public:
+  static constexpr Duration kSpan{10'000'000};
+
+  void Record(double value, Time now);
+  [[nodiscard]] double value() const { return std::max(present_, last_); }
+
+ private:
+  double present_ = 0;
+  double last_ = 0;
+  Time since_{};
+};
+
+// Times between two load peaks: how long the present one is likely to last.
+class LoadLulls {
+ public:
+  // A lull lasts while the load is below this share of its recent peak.
+  static constexpr double kShareOfPeak = 0.5;
+  // Number of durations kept; older ones say little about the current load.
+  static constexpr std::size_t kMaxDurations = 8;
+
+  void Record(double load, Time now);
+  // Until the load rises; 0 while it is high, nullopt if no lull has lasted as long before.
+  [[nodiscard]] std::optional<Duration> ExpectedRemaining(Time now) const;
+
+ private:
+  RecentPeak peak_;
+  std::optional<Time> since_;  // empty: the load is high
+  std::deque<Duration> durations_;
+};
+
 // --- Queue admission -------------------------------------------------------------------
 
 // Decides whether a request that is queued now will be served in time. A request that expires in
--- a/include/figmill/peer_messages.h
+++ b/include/figmill/peer_messages.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "figmill/base.h"
+#include "figmill/engine_speed.h"
 #include "figmill/fleet.h"
 #include "figmill/peers.h"
 #include "figmill/quota.h"
@@ -106,6 +107,7 @@
     std::uint64_t answers = 0;
     std::uint64_t faults = 0;
     IncarnationTag incarnation = {};
+    EventTiming timing = {};  // of its runs there since the entry started
   };
   std::uint64_t number = 0;       // increases with each report of this incarnation
   std::uint64_t acked_grant = 0;  // number of the last grant that this entry has applied
@@ -128,6 +130,7 @@
     int allowed = 0;       // batch items that the receiver may run there
     bool ejected = false;  // ejected for its faults, of which a single entry sees too few
     IncarnationTag incarnation = {};
+    int speed_code = 0;  // its time per event (DecodeTimePerEvent)
   };
   // Slots of one service on all backend servers that the allocator owns, and how many of them are
   // used by online requests.
--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -10,6 +10,7 @@
 // No I/O: the caller passes the time in and sends the messages that are returned.
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -19,6 +20,7 @@
 #include <vector>
 
 #include "figmill/base.h"
+#include "figmill/engine_speed.h"
 #include "figmill/fleet.h"
 #include "figmill/overload.h"
 #include "figmill/peer_messages.h"
@@ -123,6 +125,28 @@
   // Ejections and readmissions since the last call.
   [[nodiscard]] std::vector<Ejection> TakeEjections() { return std::exchange(ejections_, {}); }
 
+  // The class of an engine has changed, in a service whose engines differ in speed.
+  struct SpeedChange {
+    BackendId backend;
+    ServiceName service;
+    int speed_class = 0;
+    Duration time_per_event{0};
+    Duration fastest{0};  // of the service, on this allocator
+  };
+  // Changes since the last call.
+  [[nodiscard]] std::vector<SpeedChange> TakeSpeedChanges() {
+    return std::exchange(speed_changes_, {});
+  }
+  // Calls `visit` for each owned backend server whose time per event is known.
+  void ForEachSpeed(const std::function<void(const BackendId& backend, Duration time_per_event,
+                                             int speed_class)>& visit) const;
+
+  // The time per event of the service's fastest engine on any allocator, if its engines differ in
+  // speed (BackendPool::FastestOf): the owned ones alone may be alike.
+  void SetFastest(const ServiceName& service, std::optional<Duration> fastest) {
+    const auto load = loads_.find(service);
+    if (load != loads_.end()) load->second.fastest = fastest;
+  }
   // Batch items that the entry may run on the backend server, as last granted.
   [[nodiscard]] int AllowedBatch(const BackendId& backend, const NodeId& entry) const;
 
@@ -133,6 +157,8 @@
     int allowed = 0;
     std::uint64_t answers = 0;
     std::uint64_t faults = 0;
+    EventTiming timing;
+    std::deque<Time> item_starts;  // of its items there, oldest first
     // The last values sent to the entry for this backend server, and the first grant that had them.
     int sent_allowed = 0;
     bool sent_ejected = false;
@@ -151,11 +177,20 @@
     OutlierDetector outlier_detector;
     bool ejected = false;
     RunStartTimes run_starts;  // of its online requests
+    EngineSpeed speed;
+    std::optional<Duration> time_per_event;  // as of the last Tick
+    SpeedClass speed_class;                  // 0 where speeds don't differ
   };
   // Load statistics of one service's online requests on the owned backend servers.
   struct ServiceLoad {
     std::optional<Duration> run_time;
-    ArrivalRate arrivals;  // online requests that started
+    std::optional<double> run_events;  // run time by the engine's time per event
+    std::optional<Duration> fastest;   // time per event, as set
+    bool speeds_differ = false;
+    std::map<int, RecentPeak> online_peaks;  // slots used by online requests, by speed class
+    LoadLulls lulls;
+    std::optional<double> item_events;  // mean of the item runs that weren't preempted
+    ArrivalRate arrivals;               // online requests that started
     QueueAdmission admission;
     LastTryAdmission last_try_admission;
     RetryScheduler retries;
@@ -188,6 +223,8 @@
     int claimed = 0;   // of its waiting items: those that already have a granted slot
   };
   void DivideBatchSlots(OwnedBackend& owned, Time now);
+  // The same for several, those first that online requests reach last.
+  void DivideBatchSlots(std::vector<OwnedBackend*> backends, Time now);
   void LetRunsFinish(OwnedBackend& owned);
   [[nodiscard]] std::vector<Candidate> CandidatesOf(OwnedBackend& owned);
   void GrantSpareSlots(const OwnedBackend& owned, std::vector<Candidate>& candidates,
@@ -215,7 +252,23 @@
   [[nodiscard]] ExpectedCompletions CompletionsWithin(const SlotRequest& request, Duration span,
                                                       Time now) const;
   [[nodiscard]] Duration TypicalRunTime(const ServiceName& service) const;
+  // Of an online request on this engine.
+  [[nodiscard]] Duration RunTimeOn(const OwnedBackend& owned) const;
   [[nodiscard]] int SlotsFor(const SlotRequest& request) const;
+  // Runs that end per second while all slots that the request may use are taken.
+  [[nodiscard]] double CompletionsPerSecond(const SlotRequest& request) const;
+  static void RecordTiming(OwnedBackend& owned, EntryShare& share, const SlotReport::Line& line,
+                           Time now);
+  void UpdateSpeeds(Time now);
+  void UpdateSpeedClass(const BackendId& id, OwnedBackend& owned, std::optional<Duration> fastest);
+  void RecordReach(Time now);
+  void RecordItemRuns(const OwnedBackend& owned, EntryShare& share, int batch, Time now);
+  // Of the engine's free slots: how many a batch item may take.
+  [[nodiscard]] int SlotsForItems(const OwnedBackend& owned, int free, Time now) const;
+  // Whether online requests are likely to leave a slot to an item for most of its run.
+  [[nodiscard]] bool FitsIntoLull(const OwnedBackend& owned, const ServiceLoad& load,
+                                  Time now) const;
+  [[nodiscard]] bool SpeedsDifferIn(const ServiceName& service) const;
   // Expected time until a request queued at `position` gets a slot; nullopt if no eligible backend
   // server is owned here.
   [[nodiscard]] std::optional<Duration> ExpectedWait(const SlotRequest& request,
@@ -224,7 +277,7 @@
                              Time now);
   // Ejects and readmits backend servers for all entries at once.
   void UpdateEjections(Time now);
-  void UpdateRunTime(const ServiceName& service, Duration usual);
+  void UpdateRunTime(const OwnedBackend& owned, Duration usual);
   // Free slots of the service, less those that are reserved for online requests.
   [[nodiscard]] int SpareSlots(const ServiceName& service) const;
   void ClearUnreported(const NodeId& entry, const SlotReport& report, Time now);
@@ -245,6 +298,7 @@
   SlotRequestQueue queue_;
   std::vector<Outgoing> answers_;
   std::vector<Ejection> ejections_;
+  std::vector<SpeedChange> speed_changes_;
   std::map<ServiceName, ServiceLoad> loads_;
 };
 
--- a/src/fleet/backend_pool.cc
+++ b/src/fleet/backend_pool.cc
@@ -82,12 +82,13 @@
 }
 
 // In fractions of its slots.
-double BackendPool::Cost(const Backend& backend) const {
+double BackendPool::Cost(const Backend& backend, std::optional<Duration> fastest) const {
   const bool local = backend.info.data_centre == local_data_centre_;
   const SlotUsage& usage = backend.usage;
   const bool preempts = OnlineOf(usage) + usage.batch + usage.batch_other >= backend.info.slots;
   return (OnlineOf(usage) + (local ? 0 : kRemotePenalty) + (preempts ? kPreemptionPenalty : 0)) /
-         backend.info.slots;
+             backend.info.slots +
+         kSlowerClassPenalty * ClassOf(backend, fastest);
 }
 
 // The best of a few random candidates; only those with a free slot if there are any.
@@ -101,9 +102,10 @@
   const std::size_t choices = std::min<std::size_t>(kRandomChoices, count);
   for (std::size_t i = 0; i < choices; ++i)
     std::swap(candidates[i], candidates[i + random_() % (count - i)]);
+  const std::optional<Duration> fastest = FastestOf(candidates.front()->info.service);
   return **std::min_element(
       candidates.begin(), candidates.begin() + static_cast<std::ptrdiff_t>(choices),
-      [this](const Backend* a, const Backend* b) { return Cost(*a) < Cost(*b); });
+      [&](const Backend* a, const Backend* b) { return Cost(*a, fastest) < Cost(*b, fastest); });
 }
 
 std::vector<const BackendPool::Backend*> BackendPool::Usable(const BackendQuery& query,
@@ -139,8 +141,11 @@
                                                                double share, Time now) {
   std::vector<const Backend*> candidates = Usable(query, now);
   std::erase_if(candidates, [&](const Backend* each) {
-    return each->info.data_centre != local_data_centre_ || now < each->rejecting_until ||
-           OnlineOf(each->usage) >= share * each->info.slots;
+    return each->info.data_centre != local_data_centre_ || now < each->rejecting_until;
+  });
+  KeepFastest(candidates, FastestOf(query.service));
+  std::erase_if(candidates, [&](const Backend* each) {
+    return OnlineOf(each->usage) >= share * each->info.slots;
   });
   if (candidates.empty()) return std::nullopt;
   const Backend& best = PickBest(candidates);
@@ -184,6 +189,10 @@
   backend->last_activity = now;
 }
 
+void BackendPool::RecordEvents(const AcquiredSlot& slot, const EventTiming& timing) {
+  if (Backend* backend = FindGeneration(slot)) backend->usage.timing += timing;
+}
+
 void BackendPool::ReleaseSlot(const AcquiredSlot& slot, relay::SendEnd end, Duration run_time,
                               Time now) {
   Backend* backend = FindGeneration(slot);
@@ -219,6 +228,7 @@
   usage.batch_allowed = grant.batch_allowed;
   usage.known_at = now;
   found->second.ejected_by_allocator = grant.ejected;
+  found->second.time_per_event = grant.time_per_event;
 }
 
 void BackendPool::RevokeBatchGrant(const BackendId& id) {
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -200,6 +200,7 @@
   tools_.crash_tracker.RecordStart(fingerprint);
   run.due = due;
   run.slot = tools_.backends.AcquireSlot(backend.id, WorkClass::kBatch, run.started_at);
+  run.timer = RunTimer(progress.text.events());
   run.number = tools_.open_sends.Add(run.backend, run.started_at, [this, key] {
     tools_.crash_tracker.ReportRestart(runs_[key].lost_send);
     Requeue(key, relay::SendEnd::kBroken, "the backend server has started again", Duration{0});
@@ -283,9 +284,11 @@
 }
 
 void BatchRunner::OnBytes(const JobItemRef& key, std::string_view bytes) {
-  if (!runs_[key].answering) return;
+  Run& run = runs_[key];
+  if (!run.answering) return;
   ItemText& text = open_items_.ProgressOf(key).text;
   text.Feed(bytes);
+  tools_.backends.RecordEvents(run.slot, run.timer.Update(text.events(), run.last_activity_at));
   if (text.has_duplicate())
     Requeue(key, relay::SendEnd::kBroken, "duplicate event in the response", kRetryDelay);
 }
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -50,6 +50,7 @@
   struct Run {
     BackendAddress backend;
     AcquiredSlot slot;
+    RunTimer timer;
     OpenSends::Id number = 0;
     CancelCall cancel;
     bool answering = false;
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -10,6 +10,7 @@
 #include "gateway/batch_runner.h"
 #include "gateway/clock_syncing_tables.h"
 #include "gateway/crash_tracker.h"
+#include "gateway/engine_speed_metrics.h"
 #include "gateway/entry_registry.h"
 #include "gateway/feed_relay.h"
 #include "gateway/fleet_watcher.h"
@@ -265,6 +266,7 @@
     set("figmill_config_confirmed_age_seconds",
         "Since the store was last asked whether the configuration still holds; -1 before it was",
         SecondsOr(team_access_.config_age(), -1));
+    engine_speed_metrics_.Update(peer_messenger_.allocator());
     set("figmill_log_lines_dropped", "Log lines left out or lost since the start",
         static_cast<double>(LogLinesDropped()));
   }
@@ -361,6 +363,7 @@
   const GatewaySettings& settings_;
   Metrics metrics_;
   GatewayMetrics gateway_metrics_{metrics_};
+  EngineSpeedMetrics engine_speed_metrics_{metrics_};
   TrafficMetrics traffic_{metrics_};
   Loop loop_;
   NoRetryHttpClient client_;
--- a/src/gateway/peer_messenger.cc
+++ b/src/gateway/peer_messenger.cc
@@ -48,8 +48,10 @@
   heartbeat_ = loop_.Every(kHeartbeat, [this] { Heartbeat(); });
   watch_timer_ = loop_.Every(PeerTable::kProbeInterval / 2, [this] { WatchPeers(); });
   grant_timer_ = loop_.Every(SlotAllocator::kCoalesce, [this] {
+    SetFastestEngines();
     allocator_.Tick(Loop::Now());
     LogEjections();
+    LogSpeedChanges();
     SendGrants();
   });
   return Ok{};
--- a/src/gateway/peer_messenger.h
+++ b/src/gateway/peer_messenger.h
@@ -74,11 +74,11 @@
   void RequestSlot(const NodeId& allocator, const SlotRequest& ask);
   // Tells the allocator that its answer was applied, or that the slot isn't needed any more.
   void AcknowledgeAnswer(const NodeId& allocator, std::uint64_t ask);
+  [[nodiscard]] const SlotAllocator& allocator() const { return allocator_; }
   void SendQuota(const Peer& to, const QuotaRequest& ask);
   void SendQuota(const Peer& to, const QuotaGrant& grant);
   // The allocators that own backend servers of the service, in the order in which to ask them for a
-  // slot: by the share of their slots that is free, with kLocalPreference added for this data
-  // centre.
+  // slot: by FreeSlots::Score, with kLocalPreference added for this data centre.
   [[nodiscard]] std::vector<NodeId> AllocatorsFor(const ServiceName& service,
                                                   std::span<const BackendId> tried) const;
 
@@ -106,11 +106,12 @@
   void SendReport(const Peer& allocator, ReportLines lines);
   void SendGrants();
   void LogEjections();
+  void SetFastestEngines();
+  void LogSpeedChanges();
   void Send(const Peer& to, PeerMessage message);
   // Slots of one allocator, and how many of them are not used by online requests.
   struct AllocatorShare {
-    int slots = 0;
-    int free = 0;
+    FreeSlots slots;
     bool local = false;
   };
   void ApplyServiceUsage(const NodeId& allocator, const ServiceName& service,
--- a/src/gateway/peer_messenger_slots.cc
+++ b/src/gateway/peer_messenger_slots.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "gateway/log_text.h"
 #include "gateway/peer_messenger.h"
 
 namespace figmill {
@@ -38,7 +39,8 @@
     }
     changed |= backend_pool_.UsageOf(line.backend).batch_allowed != line.allowed;
     backend_pool_.ApplyGrant(line.backend,
-                             {line.online_other, line.batch_other, line.allowed, line.ejected},
+                             {line.online_other, line.batch_other, line.allowed, line.ejected,
+                              DecodeTimePerEvent(line.speed_code)},
                              allocator.heard_at);
   }
   if (!changed) return;
@@ -120,7 +122,8 @@
 
 SlotReport::Line PeerMessenger::ReportLineFor(const BackendId& backend) const {
   const SlotUsage use = backend_pool_.UsageOf(backend);
-  return {backend, use.online, use.batch, use.usual_run, use.answers, use.faults, TagOf(backend)};
+  return {backend,     use.online, use.batch,      use.usual_run,
+          use.answers, use.faults, TagOf(backend), use.timing};
 }
 
 IncarnationTag PeerMessenger::TagOf(const BackendId& backend) const {
@@ -211,6 +214,25 @@
   }
 }
 
+void PeerMessenger::SetFastestEngines() {
+  std::set<ServiceName> services;
+  for (const auto& [id, backend] : allocator_map_.owned_backends())
+    services.insert(backend.service);
+  for (const ServiceName& service : services)
+    allocator_.SetFastest(service, backend_pool_.FastestOf(service));
+}
+
+void PeerMessenger::LogSpeedChanges() {
+  for (const SlotAllocator::SpeedChange& each : allocator_.TakeSpeedChanges()) {
+    Log(LogLevel::kInfo, "engine_speed",
+        {{"backend", each.backend.value},
+         {"service", each.service.value},
+         {"class", std::to_string(each.speed_class)},
+         {"event_ms", Milliseconds(each.time_per_event)},
+         {"fastest_ms", Milliseconds(each.fastest)}});
+  }
+}
+
 void PeerMessenger::RequestSlot(const NodeId& allocator, const SlotRequest& ask) {
   if (allocator == peers_.self().node) {
     allocator_.OnRequest(allocator, ask, Loop::Now());
@@ -237,30 +259,30 @@
   if (from == allocator_states_.end()) return;
   for (const SlotGrant::ServiceUsage& use : from->second.service_usage) {
     if (use.service != service || use.slots == 0) continue;
-    share.slots = use.slots;
-    share.free = std::max(0, use.slots - use.online);
+    share.slots.SetTotals(use.slots, use.online);
   }
 }
 
 std::vector<NodeId> PeerMessenger::AllocatorsFor(const ServiceName& service,
                                                  std::span<const BackendId> tried) const {
   std::map<NodeId, AllocatorShare> shares;
+  const std::optional<Duration> fastest = backend_pool_.FastestOf(service);
   backend_pool_.ForEach([&](const BackendInfo& info, const SlotUsage& use) {
     const auto allocator = allocator_of_.find(info.id);
     const bool usable = info.service == service && info.state == BackendState::kReady &&
                         std::find(tried.begin(), tried.end(), info.id) == tried.end();
     if (allocator == allocator_of_.end() || !usable) return;
     AllocatorShare& share = shares[allocator->second.node];
-    share.slots += info.slots;
-    share.free += std::max(0, info.slots - use.online - use.online_other);
+    share.slots.Add(backend_pool_.SpeedClassOf(info.id, fastest), info.slots,
+                    std::max(0, info.slots - use.online - use.online_other));
     share.local = info.data_centre == peers_.self().data_centre;
   });
   std::vector<std::pair<double, NodeId>> order;
   order.reserve(shares.size());
   for (auto& [node, share] : shares) {
     ApplyServiceUsage(node, service, share);
-    const double free = static_cast<double>(share.free) / share.slots;
-    order.emplace_back(free + (share.local && share.free > 0 ? kLocalPreference : 0), node);
+    const bool prefer = share.local && share.slots.any();
+    order.emplace_back(share.slots.Score() + (prefer ? kLocalPreference : 0), node);
   }
   std::sort(order.begin(), order.end(),
             [](const auto& a, const auto& b) { return a.first > b.first; });
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -155,6 +155,7 @@
   sent_at_ = Loop::Now();
   if (context_.crash_tracker.has_quarantined()) context_.crash_tracker.RecordStart(Fingerprint());
   slot_ = context_.backends.AcquireSlot(action.backend.id, WorkClass::kOnline, sent_at_);
+  run_timer_ = RunTimer(state_machine_.events_forwarded());
   open_send_id_ = context_.open_sends.Add(
       action.backend, sent_at_, [weak = weak_from_this(), send = action.send] {
         const auto self = weak.lock();
@@ -186,6 +187,7 @@
                  [&](const HttpBytes& bytes) {
                    if (first_byte_at_ == Time{}) first_byte_at_ = Loop::Now();
                    Step(relay::Bytes{send, bytes.bytes});
+                   RecordEvents();
                  },
                  [&](const HttpEnd&) { Step(relay::End{send}); },
                  [&](const HttpFailure& failure) {
@@ -196,6 +198,11 @@
              event);
 }
 
+void RelayCall::RecordEvents() {
+  context_.backends.RecordEvents(slot_,
+                                 run_timer_.Update(state_machine_.events_forwarded(), Loop::Now()));
+}
+
 void RelayCall::OnConnectionLost(SendNumber send, std::string why) {
   context_.crash_tracker.CheckBackend(MakeLostSend(),
                                       [weak = weak_from_this(), send, why = std::move(why)] {
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -78,6 +78,7 @@
   void Do(const relay::SetTimer& action);
   void OnHttpEvent(SendNumber send, HttpEvent event);
   void BeginSend(const relay::Send& action);
+  void RecordEvents();
   // Continues with the backend server that was found, or with the error.
   void OnBackendFound(Result<BackendAddress> found);
   // Passes the failure to the state machine only after the check whether the backend server has
@@ -99,6 +100,7 @@
   std::function<void()> on_finished_;
   CancelCall cancel_;
   AcquiredSlot slot_;
+  RunTimer run_timer_;
   OpenSends::Id open_send_id_ = 0;
   std::shared_ptr<SlotFinder::Search> search_;
   Timer timer_;
--- a/src/peer_messages/peer_codec.cc
+++ b/src/peer_messages/peer_codec.cc
@@ -17,6 +17,8 @@
 // Most slots, items or cores of one host or backend server; larger counts are invalid.
 constexpr int kMaxCount = 1'000'000;
 constexpr Duration kMaxDuration = std::chrono::hours(24);
+// Largest sum of run times. Unit: milliseconds.
+constexpr std::uint64_t kMaxTotalMs = std::uint64_t{1} << 40;
 // Limit of the table service for a key. Unit: bytes.
 constexpr std::size_t kMaxNameBytes = 200;
 // Incarnations are times of day in milliseconds, or one more than another incarnation.
@@ -51,7 +53,9 @@
   }
   packer.pack_array(static_cast<std::uint32_t>(report.lines.size()));
   for (const SlotReport::Line& line : report.lines) {
-    packer.pack_array(7);
+    // The last elements are left out until events were timed.
+    const bool timed = line.timing.events > 0;
+    packer.pack_array(timed ? 9 : 7);
     packer.pack(line.backend.value);
     packer.pack(line.online);
     packer.pack(line.batch);
@@ -59,6 +63,9 @@
     packer.pack(line.answers);
     packer.pack(line.faults);
     packer.pack(line.incarnation.value);
+    if (!timed) continue;
+    packer.pack(line.timing.events);
+    packer.pack(std::chrono::duration_cast<std::chrono::milliseconds>(line.timing.time).count());
   }
   packer.pack(report.rest_unused);
 }
@@ -68,13 +75,14 @@
   packer.pack(grant.number);
   packer.pack_array(static_cast<std::uint32_t>(grant.lines.size()));
   for (const SlotGrant::Line& line : grant.lines) {
-    packer.pack_array(6);
+    packer.pack_array(line.speed_code > 0 ? 7 : 6);
     packer.pack(line.backend.value);
     packer.pack(line.online_other);
     packer.pack(line.batch_other);
     packer.pack(line.allowed);
     packer.pack(line.ejected);
     packer.pack(line.incarnation.value);
+    if (line.speed_code > 0) packer.pack(line.speed_code);
   }
   packer.pack_array(static_cast<std::uint32_t>(grant.services.size()));
   for (const SlotGrant::ServiceUsage& usage : grant.services) {
@@ -238,6 +246,21 @@
   return IncarnationTag{Get<std::uint16_t>(line, index)};
 }
 
+// Sums over all runs since the sender started. Entries of an earlier version don't send them.
+EventTiming GetTiming(const Object& line, std::uint32_t index) {
+  if (index >= SizeOf(line)) return {};
+  const auto time_ms = Get<std::uint64_t>(line, index + 1);
+  if (time_ms > kMaxTotalMs) throw std::invalid_argument("a total is out of range");
+  return {Get<std::uint64_t>(line, index), std::chrono::milliseconds(time_ms)};
+}
+
+int GetSpeedCode(const Object& line, std::uint32_t index) {
+  if (index >= SizeOf(line)) return 0;
+  const int code = Get<int>(line, index);
+  if (code < 0 || code > kMaxSpeedCode) throw std::invalid_argument("a speed is out of range");
+  return code;
+}
+
 Peer ReadPeer(const Object& object) {
   Peer peer;
   peer.node = GetNode(object, 0);
@@ -267,7 +290,8 @@
     const Object& line = Element(lines, i);
     report.lines.push_back({BackendId{GetName(line, 0)}, GetCount(line, 1), GetCount(line, 2),
                             GetDuration(line, 3), Get<std::uint64_t>(line, 4),
-                            Get<std::uint64_t>(line, 5), GetIncarnationTag(line, 6)});
+                            Get<std::uint64_t>(line, 5), GetIncarnationTag(line, 6),
+                            GetTiming(line, 7)});
   }
   // Entries of an earlier version don't send it.
   report.rest_unused = SizeOf(object) > 5 && Get<bool>(object, 5);
@@ -281,7 +305,8 @@
   for (std::uint32_t i = 0; i < SizeOf(lines); ++i) {
     const Object& line = Element(lines, i);
     grant.lines.push_back({BackendId{GetName(line, 0)}, GetCount(line, 1), GetCount(line, 2),
-                           GetCount(line, 3), Get<bool>(line, 4), GetIncarnationTag(line, 5)});
+                           GetCount(line, 3), Get<bool>(line, 4), GetIncarnationTag(line, 5),
+                           GetSpeedCode(line, 6)});
   }
   if (SizeOf(object) <= 2) return grant;  // sent by an earlier version
   const Object& services = Element(object, 2);
--- a/src/sharing/batch_slots.cc
+++ b/src/sharing/batch_slots.cc
@@ -98,7 +98,7 @@
     --std::max_element(candidates.begin(), candidates.end(), fewer)->assigned;
   const bool may_grant = now - owned.since >= kTakeoverDelay;
   if (may_grant && free > 0) {
-    GrantSpareSlots(owned, candidates, std::min(free, SpareSlots(owned.info.service)));
+    GrantSpareSlots(owned, candidates, SlotsForItems(owned, free, now));
   }
   for (const Candidate& each : candidates) {
     if (each.share->allowed == each.assigned) continue;
@@ -107,4 +107,12 @@
   }
 }
 
+// All are of class 0 where speeds don't differ, and keep their order.
+void SlotAllocator::DivideBatchSlots(std::vector<OwnedBackend*> backends, Time now) {
+  std::stable_sort(backends.begin(), backends.end(), [](const auto* a, const auto* b) {
+    return a->speed_class.value() > b->speed_class.value();
+  });
+  for (OwnedBackend* each : backends) DivideBatchSlots(*each, now);
+}
+
 }  // namespace figmill
--- a/src/sharing/slot_allocator.cc
+++ b/src/sharing/slot_allocator.cc
@@ -77,14 +77,15 @@
                  report.acked_requests.end();
     });
   }
+  std::vector<OwnedBackend*> to_divide;
   for (const SlotReport::Line& line : report.lines) {
     const auto found = backends_.find(line.backend);
     if (found == backends_.end()) continue;
     if (!MayBeSame(line.incarnation, TagOf(found->second.info.incarnation))) continue;
     EntryShare& share = found->second.shares[from.node];
-    if (line.typical_run_time.count() > 0)
-      UpdateRunTime(found->second.info.service, line.typical_run_time);
+    if (line.typical_run_time.count() > 0) UpdateRunTime(found->second, line.typical_run_time);
     RecordOutcomes(found->second, share, line, now);
+    RecordTiming(found->second, share, line, now);
     const bool changed = share.online != line.online || share.batch != line.batch;
     if (!changed && !wants_more) continue;
     if (changed) MarkOthersChanged(found->second, from.node);
@@ -92,9 +93,15 @@
       loads_[found->second.info.service].arrivals.Count(line.online - share.online, now);
     }
     share.online = line.online;
+    RecordItemRuns(found->second, share, line.batch, now);
     share.batch = line.batch;
-    DivideBatchSlots(found->second, now);
+    if (SpeedsDifferIn(found->second.info.service)) {
+      to_divide.push_back(&found->second);
+    } else {
+      DivideBatchSlots(found->second, now);
+    }
   }
+  DivideBatchSlots(std::move(to_divide), now);
   if (report.rest_unused) ClearUnreported(from.node, report, now);
   UpdateRunCounts(now);
   ServeQueue(now);
@@ -182,8 +189,13 @@
     if (mine == owned.shares.end()) continue;
     const bool needs_line = NeedsLine(owned, mine->second, entry);
     if (!needs_line && !all) continue;
-    SlotGrant::Line line{
-        id, 0, 0, mine->second.allowed, owned.ejected, TagOf(owned.info.incarnation)};
+    SlotGrant::Line line{id,
+                         0,
+                         0,
+                         mine->second.allowed,
+                         owned.ejected,
+                         TagOf(owned.info.incarnation),
+                         EncodeTimePerEvent(owned.time_per_event)};
     for (const auto& [other, share] : owned.shares) {
       if (other == node) continue;
       line.online_other += share.online;
@@ -215,9 +227,14 @@
   for (const NodeId& node : expired) RemoveEntry(node, now);
   ExpireReservations(now);
   UpdateEjections(now);
+  UpdateSpeeds(now);
   for (auto& [service, load] : loads_) load.arrivals.Count(0, now);
+  RecordReach(now);
   // The number of spare slots changes with time, not only with reports.
-  for (auto& [id, owned] : backends_) DivideBatchSlots(owned, now);
+  std::vector<OwnedBackend*> all;
+  all.reserve(backends_.size());
+  for (auto& [id, owned] : backends_) all.push_back(&owned);
+  DivideBatchSlots(std::move(all), now);
   ServeQueue(now);
 }
 
--- a/src/sharing/slot_assignment.cc
+++ b/src/sharing/slot_assignment.cc
@@ -1,6 +1,7 @@
 // Which backend server an online request gets a slot on.
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "figmill/sharing.h"
@@ -23,15 +24,18 @@
 // Prefers an unused slot, on the backend server with most of them. If all are in use, preempts
 // batch on the backend server with the fewest online requests. A preempted run must read its prompt
 // and its text again when it resumes, which slows down all that run there.
+// Where speeds differ, both go to the fastest engines first: a run holds its slot there for the
+// shortest time, and items on the others aren't preempted.
 bool SlotAllocator::TryAssignSlot(const NodeId& from, const SlotRequest& request, Time now) {
   std::map<BackendId, OwnedBackend>::iterator best = backends_.end();
-  std::pair<int, int> best_rank;
+  std::tuple<bool, int, int, int> best_rank;
   for (auto at = backends_.begin(); at != backends_.end(); ++at) {
     const OwnedBackend& owned = at->second;
     if (!IsEligible(at->first, owned, request)) continue;
     const int without_online = owned.info.slots - OnlineOf(owned);
     if (without_online <= 0) continue;
-    const std::pair<int, int> rank{std::max(0, without_online - BatchOf(owned)), without_online};
+    const int unused = std::max(0, without_online - BatchOf(owned));
+    const std::tuple rank{unused > 0, -owned.speed_class.value(), unused, without_online};
     if (best != backends_.end() && rank <= best_rank) continue;
     best = at;
     best_rank = rank;
--- a/src/sharing/slot_waits.cc
+++ b/src/sharing/slot_waits.cc
@@ -15,11 +15,11 @@
 
 ExpectedCompletions SlotAllocator::CompletionsWithin(const SlotRequest& request, Duration span,
                                                      Time now) const {
-  const Duration usual = TypicalRunTime(request.service);
   ExpectedCompletions all;
   for (const auto& [id, owned] : backends_) {
     if (!IsEligible(id, owned, request)) continue;
-    const ExpectedCompletions ends = owned.run_starts.CompletionsWithin(span, usual, now);
+    const ExpectedCompletions ends =
+        owned.run_starts.CompletionsWithin(span, RunTimeOn(owned), now);
     all.mean += ends.mean;
     all.variance += ends.variance;
   }
@@ -39,9 +39,15 @@
                     std::ceil(per_second * std::chrono::duration<double>(kOnlineHeadroom).count()));
 }
 
-void SlotAllocator::UpdateRunTime(const ServiceName& service, Duration usual) {
-  std::optional<Duration>& known = loads_[service].run_time;
+void SlotAllocator::UpdateRunTime(const OwnedBackend& owned, Duration usual) {
+  ServiceLoad& load = loads_[owned.info.service];
+  std::optional<Duration>& known = load.run_time;
   known = known ? *known + (usual - *known) / kRunTimeSamples : usual;
+  if (!owned.time_per_event) return;
+  const double events =
+      static_cast<double>(usual.count()) / static_cast<double>(owned.time_per_event->count());
+  load.run_events =
+      load.run_events ? *load.run_events + (events - *load.run_events) / kRunTimeSamples : events;
 }
 
 Duration SlotAllocator::TypicalRunTime(const ServiceName& service) const {
@@ -50,6 +56,24 @@
   return found->second.run_time.value_or(kDefaultRunTime);
 }
 
+Duration SlotAllocator::RunTimeOn(const OwnedBackend& owned) const {
+  const auto found = loads_.find(owned.info.service);
+  const bool differ = found != loads_.end() && found->second.speeds_differ;
+  if (!differ || !found->second.run_events || !owned.time_per_event)
+    return TypicalRunTime(owned.info.service);
+  return Duration(static_cast<Duration::rep>(*found->second.run_events *
+                                             static_cast<double>(owned.time_per_event->count())));
+}
+
+double SlotAllocator::CompletionsPerSecond(const SlotRequest& request) const {
+  double per_second = 0;
+  for (const auto& [id, owned] : backends_) {
+    if (!IsEligible(id, owned, request)) continue;
+    per_second += owned.info.slots / std::chrono::duration<double>(RunTimeOn(owned)).count();
+  }
+  return per_second;
+}
+
 int SlotAllocator::SlotsFor(const SlotRequest& request) const {
   int slots = 0;
   for (const auto& [id, owned] : backends_) {
@@ -63,6 +87,11 @@
                                                     std::size_t position) const {
   const int slots = SlotsFor(request);
   if (slots == 0) return std::nullopt;
+  if (SpeedsDifferIn(request.service)) {
+    constexpr double kUsPerSecond = 1e6;
+    return Duration(static_cast<Duration::rep>(static_cast<double>(position) * kUsPerSecond /
+                                               CompletionsPerSecond(request)));
+  }
   return TypicalRunTime(request.service) * static_cast<Duration::rep>(position) / slots;
 }
 
--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -662,3 +662,91 @@
   CHECK_FALSE(IsOk(DecodePeerMessage("hello")));
   CHECK_FALSE(IsOk(DecodePeerMessage(std::string(200, '\xff'))));
 }
+
+// --- Engines that differ in speed -----------------------------------------------------
+
+namespace {
+
+// Reports runs on each engine for two seconds, with these times per event.
+Time RunOnEngines(Fixture& f, const std::map<BackendId, Duration>& times, Time now = kSettled) {
+  constexpr Duration kInterval{100'000};
+  constexpr int kRuns = 8;
+  std::map<BackendId, EventTiming> totals;
+  for (const Time end = now + Duration{2'000'000}; now < end; now += kInterval) {
+    SlotReport report;
+    for (const auto& [id, time] : times) {
+      const std::uint64_t events = kRuns * kInterval / time;
+      totals[id] += {events, time * static_cast<Duration::rep>(events)};
+      SlotReport::Line line{id, 0, 0};
+      line.timing = totals[id];
+      report.lines.push_back(line);
+    }
+    f.Report("a", report, now);
+    f.Tick(now);
+  }
+  return now;
+}
+
+const Duration kFastEvents{19'000};
+const Duration kSlowEvents{52'000};
+
+}  // namespace
+
+TEST_CASE("where speeds differ online requests fill the fastest engine first") {
+  Fixture f({kEngine, kOtherEngine});
+  const Time now = RunOnEngines(f, {{kEngine, kSlowEvents}, {kOtherEngine, kFastEvents}});
+  for (std::uint64_t i = 1; i <= 5; ++i) f.RequestSlot("a", RequestOf(i), now);
+  REQUIRE(f.answers.size() == 5);
+  for (std::size_t i = 0; i < 4; ++i) CHECK(f.answers[i].backend == kOtherEngine);
+  CHECK(f.answers[4].backend == kEngine);
+  const auto changes = f.allocator.TakeSpeedChanges();
+  REQUIRE(changes.size() == 1);
+  CHECK(changes[0].backend == kEngine);
+  CHECK(changes[0].speed_class == 2);
+}
+
+// Guards against decisions by speed where engines differ by no more than chance and hosts do.
+TEST_CASE("engines that differ by a third share online requests as if their speeds were unknown") {
+  Fixture known({kEngine, kOtherEngine});
+  Fixture unknown({kEngine, kOtherEngine});
+  const Time now =
+      RunOnEngines(known, {{kEngine, Duration{26'000}}, {kOtherEngine, Duration{20'000}}});
+  RunOnEngines(unknown, {{kEngine, Duration{200'000'000}}, {kOtherEngine, Duration{200'000'000}}});
+  for (std::uint64_t i = 1; i <= 8; ++i) {
+    for (Fixture* f : {&known, &unknown}) f->RequestSlot("a", RequestOf(i), now);
+    REQUIRE(known.answers.size() == i);
+    REQUIRE(unknown.answers.size() == i);
+    CHECK(known.answers.back().backend == unknown.answers.back().backend);
+  }
+  CHECK(known.allocator.TakeSpeedChanges().empty());
+}
+
+TEST_CASE("a new incarnation of an engine is measured anew") {
+  Fixture f({kEngine, kOtherEngine});
+  ManagedBackend slow{kLlm, 4};
+  slow.incarnation = BackendIncarnation{1};
+  f.allocator.SetOwnedBackends({{kEngine, slow}, {kOtherEngine, {kLlm, 4}}}, kStart);
+  const Time now = RunOnEngines(f, {{kEngine, kSlowEvents}, {kOtherEngine, kFastEvents}});
+  slow.incarnation = BackendIncarnation{2};
+  f.allocator.SetOwnedBackends({{kEngine, slow}, {kOtherEngine, {kLlm, 4}}}, now);
+  f.Tick(now);
+  int known = 0;
+  f.allocator.ForEachSpeed([&](const BackendId& id, Duration /*time*/, int speed_class) {
+    ++known;
+    CHECK(id == kOtherEngine);
+    CHECK(speed_class == 0);
+  });
+  CHECK(known == 1);
+}
+
+TEST_CASE("batch items go to the slow engine first") {
+  Fixture f({kEngine, kOtherEngine});
+  const Time now = RunOnEngines(f, {{kEngine, kSlowEvents}, {kOtherEngine, kFastEvents}});
+  SlotReport report;
+  report.waiting = {{kDue, 3}};
+  report.lines = {{kOtherEngine, 0, 0}, {kEngine, 0, 0}};
+  f.Report("a", report, now);
+  f.Tick(now);
+  CHECK(f.allocator.AllowedBatch(kEngine, NodeId{"a"}) == 3);
+  CHECK(f.allocator.AllowedBatch(kOtherEngine, NodeId{"a"}) == 0);
+}
--- a/test/slot-sim.h
+++ b/test/slot-sim.h
@@ -42,6 +42,16 @@
   int job_items = 10;       // submitted together at one entry
   Duration job_due{18'000'000};
   bool reports_due_times = true;  // reports carry the due times of waiting items
+  // Run time on each engine relative to the mean, repeated; empty: all engines are alike.
+  std::vector<double> run_time_factors;
+  bool reports_timing = true;  // reports carry the times between events
+  int online_events = 22;
+  int batch_events = 153;
+  // The first engine's further factor within a time span.
+  double slow_factor = 1;
+  Duration count_from{0};  // online requests of each engine are counted from then on
+  Duration slow_from{0};
+  Duration slow_until{0};
   Duration datagram_delay{1'500'000 / 1000};
   Duration simulated_time{30'000'000};
 };
@@ -60,6 +70,11 @@
   int items_due = 0;         // due before the end of the simulation
   int preemptions = 0;       // runs of batch items stopped for online requests
   int blocked_by_batch = 0;  // online requests that had to wait for batch items
+  int batch_runs = 0;
+  std::vector<Duration> waits;        // of online requests, from the try to the slot
+  std::vector<int> online_of_engine;  // online requests that ran there
+  std::vector<int> batch_of_engine, stopped_of_engine;
+  int known_slow = 0;  // online requests sent to the slowed engine 1.5 s after it slowed or later
 };
 
 class Simulation {
@@ -79,6 +94,9 @@
       engine.info.slots = load.slots;
       index_[engine.info.id] = i;
     }
+    outcome_.online_of_engine.resize(static_cast<std::size_t>(load.engines));
+    outcome_.batch_of_engine.resize(static_cast<std::size_t>(load.engines));
+    outcome_.stopped_of_engine.resize(static_cast<std::size_t>(load.engines));
     for (int i = 0; i < load.entries; ++i) {
       Peer peer{NodeId{"entry-" + std::to_string(i)}, 1, {}, CentreOf(i), 1, false};
       entries_.push_back(std::make_unique<Entry>(peer, [this] { return random_(); }));
@@ -142,6 +160,8 @@
     Item item;
     Time since{};
     AcquiredSlot slot;
+    double factor = 1;  // its run time relative to the mean
+    Time timed_at{};
   };
   struct Engine {
     BackendInfo info;
@@ -318,20 +338,21 @@
 
   // Allocators ordered by their known share of free slots.
   std::vector<NodeId> AllocatorOrder(int e, const std::vector<BackendId>& tried) {
-    std::map<int, std::pair<int, int>> shares;
+    std::map<int, FreeSlots> shares;
+    const auto fastest = entries_[e]->pool.FastestOf(ServiceName{"llm"});
     entries_[e]->pool.ForEach([&](const BackendInfo& info, const SlotUsage& use) {
       if (std::find(tried.begin(), tried.end(), info.id) != tried.end()) return;
-      auto& [free, places] = shares[allocator_of_.at(info.id)];
-      free += std::max(0, info.slots - use.online - use.online_other);
-      places += info.slots;
+      shares[allocator_of_.at(info.id)].Add(
+          entries_[e]->pool.SpeedClassOf(info.id, fastest), info.slots,
+          std::max(0, info.slots - use.online - use.online_other));
     });
     std::vector<std::pair<double, int>> order;
     order.reserve(shares.size());
     for (auto& [allocator, share] : shares) {
       for (const SlotGrant::ServiceUsage& use : entries_[e]->service_uses[allocator]) {
-        share = {use.slots - use.online, use.slots};
+        share.SetTotals(use.slots, use.online);
       }
-      order.emplace_back(-static_cast<double>(share.first) / share.second, allocator);
+      order.emplace_back(-share.Score(), allocator);
     }
     std::sort(order.begin(), order.end());
     std::vector<NodeId> nodes;
@@ -389,6 +410,24 @@
     });
   }
 
+  // Run time on the engine relative to the mean.
+  double FactorOf(int i) const {
+    const auto& factors = load_.run_time_factors;
+    const Duration since_start = now_.time_since_epoch();
+    const bool slow = i == 0 && since_start >= load_.slow_from && since_start < load_.slow_until;
+    return (factors.empty() ? 1 : factors[i % factors.size()]) * (slow ? load_.slow_factor : 1);
+  }
+
+  static Duration Scaled(Duration time, double factor) {
+    if (factor == 1) return time;
+    return Duration(static_cast<Duration::rep>(static_cast<double>(time.count()) * factor));
+  }
+
+  void RecordTiming(const AcquiredSlot& slot, int e, double events, Duration time) {
+    if (!load_.reports_timing) return;
+    entries_[e]->pool.RecordEvents(slot, {static_cast<std::uint64_t>(events), time});
+  }
+
   Duration OnlineRunLength() {
     if (load_.online_spread == 0) return load_.online_run;
     const auto mean = static_cast<double>(load_.online_run.count());
@@ -406,9 +445,22 @@
         ++(run.attempt.is_retry ? outcome_.retried_late : outcome_.late);
       }
       ++engine.online;
-      At(OnlineRunLength(), [this, i, e = run.entry, slot = run.slot] {
+      const Duration since_start = now_.time_since_epoch();
+      if (since_start >= load_.count_from) ++outcome_.online_of_engine[i];
+      if (i == 0 && since_start >= load_.slow_from + Duration{1'500'000} &&
+          since_start < load_.slow_until) {
+        ++outcome_.known_slow;
+      }
+      outcome_.waits.push_back(now_ - run.attempt.at);
+      const Duration length = Scaled(OnlineRunLength(), FactorOf(i));
+      const Duration half = length / 2;
+      At(half, [this, e = run.entry, slot = run.slot, half] {
+        RecordTiming(slot, e, load_.online_events / 2.0, half);
+      });
+      At(length, [this, i, e = run.entry, slot = run.slot, length, half] {
         --engines_[i].online;
-        entries_[e]->pool.ReleaseSlot(slot, relay::SendEnd::kAnswered, load_.online_run, now_);
+        RecordTiming(slot, e, load_.online_events / 2.0, length - half);
+        entries_[e]->pool.ReleaseSlot(slot, relay::SendEnd::kAnswered, length, now_);
         Report(e, allocator_of_.at(engines_[i].info.id));
         Admit(i);
       });
@@ -426,8 +478,14 @@
     report.waiting = Waiting(entry);
     entry.pool.ForEach([&](const BackendInfo& info, const SlotUsage& use) {
       if (allocator_of_.at(info.id) == allocator) {
-        report.lines.push_back(
-            {info.id, use.online, use.batch, use.usual_run, use.answers, use.faults});
+        report.lines.push_back({info.id,
+                                use.online,
+                                use.batch,
+                                use.usual_run,
+                                use.answers,
+                                use.faults,
+                                {},
+                                use.timing});
       }
     });
     At(load_.datagram_delay, [this, e, allocator, report] {
@@ -460,8 +518,10 @@
     entry.acked_grants[allocator] = grant.number;
     entry.service_uses[allocator] = grant.services;
     for (const SlotGrant::Line& line : grant.lines) {
-      entry.pool.ApplyGrant(
-          line.backend, {line.online_other, line.batch_other, line.allowed, line.ejected}, now_);
+      entry.pool.ApplyGrant(line.backend,
+                            {line.online_other, line.batch_other, line.allowed, line.ejected,
+                             DecodeTimePerEvent(line.speed_code)},
+                            now_);
       const SlotUsage use = entry.pool.UsageOf(line.backend);
       for (int i = use.batch; i > line.allowed; --i) StopBatch(e, line.backend);
       StartAllowed(e, line.backend);
@@ -470,6 +530,11 @@
   }
 
   void Tick(int e) {
+    for (Engine& engine : engines_) {
+      for (BatchRun& run : engine.batch) {
+        if (run.entry == e) TimeBatch(run);
+      }
+    }
     for (const auto& [id, allocator] : allocator_of_) {
       if (ticked_.insert({e, allocator}).second) Report(e, allocator);
     }
@@ -478,6 +543,8 @@
   }
 
   void AllocatorTick(int e) {
+    const ServiceName service{"llm"};
+    entries_[e]->allocator.SetFastest(service, entries_[e]->pool.FastestOf(service));
     entries_[e]->allocator.Tick(now_);
     SendDue(e);
     At(SlotAllocator::kCoalesce, [this, e] { AllocatorTick(e); });
@@ -497,8 +564,21 @@
     const Item item = TakeItem(entry);
     const AcquiredSlot slot = entry.pool.AcquireSlot(id, WorkClass::kBatch, now_);
     const int i = index_.at(id);
-    engines_[i].batch.push_back({e, number, item, now_, slot});
-    At(item.remaining, [this, i, number] { EndBatch(i, number); });
+    const double factor = FactorOf(i);
+    ++outcome_.batch_runs;
+    ++outcome_.batch_of_engine[i];
+    engines_[i].batch.push_back({e, number, item, now_, slot, factor, now_});
+    At(Scaled(item.remaining, factor), [this, i, number] { EndBatch(i, number); });
+  }
+
+  void TimeBatch(BatchRun& run) {
+    const double per_event =
+        static_cast<double>(load_.batch_run.count()) * run.factor / load_.batch_events;
+    const double events =
+        std::floor(static_cast<double>((now_ - run.timed_at).count()) / per_event);
+    const Duration time(static_cast<Duration::rep>(events * per_event));
+    run.timed_at += time;
+    RecordTiming(run.slot, run.entry, events, time);
   }
 
   void EndBatch(int i, std::uint64_t number) {
@@ -522,15 +602,16 @@
     for (std::size_t i = 0; i < engine.batch.size(); ++i) {
       const BatchRun& run = engine.batch[i];
       if (run.entry != e) continue;
-      const Item item{run.item.remaining - (now_ - run.since), run.item.due};
+      const Item item{run.item.remaining - Scaled(now_ - run.since, 1 / run.factor), run.item.due};
       running.push_back({{{}, i}, item.due.time_since_epoch(), AsQueued(item).time_to_finish});
     }
     const auto stop = ItemsToStop(std::move(running), 1, now_.time_since_epoch());
     if (stop.empty()) return;
     const auto at = engine.batch.begin() + static_cast<std::ptrdiff_t>(stop.front().item);
     ++outcome_.preemptions;
+    ++outcome_.stopped_of_engine[index_.at(id)];
     Item item = at->item;
-    item.remaining -= now_ - at->since;
+    item.remaining -= Scaled(now_ - at->since, 1 / at->factor);
     entries_[e]->items.push_back(item);
     const AcquiredSlot slot = at->slot;
     engine.batch.erase(at);
