Mend what the reviews of bookings, shares and the small service's line found

Quota: a team with a burst below two was starved, since places for returns kept the only credit of its bucket (quota-booking-test: places for returns; fails before). A late answer to a repeated claim returned a credit that was spent. Numbers of bookings began again at one in each process, so that an entry could claim another caller's. A caller with less than 0.1 s left was answered after its deadline while the owner was silent. Sharing: a request that is asked again after its slot was assigned got a second one; one whose allocator no longer owns the service was told that it still waits; a search that ends leaves the queue of its allocator. The expected slot time of a small service counted idle time, and the slots of before after one was lost. Teams below their share mattered for ever once they had; queued last tries were refused by a forecast that is for newcomers; a stall of 50 ms gave an allocator up. Waiting requests are no longer sorted when no slot is free. Tests: run times of competing teams are drawn apart from arrivals, since the two orders that are compared got different arrivals.

--- a/include/figmill/overload.h
+++ b/include/figmill/overload.h
@@ -254,12 +254,13 @@
   [[nodiscard]] Decision Decide(const Request& request, std::span<const Time> waiting,
                                 const Forecast& forecast, Time now);
   // Outcome of an admitted request. `others_wait`: there are more in the queue.
-  void OnServed(bool others_wait, Time now);
+  // `slots`: of the backend servers that could serve it.
+  void OnServed(bool others_wait, int slots, Time now);
   // Returns the delay before the caller should retry.
   [[nodiscard]] Duration OnExpired(const Request& request, std::size_t waiting,
                                    const Forecast& forecast, Time now);
-  // Mean time between two starts while requests wait; nullopt until it is known.
-  [[nodiscard]] std::optional<Duration> start_interval() const;
+  // Mean time that a request holds a slot while others wait; nullopt until it is known.
+  [[nodiscard]] std::optional<Duration> slot_time() const;
   [[nodiscard]] Counts TakeCounts() { return std::exchange(counts_, {}); }
 
  private:
@@ -282,7 +283,7 @@
   QueueAdmission admission_;
   std::vector<Return> returns_;  // by due time
   int intervals_ = 0;
-  Duration mean_interval_{0};
+  Duration mean_slot_time_{0};
   std::optional<Time> last_start_;  // if requests have waited since then
   Counts counts_;
 };
--- a/include/figmill/quota.h
+++ b/include/figmill/quota.h
@@ -149,7 +149,8 @@
   QuotaBounds bounds_;
   Time may_own_since_;  // start of the earliest possible ownership of a team that is not tracked
   std::map<TeamId, std::unique_ptr<OwnedQuota>> quotas_;
-  std::uint64_t last_booking_ = 0;
+  // Starts at a different number in each process: an entry may claim a booking of the one before.
+  std::uint64_t last_booking_;
   BookingCounts counts_;
 };
 
@@ -303,7 +304,7 @@
   [[nodiscard]] static Error LastTryError(const TeamState& team, const LastTry& last_try,
                                           Duration wait);
   void Wait(TeamState& team, const Request& request, Time ask_at, Time now);
-  void AddCredits(TeamState& team, std::uint32_t credits, const SentRequest& request,
+  void AddCredits(TeamState& team, const QuotaGrant& grant, const SentRequest& request,
                   Time now) const;
   // Adds the last tries that are due to a request to the owner.
   static void AskForLastTries(TeamState& team, QuotaRequest& request, SentRequest& sent, Time now);
--- a/include/figmill/sharing.h
+++ b/include/figmill/sharing.h
@@ -317,6 +317,10 @@
   [[nodiscard]] SlotRequest RequestAt(const SlotRequestQueue::Entry& entry, Time now) const;
   [[nodiscard]] bool ShouldQueue(const SlotRequest& request, std::size_t ahead, Duration wait,
                                  Time now);
+  // Answers a request that has a slot here or waits for one; false if it does neither.
+  [[nodiscard]] bool AnswerRepeated(const NodeId& from, const SlotRequest& request, Time now);
+  // Whether any owned backend server could take an online request.
+  [[nodiscard]] bool HasFreeSlot() const;
   [[nodiscard]] bool IsSmall(const ServiceName& service) const;
   void OnSmallServiceRequest(SlotRequestQueue::Entry entry, Time now);
   // A request of the queue of a small service has expired.
@@ -436,7 +440,7 @@
   // A queued request is asked about this often, to notice that its allocator is gone.
   static constexpr Duration kQueueCheckInterval{300'000};
   // Unanswered questions after which the allocator is taken for gone; datagrams may be lost.
-  static constexpr int kMaxUnanswered = 2;
+  static constexpr int kMaxUnanswered = 4;
 
   // `allocators`: in the order in which they are asked.
   SlotSearch(SlotRequest request, std::vector<NodeId> allocators, Time now);
--- a/src/gateway/slot_finder.cc
+++ b/src/gateway/slot_finder.cc
@@ -56,17 +56,26 @@
          {"why", leaves ? "the backend server is leaving"
                         : "the backend server fails or does not respond here"}});
     tried_.push_back(action.backend);
-    Do(search::ChooseLocally{});
+    ChooseLocally();
   }
   void Do(const search::ChooseLocally& /*action*/) {
+    LeaveQueue();
+    ChooseLocally();
+  }
+  void Do(const search::RefuseRequest& action) {
+    LeaveQueue();
+    Finish(Error{ErrorKind::kOverloaded, "all places are taken", Ran::kNo, action.wait});
+  }
+  // The allocator may have queued the request although its answer was lost or late.
+  void LeaveQueue() {
+    if (!allocator_.empty()) finder_.messenger_.AcknowledgeAnswer(allocator_, search_.number());
+  }
+  void ChooseLocally() {
     BackendQuery query;
     query.service = service_;
     query.tried = tried_;
     Finish(finder_.backend_pool_.Choose(query, Loop::Now()));
   }
-  void Do(const search::RefuseRequest& action) {
-    Finish(Error{ErrorKind::kOverloaded, "all places are taken", Ran::kNo, action.wait});
-  }
   void Finish(Result<BackendAddress> result) {
     timer_.Reset();
     std::exchange(done_, nullptr)(std::move(result));
--- a/src/overload/deadline_line.cc
+++ b/src/overload/deadline_line.cc
@@ -9,6 +9,8 @@
 DeadlineLine::Decision DeadlineLine::Decide(const Request& request, std::span<const Time> waiting,
                                             const Forecast& forecast, Time now) {
   ForgetMissingReturns(now);
+  // The time since the last start was idle.
+  if (waiting.empty()) last_start_.reset();
   if (request.last_try) OnReturn();
   if (request.goal_start > now && Fits(request.goal_start, waiting, forecast, now)) {
     return Admit(request.goal_start);
@@ -74,19 +76,19 @@
   std::erase_if(returns_, [now](const Return& each) { return now >= each.due + kReturnGrace; });
 }
 
-void DeadlineLine::OnServed(bool others_wait, Time now) {
+void DeadlineLine::OnServed(bool others_wait, int slots, Time now) {
   admission_.OnServed();
   if (last_start_) {
-    const Duration interval = now - *last_start_;
+    const Duration slot_time = (now - *last_start_) * slots;
     intervals_ = std::min(intervals_ + 1, kIntervalSamples);
-    mean_interval_ += (interval - mean_interval_) / intervals_;
+    mean_slot_time_ += (slot_time - mean_slot_time_) / intervals_;
   }
   last_start_ = others_wait ? std::optional<Time>(now) : std::nullopt;
 }
 
-std::optional<Duration> DeadlineLine::start_interval() const {
+std::optional<Duration> DeadlineLine::slot_time() const {
   if (intervals_ < kMinIntervals) return std::nullopt;
-  return mean_interval_;
+  return mean_slot_time_;
 }
 
 Duration DeadlineLine::OnExpired(const Request& request, std::size_t waiting,
--- a/src/quota/owned_quota.cc
+++ b/src/quota/owned_quota.cc
@@ -26,6 +26,10 @@
   ReturnHeld(now);
   bucket_.Refill(per_second_, capacity_, now);
   DropExpired(now);
+  // The burst was lowered: the places for returns would keep credits that overflow.
+  if (capacity_ < kMinBookableCapacity) {
+    std::erase_if(line_, [](const Booking& booking) { return !booking.firm(); });
+  }
 }
 
 void OwnedQuota::HoldDue(Time now) {
@@ -190,6 +194,7 @@
 Duration OwnedQuota::BookReturns(std::uint32_t count, Time now) {
   Place place = EarliestPlace(now);
   const Duration first = WaitUntil(place.due, now);
+  if (capacity_ < kMinBookableCapacity) return first;
   for (std::uint32_t i = 0; i < std::min(count, kMaxReturnsPerRequest); ++i) {
     if (place.due > now + kMaxReturnAhead || bookings() >= kMaxBookings) break;
     Insert(place, 0);
--- a/src/quota/quota_client.cc
+++ b/src/quota/quota_client.cc
@@ -80,7 +80,8 @@
   if (!request.last_try) return team.waiting.push_back({request, now});
   LastTry last_try;
   last_try.request = request;
-  last_try.give_up_at = now + std::max(request.max_wait, kOwnerTimeout);
+  last_try.give_up_at =
+      now + std::max(request.max_wait, std::min(kOwnerTimeout, request.time_left));
   last_try.ask_at = ask_at;
   team.last_tries.push_back(last_try);
 }
@@ -146,7 +147,7 @@
   team.in_flight.erase(request);
   if (!grant.owned) return OnOwnerSilent(team, now);
   team.unresponsive_since.reset();
-  AddCredits(team, grant.credits, sent, now);
+  AddCredits(team, grant, sent, now);
   ApplyBookings(team, sent.last_tries, grant, now);
   while (team.credits > 0 && !team.waiting.empty()) {
     --team.credits;
@@ -164,7 +165,7 @@
   SendRequestIfDue(team, now);
 }
 
-void QuotaClient::AddCredits(TeamState& team, std::uint32_t credits, const SentRequest& request,
+void QuotaClient::AddCredits(TeamState& team, const QuotaGrant& grant, const SentRequest& request,
                              Time now) const {
   DropExpired(team, now);
   const bool claims =
@@ -174,9 +175,15 @@
   const Time until = request.sent_at + bounds_.CreditLifetime() - held;
   if (now < until) {
     team.credits_until = team.credits > 0 ? std::min(team.credits_until, until) : until;
-    team.credits += credits;
+    team.credits += grant.credits;
   } else {
-    team.returned += credits;
+    // A repeated claim is answered twice with one credit, so such credits are never returned.
+    std::uint32_t claimed = 0;
+    for (std::size_t i = 0; i < std::min(request.last_tries.size(), grant.bookings.size()); ++i) {
+      const bool served = grant.bookings[i].wait <= Duration{0};
+      if (request.last_tries[i].booking != 0 && served) ++claimed;
+    }
+    team.returned += grant.credits - std::min(grant.credits, claimed);
   }
 }
 
--- a/src/quota/quota_owner.cc
+++ b/src/quota/quota_owner.cc
@@ -62,7 +62,9 @@
 }
 
 QuotaOwner::QuotaOwner(Time started_at, QuotaBounds bounds)
-    : bounds_(bounds), may_own_since_(started_at) {}
+    : bounds_(bounds),
+      may_own_since_(started_at),
+      last_booking_(static_cast<std::uint64_t>(started_at.time_since_epoch().count()) << 16U) {}
 QuotaOwner::~QuotaOwner() = default;
 QuotaOwner::QuotaOwner(QuotaOwner&& other) noexcept = default;
 QuotaOwner& QuotaOwner::operator=(QuotaOwner&& other) noexcept = default;
--- a/src/sharing/slot_assignment.cc
+++ b/src/sharing/slot_assignment.cc
@@ -49,6 +49,13 @@
   return true;
 }
 
+bool SlotAllocator::HasFreeSlot() const {
+  return std::any_of(backends_.begin(), backends_.end(), [](const auto& each) {
+    const OwnedBackend& owned = each.second;
+    return !owned.ejected && !owned.info.frozen && owned.info.slots > OnlineOf(owned);
+  });
+}
+
 void SlotAllocator::ExpireReservations(Time now) {
   for (auto& [id, owned] : backends_) {
     const auto lost =
--- a/src/sharing/slot_requests.cc
+++ b/src/sharing/slot_requests.cc
@@ -6,11 +6,30 @@
 #include "figmill/sharing.h"
 
 namespace figmill {
-void SlotAllocator::OnRequest(const NodeId& from, const SlotRequest& request, Time now) {
-  if (queue_.Contains(from, request.number)) {
-    // The entry checks that its request still waits here.
-    return Answer(from, {request.number, SlotResponse::Kind::kQueued, {}, Duration{0}});
+
+// The entry checks that its request still waits here, or an answer was lost.
+bool SlotAllocator::AnswerRepeated(const NodeId& from, const SlotRequest& request, Time now) {
+  for (auto& [id, owned] : backends_) {
+    if (!IsEligible(id, owned, request)) continue;
+    for (Reservation& each : owned.reserved) {
+      if (each.entry != from || each.request != request.number) continue;
+      each.until = now + kReservationTtl;
+      Answer(from, {request.number, SlotResponse::Kind::kAssigned, id, Duration{0}});
+      return true;
+    }
+  }
+  if (!queue_.Contains(from, request.number)) return false;
+  if (SlotsFor(request) == 0) {
+    queue_.Remove(from, std::span(&request.number, 1));
+    AnswerNoSlot(from, request, std::nullopt);
+  } else {
+    Answer(from, {request.number, SlotResponse::Kind::kQueued, {}, Duration{0}});
   }
+  return true;
+}
+
+void SlotAllocator::OnRequest(const NodeId& from, const SlotRequest& request, Time now) {
+  if (AnswerRepeated(from, request, now)) return;
   // A request on its last try that is served later would not finish before its caller gives up.
   const Duration timeout =
       request.time_left - (request.last_try ? TypicalRunTime(request.service) : Duration{0});
@@ -54,7 +73,10 @@
                                        Time now) {
   ServiceLoad& load = loads_[entry.request.service];
   if (entry.serve_by) {
-    if (served) load.line.OnServed(!queue_.ServeTimes(entry.request.service).empty(), now);
+    if (served) {
+      const bool others_wait = !queue_.ServeTimes(entry.request.service).empty();
+      load.line.OnServed(others_wait, SlotsFor(entry.request), now);
+    }
     return;  // an expired one is recorded when it is refused
   }
   if (!entry.request.last_try) {
@@ -78,7 +100,7 @@
     entry.serve_by ? RefuseExpired(entry, *wait, now)
                    : Refuse(entry.from, entry.request, *wait, now);
   }
-  while (!queue_.empty()) {
+  while (!queue_.empty() && HasFreeSlot()) {
     const auto served = queue_.PopFirst(now, [this, now](const SlotRequestQueue::Entry& entry) {
       return TryAssignSlot(entry.from, entry.request, now);
     });
--- a/src/sharing/slot_shares.cc
+++ b/src/sharing/slot_shares.cc
@@ -11,6 +11,8 @@
 // Share of the slots that is taken as left by the teams below their share, so that expected waits
 // stay finite.
 constexpr double kMinSlotsLeft = 0.05;
+// Below this the teams below their share don't matter any more. Unit: requests a second.
+constexpr double kMinRate = 0.1;
 
 }  // namespace
 
@@ -26,7 +28,8 @@
 double SlotAllocator::RateBefore(const SlotRequest& request) const {
   const auto load = loads_.find(request.service);
   if (load == loads_.end() || queue_.IsBelowShare(request)) return 0;
-  return load->second.below_share.PerSecond();
+  const double rate = load->second.below_share.PerSecond();
+  return rate < kMinRate ? 0 : rate;
 }
 
 QueueAdmission& SlotAllocator::AdmissionFor(const SlotRequest& request) {
@@ -60,7 +63,7 @@
 SlotRequest SlotAllocator::RequestAt(const SlotRequestQueue::Entry& entry, Time now) const {
   SlotRequest request = entry.request;
   request.goal_left = entry.goal_deadline - now + kFirstEventLatency;
-  request.time_left = entry.caller_deadline - now;
+  request.time_left = std::max(entry.caller_deadline - now, Duration{0});
   if (request.last_try) request.time_left += TypicalRunTime(request.service);
   return request;
 }
@@ -69,7 +72,11 @@
   const auto can_wait = [this, now](const SlotRequestQueue::Entry& entry, std::size_t ahead) {
     const SlotRequest request = RequestAt(entry, now);
     const std::optional<Duration> wait = ExpectedWait(request, ahead + 1);
-    return wait && ShouldQueue(request, ahead, *wait, now);
+    if (!wait) return false;
+    // The forecast of the overload decides who may begin to wait, not who goes on waiting.
+    if (request.last_try && *wait <= request.time_left - TypicalRunTime(request.service))
+      return true;
+    return ShouldQueue(request, ahead, *wait, now);
   };
   for (const SlotRequestQueue::Entry& entry : queue_.TakeDisplaced(added, now, can_wait)) {
     const SlotRequest request = RequestAt(entry, now);
--- a/src/sharing/slot_waits.cc
+++ b/src/sharing/slot_waits.cc
@@ -107,8 +107,8 @@
   const int slots = SlotsFor(request);
   Duration run_time = std::max(TypicalRunTime(request.service), Duration{1'000});
   const auto load = loads_.find(request.service);
-  if (load != loads_.end() && load->second.line.start_interval()) {
-    run_time = std::max(*load->second.line.start_interval() * slots, Duration{1'000});
+  if (load != loads_.end() && load->second.line.slot_time()) {
+    run_time = std::max(*load->second.line.slot_time(), Duration{1'000});
   }
   const auto whole_runs = std::max<Duration::rep>(0, span / run_time);
   ExpectedCompletions all;
--- a/test/competing-teams.h
+++ b/test/competing-teams.h
@@ -25,6 +25,7 @@
   load.online_per_s = kUsualShare * load.engines * load.slots /
                       std::chrono::duration<double>(load.online_run).count();
   load.online_spread = 0.25;
+  load.same_arrivals = true;
   load.batch_per_s = 0.01;
   load.retries = true;
   load.teams = {.count = 12, .named = true, .factor = factor, .from = Duration{1'000'000}};
--- a/test/quota-booking-test.cc
+++ b/test/quota-booking-test.cc
@@ -67,6 +67,19 @@
 // --- Owner -------------------------------------------------------------------------
 
 // Guards against refusing a last try for good although a credit comes before its deadline.
+// Guards against a team without a burst that is served nothing while refused callers have places.
+TEST_CASE("places for returns keep no credit of a bucket that can't hold it") {
+  QuotaOwner owner(kStart);
+  Team team;
+  team.name = TeamId{"rye"};
+  team.requests_per_second = 10;
+  const Time later = kStart + std::chrono::seconds(60);
+  CHECK(owner.Grant({1, team.name, 1, 0}, team, later).credits == 1);
+  CHECK(owner.Grant({2, team.name, 1, 0}, team, later).credits == 0);
+  CHECK(owner.Grant({3, team.name, 1, 0}, team, later).credits == 0);
+  CHECK(owner.Grant({4, team.name, 1, 0}, team, later + 101 * kMs).credits == 1);
+}
+
 TEST_CASE("last tries without a credit are booked one credit apart, and get it when they ask") {
   const Team team = Limited(10, 20);
   QuotaOwner owner = EmptyOwner();
