--- a/test/sharing-test.cc
+++ b/test/sharing-test.cc
@@ -387,7 +387,7 @@
   }
 }
 
-// Guards against callers that wait in vain until they give up after the allocator that queued their
+// Guards against callers that wait until they give up after the allocator that queued their
 // request was killed or frozen, or another one took over its backend servers.
 TEST_CASE("a search whose allocator is lost while it waits asks the others") {
   SlotRequest request = RequestOf(7);
