send_lost names the parts of the prompt and how far the answer had come

Callers saw backend servers crash one after the other while no two of the requests were alike. The lines of the lost sends had 126 fingerprints and nothing that the requests had in common, so that a part of the prompt could not be told from load as the cause. The entry now reads the list of parts (never the last one, which is the request's own). The client also tells an answer that only its connection's close has ended: it has no way to tell such an end from a crash.

--- a/include/figmill/base.h
+++ b/include/figmill/base.h
@@ -76,6 +76,9 @@
 };
 // Compares header names case-insensitively.
 [[nodiscard]] bool SameHeaderName(std::string_view a, std::string_view b);
+// The value of the first header of this name, or `fallback`.
+[[nodiscard]] std::string_view HeaderValue(std::span<const Header> headers, std::string_view name,
+                                           std::string_view fallback = {});
 struct HttpHead {
   int status = 0;
   std::vector<Header> headers;
--- a/include/figmill/gateway.h
+++ b/include/figmill/gateway.h
@@ -36,6 +36,8 @@
   std::string team = "Figmill-Team";  // the team that the caller's key belongs to
   // With last_event_id: the request id of the attempt whose answer the stream began with.
   std::string resumes = "Figmill-Resumes";
+  // The parts of the prompt in order, as comma-separated ID:TOKENS entries.
+  std::string prompt_parts = "Figmill-Prompt-Parts";
 };
 
 // Calls about an accepted batch job.
--- a/include/figmill/quarantine.h
+++ b/include/figmill/quarantine.h
@@ -36,6 +36,14 @@
                                                std::span<const Header> headers,
                                                std::string_view body, const TeamId& team);
 
+// Limit on the parts of one prompt that are considered.
+inline constexpr std::size_t kMaxPartsOfPrompt = 16;
+// The ids of a prompt's parts, from a list of ID:TOKENS entries, ids in hexadecimal. The last part
+// belongs to the request itself and is left out, as are entries that can't be read.
+[[nodiscard]] std::vector<std::string_view> SharedPartsOf(std::string_view prompt_parts);
+// The same, separated by commas.
+[[nodiscard]] std::string SharedPartsText(std::string_view prompt_parts);
+
 // A crash of a backend server while it ran a request.
 struct Crash {
   RequestFingerprint request;
--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -171,8 +171,11 @@
 struct HttpBytes {
   std::string_view bytes;  // valid during the call
 };
-// The answer ended by HTTP's own rules (length or last chunk).
-struct HttpEnd {};
+// The answer ended by HTTP's own rules.
+struct HttpEnd {
+  // Neither a length nor a last chunk ended it, only the peer's close. The peer may have crashed.
+  bool by_close = false;
+};
 // It did not. `sent` is false only when no connection was made, so that the
 // peer can't have seen the request.
 struct HttpFailure {
--- a/src/base/headers.cc
+++ b/src/base/headers.cc
@@ -11,11 +11,16 @@
   });
 }
 
-std::string_view HttpHead::HeaderOr(std::string_view name, std::string_view fallback) const {
+std::string_view HeaderValue(std::span<const Header> headers, std::string_view name,
+                             std::string_view fallback) {
   for (const Header& header : headers) {
     if (SameHeaderName(header.name, name)) return header.value;
   }
   return fallback;
 }
 
+std::string_view HttpHead::HeaderOr(std::string_view name, std::string_view fallback) const {
+  return HeaderValue(headers, name, fallback);
+}
+
 }  // namespace figmill
--- a/src/exchange/no_retry_http_client.cc
+++ b/src/exchange/no_retry_http_client.cc
@@ -250,6 +250,7 @@
     total_timer_.Reset();
     const auto on_event = std::exchange(on_event_, nullptr);
     const int peer_seconds = parser_->keep_alive_seconds();
+    const HttpEnd end{parser_->ends_by_close()};
     // If the response arrived before the whole body was sent, the connection can't be reused: the
     // peer would take the next request for the rest of this body.
     if (reusable && written_) {
@@ -258,7 +259,7 @@
     } else {
       Close();
     }
-    on_event(HttpEnd{});
+    on_event(end);
   }
 
   void Fail(bool sent, bool timed_out, std::string why) {
--- a/src/exchange/response_parser.cc
+++ b/src/exchange/response_parser.cc
@@ -64,7 +64,10 @@
 
 ResponseState ResponseParser::FeedEof() {
   static const http_parser_settings kSettings = MakeSettings();
-  if (!complete_) http_parser_execute(&parser_, &kSettings, nullptr, 0);
+  if (!complete_) {
+    http_parser_execute(&parser_, &kSettings, nullptr, 0);
+    ends_by_close_ = complete_;
+  }
   reusable_ = false;
   return complete_ ? ResponseState::kCompleteNotReusable : ResponseState::kMalformed;
 }
--- a/src/exchange/response_parser.h
+++ b/src/exchange/response_parser.h
@@ -33,6 +33,9 @@
   // The peer closed its side cleanly, which ends a response without a length.
   [[nodiscard]] ResponseState FeedEof();
 
+  // Whether only the peer's close can end the response: it has neither a length nor chunks.
+  [[nodiscard]] bool ends_by_close() const { return ends_by_close_; }
+
   // How long the peer keeps the connection, from its Keep-Alive header; 0 if not given.
   [[nodiscard]] int keep_alive_seconds() const { return keep_alive_seconds_; }
 
@@ -55,6 +58,7 @@
   bool in_value_ = false;
   bool complete_ = false;
   bool reusable_ = false;
+  bool ends_by_close_ = false;
   int keep_alive_seconds_ = 0;
 };
 
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -216,13 +216,18 @@
   run = Run{};
   run.backend = AddressOf(backend);
   run.started_at = run.last_activity_at = Loop::Now();
-  run.lost_send = {item.id, fingerprint, run.backend, run.started_at};
+  run.events_before = progress.text.events();
+  run.lost_send = {item.id, fingerprint,
+                   SharedPartsText(HeaderValue(item.headers, tools_.names.prompt_parts)),
+                   run.backend, run.started_at};
   tools_.crash_tracker.RecordStart(fingerprint);
   run.due = due;
   run.slot = tools_.backends.AcquireSlot(backend.id, WorkClass::kBatch, run.started_at);
-  run.timer = RunTimer(progress.text.events());
+  run.timer = RunTimer(run.events_before);
   run.number = tools_.open_sends.Add(run.backend, run.started_at, [this, key] {
-    tools_.crash_tracker.ReportRestart(runs_[key].lost_send);
+    Run& lost = runs_[key];
+    lost.lost_send.events = open_items_.ProgressOf(key).text.events() - lost.events_before;
+    tools_.crash_tracker.ReportRestart(lost.lost_send);
     Requeue(key, relay::SendEnd::kBroken, "the backend server has started again", Duration{0});
   });
   run.cancel = tools_.client.Start(
@@ -252,7 +257,8 @@
 }
 
 void BatchRunner::OnConnectionLost(const JobItemRef& key, std::string why) {
-  const Run& run = runs_[key];
+  Run& run = runs_[key];
+  run.lost_send.events = open_items_.ProgressOf(key).text.events() - run.events_before;
   tools_.crash_tracker.CheckBackend(
       run.lost_send, [this, key, number = run.number, why = std::move(why)] {
         const auto found = runs_.find(key);
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -55,6 +55,7 @@
     OpenSends::Id number = 0;
     CancelCall cancel;
     bool answering = false;
+    std::uint64_t events_before = 0;  // of the item's text when the run started
     Time started_at{};
     Time last_activity_at{};
     StoreTime due{0};
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -13,6 +13,8 @@
   Log(LogLevel::kInfo, "send_lost",
       {{"request", lost.id},
        {"fingerprint", lost.request.value},
+       {"parts", lost.parts},
+       {"events", std::to_string(lost.events)},
        {"backend", lost.backend.id.value},
        {"incarnation", std::to_string(lost.backend.incarnation.number)},
        {"dialed", std::string(found)},
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -29,8 +29,10 @@
   struct LostSend {
     std::string id;  // of the request attempt or of the batch item
     RequestFingerprint request;
+    std::string parts;  // ids of the prompt's shared parts, for the log
     BackendAddress backend;
     Time started_at{};
+    std::uint64_t events = 0;  // of the answer that arrived in this run
   };
 
   CrashTracker(Loop& loop, NoRetryHttpClient& client, SharedTables& tables, Metrics& metrics,
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -193,7 +193,8 @@
   sent_at_ = Loop::Now();
   if (context_.crash_tracker.has_quarantined()) context_.crash_tracker.RecordStart(Fingerprint());
   slot_ = context_.backends.AcquireSlot(action.backend.id, WorkClass::kOnline, sent_at_);
-  run_timer_ = RunTimer(state_machine_.events_forwarded());
+  events_before_send_ = state_machine_.events_forwarded();
+  run_timer_ = RunTimer(events_before_send_);
   open_send_id_ = context_.open_sends.Add(
       action.backend, sent_at_, [weak = weak_from_this(), send = action.send] {
         const auto self = weak.lock();
@@ -250,7 +251,12 @@
 }
 
 CrashTracker::LostSend RelayCall::MakeLostSend() {
-  return {state_machine_.plan().request.value, Fingerprint(), sent_to_, sent_at_};
+  return {state_machine_.plan().request.value,
+          Fingerprint(),
+          SharedPartsText(HeaderValue(request_.headers, context_.names.prompt_parts)),
+          sent_to_,
+          sent_at_,
+          state_machine_.events_forwarded() - events_before_send_};
 }
 
 void RelayCall::OnWholeAnswer(int status) {
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -120,6 +120,7 @@
   bool timer_armed_ = false;
   Time started_at_{};
   Time sent_at_{};
+  std::uint64_t events_before_send_ = 0;  // forwarded when the last send began
   Time first_byte_at_{};
   int status_ = 0;
   Duration retry_after_{0};                 // sent in an error response
