--- a/include/figmill/items.h
+++ b/include/figmill/items.h
@@ -250,6 +250,8 @@
   // Restores output of the item that an earlier owner stored.
   void Restore(const JobItemRef& key, const ledger::ProgressPiece& piece);
   void Enqueue(const JobItemRef& key, StoreTime due, Time not_before);
+  // An item of the backlog may not start before `not_before`.
+  void Postpone(const JobItemRef& key, Time not_before);
   // Removes the next item that may start now and fits from the backlog, and starts a run of it.
   [[nodiscard]] std::optional<ItemBacklog::Entry> StartNext(
       const BacklogTime& now, const std::function<bool(const JobItemRef&)>& fits);
--- a/include/figmill/quarantine.h
+++ b/include/figmill/quarantine.h
@@ -1,18 +1,22 @@
 #pragma once
 
-// Quarantines requests that crash the backend servers which run them.
+// Quarantines requests that crash the backend servers which run them, and parts of prompts that
+// crash whatever runs a request with them.
 //
 // A backend server that crashes loses all requests that it runs, and nothing shows which of them
-// was the cause. Therefore each of them is reported, by a fingerprint that all attempts of one
-// request share. If a request is reported again after a run that started later, it is the most
-// likely cause and isn't run for a while. If it is completed, it is not the cause, and its reports
-// are withdrawn.
+// was the cause. Therefore each of them is reported, by fingerprints of what may be to blame: the
+// whole request, and each part of its prompt if its answer had only begun. A suspect that is
+// reported again after a run that started later is the most likely cause, unless another suspect
+// explains these crashes, and requests with it aren't run for a while. A suspect of a completed
+// request is not the cause, and its reports are withdrawn.
 // No I/O: the caller passes the time in.
 
 #include <compare>
 #include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -24,31 +28,42 @@
 
 namespace figmill {
 
-// Identifies all attempts of one request. Each attempt has an id of its own, so ids can't show that
-// the same request was sent again.
-struct RequestFingerprint {
-  std::string value;  // 32 hexadecimal digits
-  auto operator<=>(const RequestFingerprint&) const = default;
+// Identifies what may be to blame for a crash: a request, in all of its attempts, or a part of
+// prompts. Each attempt has an id of its own, so ids can't show that the same request was sent
+// again.
+struct Fingerprint {
+  std::string value;  // 32 hexadecimal digits, or that of a part
+  auto operator<=>(const Fingerprint&) const = default;
 };
 // `target`: path and query. The caller's key is not included, because fingerprints are written to
 // the store.
-[[nodiscard]] RequestFingerprint FingerprintOf(std::string_view method, std::string_view target,
-                                               std::span<const Header> headers,
-                                               std::string_view body, const TeamId& team);
+[[nodiscard]] Fingerprint FingerprintOf(std::string_view method, std::string_view target,
+                                        std::span<const Header> headers, std::string_view body,
+                                        const TeamId& team);
 
 // Limit on the parts of one prompt that are considered.
 inline constexpr std::size_t kMaxPartsOfPrompt = 16;
 // The ids of a prompt's parts, from a list of ID:TOKENS entries, ids in hexadecimal. The last part
 // belongs to the request itself and is left out, as are entries that can't be read.
 [[nodiscard]] std::vector<std::string_view> SharedPartsOf(std::string_view prompt_parts);
-// The same, separated by commas.
-[[nodiscard]] std::string SharedPartsText(std::string_view prompt_parts);
+// The fingerprints of these parts for the engines of a service. They contain the ids, for people.
+[[nodiscard]] std::vector<Fingerprint> PartFingerprintsOf(std::string_view prompt_parts,
+                                                          const ServiceName& service);
+[[nodiscard]] bool IsPart(const Fingerprint& fingerprint);
+// Whether the text has the form of a fingerprint.
+[[nodiscard]] bool IsFingerprint(std::string_view text);
+
+// A process of a backend server.
+struct BackendProcess {
+  BackendId backend;
+  BackendIncarnation incarnation;
+  auto operator<=>(const BackendProcess&) const = default;
+};
 
-// A crash of a backend server while it ran a request.
+// A crash of a backend server while it ran a request of this suspect.
 struct Crash {
-  RequestFingerprint request;
-  BackendId backend;
-  BackendIncarnation incarnation;  // the one that crashed
+  Fingerprint suspect;
+  BackendProcess process;
   auto operator<=>(const Crash&) const = default;
 };
 
@@ -74,25 +89,56 @@
 
 class Quarantine {
  public:
-  // How long a request is kept in quarantine after a chain of crashes. It is probed when the period
-  // is over, so that one that was blamed wrongly is served again; after a chain of
-  // CrashReport::kMaxChain there is no probe.
+  // How long a suspect is kept in quarantine after a chain of crashes. It is probed when the period
+  // is over, so that one that was blamed wrongly is served again.
   struct Policy {
     int min_chain = 0;        // shortest chain that causes a quarantine
     Duration initial_period;  // time until the first probe; doubles with each further crash
   };
   // An online request that merely ran beside the cause is short, and seldom sees a second crash.
+  // After a chain of CrashReport::kMaxChain there is no probe.
   static constexpr Policy kOnline{2, Duration{60'000'000}};
   // Batch items run for seconds, and see crashes of several backend servers for unrelated reasons.
-  // Their jobs can wait.
+  // Their jobs can wait. No probe after a chain of CrashReport::kMaxChain.
   static constexpr Policy kBatch{4, Duration{8'000'000}};
+  // Parts are shared by many requests, so that one that is blamed wrongly is released soon.
+  static constexpr Policy kPart{2, Duration{20'000'000}};
+  // A crash says nothing about the parts of a prompt whose answer had more events than this: such
+  // a part crashes an engine that begins to write.
+  static constexpr std::uint64_t kMaxEventsAtCrash = 8;
+  // A part of a request that was completed here takes no reports for this long.
+  static constexpr Duration kClearedFor{10'000'000};
+  // Most completed parts that are remembered.
+  static constexpr std::size_t kMaxClearedParts = 4096;
   // No second probe starts here while one may still be running.
   static constexpr Duration kProbeTimeout{10'000'000};
+  // While another part may be to blame as well, requests that tell them apart are probes. They
+  // start here at this interval, and the first ones of all entries are spread over it.
+  static constexpr Duration kDecidingProbeInterval{1'000'000};
+  // Reports of other entries may still change what is to blame for a crash that was this long ago,
+  // so that callers are told to come back soon.
+  static constexpr Duration kSettlingTime{1'000'000};
   // Retry delay for callers of a request that is no longer probed.
   static constexpr Duration kMaxRetryAfter = std::chrono::hours(1);
-  // Most reports kept, over all requests.
+  // Most reports kept, over all suspects.
   static constexpr std::size_t kMaxReports = 1000;
 
+  // What is to blame for some crashes.
+  struct Culprit {
+    Fingerprint suspect;
+    // Other parts that may be to blame instead: each of the crashes lost one of them as well.
+    std::set<Fingerprint> alternatives;
+    int chain = 0;
+    std::size_t crashes = 0;
+    Time last_crash_at{};
+    bool operator==(const Culprit&) const = default;
+  };
+  // Why and for how long a request may not run.
+  struct Hold {
+    Culprit culprit;
+    Duration left{0};
+  };
+
   explicit Quarantine(NodeId self) : self_(std::move(self)) {}
 
   // Adds a report of this process or of another one. `seen_at`: when the crash was seen here, or
@@ -100,43 +146,55 @@
   void Add(const CrashReport& report, Time seen_at);
   void Remove(const Crash& crash);
   // Chain length of a crash in a run that started at `started_at`.
-  [[nodiscard]] int NextChainLength(const RequestFingerprint& request, Time started_at) const;
-
-  // Time until the request may run here as work of this class; nullopt: it may run now.
-  [[nodiscard]] std::optional<Duration> TimeLeft(const RequestFingerprint& request, WorkClass work,
-                                                 Time now) const;
-  // Length of the request's longest chain of crashes; 0 without reports.
-  [[nodiscard]] int ChainLength(const RequestFingerprint& request) const;
-  // A run of the request starts.
-  void RecordStart(const RequestFingerprint& request, Time now);
-  // A run of the request has ended with a complete answer. Returns the reports that this withdraws.
-  [[nodiscard]] std::vector<Crash> RecordCompletion(const RequestFingerprint& request);
+  [[nodiscard]] int NextChainLength(const Fingerprint& suspect, Time started_at) const;
+
+  // Whether a request with these fingerprints may run here as work of this class; nullopt: it may.
+  [[nodiscard]] std::optional<Hold> HoldOf(std::span<const Fingerprint> request, WorkClass work,
+                                           Time now) const;
+  // A run of a request with these fingerprints starts.
+  void RecordStart(std::span<const Fingerprint> request, Time now);
+  // A run has ended with a complete answer. Returns the reports that this withdraws.
+  [[nodiscard]] std::vector<Crash> RecordCompletion(std::span<const Fingerprint> request, Time now);
+  // Whether a request with this part was completed here a short time ago.
+  [[nodiscard]] bool IsCleared(const Fingerprint& part, Time now) const;
   // The reports beyond kMaxReports: those of the shortest chains, and of these the oldest.
   [[nodiscard]] std::vector<Crash> ExcessReports() const;
 
   [[nodiscard]] std::size_t reports() const { return reports_; }
-  // Number of requests whose chain is long enough for a quarantine of online requests.
-  [[nodiscard]] std::size_t quarantined() const { return quarantined_; }
+  [[nodiscard]] const std::vector<Culprit>& culprits() const { return culprits_; }
 
  private:
   struct SeenCrash {
     int chain = 1;
     Time at{};
   };
-  struct SuspectRequest {
-    std::map<Crash, SeenCrash> crashes;
+  struct Suspect {
+    std::map<BackendProcess, SeenCrash> crashes;
     Time probe_until{};
   };
-  [[nodiscard]] static const SeenCrash& LongestChain(const SuspectRequest& suspect);
-  [[nodiscard]] static bool IsQuarantined(const SuspectRequest& suspect);
-  // Quarantine period after the end of a chain; nullopt: no probe.
-  [[nodiscard]] std::optional<Duration> QuarantinePeriod(const RequestFingerprint& request,
-                                                         const Policy& policy, int chain) const;
+  using Processes = std::set<BackendProcess>;
+
+  void FindCulprits();
+  // The part to which most crashes point that nothing explains yet; nullopt: none is to blame.
+  [[nodiscard]] std::optional<Fingerprint> LeadingPart(const Processes& explained) const;
+  [[nodiscard]] Culprit MakeCulprit(const Fingerprint& fingerprint,
+                                    const Processes& explained) const;
+  [[nodiscard]] std::set<Fingerprint> AlternativesTo(const Fingerprint& part,
+                                                     const Processes& explained) const;
+  [[nodiscard]] Duration QuarantineLeft(const Culprit& culprit, WorkClass work, Time now) const;
+  [[nodiscard]] Duration DecidingProbeLeft(std::span<const Fingerprint> request,
+                                           const Culprit& culprit, Time now) const;
+  [[nodiscard]] std::optional<Duration> QuarantinePeriod(const Culprit& culprit,
+                                                         const Policy& policy) const;
+  [[nodiscard]] Time ProbeUntil(const Fingerprint& suspect) const;
+  // This entry's share of a span of time, which differs between entries.
+  [[nodiscard]] Duration Spread(const Fingerprint& suspect, Duration span) const;
 
   NodeId self_;
-  std::map<RequestFingerprint, SuspectRequest> suspects_;
+  std::map<Fingerprint, Suspect> suspects_;
+  std::vector<Culprit> culprits_;
+  std::map<Fingerprint, Time> cleared_;  // when requests with these parts were last completed here
   std::size_t reports_ = 0;
-  std::size_t quarantined_ = 0;
 };
 
 }  // namespace figmill
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -77,22 +77,40 @@
 void BatchRunner::Enqueue(const JobItemRef& key, Duration delay) {
   const OwnedJob* job = jobs_.FindOwned(key.job);
   if (job == nullptr) return;
-  delay = std::max(delay, QuarantineLeft(*job, key));
+  delay = std::max(delay, std::min(QuarantineLeft(*job, key), kQuarantineCheckInterval));
   open_items_.Enqueue(key, job->record().due, Loop::Now() + delay);
   if (delay.count() > 0) tools_.loop.Later(delay, [this] { UpdateRuns(); });
 }
 
-// Time until the item may run, when it is quarantined because backend servers crashed while they
-// ran it. It isn't recorded as dead before its job expires: a recorded result is final, and another
-// request may have caused the crashes.
+// Time until the item may run on some service of its route. It isn't recorded as dead before its
+// job expires: a recorded result is final, and another request may have caused the crashes.
 Duration BatchRunner::QuarantineLeft(const OwnedJob& job, const JobItemRef& key) const {
   if (!tools_.crash_tracker.has_quarantined()) return Duration{0};
-  const HttpCall call = MakeItemCall(tools_.names, job.record(), job.items()[key.item]);
+  const Route* route = RouteOf(job.record(), job.items()[key.item]);
+  if (route == nullptr) return Duration{0};
+  Duration least = Duration::max();
+  for (const ServiceShare& share : route->split) {
+    least = std::min(least, QuarantineLeft(key, share.service));
+  }
+  return least == Duration::max() ? Duration{0} : least;
+}
+
+Duration BatchRunner::QuarantineLeft(const JobItemRef& key, const ServiceName& service) const {
+  if (!tools_.crash_tracker.has_quarantined()) return Duration{0};
+  const OwnedJob* job = jobs_.FindOwned(key.job);
+  if (job == nullptr) return Duration{0};
+  const std::vector<Fingerprint> suspects =
+      SuspectsOf(tools_.names, job->record(), job->items()[key.item], service);
   const std::optional<Error> why =
-      tools_.crash_tracker.QuarantineError(FingerprintOf(job.record(), call), WorkClass::kBatch);
+      tools_.crash_tracker.QuarantineError(suspects, WorkClass::kBatch);
   return why ? why->retry_after.value_or(Duration{0}) : Duration{0};
 }
 
+void BatchRunner::Postpone(const JobItemRef& key, Duration delay) {
+  open_items_.Postpone(key, Loop::Now() + delay);
+  tools_.loop.Later(delay, [this] { UpdateRuns(); });
+}
+
 BacklogTime BatchRunner::TimeNow() const {
   return {Loop::Now(), clock_.Earliest(Loop::SinceBoot())};
 }
@@ -173,14 +191,21 @@
   if (started) waiting_changed_();
 }
 
+// What has come into quarantine while it waited is found here. It is moved back, as an item that
+// could start would ask for slots that it doesn't use.
 bool BatchRunner::StartOn(const BackendInfo& backend) {
+  std::map<JobItemRef, Duration> held;
   const auto next = [&](OtherSources others) {
-    return open_items_.StartNext(TimeNow(), [this, &backend, others](const JobItemRef& key) {
-      return CanRunOn(key, backend, others);
+    return open_items_.StartNext(TimeNow(), [&, others](const JobItemRef& key) {
+      if (held.contains(key) || !CanRunOn(key, backend, others)) return false;
+      const Duration left = QuarantineLeft(key, backend.service);
+      if (left.count() > 0) held.emplace(key, left);
+      return left.count() == 0;
     });
   };
   auto entry = next(OtherSources::kIfItsOwnIsGone);
   if (!entry) entry = next(OtherSources::kIfItHasWaited);
+  for (const auto& [key, left] : held) Postpone(key, std::min(left, kQuarantineCheckInterval));
   if (!entry) return false;
   Start({entry->job, entry->item}, entry->due, backend);
   return true;
@@ -192,7 +217,6 @@
   const std::uint64_t dropped = open_items_.BeginRun(key, SourceOf(backend));
   const ItemProgress& progress = open_items_.ProgressOf(key);
   HttpCall call = MakeItemCall(tools_.names, job->record(), item);
-  const RequestFingerprint fingerprint = FingerprintOf(job->record(), call);
   call.to = backend.address;
   call.headers.push_back({tools_.names.request_id, item.id});
   call.headers.push_back({tools_.names.expect_backend, backend.id.value});
@@ -217,17 +241,13 @@
   run.backend = AddressOf(backend);
   run.started_at = run.last_activity_at = Loop::Now();
   run.events_before = progress.text.events();
-  run.lost_send = {item.id, fingerprint,
-                   SharedPartsText(HeaderValue(item.headers, tools_.names.prompt_parts)),
-                   run.backend, run.started_at};
-  tools_.crash_tracker.RecordStart(fingerprint);
+  run.suspects = SuspectsOf(tools_.names, job->record(), item, backend.service);
+  tools_.crash_tracker.RecordStart(run.suspects);
   run.due = due;
   run.slot = tools_.backends.AcquireSlot(backend.id, WorkClass::kBatch, run.started_at);
   run.timer = RunTimer(run.events_before);
   run.number = tools_.open_sends.Add(run.backend, run.started_at, [this, key] {
-    Run& lost = runs_[key];
-    lost.lost_send.events = open_items_.ProgressOf(key).text.events() - lost.events_before;
-    tools_.crash_tracker.ReportRestart(lost.lost_send);
+    tools_.crash_tracker.ReportRestart(MakeLostSend(key));
     Requeue(key, relay::SendEnd::kBroken, "the backend server has started again", Duration{0});
   });
   run.cancel = tools_.client.Start(
@@ -237,7 +257,7 @@
 
 void BatchRunner::OnHttp(const JobItemRef& key, OpenSends::Id number, HttpEvent event) {
   const auto found = runs_.find(key);
-  if (found == runs_.end() || found->second.number != number) return;
+  if (!IsCurrent(key, number)) return;
   Run& run = found->second;
   run.last_activity_at = Loop::Now();
   if (!std::holds_alternative<HttpFailure>(event)) {
@@ -257,14 +277,28 @@
 }
 
 void BatchRunner::OnConnectionLost(const JobItemRef& key, std::string why) {
-  Run& run = runs_[key];
-  run.lost_send.events = open_items_.ProgressOf(key).text.events() - run.events_before;
-  tools_.crash_tracker.CheckBackend(
-      run.lost_send, [this, key, number = run.number, why = std::move(why)] {
-        const auto found = runs_.find(key);
-        const bool current = found != runs_.end() && found->second.number == number;
-        if (current) Requeue(key, relay::SendEnd::kBroken, why, kRetryDelay);
-      });
+  const OpenSends::Id number = runs_[key].number;
+  tools_.crash_tracker.CheckBackend(MakeLostSend(key), [this, key, number, why = std::move(why)] {
+    if (IsCurrent(key, number)) Requeue(key, relay::SendEnd::kBroken, why, kRetryDelay);
+  });
+}
+
+bool BatchRunner::IsCurrent(const JobItemRef& key, OpenSends::Id number) const {
+  const auto found = runs_.find(key);
+  return found != runs_.end() && found->second.number == number;
+}
+
+CrashTracker::LostSend BatchRunner::MakeLostSend(const JobItemRef& key) {
+  const Run& run = runs_[key];
+  const BackendInfo* listed = tools_.backends.Find(run.backend.id);
+  CrashTracker::LostSend lost;
+  lost.id = ItemId(key);
+  lost.suspects = run.suspects;
+  lost.backend = run.backend;
+  lost.started_at = run.started_at;
+  lost.events = open_items_.ProgressOf(key).text.events() - run.events_before;
+  lost.leaving = listed != nullptr && listed->state == BackendState::kDraining;
+  return lost;
 }
 
 void BatchRunner::OnHead(const JobItemRef& key, const HttpHead& head) {
@@ -324,8 +358,7 @@
   if (!run.answering || !open_items_.ProgressOf(key).text.at_event_end()) {
     return Requeue(key, relay::SendEnd::kBroken, "response ended early", kRetryDelay);
   }
-  if (tools_.crash_tracker.has_reports())
-    tools_.crash_tracker.RecordCompletion(run.lost_send.request);
+  tools_.crash_tracker.RecordCompletion(run.suspects);
   EndRun(key, relay::SendEnd::kAnswered);
   open_items_.OnCompleted(key, TimeNow());
   Finish(key, ResultState::kComplete, "");
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -28,6 +28,9 @@
   static constexpr Duration kFirstByteTimeout{2'500'000};
   static constexpr Duration kNextByteTimeout{1'000'000};
   static constexpr Duration kSweepPeriod{250'000};
+  // Items that are held in quarantine are checked again at this interval, as what is to blame may
+  // turn out to be something else.
+  static constexpr Duration kQuarantineCheckInterval{1'000'000};
   // Interval at which the partial output of runs is written to the store, for another owner to
   // resume from. When a host dies, each of its runs loses as much; a write costs a call and its
   // bytes.
@@ -59,11 +62,17 @@
     Time started_at{};
     Time last_activity_at{};
     StoreTime due{0};
-    CrashTracker::LostSend lost_send;  // reported when the connection is lost
+    std::vector<Fingerprint> suspects;  // reported if the backend server crashes
   };
 
   void Enqueue(const JobItemRef& key, Duration delay);
+  // Time until the item may run, when what is known of it is in quarantine.
   [[nodiscard]] Duration QuarantineLeft(const OwnedJob& job, const JobItemRef& key) const;
+  [[nodiscard]] Duration QuarantineLeft(const JobItemRef& key, const ServiceName& service) const;
+  // A waiting item may not start before this delay is over.
+  void Postpone(const JobItemRef& key, Duration delay);
+  [[nodiscard]] bool IsCurrent(const JobItemRef& key, OpenSends::Id number) const;
+  [[nodiscard]] CrashTracker::LostSend MakeLostSend(const JobItemRef& key);
   [[nodiscard]] BacklogTime TimeNow() const;
   [[nodiscard]] std::string ItemId(const JobItemRef& key) const;
   [[nodiscard]] const Route* RouteOf(const JobRecord& head, const JobItem& item) const;
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -1,5 +1,7 @@
 #include "gateway/crash_tracker.h"
 
+#include <algorithm>
+#include <limits>
 #include <utility>
 
 #include "figmill/observe.h"
@@ -9,18 +11,53 @@
 namespace figmill {
 namespace {
 
+template <typename Fingerprints>
+std::string Join(const Fingerprints& fingerprints, char separator) {
+  std::string text;
+  for (const Fingerprint& each : fingerprints) {
+    if (!text.empty()) text += separator;
+    text += each.value;
+  }
+  return text;
+}
+
 void LogLostSend(const CrashTracker::LostSend& lost, std::string_view found) {
+  const std::span<const Fingerprint> suspects(lost.suspects);
   Log(LogLevel::kInfo, "send_lost",
       {{"request", lost.id},
-       {"fingerprint", lost.request.value},
-       {"parts", lost.parts},
+       {"fingerprint", suspects.front().value},
+       {"parts", Join(suspects.subspan(1), ',')},
        {"events", std::to_string(lost.events)},
        {"backend", lost.backend.id.value},
        {"incarnation", std::to_string(lost.backend.incarnation.number)},
+       {"leaving", lost.leaving ? "yes" : "no"},
        {"dialed", std::string(found)},
        {"ran_ms", Milliseconds(Loop::Now() - lost.started_at)}});
 }
 
+std::size_t CountParts(const std::vector<Quarantine::Culprit>& culprits) {
+  std::size_t parts = 0;
+  for (const Quarantine::Culprit& each : culprits) {
+    if (IsPart(each.suspect)) ++parts;
+  }
+  return parts;
+}
+
+bool Names(const std::vector<Quarantine::Culprit>& culprits, const Quarantine::Culprit& culprit) {
+  return std::any_of(culprits.begin(), culprits.end(), [&](const Quarantine::Culprit& each) {
+    return each.suspect == culprit.suspect && each.alternatives == culprit.alternatives;
+  });
+}
+
+void LogCulprit(std::string_view event, const Quarantine::Culprit& culprit, Duration left) {
+  Log(LogLevel::kWarning, event,
+      {{"fingerprint", culprit.suspect.value},
+       {"alternatives", Join(culprit.alternatives, ',')},
+       {"chain", std::to_string(culprit.chain)},
+       {"crashes", std::to_string(culprit.crashes)},
+       {"for_ms", left.count() > 0 ? Milliseconds(left) : ""}});
+}
+
 }  // namespace
 
 CrashTracker::CrashTracker(Loop& loop, NoRetryHttpClient& client, SharedTables& tables,
@@ -34,9 +71,12 @@
       reports_counter_(
           metrics.counter("figmill_crashes_reported_total",
                           "Requests reported for the end of a backend server that ran them")),
-      quarantined_gauge_(
+      requests_gauge_(
           metrics.gauge("figmill_requests_quarantined",
                         "Requests that are not run for the crashes that followed them")),
+      parts_gauge_(metrics.gauge(
+          "figmill_prompt_parts_quarantined",
+          "Parts of prompts whose requests are not run for the crashes that followed them")),
       follower_(
           loop, tables, kTable, {""}, [this](const TableMirror::Change& change) { OnRow(change); },
           [] {}) {}
@@ -58,75 +98,94 @@
 }
 
 void CrashTracker::ReportCrash(const LostSend& lost, Time detected_at) {
-  const Crash crash{lost.request, lost.backend.id, lost.backend.incarnation};
-  const CrashReport report{crash, quarantine_.NextChainLength(lost.request, lost.started_at)};
-  const std::size_t before = quarantine_.quarantined();
-  quarantine_.Add(report, detected_at);
+  if (lost.leaving) return;
   reports_counter_.Add();
-  LogChange(lost.request, before);
-  Write(crash, CrashRowValue(report, self_, lost.id));
+  for (const Fingerprint& suspect : lost.suspects) {
+    const bool sound = IsPart(suspect) && (lost.events > Quarantine::kMaxEventsAtCrash ||
+                                           quarantine_.IsCleared(suspect, detected_at));
+    if (sound) continue;
+    const Crash crash{suspect, {lost.backend.id, lost.backend.incarnation}};
+    const CrashReport report{crash, quarantine_.NextChainLength(suspect, lost.started_at)};
+    quarantine_.Add(report, detected_at);
+    Write(crash, CrashRowValue(report, self_, lost.id));
+  }
   for (const Crash& surplus : quarantine_.ExcessReports()) {
     quarantine_.Remove(surplus);
     Write(surplus, std::nullopt);
   }
-  UpdateGauge();
+  LogChanges();
 }
 
-std::optional<Error> CrashTracker::QuarantineError(const RequestFingerprint& request,
+std::optional<Error> CrashTracker::QuarantineError(std::span<const Fingerprint> request,
                                                    WorkClass work) const {
-  const std::optional<Duration> left = quarantine_.TimeLeft(request, work, Loop::Now());
-  if (!left) return std::nullopt;
-  const std::string why = "in quarantine: fingerprint " + request.value + " crashed " +
-                          std::to_string(quarantine_.ChainLength(request)) +
+  const auto hold = quarantine_.HoldOf(request, work, Loop::Now());
+  if (!hold) return std::nullopt;
+  const std::string why = "in quarantine: fingerprint " + hold->culprit.suspect.value +
+                          " crashed " + std::to_string(hold->culprit.chain) +
                           " backend servers one after the other";
-  return Error{ErrorKind::kQuarantined, why, Ran::kNo, left};
+  return Error{ErrorKind::kQuarantined, why, Ran::kNo, hold->left};
 }
 
-void CrashTracker::RecordStart(const RequestFingerprint& request) {
+void CrashTracker::RecordStart(std::span<const Fingerprint> request) {
   quarantine_.RecordStart(request, Loop::Now());
 }
 
-void CrashTracker::RecordCompletion(const RequestFingerprint& request) {
-  const std::size_t before = quarantine_.quarantined();
-  for (const Crash& crash : quarantine_.RecordCompletion(request)) Write(crash, std::nullopt);
-  LogChange(request, before);
-}
-
-void CrashTracker::LogChange(const RequestFingerprint& request,
-                             std::size_t quarantined_before) const {
-  const std::size_t now = quarantine_.quarantined();
-  if (now == quarantined_before) return;
-  UpdateGauge();
-  const std::optional<Duration> left =
-      quarantine_.TimeLeft(request, WorkClass::kOnline, Loop::Now());
-  Log(LogLevel::kWarning, now > quarantined_before ? "request_quarantined" : "request_released",
-      {{"fingerprint", request.value},
-       {"chain", std::to_string(quarantine_.ChainLength(request))},
-       {"for_ms", left ? Milliseconds(*left) : ""}});
+void CrashTracker::RecordCompletion(std::span<const Fingerprint> request) {
+  for (const Crash& crash : quarantine_.RecordCompletion(request, Loop::Now())) {
+    Write(crash, std::nullopt);
+  }
+  LogChanges();
 }
 
-void CrashTracker::UpdateGauge() const {
-  quarantined_gauge_.Set(static_cast<double>(quarantine_.quarantined()));
+void CrashTracker::LogChanges() {
+  const std::vector<Quarantine::Culprit>& now = quarantine_.culprits();
+  if (now == logged_) return;
+  for (const Quarantine::Culprit& each : now) {
+    if (Names(logged_, each)) continue;
+    std::vector<Fingerprint> suspects(each.alternatives.begin(), each.alternatives.end());
+    suspects.push_back(each.suspect);
+    const auto hold = quarantine_.HoldOf(suspects, WorkClass::kOnline, Loop::Now());
+    LogCulprit("request_quarantined", each, hold ? hold->left : Duration{0});
+  }
+  for (const Quarantine::Culprit& each : logged_) {
+    if (!Names(now, each)) LogCulprit("request_released", each, Duration{0});
+  }
+  logged_ = now;
+  const std::size_t parts = CountParts(now);
+  parts_gauge_.Set(static_cast<double>(parts));
+  requests_gauge_.Set(static_cast<double>(now.size() - parts));
 }
 
 // --- Table ------------------------------------------------------------------------
 
 void CrashTracker::OnRow(const TableMirror::Change& change) {
-  const std::size_t before = quarantine_.quarantined();
   if (change.row == nullptr) {
     refused_rows_.Clear(change.at.key);
+    withdrawing_.erase(change.at.key);
     const Result<Crash> crash = ParseCrashKey(change.at.key);
     if (!IsOk(crash)) return;  // the row was rejected when it was read
     quarantine_.Remove(ValueOf(crash));
-    return LogChange(ValueOf(crash).request, before);
+    return LogChanges();
   }
   const Result<CrashReport> report = ParseCrashRow(*change.row);
   if (!IsOk(report)) {
     return refused_rows_.Refuse(change.at.key, change.row->version, ErrorOf(report).detail);
   }
   refused_rows_.Clear(change.at.key);
+  const Crash& crash = ValueOf(report).crash;
+  if (quarantine_.IsCleared(crash.suspect, Loop::Now())) return WithdrawLater(crash);
   quarantine_.Add(ValueOf(report), Loop::Now());
-  LogChange(ValueOf(report).crash.request, before);
+  LogChanges();
+}
+
+void CrashTracker::WithdrawLater(const Crash& crash) {
+  const std::string key = CrashRowKey(crash);
+  if (!withdrawing_.insert(key).second) return;
+  const auto weight = static_cast<double>(RendezvousWeight(key, self_.value));
+  const double spread = weight / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  loop_.Later(std::chrono::duration_cast<Duration>(kWithdrawalSpread * spread), [this, crash, key] {
+    if (withdrawing_.erase(key) > 0) Write(crash, std::nullopt);
+  });
 }
 
 void CrashTracker::Write(const Crash& crash, std::optional<std::string> value) {
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -1,12 +1,15 @@
 #pragma once
 
 // Detects backend servers that crashed while they ran a request, reports the crashes to all entries
-// through the table service, and tracks which requests are in quarantine.
+// through the table service, and tracks which requests and parts of prompts are in quarantine.
 
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
+#include <span>
 #include <string>
+#include <vector>
 
 #include "figmill/exchange.h"
 #include "figmill/quarantine.h"
@@ -22,17 +25,21 @@
   // doesn't answer may be busy or partitioned, which is no evidence against the request.
   static constexpr Duration kDialTimeout{50'000};
   static constexpr Duration kRetryDelay{300'000};
+  // Entries that have completed requests with a reported part remove its row at different times
+  // within this one: in large fleets all of them would write at once.
+  static constexpr Duration kWithdrawalSpread{300'000};
   // Limit on the rows written in one transaction.
   static constexpr std::size_t kMaxRowsPerTransaction = 50;
 
   // A send whose connection was lost before the response was complete.
   struct LostSend {
-    std::string id;  // of the request attempt or of the batch item
-    RequestFingerprint request;
-    std::string parts;  // ids of the prompt's shared parts, for the log
+    std::string id;                     // of the request attempt or of the batch item
+    std::vector<Fingerprint> suspects;  // the request, then the parts of its prompt
     BackendAddress backend;
     Time started_at{};
     std::uint64_t events = 0;  // of the answer that arrived in this run
+    // The backend server was listed as leaving, so its end says nothing about what it ran.
+    bool leaving = false;
   };
 
   CrashTracker(Loop& loop, NoRetryHttpClient& client, SharedTables& tables, Metrics& metrics,
@@ -45,23 +52,25 @@
   // Reports a crash of a backend server whose row in the list shows a later incarnation.
   void ReportRestart(const LostSend& lost);
 
-  // Whether any request is in quarantine; if not, fingerprints need not be computed.
-  [[nodiscard]] bool has_quarantined() const { return quarantine_.quarantined() > 0; }
+  // Whether anything is in quarantine; if not, fingerprints need not be computed.
+  [[nodiscard]] bool has_quarantined() const { return !quarantine_.culprits().empty(); }
   // The error for a request that is in quarantine, with the remaining time; nullopt if it may run.
-  [[nodiscard]] std::optional<Error> QuarantineError(const RequestFingerprint& request,
+  // `request`: its fingerprint and those of the parts of its prompt.
+  [[nodiscard]] std::optional<Error> QuarantineError(std::span<const Fingerprint> request,
                                                      WorkClass work) const;
   // A run of the request starts.
-  void RecordStart(const RequestFingerprint& request);
-  // Whether there are crash reports that RecordCompletion could withdraw.
+  void RecordStart(std::span<const Fingerprint> request);
+  // Whether there are crash reports. If not, RecordCompletion only needs the parts of the prompt.
   [[nodiscard]] bool has_reports() const { return quarantine_.reports() > 0; }
   // A run of the request ended with a complete response: its crash reports are withdrawn.
-  void RecordCompletion(const RequestFingerprint& request);
+  void RecordCompletion(std::span<const Fingerprint> request);
 
  private:
   void ReportCrash(const LostSend& lost, Time detected_at);
   void OnRow(const TableMirror::Change& change);
-  void LogChange(const RequestFingerprint& request, std::size_t quarantined_before) const;
-  void UpdateGauge() const;
+  void WithdrawLater(const Crash& crash);
+  // Logs what has come into quarantine, or was released, since the last call.
+  void LogChanges();
   void Write(const Crash& crash, std::optional<std::string> value);
   void Flush();
   void OnWritten(std::map<std::string, std::optional<std::string>> written,
@@ -74,10 +83,14 @@
   Quarantine quarantine_;
   RefusedRows refused_rows_;
   Counter& reports_counter_;
-  Gauge& quarantined_gauge_;
+  Gauge& requests_gauge_;
+  Gauge& parts_gauge_;
+  std::vector<Quarantine::Culprit> logged_;
   TableFollower follower_;
   // Rows to write, by key; nullopt for a row to remove.
   std::map<std::string, std::optional<std::string>> pending_rows_;
+  // Rows of other entries that are to be removed.
+  std::set<std::string> withdrawing_;
   bool writing_ = false;
 };
 
--- a/src/gateway/item_call.cc
+++ b/src/gateway/item_call.cc
@@ -1,8 +1,11 @@
 #include "gateway/item_call.h"
 
+#include <array>
+
 namespace figmill {
 namespace {
 
+constexpr const char* kItemMethod = "POST";
 constexpr Duration kConnectTimeout{250'000};
 
 }  // namespace
@@ -13,7 +16,7 @@
 
 HttpCall MakeItemCall(const HeaderNames& names, const JobRecord& job, const JobItem& item) {
   HttpCall call;
-  call.method = "POST";
+  call.method = kItemMethod;
   call.target = item.target;
   call.body = item.body;
   call.connect_timeout = kConnectTimeout;
@@ -27,8 +30,14 @@
   return call;
 }
 
-RequestFingerprint FingerprintOf(const JobRecord& job, const HttpCall& call) {
-  return FingerprintOf(call.method, call.target, call.headers, call.body, job.team);
+std::vector<Fingerprint> SuspectsOf(const HeaderNames& names, const JobRecord& job,
+                                    const JobItem& item, const ServiceName& service) {
+  const std::array<Header, 1> host{{{"Host", job.host}}};
+  std::vector<Fingerprint> suspects =
+      PartFingerprintsOf(HeaderValue(item.headers, names.prompt_parts), service);
+  suspects.insert(suspects.begin(),
+                  FingerprintOf(kItemMethod, item.target, host, item.body, job.team));
+  return suspects;
 }
 
 }  // namespace figmill
--- a/src/gateway/item_call.h
+++ b/src/gateway/item_call.h
@@ -2,6 +2,8 @@
 
 // Builds the HTTP call for an item of a batch job.
 
+#include <vector>
+
 #include "figmill/gateway.h"
 #include "figmill/ledger.h"
 #include "figmill/quarantine.h"
@@ -15,6 +17,9 @@
 // The call without its address and without the headers that differ from run to run.
 [[nodiscard]] HttpCall MakeItemCall(const HeaderNames& names, const JobRecord& job,
                                     const JobItem& item);
-[[nodiscard]] RequestFingerprint FingerprintOf(const JobRecord& job, const HttpCall& call);
+// What may be to blame if a backend server of the service crashes: the item, then the parts of its
+// prompt.
+[[nodiscard]] std::vector<Fingerprint> SuspectsOf(const HeaderNames& names, const JobRecord& job,
+                                                  const JobItem& item, const ServiceName& service);
 
 }  // namespace figmill
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -104,6 +104,7 @@
 void RelayCall::OnSourceFound(const Result<OutputSource>& found) {
   if (!IsOk(found)) return Step(relay::SourceUnknown{ErrorOf(found)});
   request_.service = ValueOf(found).service;
+  suspects_.clear();
   Step(relay::SourceFound{ValueOf(found).version});
 }
 
@@ -143,15 +144,22 @@
 
 std::optional<Error> RelayCall::CheckQuarantine() {
   if (!context_.crash_tracker.has_quarantined()) return std::nullopt;
-  return context_.crash_tracker.QuarantineError(Fingerprint(), WorkClass::kOnline);
+  return context_.crash_tracker.QuarantineError(Suspects(), WorkClass::kOnline);
 }
 
-const RequestFingerprint& RelayCall::Fingerprint() {
-  if (!fingerprint_) {
-    fingerprint_ = FingerprintOf(request_.method, request_.target, request_.headers, request_.body,
-                                 request_.team.value_or(TeamId{}));
+const std::vector<Fingerprint>& RelayCall::Suspects() {
+  if (suspects_.empty()) {
+    suspects_ = PartSuspects();
+    suspects_.insert(suspects_.begin(),
+                     FingerprintOf(request_.method, request_.target, request_.headers,
+                                   request_.body, request_.team.value_or(TeamId{})));
   }
-  return *fingerprint_;
+  return suspects_;
+}
+
+std::vector<Fingerprint> RelayCall::PartSuspects() const {
+  return PartFingerprintsOf(HeaderValue(request_.headers, context_.names.prompt_parts),
+                            request_.service);
 }
 
 HttpCall RelayCall::MakeHttpCall(const relay::Send& action) const {
@@ -191,7 +199,7 @@
 
 void RelayCall::BeginSend(const relay::Send& action) {
   sent_at_ = Loop::Now();
-  if (context_.crash_tracker.has_quarantined()) context_.crash_tracker.RecordStart(Fingerprint());
+  if (context_.crash_tracker.has_quarantined()) context_.crash_tracker.RecordStart(Suspects());
   slot_ = context_.backends.AcquireSlot(action.backend.id, WorkClass::kOnline, sent_at_);
   events_before_send_ = state_machine_.events_forwarded();
   run_timer_ = RunTimer(events_before_send_);
@@ -251,18 +259,22 @@
 }
 
 CrashTracker::LostSend RelayCall::MakeLostSend() {
-  return {state_machine_.plan().request.value,
-          Fingerprint(),
-          SharedPartsText(HeaderValue(request_.headers, context_.names.prompt_parts)),
-          sent_to_,
-          sent_at_,
-          state_machine_.events_forwarded() - events_before_send_};
+  const BackendInfo* listed = context_.backends.Find(sent_to_.id);
+  CrashTracker::LostSend lost;
+  lost.id = state_machine_.plan().request.value;
+  lost.suspects = Suspects();
+  lost.backend = sent_to_;
+  lost.started_at = sent_at_;
+  lost.events = state_machine_.events_forwarded() - events_before_send_;
+  lost.leaving = listed != nullptr && listed->state == BackendState::kDraining;
+  return lost;
 }
 
 void RelayCall::OnWholeAnswer(int status) {
   const bool success = status >= kFirstSuccess && status <= kLastSuccess;
-  if (success && context_.crash_tracker.has_reports())
-    context_.crash_tracker.RecordCompletion(Fingerprint());
+  if (!success) return;
+  context_.crash_tracker.RecordCompletion(context_.crash_tracker.has_reports() ? Suspects()
+                                                                               : PartSuspects());
 }
 
 void RelayCall::Do(const relay::CloseSend& action) {
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -96,7 +96,9 @@
   void OnConnectionLost(SendNumber send, std::string why);
   void OnWholeAnswer(int status);
   [[nodiscard]] std::optional<Error> CheckQuarantine();
-  [[nodiscard]] const RequestFingerprint& Fingerprint();
+  // What may be to blame if a backend server crashes: the request, then the parts of its prompt.
+  [[nodiscard]] const std::vector<Fingerprint>& Suspects();
+  [[nodiscard]] std::vector<Fingerprint> PartSuspects() const;
   [[nodiscard]] CrashTracker::LostSend MakeLostSend();
   void Complete(std::string_view outcome, const std::string& why);
   [[nodiscard]] HttpCall MakeHttpCall(const relay::Send& action) const;
@@ -128,8 +130,8 @@
   std::uint64_t quota_ticket_ = 0;
   Duration quota_patience_{0};  // how long it may wait for a credit of its team's quota
   Duration quota_wait_{0};
-  BackendAddress sent_to_;                         // backend server of the last send
-  std::optional<RequestFingerprint> fingerprint_;  // computed on first use
+  BackendAddress sent_to_;             // backend server of the last send
+  std::vector<Fingerprint> suspects_;  // computed on first use
 };
 
 }  // namespace figmill
--- a/src/items/open_items.cc
+++ b/src/items/open_items.cc
@@ -34,6 +34,11 @@
   backlog_.Add({key.job, key.item, due, TimeToFinish(key), not_before, started});
 }
 
+void OpenItems::Postpone(const JobItemRef& key, Time not_before) {
+  backlog_.RemoveItem(key.job, key.item);
+  Enqueue(key, progress_[key].due, not_before);
+}
+
 std::optional<ItemBacklog::Entry> OpenItems::StartNext(
     const BacklogTime& now, const std::function<bool(const JobItemRef&)>& fits) {
   std::optional<ItemBacklog::Entry> entry =
--- a/src/quarantine/crash_rows.cc
+++ b/src/quarantine/crash_rows.cc
@@ -11,18 +11,12 @@
 
 using Json = nlohmann::json;
 
-constexpr std::size_t kFingerprintDigits = 32;
 constexpr char kSeparator = '/';
 
 Error InvalidRow(const std::string& why) {
   return Error{ErrorKind::kBadRequest, why.substr(0, fields::kMaxReasonBytes)};
 }
 
-bool IsFingerprint(std::string_view text) {
-  return text.size() == kFingerprintDigits &&
-         text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
-}
-
 std::optional<std::uint64_t> ParseNumber(std::string_view text) {
   std::uint64_t number = 0;
   const auto [end, failure] = std::from_chars(text.data(), text.data() + text.size(), number);
@@ -33,8 +27,8 @@
 }  // namespace
 
 std::string CrashRowKey(const Crash& crash) {
-  return crash.request.value + kSeparator + std::to_string(crash.incarnation.number) + kSeparator +
-         crash.backend.value;
+  return crash.suspect.value + kSeparator + std::to_string(crash.process.incarnation.number) +
+         kSeparator + crash.process.backend.value;
 }
 
 std::string CrashRowValue(const CrashReport& report, const NodeId& seen_by,
@@ -49,13 +43,13 @@
   if (first == std::string_view::npos || second == std::string_view::npos) {
     return InvalidRow("the key does not have three parts");
   }
-  const std::string_view request = key.substr(0, first);
+  const std::string_view suspect = key.substr(0, first);
   const auto incarnation = ParseNumber(key.substr(first + 1, second - first - 1));
   const std::string_view backend = key.substr(second + 1);
-  if (!IsFingerprint(request)) return InvalidRow("the key does not begin with a fingerprint");
+  if (!IsFingerprint(suspect)) return InvalidRow("the key does not begin with a fingerprint");
   if (!incarnation) return InvalidRow("the incarnation in the key is not a number");
   if (backend.empty()) return InvalidRow("the key names no backend server");
-  return Crash{{std::string(request)}, {std::string(backend)}, {*incarnation}};
+  return Crash{{std::string(suspect)}, {{std::string(backend)}, {*incarnation}}};
 }
 
 Result<CrashReport> ParseCrashRow(const TableRow& row) {
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -2,112 +2,271 @@
 
 #include <algorithm>
 #include <limits>
+#include <set>
+#include <tuple>
 #include <utility>
 
 namespace figmill {
+namespace {
 
-const Quarantine::SeenCrash& Quarantine::LongestChain(const SuspectRequest& suspect) {
-  return std::max_element(suspect.crashes.begin(), suspect.crashes.end(),
-                          [](const auto& a, const auto& b) {
-                            return std::pair(a.second.chain, a.second.at) <
-                                   std::pair(b.second.chain, b.second.at);
-                          })
-      ->second;
+constexpr int kMinChain = 2;
+static_assert(Quarantine::kOnline.min_chain == kMinChain);
+static_assert(Quarantine::kPart.min_chain == kMinChain);
+
+// How much points to a suspect, from the crashes that nothing else explains yet.
+struct Evidence {
+  int chain = 0;
+  std::size_t crashes = 0;
+  auto operator<=>(const Evidence&) const = default;
+};
+
+// Crashes that other suspects explain leave gaps in a chain, which make it shorter.
+template <typename Crashes>
+Evidence EvidenceOf(const Crashes& crashes, const std::set<BackendProcess>& explained) {
+  Evidence evidence;
+  std::set<int> lengths, gaps;
+  for (const auto& [process, seen] : crashes) {
+    (explained.contains(process) ? gaps : lengths).insert(seen.chain);
+    evidence.crashes += explained.contains(process) ? 0 : 1;
+  }
+  if (lengths.empty()) return evidence;
+  evidence.chain = *lengths.rbegin();
+  for (const int gap : gaps) {
+    if (gap < *lengths.rbegin() && !lengths.contains(gap)) --evidence.chain;
+  }
+  return evidence;
+}
+
+template <typename Crashes>
+std::set<BackendProcess> Unexplained(const Crashes& crashes,
+                                     const std::set<BackendProcess>& explained) {
+  std::set<BackendProcess> processes;
+  for (const auto& [process, seen] : crashes) {
+    if (!explained.contains(process)) processes.insert(process);
+  }
+  return processes;
+}
+
+bool Contains(std::span<const Fingerprint> request, const Fingerprint& suspect) {
+  return std::find(request.begin(), request.end(), suspect) != request.end();
 }
 
-bool Quarantine::IsQuarantined(const SuspectRequest& suspect) {
-  return !suspect.crashes.empty() && LongestChain(suspect).chain >= kOnline.min_chain;
+bool ContainsAny(std::span<const Fingerprint> request, const std::set<Fingerprint>& suspects) {
+  return std::any_of(suspects.begin(), suspects.end(),
+                     [&](const Fingerprint& each) { return Contains(request, each); });
 }
 
+bool IsInvolved(std::span<const Fingerprint> request, const Quarantine::Culprit& culprit) {
+  return Contains(request, culprit.suspect) || ContainsAny(request, culprit.alternatives);
+}
+
+// Whether the end of a run of this request shows which of the suspects is to blame.
+bool IsDeciding(std::span<const Fingerprint> request, const Quarantine::Culprit& culprit) {
+  if (culprit.alternatives.empty()) return false;
+  return !Contains(request, culprit.suspect) || !ContainsAny(request, culprit.alternatives);
+}
+
+const Quarantine::Policy& PolicyFor(const Quarantine::Culprit& culprit, WorkClass work) {
+  if (IsPart(culprit.suspect)) return Quarantine::kPart;
+  return work == WorkClass::kBatch ? Quarantine::kBatch : Quarantine::kOnline;
+}
+
+}  // namespace
+
 void Quarantine::Add(const CrashReport& report, Time seen_at) {
-  SuspectRequest& suspect = suspects_[report.crash.request];
-  const bool before = IsQuarantined(suspect);
+  auto& crashes = suspects_[report.crash.suspect].crashes;
   const auto [found, inserted] =
-      suspect.crashes.try_emplace(report.crash, SeenCrash{report.chain, seen_at});
+      crashes.try_emplace(report.crash.process, SeenCrash{report.chain, seen_at});
   if (inserted) ++reports_;
   // A duplicate report keeps the time of the first one, unless its chain is longer.
   if (!inserted && report.chain > found->second.chain) found->second = {report.chain, seen_at};
-  if (!before && IsQuarantined(suspect)) ++quarantined_;
+  if (report.chain >= kMinChain || crashes.size() >= kMinChain) FindCulprits();
 }
 
 void Quarantine::Remove(const Crash& crash) {
-  const auto found = suspects_.find(crash.request);
+  const auto found = suspects_.find(crash.suspect);
   if (found == suspects_.end()) return;
-  SuspectRequest& suspect = found->second;
-  const bool before = IsQuarantined(suspect);
-  reports_ -= suspect.crashes.erase(crash);
-  if (before && !IsQuarantined(suspect)) --quarantined_;
-  if (suspect.crashes.empty()) suspects_.erase(found);
+  reports_ -= found->second.crashes.erase(crash.process);
+  if (found->second.crashes.empty()) suspects_.erase(found);
+  if (!culprits_.empty()) FindCulprits();
+}
+
+// The part with the most evidence explains its crashes. Whatever else was lost in these was only
+// beside it, and is blamed for its other crashes alone. Requests don't explain the crashes of
+// others: batch items ride along for seconds, and would hide the cause.
+void Quarantine::FindCulprits() {
+  culprits_.clear();
+  Processes explained;
+  while (const std::optional<Fingerprint> leader = LeadingPart(explained)) {
+    culprits_.push_back(MakeCulprit(*leader, explained));
+    explained.merge(Unexplained(suspects_.at(*leader).crashes, explained));
+  }
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    if (IsPart(fingerprint)) continue;
+    if (EvidenceOf(suspect.crashes, explained).chain < kMinChain) continue;
+    culprits_.push_back(MakeCulprit(fingerprint, explained));
+  }
+}
+
+std::optional<Fingerprint> Quarantine::LeadingPart(const Processes& explained) const {
+  std::optional<Fingerprint> leader;
+  Evidence most;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    if (!IsPart(fingerprint)) continue;
+    const Evidence evidence = EvidenceOf(suspect.crashes, explained);
+    if (evidence.chain < kMinChain || evidence <= most) continue;
+    leader = fingerprint;
+    most = evidence;
+  }
+  return leader;
 }
 
-int Quarantine::NextChainLength(const RequestFingerprint& request, Time started_at) const {
-  const auto found = suspects_.find(request);
+Quarantine::Culprit Quarantine::MakeCulprit(const Fingerprint& fingerprint,
+                                            const Processes& explained) const {
+  const auto& crashes = suspects_.at(fingerprint).crashes;
+  const Evidence evidence = EvidenceOf(crashes, explained);
+  Culprit culprit{fingerprint, {}, evidence.chain, evidence.crashes, {}};
+  for (const auto& [process, seen] : crashes) {
+    culprit.last_crash_at = std::max(culprit.last_crash_at, seen.at);
+  }
+  if (IsPart(fingerprint)) culprit.alternatives = AlternativesTo(fingerprint, explained);
+  return culprit;
+}
+
+// Empty if one of the part's crashes lost no other part that several crashes point to.
+std::set<Fingerprint> Quarantine::AlternativesTo(const Fingerprint& part,
+                                                 const Processes& explained) const {
+  std::set<Fingerprint> alternatives;
+  const Processes processes = Unexplained(suspects_.at(part).crashes, explained);
+  Processes alone = processes;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    if (!IsPart(fingerprint) || fingerprint == part) continue;
+    Processes shared;
+    for (const auto& [process, seen] : suspect.crashes) {
+      if (processes.contains(process)) shared.insert(process);
+    }
+    if (shared.size() < kMinChain) continue;
+    alternatives.insert(fingerprint);
+    for (const BackendProcess& process : shared) alone.erase(process);
+  }
+  if (!alone.empty()) alternatives.clear();
+  return alternatives;
+}
+
+int Quarantine::NextChainLength(const Fingerprint& suspect, Time started_at) const {
+  const auto found = suspects_.find(suspect);
   if (found == suspects_.end()) return 1;
   int before = 0;
-  for (const auto& [crash, seen] : found->second.crashes) {
+  for (const auto& [process, seen] : found->second.crashes) {
     if (seen.at <= started_at) before = std::max(before, seen.chain);
   }
   return std::min(before + 1, CrashReport::kMaxChain);
 }
 
-int Quarantine::ChainLength(const RequestFingerprint& request) const {
-  const auto found = suspects_.find(request);
-  return found == suspects_.end() ? 0 : LongestChain(found->second).chain;
+Duration Quarantine::Spread(const Fingerprint& suspect, Duration span) const {
+  const auto weight = static_cast<double>(RendezvousWeight(suspect.value, self_.value));
+  const double share = weight / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  return std::chrono::duration_cast<Duration>(span * share);
+}
+
+// Period until the first probe after the last crash; nullopt: no probe. Spreads the ends over the
+// entries: otherwise all of them would probe with the next attempts that arrive, and lose a backend
+// server each.
+std::optional<Duration> Quarantine::QuarantinePeriod(const Culprit& culprit,
+                                                     const Policy& policy) const {
+  const bool ends = IsPart(culprit.suspect) || culprit.chain < CrashReport::kMaxChain;
+  if (!ends) return std::nullopt;
+  const Duration period = policy.initial_period * (1 << (culprit.chain - policy.min_chain));
+  return period + Spread(culprit.suspect, period);
 }
 
-// Spreads the ends of a quarantine over the entries. Otherwise all of them would probe with the
-// next attempts that arrive, and lose a backend server each.
-std::optional<Duration> Quarantine::QuarantinePeriod(const RequestFingerprint& request,
-                                                     const Policy& policy, int chain) const {
-  if (chain >= CrashReport::kMaxChain) return std::nullopt;
-  const auto weight = static_cast<double>(RendezvousWeight(request.value, self_.value));
-  const double spread = weight / static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  const Duration period = policy.initial_period * (1 << (chain - policy.min_chain));
-  return period + std::chrono::duration_cast<Duration>(period * spread);
+Time Quarantine::ProbeUntil(const Fingerprint& suspect) const {
+  const auto found = suspects_.find(suspect);
+  return found == suspects_.end() ? Time{} : found->second.probe_until;
 }
 
-std::optional<Duration> Quarantine::TimeLeft(const RequestFingerprint& request, WorkClass work,
-                                             Time now) const {
-  const auto found = suspects_.find(request);
-  if (found == suspects_.end()) return std::nullopt;
-  const Policy& policy = work == WorkClass::kBatch ? kBatch : kOnline;
-  const SeenCrash& last = LongestChain(found->second);
-  if (last.chain < policy.min_chain) return std::nullopt;
-  const std::optional<Duration> period = QuarantinePeriod(request, policy, last.chain);
+Duration Quarantine::QuarantineLeft(const Culprit& culprit, WorkClass work, Time now) const {
+  const Policy& policy = PolicyFor(culprit, work);
+  if (culprit.chain < policy.min_chain) return Duration{0};
+  const std::optional<Duration> period = QuarantinePeriod(culprit, policy);
   if (!period) return kMaxRetryAfter;
-  const Time until = std::max(last.at + *period, found->second.probe_until);
-  if (now >= until) return std::nullopt;
+  return std::max(culprit.last_crash_at + *period, ProbeUntil(culprit.suspect)) - now;
+}
+
+Duration Quarantine::DecidingProbeLeft(std::span<const Fingerprint> request, const Culprit& culprit,
+                                       Time now) const {
+  Time until = culprit.last_crash_at + Spread(culprit.suspect, kDecidingProbeInterval);
+  for (const Fingerprint& each : request) {
+    if (each == culprit.suspect || culprit.alternatives.contains(each)) {
+      until = std::max(until, ProbeUntil(each));
+    }
+  }
   return until - now;
 }
 
-void Quarantine::RecordStart(const RequestFingerprint& request, Time now) {
-  const auto found = suspects_.find(request);
-  if (found == suspects_.end() || !IsQuarantined(found->second)) return;
-  found->second.probe_until = now + kProbeTimeout;
+std::optional<Quarantine::Hold> Quarantine::HoldOf(std::span<const Fingerprint> request,
+                                                   WorkClass work, Time now) const {
+  std::optional<Hold> longest;
+  for (const Culprit& culprit : culprits_) {
+    if (!IsInvolved(request, culprit)) continue;
+    const Duration left = IsDeciding(request, culprit) ? DecidingProbeLeft(request, culprit, now)
+                                                       : QuarantineLeft(culprit, work, now);
+    if (left.count() <= 0 || (longest && left <= longest->left)) continue;
+    longest = Hold{culprit, left};
+    const bool settling = now - culprit.last_crash_at < kSettlingTime;
+    if (settling && IsPart(culprit.suspect)) longest->left = std::min(left, kSettlingTime);
+  }
+  return longest;
 }
 
-std::vector<Crash> Quarantine::RecordCompletion(const RequestFingerprint& request) {
+void Quarantine::RecordStart(std::span<const Fingerprint> request, Time now) {
+  for (const Culprit& culprit : culprits_) {
+    if (!IsInvolved(request, culprit)) continue;
+    const Duration bound = IsDeciding(request, culprit) ? kDecidingProbeInterval : kProbeTimeout;
+    for (const Fingerprint& each : request) {
+      if (each != culprit.suspect && !culprit.alternatives.contains(each)) continue;
+      Time& until = suspects_[each].probe_until;
+      until = std::max(until, now + bound);
+    }
+  }
+}
+
+std::vector<Crash> Quarantine::RecordCompletion(std::span<const Fingerprint> request, Time now) {
   std::vector<Crash> withdrawn;
-  const auto found = suspects_.find(request);
-  if (found == suspects_.end()) return withdrawn;
-  for (const auto& [crash, seen] : found->second.crashes) withdrawn.push_back(crash);
+  for (const Fingerprint& each : request) {
+    if (IsPart(each)) {
+      if (cleared_.size() >= kMaxClearedParts) {
+        std::erase_if(cleared_,
+                      [now](const auto& part) { return now - part.second > kClearedFor; });
+      }
+      if (cleared_.size() < kMaxClearedParts) cleared_[each] = now;
+    }
+    const auto found = suspects_.find(each);
+    if (found == suspects_.end()) continue;
+    for (const auto& [process, seen] : found->second.crashes) withdrawn.push_back({each, process});
+  }
   for (const Crash& crash : withdrawn) Remove(crash);
   return withdrawn;
 }
 
+bool Quarantine::IsCleared(const Fingerprint& part, Time now) const {
+  const auto found = cleared_.find(part);
+  return found != cleared_.end() && now - found->second <= kClearedFor;
+}
+
 std::vector<Crash> Quarantine::ExcessReports() const {
   if (reports_ <= kMaxReports) return {};
-  std::vector<std::pair<std::pair<int, Time>, const Crash*>> order;
-  for (const auto& [request, suspect] : suspects_) {
-    for (const auto& [crash, seen] : suspect.crashes) {
-      order.emplace_back(std::pair(seen.chain, seen.at), &crash);
+  std::vector<std::tuple<int, Time, Crash>> order;
+  for (const auto& [fingerprint, suspect] : suspects_) {
+    for (const auto& [process, seen] : suspect.crashes) {
+      order.emplace_back(seen.chain, seen.at, Crash{fingerprint, process});
     }
   }
   const auto surplus = static_cast<std::ptrdiff_t>(reports_ - kMaxReports);
   std::partial_sort(order.begin(), order.begin() + surplus, order.end());
   std::vector<Crash> crashes;
   for (auto each = order.begin(); each != order.begin() + surplus; ++each) {
-    crashes.push_back(*each->second);
+    crashes.push_back(std::get<Crash>(*each));
   }
   return crashes;
 }
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -9,15 +9,15 @@
 
 namespace {
 
-const RequestFingerprint kRequest{"0123456789abcdef0123456789abcdef"};
-const RequestFingerprint kOther{"fedcba9876543210fedcba9876543210"};
+const Fingerprint kRequest{"0123456789abcdef0123456789abcdef"};
+const Fingerprint kOther{"fedcba9876543210fedcba9876543210"};
 
 Time At(Duration since_start) {
   return Time{} + 1h + since_start;
 }
 
-Crash CrashOf(const RequestFingerprint& request, int backend) {
-  return {request, {"i-" + std::to_string(backend)}, {7}};
+Crash CrashOf(const Fingerprint& request, int backend) {
+  return {request, {{"i-" + std::to_string(backend)}, {7}}};
 }
 
 // An entry, and the crashes of backend servers that it sees.
@@ -27,7 +27,7 @@
 
   // A run of the request that started at `started_at` ends with a crash of its backend server.
   CrashReport AddCrash(int backend, Duration started_at, Duration ended_at,
-                       const RequestFingerprint& request = kRequest) {
+                       const Fingerprint& request = kRequest) {
     CrashReport report{CrashOf(request, backend),
                        quarantine.NextChainLength(request, At(started_at))};
     quarantine.Add(report, At(ended_at));
@@ -38,7 +38,12 @@
     for (int i = 0; i < count; ++i) AddCrash(++backends_, from + i * 1s, from + i * 1s + 100ms);
   }
   [[nodiscard]] bool MayRun(Duration at, WorkClass work = WorkClass::kOnline) const {
-    return !quarantine.TimeLeft(kRequest, work, At(at));
+    return !TimeLeft(At(at), kRequest, work);
+  }
+  [[nodiscard]] std::optional<Duration> TimeLeft(Time at, const Fingerprint& request = kRequest,
+                                                 WorkClass work = WorkClass::kOnline) const {
+    const auto hold = quarantine.HoldOf(std::vector{request}, work, at);
+    return hold ? std::optional(hold->left) : std::nullopt;
   }
 
   Quarantine quarantine;
@@ -57,7 +62,7 @@
   const std::vector<Header> headers{{"Host", "farm.example"}, {"Request-Id", "a1"}};
   const std::vector<Header> again{
       {"host", "farm.example"}, {"Request-Id", "a2"}, {"Deadline-Ms", "9"}};
-  const RequestFingerprint first = FingerprintOf("POST", "/notes/1?x=1", headers, "rye", {});
+  const Fingerprint first = FingerprintOf("POST", "/notes/1?x=1", headers, "rye", {});
   CHECK(first.value.size() == 32);
   CHECK(FingerprintOf("POST", "/notes/1?x=1", again, "rye", {}) == first);
 
@@ -79,8 +84,8 @@
   CHECK(entry.MayRun(200ms));
   entry.AddCrash(2, 200ms, 300ms);
   CHECK_FALSE(entry.MayRun(400ms));
-  CHECK_FALSE(entry.quarantine.TimeLeft(kOther, WorkClass::kOnline, At(400ms)));
-  CHECK(entry.quarantine.quarantined() == 1);
+  CHECK_FALSE(entry.TimeLeft(At(400ms), kOther));
+  CHECK(entry.quarantine.culprits().size() == 1);
 }
 
 // Guards against blaming a frequent request for the loss of a rack.
@@ -88,7 +93,7 @@
   Entry entry;
   for (int backend = 0; backend < 8; ++backend) entry.AddCrash(backend, 0s, 100ms);
   CHECK(entry.MayRun(200ms));
-  CHECK(entry.quarantine.quarantined() == 0);
+  CHECK(entry.quarantine.culprits().empty());
 }
 
 // Guards against entries that each lose backend servers of their own to the same request.
@@ -112,9 +117,9 @@
   Entry entry;
   entry.AddCrash(1, 0s, 100ms);
   const CrashReport last = entry.AddCrash(2, 200ms, 300ms);
-  const auto left = entry.quarantine.TimeLeft(kRequest, WorkClass::kOnline, At(40s));
+  const auto left = entry.TimeLeft(At(40s));
   entry.quarantine.Add(last, At(30s));
-  CHECK(entry.quarantine.TimeLeft(kRequest, WorkClass::kOnline, At(40s)) == left);
+  CHECK(entry.TimeLeft(At(40s)) == left);
 }
 
 // Guards against refusing requests for ever because they ran beside the cause.
@@ -122,11 +127,11 @@
   Entry entry;
   entry.AddCrash(1, 0s, 100ms);
   entry.AddCrash(2, 200ms, 300ms);
-  CHECK(entry.quarantine.RecordCompletion(kRequest).size() == 2);
+  CHECK(entry.quarantine.RecordCompletion(std::vector{kRequest}, At(350ms)).size() == 2);
   CHECK(entry.MayRun(400ms));
   CHECK(entry.quarantine.reports() == 0);
-  CHECK(entry.quarantine.quarantined() == 0);
-  CHECK(entry.quarantine.RecordCompletion(kRequest).empty());
+  CHECK(entry.quarantine.culprits().empty());
+  CHECK(entry.quarantine.RecordCompletion(std::vector{kRequest}, At(350ms)).empty());
 }
 
 TEST_CASE("removed reports no longer count") {
@@ -148,7 +153,7 @@
     CHECK_FALSE(entry.MayRun(last + period - 1s));
     const Duration probe = last + 2 * period;
     CHECK(entry.MayRun(probe));
-    entry.quarantine.RecordStart(kRequest, At(probe));
+    entry.quarantine.RecordStart(std::vector{kRequest}, At(probe));
     CHECK_FALSE(entry.MayRun(probe + 50ms));
     last = probe + 100ms;
     entry.AddCrash(chain, probe, last);
@@ -159,8 +164,7 @@
 TEST_CASE("entries end a quarantine at different times") {
   Entry first("a"), second("b");
   for (Entry* entry : {&first, &second}) entry->AddCrashChain(2, 0s);
-  CHECK(first.quarantine.TimeLeft(kRequest, WorkClass::kOnline, At(2s)) !=
-        second.quarantine.TimeLeft(kRequest, WorkClass::kOnline, At(2s)));
+  CHECK(first.TimeLeft(At(2s)) != second.TimeLeft(At(2s)));
 }
 
 // Guards against items that miss their due time because they met failing backend servers, and
@@ -180,13 +184,13 @@
   Entry entry;
   entry.AddCrashChain(2, 0s);
   for (int i = 0; i < static_cast<int>(Quarantine::kMaxReports); ++i) {
-    const RequestFingerprint request{std::to_string(i)};
+    const Fingerprint request{std::to_string(i)};
     entry.AddCrash(1, 0s, 10s + i * 1ms, request);
   }
   const std::vector<Crash> surplus = entry.quarantine.ExcessReports();
   REQUIRE(surplus.size() == 2);
-  CHECK(surplus[0].request == kRequest);  // the first of the chain
-  CHECK(surplus[1].request.value == "0");
+  CHECK(surplus[0].suspect == kRequest);  // the first of the chain
+  CHECK(surplus[1].suspect.value == "0");
   for (const Crash& crash : surplus) entry.quarantine.Remove(crash);
   CHECK(entry.quarantine.ExcessReports().empty());
   CHECK_FALSE(entry.MayRun(20s));
