Check for a crash before an answer without a length counts as whole

Callers of an engine that answers with neither a length nor chunks got what it had written when it crashed as a whole answer, down to an empty one. The close of the connection is the only end that such an answer has, and a crash closes it as well. A part that crashed engines so was even taken for sound, as its requests seemed to be completed.

An entry now makes one more connection to the backend server before it passes such an end on; the next send uses it. If nobody listens, and the server was not listed as leaving, the run is lost as any other: resumed where that is allowed, broken off otherwise, and reported. A stream that ends inside an event is checked for a crash too.

--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -262,6 +262,8 @@
   [[nodiscard]] const RelayPlan& plan() const { return plan_; }
   [[nodiscard]] int backends_used() const { return backends_used_; }
   [[nodiscard]] std::uint64_t events_forwarded() const { return splitter_.count(); }
+  // Whether the answer has stopped inside an event.
+  [[nodiscard]] bool in_event() const { return splitter_.in_event(); }
 
  private:
   enum class State : std::uint8_t {
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -267,7 +267,7 @@
   std::visit(Overloaded{
                  [&](const HttpHead& head) { OnHead(key, head); },
                  [&](const HttpBytes& bytes) { OnBytes(key, bytes.bytes); },
-                 [&](const HttpEnd&) { OnEnd(key); },
+                 [&](const HttpEnd& end) { end.by_close ? OnEndByClose(key) : OnEnd(key); },
                  [&](const HttpFailure& failure) {
                    if (failure.sent) return OnConnectionLost(key, failure.why);
                    Requeue(key, relay::SendEnd::kUnreachable, failure.why, kRetryDelay);
@@ -283,6 +283,20 @@
   });
 }
 
+// Nothing but the close of its connection shows that the response is whole.
+void BatchRunner::OnEndByClose(const JobItemRef& key) {
+  const Run& run = runs_[key];
+  if (!run.answering || !open_items_.ProgressOf(key).text.at_event_end()) {
+    return OnConnectionLost(key, "response ended inside an event");
+  }
+  tools_.crash_tracker.CheckEnd(MakeLostSend(key), [this, key, number = run.number](bool crashed) {
+    if (!IsCurrent(key, number)) return;
+    if (!crashed) return OnEnd(key);
+    Requeue(key, relay::SendEnd::kBroken, "the backend server crashed in its response",
+            kRetryDelay);
+  });
+}
+
 bool BatchRunner::IsCurrent(const JobItemRef& key, OpenSends::Id number) const {
   const auto found = runs_.find(key);
   return found != runs_.end() && found->second.number == number;
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -89,6 +89,7 @@
   void OnHead(const JobItemRef& key, const HttpHead& head);
   void OnBytes(const JobItemRef& key, std::string_view bytes);
   void OnEnd(const JobItemRef& key);
+  void OnEndByClose(const JobItemRef& key);
   // Ends the run and queues the item for another one.
   void Requeue(const JobItemRef& key, relay::SendEnd end, std::string_view why, Duration delay);
   void EndRun(const JobItemRef& key, relay::SendEnd end);
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -92,6 +92,20 @@
                });
 }
 
+void CrashTracker::CheckEnd(LostSend send, std::function<void(bool)> done) {
+  const Address to = send.backend.address;
+  client_.Dial(to, kDialTimeout,
+               [this, send = std::move(send), done = std::move(done),
+                detected_at = Loop::Now()](DialResult found) {
+                 const bool crashed = found == DialResult::kRefused && !send.leaving;
+                 if (crashed) {
+                   LogLostSend(send, ToString(found));
+                   ReportCrash(send, detected_at);
+                 }
+                 done(crashed);
+               });
+}
+
 void CrashTracker::ReportRestart(const LostSend& lost) {
   LogLostSend(lost, "restarted");
   ReportCrash(lost, Loop::Now());
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -49,6 +49,9 @@
   // Checks whether the backend server still accepts connections and then calls `done`, never from
   // within this call. If the connection is refused, the crash is reported before `done` is called.
   void CheckBackend(LostSend lost, std::function<void()> done);
+  // The same for an answer that only the close of its connection ended, so that a crash looks like
+  // its end. `done`: whether the backend server has crashed.
+  void CheckEnd(LostSend send, std::function<void(bool crashed)> done);
   // Reports a crash of a backend server whose row in the list shows a later incarnation.
   void ReportRestart(const LostSend& lost);
 
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -236,7 +236,10 @@
                    Step(relay::Bytes{send, bytes.bytes});
                    RecordEvents();
                  },
-                 [&](const HttpEnd&) { Step(relay::End{send}); },
+                 [&](const HttpEnd& end) {
+                   if (end.by_close) return OnEndByClose(send);
+                   Step(relay::End{send});
+                 },
                  [&](const HttpFailure& failure) {
                    if (failure.sent) return OnConnectionLost(send, failure.why);
                    Step(relay::SendFailed{send, false, failure.why});
@@ -258,6 +261,16 @@
                                       });
 }
 
+void RelayCall::OnEndByClose(SendNumber send) {
+  if (state_machine_.in_event()) return OnConnectionLost(send, "the answer ended inside an event");
+  context_.crash_tracker.CheckEnd(MakeLostSend(), [weak = weak_from_this(), send](bool crashed) {
+    const auto self = weak.lock();
+    if (!self) return;
+    if (!crashed) return self->Step(relay::End{send});
+    self->Step(relay::SendFailed{send, true, "the backend server crashed in its answer"});
+  });
+}
+
 CrashTracker::LostSend RelayCall::MakeLostSend() {
   const BackendInfo* listed = context_.backends.Find(sent_to_.id);
   CrashTracker::LostSend lost;
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -94,6 +94,8 @@
   // Passes the failure to the state machine only after the check whether the backend server has
   // crashed. Otherwise a request that crashes backend servers would be retried on the next one.
   void OnConnectionLost(SendNumber send, std::string why);
+  // Nothing but the close of its connection shows that the answer is whole.
+  void OnEndByClose(SendNumber send);
   void OnWholeAnswer(int status);
   [[nodiscard]] std::optional<Error> CheckQuarantine();
   // What may be to blame if a backend server crashes: the request, then the parts of its prompt.
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -210,6 +210,38 @@
   CHECK(caller.Call(server.address()) == "200:abc");
 }
 
+// Guards against a crash that is taken for the end of an answer: without a length they look alike.
+TEST_CASE("the end of a response tells whether only the close of its connection showed it") {
+  std::string answer = Answer("abc");
+  bool by_close = false;
+  SUBCASE("a length") {}
+  SUBCASE("chunks") {
+    answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n";
+  }
+  SUBCASE("neither") {
+    answer = "HTTP/1.1 200 OK\r\n\r\nabc";
+    by_close = true;
+  }
+  SUBCASE("no body") {
+    answer = "HTTP/1.1 204 No Content\r\n\r\n";
+  }
+  ScriptedServer server({{{answer, /*close=*/true}}});
+  Caller caller;
+  std::optional<HttpEnd> end;
+  HttpCall http;
+  http.method = "POST";
+  http.to = server.address();
+  http.body = "x";
+  caller.client.Start(std::move(http), [&](const HttpEvent& event) {
+    if (const auto* ended = std::get_if<HttpEnd>(&event)) end = *ended;
+    if (end || std::holds_alternative<HttpFailure>(event)) caller.loop.Stop();
+  });
+  const Timer bound = caller.loop.After(kBound, [&] { caller.loop.Stop(); });
+  caller.loop.Run();
+  REQUIRE(end);
+  CHECK(end->by_close == by_close);
+}
+
 TEST_CASE("a truncated response fails the call") {
   std::string cut = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc";
   SUBCASE("shorter than its length") {}
