Close new connections unread while an entry does not keep up

The load balancer may hand most new connections of a data centre, or of a region, to one entry. Entries differ in size: one with a tenth of a core serves a tenth of what comes then, and reads the rest too late, though others idle. A caller whose connection is closed unread goes to another entry at once, and its request has not run.

An entry measures how late it comes round. Once it is over 25 ms late for 100 ms it closes new connections as they are accepted, until it is back in time, if there is another entry. Short stalls don't count. figmill_connections_closed_unread_total counts them, and a line a second tells how many there were.

--- a/include/figmill/overload.h
+++ b/include/figmill/overload.h
@@ -101,6 +101,30 @@
   std::deque<Duration> durations_;
 };
 
+// --- Connections -----------------------------------------------------------------------
+
+// Tells whether this process keeps up with its callers. The load balancer may hand most of the new
+// connections of a data centre to one entry. What it can't read in time would be answered late or
+// never, while a caller whose connection is closed unread goes to another entry at once.
+class LagMonitor {
+ public:
+  // How often the process should come round to measure itself.
+  static constexpr Duration kInterval{25'000};
+  // Callers expect their first byte within 100 ms or more. A wait of a quarter of that before a
+  // request is read can still be made up.
+  static constexpr Duration kMaxLag{25'000};
+  // A shorter stall, as by a large table that is read, ends before callers could turn elsewhere.
+  static constexpr Duration kMaxStall{100'000};
+
+  // `lag`: how much later than kInterval after the last measurement this one was made.
+  void Measure(Duration lag, Time now);
+  [[nodiscard]] bool keeps_up() const { return !behind_; }
+
+ private:
+  std::optional<Time> late_since_;
+  bool behind_ = false;
+};
+
 // --- Queue admission -------------------------------------------------------------------
 
 // Decides whether a request that is queued now will be served in time. A request that expires in
--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -129,9 +129,12 @@
 
 class HttpServer {
  public:
+  // Asked for each new connection; if it returns false, the connection is closed unread.
+  using ConnectionFilter = std::function<bool()>;
   // Listens at once; port 0 takes a free one. Errors: kInternal, with the cause.
   static Result<std::unique_ptr<HttpServer>> Listen(Loop& loop, const Address& at,
-                                                    HttpHandler handler);
+                                                    HttpHandler handler,
+                                                    ConnectionFilter filter = nullptr);
   virtual ~HttpServer() = default;
   [[nodiscard]] virtual Address address() const = 0;
   // No new connections; the ones that are open finish their requests.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -36,6 +36,7 @@
 // The same for a while after the start, when the other entries become known.
 constexpr Duration kFeedRelaysStartPeriod{50'000};
 constexpr Duration kStartPhase{3'000'000};
+constexpr Duration kShedLogPeriod{1'000'000};
 // Requests that arrive less than this before the process is killed are refused, as they could be
 // cut off: a stream lasts about a second, after its wait for a slot.
 constexpr Duration kRequestCutoff{3'000'000};
@@ -184,10 +185,12 @@
       Log(LogLevel::kError, "cannot_listen", {{"why", ErrorOf(linked).detail}});
       return ErrorInfoOf(ErrorKind::kInternal).exit_code;
     }
-    if (!Listen(settings_.callers, callers_,
-                [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
-                  request_dispatcher_.OnRequest(std::move(request), std::move(reply));
-                }) ||
+    if (!Listen(
+            settings_.callers, callers_,
+            [this](HttpRequest request, std::shared_ptr<HttpReply> reply) {
+              request_dispatcher_.OnRequest(std::move(request), std::move(reply));
+            },
+            [this] { return AcceptConnection(); }) ||
         !Listen(settings_.health, health_,
                 [this](const HttpRequest& /*request*/, const std::shared_ptr<HttpReply>& reply) {
                   SendReadiness(*reply);
@@ -207,6 +210,8 @@
     crash_tracker_.Start();
     store_proxies_timer_ = loop_.Every(PeerTable::kProbeInterval, [this] { UpdateStoreProxies(); });
     feed_relays_timer_ = loop_.Every(kFeedRelaysStartPeriod, [this] { UpdateFeedRelays(); });
+    lag_timer_ = loop_.Every(LagMonitor::kInterval, [this] { MeasureLag(); });
+    shed_log_timer_ = loop_.Every(kShedLogPeriod, [this] { LogShedConnections(); });
     start_phase_timer_ = loop_.After(kStartPhase, [this] {
       feed_relays_timer_ = loop_.Every(kFeedRelaysCheckPeriod, [this] { UpdateFeedRelays(); });
     });
@@ -325,9 +330,10 @@
     outdated_timer_ = loop_.After(OpenSends::kRecentActivity, [this] { EndOutdatedSends(); });
   }
 
-  bool Listen(const Address& at, std::unique_ptr<HttpServer>& server, HttpHandler handler) {
+  bool Listen(const Address& at, std::unique_ptr<HttpServer>& server, HttpHandler handler,
+              HttpServer::ConnectionFilter filter = nullptr) {
     Result<std::unique_ptr<HttpServer>> listening =
-        HttpServer::Listen(loop_, at, std::move(handler));
+        HttpServer::Listen(loop_, at, std::move(handler), std::move(filter));
     if (!IsOk(listening)) {
       Log(LogLevel::kError, "cannot_listen", {{"why", ErrorOf(listening).detail}});
       return false;
@@ -336,6 +342,30 @@
     return true;
   }
 
+  bool AcceptConnection() {
+    if (lag_monitor_.keeps_up()) return true;
+    const bool others = peers_.Live(Loop::Now()).size() > 1;
+    if (!others) return true;
+    connections_shed_.Add();
+    return false;
+  }
+
+  void MeasureLag() {
+    const Time now = Loop::Now();
+    lag_monitor_.Measure(now - lag_measured_at_ - LagMonitor::kInterval, now);
+    lag_measured_at_ = now;
+  }
+
+  void LogShedConnections() {
+    const std::uint64_t shed = connections_shed_.value();
+    if (shed == connections_logged_) return;
+    Log(LogLevel::kWarning, "connections_closed_unread",
+        {{"why", "this entry does not keep up with its callers"},
+         {"connections", std::to_string(shed - connections_logged_)},
+         {"in_flight", std::to_string(request_dispatcher_.in_flight())}});
+    connections_logged_ = shed;
+  }
+
   void SendReadiness(HttpReply& reply) const {
     if (leaving_) return reply.Send({503, "text/plain", {}, "leaving\n"});
     if (!request_dispatcher_.ready())
@@ -396,10 +426,16 @@
   JobRequestHandler job_requests_;
   RequestDispatcher request_dispatcher_;
   std::unique_ptr<HttpServer> callers_, health_, peers_server_, metrics_server_;
+  LagMonitor lag_monitor_;
+  Time lag_measured_at_ = Loop::Now();
+  Counter& connections_shed_ = metrics_.counter(
+      "figmill_connections_closed_unread_total",
+      "Connections of callers closed before a request was read, for lack of processor time");
+  std::uint64_t connections_logged_ = 0;
   bool leaving_ = false;
   bool jobs_released_ = false;
   Timer grace_timer_, idle_timer_, request_cutoff_timer_, store_proxies_timer_, outdated_timer_,
-      feed_relays_timer_, start_phase_timer_;
+      feed_relays_timer_, start_phase_timer_, lag_timer_, shed_log_timer_;
   ControlThread control_thread_;
 };
 
--- /dev/null
+++ b/src/overload/lag_monitor.cc
@@ -0,0 +1,15 @@
+#include "figmill/overload.h"
+
+namespace figmill {
+
+void LagMonitor::Measure(Duration lag, Time now) {
+  if (lag <= kMaxLag) {
+    late_since_.reset();
+    behind_ = false;
+    return;
+  }
+  if (!late_since_) late_since_ = now - lag;
+  behind_ = now - *late_since_ >= kMaxStall;
+}
+
+}  // namespace figmill
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -42,7 +42,21 @@
       connections_;
 };
 
+// Closes the connections that the server's owner doesn't want, before anything is read from them.
+class ConnectionBlocker {
+ public:
+  explicit ConnectionBlocker(HttpServer::ConnectionFilter filter) : filter_(std::move(filter)) {}
+  [[nodiscard]] restinio::ip_blocker::inspection_result_t inspect(
+      const restinio::ip_blocker::incoming_info_t& /*info*/) const noexcept {
+    return !filter_ || filter_() ? restinio::ip_blocker::allow() : restinio::ip_blocker::deny();
+  }
+
+ private:
+  HttpServer::ConnectionFilter filter_;
+};
+
 struct Traits : restinio::default_single_thread_traits_t {
+  using ip_blocker_t = ConnectionBlocker;
   using connection_state_listener_t = ConnectionListener;
 };
 using Server = restinio::http_server_t<Traits>;
@@ -214,13 +228,14 @@
 
 class RestinioServer final : public HttpServer {
  public:
-  RestinioServer(Loop& loop, const Address& at, HttpHandler handler)
+  RestinioServer(Loop& loop, const Address& at, HttpHandler handler, ConnectionFilter filter)
       : listener_(std::make_shared<ConnectionListener>()),
         handler_(std::move(handler)),
         server_(restinio::external_io_context(loop.core().io), [&](auto& settings) {
           settings.address(at.host)
               .port(at.port)
               .connection_state_listener(listener_)
+              .ip_blocker(std::make_shared<ConnectionBlocker>(filter))
               .acceptor_options_setter([](restinio::acceptor_options_t& options) {
                 options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
               })
@@ -287,8 +302,9 @@
 }  // namespace
 
 Result<std::unique_ptr<HttpServer>> HttpServer::Listen(Loop& loop, const Address& at,
-                                                       HttpHandler handler) {
-  auto server = std::make_unique<RestinioServer>(loop, at, std::move(handler));
+                                                       HttpHandler handler,
+                                                       ConnectionFilter filter) {
+  auto server = std::make_unique<RestinioServer>(loop, at, std::move(handler), std::move(filter));
   try {
     server->Open();
   } catch (const std::exception& failure) {
--- a/test/overload-test.cc
+++ b/test/overload-test.cc
@@ -149,3 +149,33 @@
   CHECK(detector.IsRetry("r", seconds(3), kStart + RetryDetector::kSpan));
   CHECK_FALSE(detector.IsRetry("r", seconds(3), kStart + 2 * RetryDetector::kSpan));
 }
+
+// Guards against an entry that reads its callers' requests too late, when the load balancer hands
+// it most of the new connections.
+TEST_CASE("an entry that comes round late for some time does not keep up") {
+  constexpr Duration kLate = LagMonitor::kMaxLag + Duration{1'000};
+  LagMonitor monitor;
+  Time now = Time{} + std::chrono::hours(1);
+  const auto measure = [&](Duration lag) {
+    now += LagMonitor::kInterval + lag;
+    monitor.Measure(lag, now);
+    return monitor.keeps_up();
+  };
+  CHECK(measure(LagMonitor::kMaxLag));
+  SUBCASE("one short stall") {
+    CHECK(measure(LagMonitor::kMaxStall - Duration{1'000}));
+    CHECK(measure(Duration{0}));
+  }
+  SUBCASE("one long stall, until it has caught up") {
+    CHECK_FALSE(measure(LagMonitor::kMaxStall));
+    CHECK_FALSE(measure(kLate));
+    CHECK(measure(LagMonitor::kMaxLag));
+  }
+  SUBCASE("standing lag") {
+    CHECK(measure(kLate));
+    CHECK(measure(kLate));
+    CHECK_FALSE(measure(kLate));
+    CHECK(measure(Duration{0}));
+    CHECK(measure(kLate));
+  }
+}
