Report a crash that only the list of backend servers shows

Their crash shows only in the list, where they are missing or have a later incarnation soon after.

A lost send whose backend server still accepts connections, or doesn't answer, now waits up to five seconds for the list.

--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -1,6 +1,7 @@
 #include "gateway/crash_tracker.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -87,7 +88,11 @@
                [this, lost = std::move(lost), done = std::move(done),
                 detected_at = Loop::Now()](DialResult found) {
                  LogLostSend(lost, ToString(found));
-                 if (found == DialResult::kRefused) ReportCrash(lost, detected_at);
+                 if (found == DialResult::kRefused) {
+                   ReportCrash(lost, detected_at);
+                 } else {
+                   AwaitList(lost, detected_at);
+                 }
                  done();
                });
 }
@@ -106,6 +111,30 @@
                });
 }
 
+void CrashTracker::AwaitList(const LostSend& lost, Time detected_at) {
+  if (lost.leaving || undecided_.size() >= kMaxUndecided) return;
+  undecided_.push_back({lost, detected_at});
+}
+
+void CrashTracker::OnBackendsListed(const BackendList& backends) {
+  const Time now = Loop::Now();
+  std::vector<Undecided> undecided;
+  for (Undecided& each : std::exchange(undecided_, {})) {
+    if (now - each.detected_at > kListDelay) continue;
+    const BackendAddress& ran_at = each.lost.backend;
+    const auto listed = backends.find(ran_at.id);
+    const bool gone = listed == backends.end();
+    if (gone || IsLater(listed->second.incarnation, ran_at.incarnation)) {
+      LogLostSend(each.lost, gone ? "unlisted" : "restarted");
+      ReportCrash(each.lost, each.detected_at);
+    } else if (listed->second.state == BackendState::kReady) {
+      undecided.push_back(std::move(each));
+    }
+  }
+  // Reports may have added to the list that was taken.
+  std::move(undecided.begin(), undecided.end(), std::back_inserter(undecided_));
+}
+
 void CrashTracker::ReportRestart(const LostSend& lost) {
   LogLostSend(lost, "restarted");
   ReportCrash(lost, Loop::Now());
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -13,6 +13,7 @@
 
 #include "figmill/exchange.h"
 #include "figmill/quarantine.h"
+#include "gateway/fleet_view.h"
 #include "gateway/refused_rows.h"
 #include "gateway/table_follower.h"
 
@@ -28,6 +29,11 @@
   // Entries that have completed requests with a reported part remove its row at different times
   // within this one: in large fleets all of them would write at once.
   static constexpr Duration kWithdrawalSpread{300'000};
+  // A backend server that crashed leaves the list, or is listed with a later incarnation, within
+  // this time.
+  static constexpr Duration kListDelay{5'000'000};
+  // Limit on the lost sends that wait for the list.
+  static constexpr std::size_t kMaxUndecided = 1000;
   // Limit on the rows written in one transaction.
   static constexpr std::size_t kMaxRowsPerTransaction = 50;
 
@@ -52,6 +58,9 @@
   // The same for an answer that only the close of its connection ended, so that a crash looks like
   // its end. `done`: whether the backend server has crashed.
   void CheckEnd(LostSend send, std::function<void(bool crashed)> done);
+  // Call it with each list of backend servers. Something else may accept connections in place of
+  // one that has crashed; its crash then shows in the list alone.
+  void OnBackendsListed(const BackendList& backends);
   // Reports a crash of a backend server whose row in the list shows a later incarnation.
   void ReportRestart(const LostSend& lost);
 
@@ -70,6 +79,7 @@
 
  private:
   void ReportCrash(const LostSend& lost, Time detected_at);
+  void AwaitList(const LostSend& lost, Time detected_at);
   void OnRow(const TableMirror::Change& change);
   void WithdrawLater(const Crash& crash);
   // Logs what has come into quarantine, or was released, since the last call.
@@ -90,6 +100,11 @@
   Gauge& parts_gauge_;
   std::vector<Quarantine::Culprit> logged_;
   TableFollower follower_;
+  struct Undecided {
+    LostSend lost;
+    Time detected_at{};
+  };
+  std::vector<Undecided> undecided_;  // no crash was found when they were lost
   // Rows to write, by key; nullopt for a row to remove.
   std::map<std::string, std::optional<std::string>> pending_rows_;
   // Rows of other entries that are to be removed.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -304,6 +304,7 @@
       client_.CloseIdleConnections(address);
     }
     backends_ = view->backends;
+    if (view->backends_loaded) crash_tracker_.OnBackendsListed(backends_);
     team_access_.SetRoutes(view->routes);
     request_dispatcher_.Update(view);
     runner_.SetRoutes(view->routes);
