soak: crashing prompt parts, answers without a length, skewed connections

Callers' prompts share parts. The checker learns that a part reaches at most three engines once five have crashed, and that three quarters of the callers are served while connections are skewed; it is shown to fail for both.

Engines behind the fault proxy are left out of the second: a reset arrives as an orderly end there, and such an answer then looks whole to anybody.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -12,6 +12,9 @@
 DEADLINE = 3.0   # seconds, of an online request
 ATTEMPTS = 4     # to submit a job
 RESUMES = 2      # tries to resume a stream that was cut
+# Parts of prompts that all callers share, and of which each request has one.
+SYSTEM, SUBJECTS = "5c1e07a2", ("91bd3f06", "77aa0e11", "0c4419be")
+SKEWED = 0.9  # share of the new connections that go to one gateway while they are skewed
 PATHS = {"resumable": "/notes/1", "once": "/flags/1", "idempotent": "/photos/1"}
 
 
@@ -22,21 +25,30 @@
         self.open = True
         self.submitting = True
         self.numbers = 0
+        self.favoured = None  # the gateway to which most new connections go
 
     def number(self):
         self.numbers += 1
         return self.numbers
 
     def gateway(self):
+        if self.favoured and self.dice.random() < SKEWED:
+            return self.favoured
         return self.dice.choice(self.fleet.gateways)
 
+    def prompt(self):
+        return self.prompt_with(self.dice.choice(SUBJECTS))
+
+    def prompt_with(self, part):
+        return f"{SYSTEM}:100,{part}:50,{self.number():x}:10"
+
     async def online(self):
         """One caller: a request after another on its connection, at another gateway when it
         breaks or is asked to go."""
         while self.open:
             gateway = self.gateway()
             connection = gateways.Connection(gateway.callers)
-            for _ in range(self.dice.randint(5, 40)):
+            for _ in range(1 if self.favoured else self.dice.randint(5, 40)):
                 request = await self.ask(connection, gateway)
                 if not request.whole:
                     await self.resume(request)
@@ -70,7 +82,7 @@
 
     async def send(self, connection, request, path, tokens, more=None):
         headers = {"Request-Id": request.id, "Deadline-Ms": int(DEADLINE * 1000), "Model": "m",
-                   "Tokens": f"10,{tokens}"} | teams.AUTHORIZATION | (more or {})
+                   "Tokens": f"10,{tokens}", "Prompt-Prefix": self.prompt()} | teams.AUTHORIZATION | (more or {})
         # The same in all attempts of a stream, and in no other caller's: a request is known by it.
         body = request.stream.encode()
         answer = await connection.request("POST", path, headers, body, timeout=DEADLINE + 3)
--- a/soak/engine_faults.py
+++ b/soak/engine_faults.py
@@ -8,6 +8,7 @@
 from record import Closed
 
 ENGINES = 4  # those that faults strike; others join while a soak runs
+BEHIND_PROXY = 2  # the first of them, which are reached through the fault proxy
 FOREIGN_ROWS = 5
 PLAIN = ENGINES  # the first server of the plain service
 # Software versions of the engines, side by side all the while; those that join are of the last one.
@@ -36,6 +37,12 @@
             await self.do("engine", index=index, cut=0.3, extra=0.3)
             await asyncio.sleep(fault.for_s)
             await self.do("engine", index=index, cut=0.0, extra=0.0)
+        elif how == "unframed":  # and some of its answers end early, without a sign but their text
+            # Behind the fault proxy a reset arrives as an end.
+            index = BEHIND_PROXY + fault.pick % (ENGINES - BEHIND_PROXY)
+            await self.do("engine", index=index, unframed=0.5, cut=0.2)
+            await asyncio.sleep(fault.for_s)
+            await self.do("engine", index=index, unframed=0.0, cut=0.0)
         elif how == "slow":
             await self.do("engine", index=index, slowdown=SLOW_FACTOR)
             await asyncio.sleep(fault.for_s)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,8 +10,8 @@
 import gateways
 import teams
 from engine_faults import ENGINES, EngineFaults
-from promises import KNOWN
-from record import Trouble
+from promises import KNOWN, PART, SETTLE
+from record import Skew, Trouble
 
 
 @dataclasses.dataclass
@@ -31,6 +31,9 @@
 REQUEST_KINDS = ("crashing_request",)
 # Load that is uneven: limited teams that press together, a slow engine, a small plain service.
 LOAD_KINDS = ("press_all", "engine_slow", "engine_few")
+# Parts of prompts that crash what runs them, answers without a length, and connections of which
+# most go to one gateway and then to another.
+FURTHER_KINDS = ("crashing_part", "engine_unframed", "skew")
 ATTEMPT_PAUSE = 0.25  # seconds between their attempts
 
 
@@ -48,6 +51,7 @@
     faults += some(REQUEST_KINDS, dice.randint(0, 2))
     faults += some(teams.KINDS, dice.randint(0, 2))
     faults += some(LOAD_KINDS, dice.randint(0, 2))
+    faults += some(FURTHER_KINDS, dice.randint(0, 3))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -76,7 +80,8 @@
 
 
 class Faults:
-    def __init__(self, fleet, proxy, record, clock):
+    def __init__(self, fleet, proxy, record, clock, callers):
+        self.callers = callers
         self.fleet, self.proxy, self.record, self.clock = fleet, proxy, record, clock
         self.names = []  # routes that were added
         # A process that is being stopped and started isn't struck again meanwhile.
@@ -95,7 +100,7 @@
                "engine": self.engines.strike, "link": self.link, "configure": self.configure,
                "restart": self.engines.restart, "crashing": self.crashing,
                "foreign": self.engines.write_foreign, "revoke": self.teams.revoke,
-               "hot": self.teams.press, "press": self.teams.press}[what](fault, how)
+               "hot": self.teams.press, "press": self.teams.press, "skew": self.skew}[what](fault, how)
 
     async def do(self, order, **more):
         return await asyncio.to_thread(self.fleet.world.do, order, **more)
@@ -175,26 +180,44 @@
         await self.do("configure", extra=self.names)
         self.record.routes[name] = self.clock()
 
-    async def crashing(self, fault, _how):
-        """One caller, whose request comes again and again, at any gateway."""
+    async def crashing(self, fault, how):
+        """One caller, whose request comes again and again, at any gateway; or requests that have
+        nothing in common but a part of their prompts."""
         trouble = self.trouble("engine")
         end, name = self.clock() + 2 * fault.for_s + KNOWN, f"crash {fault.pick}"
+        if how == "part":
+            name = f"{PART} bad{fault.pick:x}"
         while self.clock() < end:
             attempt = f"c{fault.pick}-{len(self.record.crashing)}"
             gateway = self.fleet.gateways[len(self.record.crashing) % len(self.fleet.gateways)]
             self.record.crashing[attempt] = (name, gateway.name)
             headers = {"Request-Id": attempt, "Deadline-Ms": 2000, "Model": "m", "Tokens": "10,20"}
             headers |= teams.AUTHORIZATION
+            body = name
+            if how == "part":
+                body = attempt
+                headers["Prompt-Prefix"] = self.callers.prompt_with(f"bad{fault.pick:x}")
             connection = gateways.Connection(gateway.callers)
-            await connection.request("POST", "/flags/1", headers, name.encode(), timeout=2)
+            await connection.request("POST", "/flags/1", headers, body.encode(), timeout=2)
             connection.close()
             await asyncio.sleep(ATTEMPT_PAUSE)
         trouble.ended = self.clock() + 1
 
+    async def skew(self, fault, _how):
+        """Most new connections go to one gateway, then to the next one."""
+        for n in range(2):
+            gateway = self.fleet.gateways[(fault.pick + n) % len(self.fleet.gateways)]
+            skew = Skew(gateway.name, self.clock())
+            self.record.skews.append(skew)
+            self.callers.favoured = gateway
+            await asyncio.sleep(fault.for_s + SETTLE)
+            skew.ended = self.clock()
+        self.callers.favoured = None
+
     async def heal(self):
         """Ends what still goes on: processes are woken and started, all else is over by itself."""
         for gateway in self.fleet.gateways:
             gateway.signal(gateways.CONT)
         await self.do("store", mode="ok", lose=0.0, late=0.0)
         for index in range(ENGINES):
-            await self.do("engine", index=index, cut=0.0, extra=0.0)
+            await self.do("engine", index=index, cut=0.0, extra=0.0, unframed=0.0)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -12,6 +12,11 @@
 # KNOWN seconds after a request has crashed its third engine, all gateways know of it: no more than
 # MAY_RETRY attempts reach an engine then.
 KNOWN, MAY_RETRY = 3.0, 3
+# For a part of prompts, of which no two requests are alike, after its fifth engine.
+PART, CRASHES_OF_A_PART = "part", 5
+# Share of the requests that are served while most new connections go to one gateway, and from how
+# many on it counts.
+SERVED_IN_SKEW, MANY_IN_SKEW = 0.75, 20
 NOT_RUN = (408, 421, 429, 503)
 MANY = 12  # resumed streams, from which on their share counts
 GATEWAY_TROUBLE = ("kill", "pause", "leave", "link")
@@ -178,14 +183,27 @@
         if run["id"] in record.crashing:
             by_request[record.crashing[run["id"]][0]].append(run)
     for request, runs in by_request.items():
+        allowed = CRASHES_OF_A_PART if request.startswith(PART) else 3
         crashed = sorted(run["ended"] for run in runs if run["crashed"])
-        if len(crashed) < 3:
+        if len(crashed) < allowed:
             continue
-        late = [run for run in runs if run["at"] > crashed[2] + KNOWN and not record.in_trouble(
+        late = [run for run in runs if run["at"] > crashed[allowed - 1] + KNOWN and not record.in_trouble(
             run["at"] - SETTLE, run["at"], gateway=record.crashing[run["id"]][1])]
         if len(late) > MAY_RETRY:
             yield (f"{request}: {len(late)} attempts reached engines later than {KNOWN} s after it "
-                   f"had crashed three; {len(crashed)} crashed")
+                   f"had crashed {allowed}; {len(crashed)} crashed")
+
+
+def callers_are_served_while_connections_are_skewed(record):
+    for skew in record.skews:
+        counted = [request for request in record.requests
+                   if skew.begun + SETTLE <= request.sent_at <= skew.ended
+                   and not record.in_trouble(request.sent_at - SETTLE, request.ended_at,
+                                             gateway=request.gateway, kinds=("engine", "link"))]
+        served = sum(request.whole and request.status == 200 for request in counted)
+        if len(counted) >= MANY_IN_SKEW and served < SERVED_IN_SKEW * len(counted):
+            yield (f"{skew.gateway}: {served} of {len(counted)} requests served while most new "
+                   "connections went there")
 
 
 def all_is_well_again(record):
@@ -198,7 +216,7 @@
 
 ALL = (whole_and_own, streams_keep_their_version, resumed_streams_go_on, once, not_run_is_true, answered_in_time, shutdown_cuts_nothing,
        items_exactly_once, ended_jobs_stop, closed_engines_rest, configuration_is_in_force,
-       crashing_requests_are_kept_away, all_is_well_again, *teams.PROMISES)
+       crashing_requests_are_kept_away, callers_are_served_while_connections_are_skewed, all_is_well_again, *teams.PROMISES)
 
 
 def broken(record):
--- a/soak/record.py
+++ b/soak/record.py
@@ -80,6 +80,14 @@
     ended: float = float("inf")
 
 
+@dataclasses.dataclass
+class Skew:
+    """While most new connections go to one gateway."""
+    gateway: str
+    begun: float
+    ended: float = float("inf")
+
+
 @dataclasses.dataclass
 class Record:
     requests: list = dataclasses.field(default_factory=list)
@@ -88,8 +96,9 @@
     troubles: list = dataclasses.field(default_factory=list)
     runs: list = dataclasses.field(default_factory=list)
     closed: list = dataclasses.field(default_factory=list)
-    # Attempts of requests that crash engines: id -> (which request, the gateway that took it).
+    # Attempts that crash engines: id -> (which request or part of prompts, the gateway that took it).
     crashing: dict = dataclasses.field(default_factory=dict)
+    skews: list = dataclasses.field(default_factory=list)
     routes: dict = dataclasses.field(default_factory=dict)   # added route -> when acknowledged
     team_requests: list = dataclasses.field(default_factory=list)
     revoked: dict = dataclasses.field(default_factory=dict)  # key -> when that was acknowledged
--- a/soak/run.py
+++ b/soak/run.py
@@ -34,7 +34,8 @@
     # Waits for processes take a thread each; with too few, the end of a fault waits for them.
     asyncio.get_running_loop().set_default_executor(concurrent.futures.ThreadPoolExecutor(THREADS))
     record, clock = Record(), time.monotonic
-    callers, faults = Callers(fleet, record, seed, clock), Faults(fleet, proxy, record, clock)
+    callers = Callers(fleet, record, seed, clock)
+    faults = Faults(fleet, proxy, record, clock, callers)
     traffic = [asyncio.ensure_future(callers.online()) for _ in range(ONLINE_CALLERS)]
     traffic += [asyncio.ensure_future(callers.jobs()), asyncio.ensure_future(callers.probes())]
     begun, struck = clock(), []
--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -19,7 +19,7 @@
 import promises  # noqa: E402
 import run as soak  # noqa: E402
 import teams  # noqa: E402
-from record import Closed, Job, Probe, Record, Request, TeamRequest, Trouble  # noqa: E402
+from record import Closed, Job, Probe, Record, Request, Skew, TeamRequest, Trouble  # noqa: E402
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 # One for each way in which processes end, one on top of a sick store, and one in which entries of
@@ -161,6 +161,25 @@
         two_requests = {run["id"]: (f"crash {n % 4}", "g0") for n, run in enumerate(runs)}
         self.assertEqual(self.broken_by(runs=runs, crashing=two_requests), set())
 
+    def test_a_part_that_goes_on_crashing_engines(self):
+        runs = [ran(f"c{n}", at=10 + n) | {"ended": 10.1 + n, "crashed": True} for n in range(12)]
+        attempts = {run["id"]: ("part bad1", "g0") for run in runs}
+        broken = {"crashing_requests_are_kept_away"}
+        # The fifth crash at 14.1; known from 17.1 on.
+        self.assertEqual(self.broken_by(runs=runs, crashing=attempts), broken)
+        self.assertEqual(self.broken_by(runs=runs[:11], crashing=attempts), set())
+
+    def test_callers_that_are_not_served_while_connections_are_skewed(self):
+        skew = Skew("g0", 1.0, 20.0)
+        served = [request(id=f"r{n}", data=[]) for n in range(15)]
+        failed = [request(id=f"f{n}", status=503, got=None, data=[]) for n in range(6)]
+        broken = {"callers_are_served_while_connections_are_skewed"}
+        self.assertEqual(self.broken_by(requests=served + failed, skews=[skew]), broken)
+        self.assertEqual(self.broken_by(requests=served + failed[1:], skews=[skew]), set())
+        sick = Trouble("engine", "0", 9, 14)
+        self.assertEqual(self.broken_by(requests=served + failed, skews=[skew], troubles=[sick]),
+                         set())
+
     def test_keys_and_teams_that_are_not_kept_apart(self):
         foreign = ran("r1") | {"team": "hot"}
         self.assertEqual(self.broken_by(runs=[foreign]), {"engines_get_the_team"})
