--- a/include/figmill/quarantine.h
+++ b/include/figmill/quarantine.h
@@ -42,7 +42,7 @@
                                         const TeamId& team);
 
 // Limit on the parts of one prompt that are considered.
-inline constexpr std::size_t kMaxPartsOfPrompt = 16;
+inline constexpr std::size_t kMaxPartsOfPrompt = 32;
 // The ids of a prompt's parts, from a list of ID:TOKENS entries, ids in hexadecimal. The last part
 // belongs to the request itself and is left out, as are entries that can't be read.
 [[nodiscard]] std::vector<std::string_view> SharedPartsOf(std::string_view prompt_parts);
@@ -135,7 +135,8 @@
   };
   // Why and for how long a request may not run.
   struct Hold {
-    Culprit culprit;
+    Fingerprint suspect;
+    int chain = 0;
     Duration left{0};
   };
 
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -163,9 +163,8 @@
                                                    WorkClass work) const {
   const auto hold = quarantine_.HoldOf(request, work, Loop::Now());
   if (!hold) return std::nullopt;
-  const std::string why = "in quarantine: fingerprint " + hold->culprit.suspect.value +
-                          " crashed " + std::to_string(hold->culprit.chain) +
-                          " backend servers one after the other";
+  const std::string why = "in quarantine: fingerprint " + hold->suspect.value + " crashed " +
+                          std::to_string(hold->chain) + " backend servers one after the other";
   return Error{ErrorKind::kQuarantined, why, Ran::kNo, hold->left};
 }
 
--- a/src/quarantine/prompt_parts.cc
+++ b/src/quarantine/prompt_parts.cc
@@ -9,7 +9,7 @@
 
 constexpr char kListSeparator = ',';
 constexpr char kSizeSeparator = ':';
-constexpr std::size_t kMaxIdDigits = 32;
+constexpr std::size_t kMaxIdDigits = 64;
 constexpr std::size_t kDigestDigits = 32;
 constexpr std::string_view kPartPrefix = "part-";
 constexpr char kScopeSeparator = '-';
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -212,7 +212,7 @@
     const Duration left = IsDeciding(request, culprit) ? DecidingProbeLeft(request, culprit, now)
                                                        : QuarantineLeft(culprit, work, now);
     if (left.count() <= 0 || (longest && left <= longest->left)) continue;
-    longest = Hold{culprit, left};
+    longest = Hold{culprit.suspect, culprit.chain, left};
     const bool settling = now - culprit.last_crash_at < kSettlingTime;
     if (settling && IsPart(culprit.suspect)) longest->left = std::min(left, kSettlingTime);
   }
