--- a/test/crashing-parts-test.py
+++ b/test/crashing-parts-test.py
@@ -17,7 +17,7 @@
 import unittest
 
 import gateways
-from gateways import Fleet, call, output_of, wait_for
+from gateways import Fleet, await_results, call, output_of, submit
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 BAD = "bad0001"  # crashes each engine that begins to write an answer on it
@@ -163,16 +163,8 @@
     def test_items_with_the_part_wait_and_the_others_are_done(self):
         self.begin()
         items = [item(f"item-{n}", (SYSTEM, BAD) if n < 4 else (SYSTEM,)) for n in range(12)]
-        status, _, _ = call(self.fleet.gateways[0].callers, "POST", "/reports/j",
-                            json.dumps({"requests": items}),
-                            {"Request-Id": "j", "Content-Type": "application/json"})
-        self.assertEqual(status, 202)
-
-        def others_are_done():
-            body = call(self.fleet.gateways[1].callers, "GET", "/-/lots/j?after=0")[2]
-            results = json.loads(body)["results"]
-            return results if len(results) >= 8 else None
-        for result in wait_for("the others are done", others_are_done):
+        self.assertEqual(submit(self.fleet.gateways[0], "j", items), 202)
+        for result in await_results(self.fleet.gateways[1], "j", 8):
             self.assertEqual(result["output"], output_of(result["id"]))
         time.sleep(KNOWN_WITHIN)
         before = self.reached(BAD)
--- a/test/crashing-requests-test.py
+++ b/test/crashing-requests-test.py
@@ -21,7 +21,7 @@
 import unittest
 
 import gateways
-from gateways import Fleet, call, output_of, wait_for
+from gateways import Fleet, await_results, call, output_of, submit
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 CRASHING = b"crash: rye, field 12"
@@ -148,17 +148,8 @@
         self.begin()
         # Long enough that no run from crash to crash could bring it to its end.
         items = [item("item-0", CRASHING, 1000)] + [item(f"item-{n}") for n in range(1, 8)]
-        status, _, _ = call(self.fleet.gateways[0].callers, "POST", "/reports/j",
-                            json.dumps({"requests": items}),
-                            {"Request-Id": "j", "Content-Type": "application/json"})
-        self.assertEqual(status, 202)
-
-        def others_are_done():
-            body = call(self.fleet.gateways[1].callers, "GET", "/-/lots/j?after=0")[2]
-            results = json.loads(body)["results"]
-            return results if len(results) >= 7 else None
-        results = wait_for("the others are done", others_are_done)
-        for result in results:
+        self.assertEqual(submit(self.fleet.gateways[0], "j", items), 202)
+        for result in await_results(self.fleet.gateways[1], "j", 7):
             self.assertEqual(result["output"], output_of(result["id"]))
         time.sleep(KNOWN_WITHIN)
         before = self.crashed()
--- a/test/gateways.py
+++ b/test/gateways.py
@@ -164,6 +164,21 @@
     return json.dumps({"requests": items})
 
 
+def submit(gateway, job_id, items):
+    """Submits these items as a job, and returns the status."""
+    return call(gateway.callers, "POST", f"/reports/{job_id}", json.dumps({"requests": items}),
+                {"Request-Id": job_id, "Content-Type": "application/json"})[0]
+
+
+def await_results(gateway, job_id, count):
+    """The job's results as soon as there are this many."""
+    def listed():
+        body = call(gateway.callers, "GET", f"/-/lots/{job_id}?after=0")[2]
+        results = json.loads(body)["results"]
+        return results if len(results) >= count else None
+    return wait_for(f"{count} results of {job_id}", listed)
+
+
 def output_of(item, tokens=20, version="v1"):
     """What engines of this software version write."""
     mark = "" if version == "v1" else f"@{version}"
--- a/test/unframed-answers-test.py
+++ b/test/unframed-answers-test.py
@@ -7,12 +7,11 @@
 import base64
 import http.client
 import itertools
-import json
 import pathlib
 import sys
 import unittest
 
-from gateways import Fleet, call, output_of, wait_for
+from gateways import Fleet, await_results, call, output_of, submit
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 ENGINES, SERVICES = 6, 3
@@ -92,16 +91,10 @@
         items = [{"id": f"item-{n}", "path": f"/reports/j/{n}", "tokens": EVENTS,
                   "headers": {"Model": "m", "Tokens": f"10,{EVENTS}"},
                   "body": base64.b64encode(b"rye").decode()} for n in range(12)]
-        status, _, _ = call(self.fleet.gateways[0].callers, "POST", "/reports/j",
-                            json.dumps({"requests": items}),
-                            {"Request-Id": "j", "Content-Type": "application/json"})
-        self.assertEqual(status, 202)
-
-        def results():
-            body = call(self.fleet.gateways[1].callers, "GET", "/-/lots/j?after=0")[2]
-            got = json.loads(body)["results"]
-            return got if len(got) == len(items) else None
-        for result in wait_for("all items are done", results):
+        self.assertEqual(submit(self.fleet.gateways[0], "j", items), 202)
+        results = await_results(self.fleet.gateways[1], "j", len(items))
+        self.assertEqual(len(results), len(items))
+        for result in results:
             self.assertEqual(result["output"], output_of(result["id"], EVENTS))
 
 
