A suspended host that runs again keeps up with its callers

The entry took the length of its stall for a time in which it had been late, and closed connections until it measured again 25 ms later. Only measurements count now: it must come round late for 100 ms on end.

--- a/include/figmill/overload.h
+++ b/include/figmill/overload.h
@@ -113,8 +113,9 @@
   // Callers expect their first byte within 100 ms or more. A wait of a quarter of that before a
   // request is read can still be made up.
   static constexpr Duration kMaxLag{25'000};
-  // A shorter stall, as by a large table that is read, ends before callers could turn elsewhere.
-  static constexpr Duration kMaxStall{100'000};
+  // How long it must go on coming round late. One stall is over when it shows, however long it was:
+  // a host that was suspended can serve its callers as soon as it runs again.
+  static constexpr Duration kMinLateTime{100'000};
 
   // `lag`: how much later than kInterval after the last measurement this one was made.
   void Measure(Duration lag, Time now);
--- a/src/overload/lag_monitor.cc
+++ b/src/overload/lag_monitor.cc
@@ -8,8 +8,8 @@
     behind_ = false;
     return;
   }
-  if (!late_since_) late_since_ = now - lag;
-  behind_ = now - *late_since_ >= kMaxStall;
+  if (!late_since_) late_since_ = now;
+  behind_ = now - *late_since_ >= kMinLateTime;
 }
 
 }  // namespace figmill
