--- a/soak/engine_faults.py
+++ b/soak/engine_faults.py
@@ -37,7 +37,7 @@
             await self.do("engine", index=index, cut=0.3, extra=0.3)
             await asyncio.sleep(fault.for_s)
             await self.do("engine", index=index, cut=0.0, extra=0.0)
-        elif how == "unframed":  # and some of its answers end early, without a sign but their text
+        elif how == "unframed":  # and some of its answers end early, which only their text shows
             # Behind the fault proxy a reset arrives as an end.
             index = BEHIND_PROXY + fault.pick % (ENGINES - BEHIND_PROXY)
             await self.do("engine", index=index, unframed=0.5, cut=0.2)
