--- a/review/lib/users_world.py
+++ b/review/lib/users_world.py
@@ -3,7 +3,7 @@
 gives, and with engines whose events have a size and a rate.
 
 usage: users_world.py [--engines 4] [--places 8] [--services 1] [--seed 1] [--event-ms 4]
-                [--event-bytes 0]
+                [--event-bytes 0] [--catch-all 0]
 """
 
 import argparse
@@ -61,8 +61,23 @@
     def __init__(self, arguments):
         super().__init__(arguments)
         self.store = BoundedStore(self.source)
+        self.without = []  # prefixes of routes that the operator has removed
+
+    def configure(self):
+        """As the project's stand-in, with the routes that the script asks for."""
+        version = super().configure()
+        row = self.store.rows[("op", "", "config")]
+        config = json.loads(base64.b64decode(row["value"]))
+        if self.arguments.catch_all:
+            config["routes"].append(world.route("rest", "/", "safe", "app", maxAttempts=3))
+        config["routes"] = [each for each in config["routes"]
+                            if each["pathPrefix"] not in self.without]
+        row["value"] = base64.b64encode(json.dumps(config).encode()).decode()
+        return version
 
     async def do(self, order):
+        if order["do"] == "configure":
+            self.without = order.get("without", [])
         if order["do"] == "refused":
             return self.store.refused
         if order["do"] == "busy":
@@ -78,6 +93,7 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--event-ms", type=float, default=4)
     parser.add_argument("--event-bytes", type=int, default=0)
+    parser.add_argument("--catch-all", type=int, default=0)
     arguments = parser.parse_args()
     engine.STEP = arguments.event_ms / 1000
     plain = engine.events_of
