--- a/review/3/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/usr/bin/env bash
-exec python3 -B "$(dirname "$0")/run.py"
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 sys.path.append(str(ROOT / "support"))
@@ -20,6 +21,7 @@
 
 HOST = "farm.example"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+ATTEMPTS = 10
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
@@ -50,6 +52,17 @@
         connection.close()
 
 
+def repeated(address, *arguments):
+    """As call. Repeats a call that may be repeated if its connection breaks: a busy gateway closes
+    new connections unread."""
+    for _ in range(ATTEMPTS - 1):
+        try:
+            return call(address, *arguments)
+        except (OSError, http.client.HTTPException):
+            time.sleep(0.1)
+    return call(address, *arguments)
+
+
 def wait_for(what, condition, seconds=20):
     end = time.monotonic() + seconds
     while time.monotonic() < end:
@@ -82,11 +95,11 @@
 
 
 class Gateway:
-    def __init__(self, fleet, name, zone, seeds):
+    def __init__(self, fleet, name, zone, seeds, cores):
         self.fleet, self.name, self.zone = fleet, name, zone
         self.front, self.ready, self.control, metrics = (fleet.ports.address() for _ in range(4))
         command = gateway_command({
-            "node": name, "zone": zone, "limits": {"cpuShare": 0.5},
+            "node": name, "zone": zone, "limits": {"cpuShare": cores},
             "listen": {"front": self.front, "ready": self.ready, "control": self.control},
             "ip": "127.0.0.1", "provider": {"address": fleet.store}, "seeds": ",".join(seeds)})
         # The port of the metrics is fixed in the deploy file; several gateways share this host.
@@ -116,9 +129,10 @@
 
 
 class Fleet:
-    """The platform's stand-in and gateways before it. `zones` names the zone of each gateway."""
+    """The platform's stand-in and gateways before it. `zones` names the zone of each gateway, `cores`
+    the `cpuShare` of its machine."""
 
-    def __init__(self, world, zones, **options):
+    def __init__(self, world, zones, cores=None, **options):
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="figmill-review-"))
         self.ports = Ports()
         self.gateways = []
@@ -132,7 +146,8 @@
         self.store, self.steer = ready["store"], ready["control"]
         for i, zone in enumerate(zones):
             seeds = [gateway.control for gateway in self.gateways[:3]]
-            self.gateways.append(Gateway(self, f"front-{zone}-{i}", zone, seeds))
+            share = cores[i] if cores else 0.5
+            self.gateways.append(Gateway(self, f"front-{zone}-{i}", zone, seeds, share))
 
     def await_ready(self):
         for gateway in self.gateways:
@@ -140,7 +155,7 @@
         time.sleep(2)  # until the gateways know each other
 
     def do(self, order, **more):
-        status, body = call(self.steer, "POST", "/control", json.dumps({"do": order} | more))
+        status, body = repeated(self.steer, "POST", "/control", json.dumps({"do": order} | more))
         if status != 200:
             raise CannotRun(f"the stand-in refused {order}: {body}")
         return json.loads(body)
@@ -163,9 +178,10 @@
     record.write(f"trouble {'on' if TROUBLE else 'off'}")
     try:
         broken = case(record)
-    except CannotRun as why:
-        record.write(f"could not run: {why}")
-        print(f"could not run: {why}")
+    except Exception as why:  # of the script itself: it says nothing about the rule
+        record.write(f"could not run: {why!r}")
+        print(f"could not run: {why!r}")
+        traceback.print_exc()
         sys.exit(NOT_RUN)
     for line in broken:
         record.write(f"BROKEN {line}")
--- a/review/lib/users_world.py
+++ b/review/lib/users_world.py
@@ -29,6 +29,16 @@
 TOO_LARGE = 413
 
 
+class LateWriter:
+    """Holds an answer back. What the store does is done before its answer is late."""
+
+    def __init__(self, writer):
+        self.held, self.transport = b"", writer.transport
+
+    def write(self, data):
+        self.held += data
+
+
 class BoundedStore(store.Store):
     """Refuses calls beyond the limits; nothing of them is done."""
 
@@ -36,6 +46,16 @@
         super().__init__(source)
         self.refused = []
 
+        self.slow_s = 0.0  # by how much each answer is late
+
+    async def handle(self, request, writer, gone):
+        if self.slow_s == 0.0:
+            return await super().handle(request, writer, gone)
+        late = LateWriter(writer)
+        await super().handle(request, late, gone)
+        await asyncio.sleep(self.slow_s)
+        writer.write(late.held)
+
     def excess(self, request):
         entries = json.loads(request.body)
         count = sum(len(entries.get(name, [])) for name in ("expectedRev", "puts", "removes"))
@@ -78,6 +98,9 @@
     async def do(self, order):
         if order["do"] == "configure":
             self.without = order.get("without", [])
+        if order["do"] == "slow":
+            self.store.slow_s = order["seconds"]
+            return {}
         if order["do"] == "refused":
             return self.store.refused
         if order["do"] == "busy":
