Jobs that end while they are loaded are not owned

Cause: an entry decided to own a job by the row that it knew before it read the items and the progress. An end that arrived meanwhile found no owned job to stop, and the load went on to own the ended job. The load after a takeover and the answer to the write that accepts a job had the same gap; the latter also owned the job with an old version, so that none of its writes could succeed.

The log shows job_owned after the row with the end.

Now BecomeOwner takes the newest known row and refuses a job that has ended or names another owner; job_not_owned logs it. OnWritten drops an ended job as all other paths do, so that the runner doesn't go on counting its items.

--- a/src/gateway/job_ownership.cc
+++ b/src/gateway/job_ownership.cc
@@ -17,24 +17,35 @@
 
 }  // namespace
 
-void JobStore::BecomeOwner(JobRecord head, RowVersion version, std::vector<JobItem> items,
+// Decides by the row as it is known now: the job may have ended, or have another owner, since this
+// entry began to accept or load it.
+void JobStore::BecomeOwner(const JobId& id, std::vector<JobItem> items,
                            const std::vector<ledger::ProgressPiece>& progress) {
-  if (leaving_ || owned_.contains(head.id)) return;
+  const auto found = known_.find(id);
+  if (leaving_ || owned_.contains(id) || found == known_.end()) return;
+  const JobRecord& head = found->second.head;
+  const RowVersion version = found->second.version;
+  if (!head.open() || !IsOwnedHere(head)) {
+    Log(LogLevel::kInfo, "job_not_owned",
+        {{"job", id.value},
+         {"why", head.open() ? "it has another owner" : "it has ended"},
+         {"owner", head.owner.value},
+         {"row_version", std::to_string(version)}});
+    return;
+  }
   if (items.size() != head.total) {
     Log(LogLevel::kError, "job_items_missing",
-        {{"job", head.id.value},
+        {{"job", id.value},
          {"total", std::to_string(head.total)},
          {"found", std::to_string(items.size())}});
-    return RetryLoadLater(head.id);
+    return RetryLoadLater(id);
   }
-  const JobId id = head.id;
   Log(LogLevel::kInfo, "job_owned",
       {{"job", id.value},
        {"row_version", std::to_string(version)},
        {"total", std::to_string(head.total)},
        {"listed", std::to_string(head.stored_results)}});
-  const auto at =
-      owned_.emplace(id, std::make_unique<OwnedJob>(std::move(head), version, std::move(items)));
+  const auto at = owned_.emplace(id, std::make_unique<OwnedJob>(head, version, std::move(items)));
   hooks_.owned(*at.first->second, progress);
 }
 
@@ -153,8 +164,7 @@
                   {{"job", id.value}, {"why", ErrorOf(rows).detail}});
               return;
             }
-            if (!IsOwnedHere(found->second.head) || leaving_) return;
-            BecomeOwner(found->second.head, found->second.version, std::move(items),
+            BecomeOwner(id, std::move(items),
                         ledger::DecodeProgress(id, ValueOf(rows), LogProgressRefused));
           });
 }
--- a/src/gateway/job_store.cc
+++ b/src/gateway/job_store.cc
@@ -166,8 +166,7 @@
   std::visit(Overloaded{
                  [&](const TableCommitted& committed) {
                    ApplyHead(head, committed.version);
-                   if (IsOwnedHere(head))
-                     BecomeOwner(head, committed.version, std::move(submission.items), {});
+                   if (IsOwnedHere(head)) BecomeOwner(head.id, std::move(submission.items), {});
                    done(Ok{});
                  },
                  [&](const TableRejected& rejected) {
@@ -187,7 +186,7 @@
                    (void)ApplyRow(*row);
                    // An earlier copy of the same write took effect.
                    if (ValueOf(there).token == head.token && IsOwnedHere(head)) {
-                     BecomeOwner(head, row->version, std::move(submission.items), {});
+                     BecomeOwner(head.id, std::move(submission.items), {});
                    }
                    done(Ok{});
                  },
@@ -241,7 +240,7 @@
   job = FindOwned(id);
   if (job == nullptr) return;
   if (!job->record().open() && job->all_written()) {
-    owned_.erase(id);
+    DropOwned(id);
     return FinishLeaving();
   }
   if (leaving_ && (job->all_written() || row_unreadable)) return Release(id);
--- a/src/gateway/job_store.h
+++ b/src/gateway/job_store.h
@@ -111,7 +111,7 @@
   [[nodiscard]] std::optional<Duration> RankDelay(const JobId& job, Time now) const;
   void TakeOver(const JobId& job);
   void OnTakeoverWritten(const JobRecord& head, const TableOutcome& outcome);
-  void BecomeOwner(JobRecord head, RowVersion version, std::vector<JobItem> items,
+  void BecomeOwner(const JobId& id, std::vector<JobItem> items,
                    const std::vector<ledger::ProgressPiece>& progress);
   void ReadAll(TableRange range, std::shared_ptr<std::vector<TableRow>> rows,
                std::function<void(Result<std::vector<TableRow>>)> done);
--- a/test/gateway-fakes.h
+++ b/test/gateway-fakes.h
@@ -52,6 +52,7 @@
   bool unresponsive = false;  // commits have no effect and get no answer; reads fail
   bool feed_stalled = false;  // feeds report no changes
   bool history_lost = false;  // the next feed that ends reports that, once
+  Duration lateness{0};       // of the answers to commits and reads; feeds are on time
   // Wait times that Follow was called with, newest last.
   std::vector<Duration> feed_waits;
   int reads = 0;
@@ -66,7 +67,7 @@
       --lose_answers;
       return Later([done] { done(FateUnknown{"no answer"}); }, kLostAnswerDelay);
     }
-    Later([done, outcome] { done(outcome); });
+    Later([done, outcome] { done(outcome); }, kAnswerDelay + lateness);
   }
 
   void Read(TableRange range, std::function<void(Result<TablePage>)> done) override {
@@ -82,7 +83,7 @@
     }
     page.version = data_.version;
     page.now = Clock();
-    Later([done, page] { done(page); });
+    Later([done, page] { done(page); }, kAnswerDelay + lateness);
   }
 
   void ListParts(std::string /*table*/, std::string /*after*/,
@@ -97,6 +98,7 @@
   }
 
  private:
+  static constexpr Duration kAnswerDelay{500};
   static constexpr Duration kLostAnswerDelay{300'000};
 
   // A clock with its own epoch, as a store on another host has.
@@ -106,7 +108,7 @@
   }
   static Error Unavailable() { return {ErrorKind::kStoreUnavailable, "down"}; }
 
-  void Later(std::function<void()> task, Duration delay = Duration{500}) {
+  void Later(std::function<void()> task, Duration delay = kAnswerDelay) {
     loop_.Later(delay, std::move(task));
   }
 
--- a/test/job-store-test.cc
+++ b/test/job-store-test.cc
@@ -13,6 +13,7 @@
 namespace {
 
 constexpr Duration kMillisecond{1'000};
+constexpr Duration kSlowAnswer{600'000};  // the feed shows a change well before it
 
 Peer PeerNamed(const std::string& node, double capacity = 1) {
   return {NodeId{node}, 1, Address{"10.0.0.1", 1}, DataCentre{"dc"}, capacity, false};
@@ -43,6 +44,7 @@
         store(loop, tables, metrics, peers, SystemRandom(),
               {[this](OwnedJob& job, const std::vector<ledger::ProgressPiece>& pieces) {
                  owned.insert(job.record().id.value);
+                 owned_ever.insert(job.record().id.value);
                  known_when_owned = store.KnownHead(job.record().id) != nullptr;
                  progress = pieces;
                },
@@ -81,6 +83,20 @@
     fake::RunUntil(loop, [&done] { return done; });
     return results;
   }
+  // From now on answers of the store are late. Returns once the list of jobs was read.
+  void SlowDown() {
+    fake::RunUntil(loop, [this] { return store.loaded(); });
+    tables.lateness = kSlowAnswer;
+    tables.reads = 0;
+  }
+  void AwaitRead() {
+    fake::RunUntil(loop, [this] { return tables.reads > 0; });
+  }
+  void End(const std::string& job) {
+    bool ended = false;
+    store.End(JobId{job}, [&ended](const Result<Ok>& result) { ended = IsOk(result); });
+    fake::RunUntil(loop, [&ended] { return ended; });
+  }
   std::uint32_t Listed(const std::string& job) {
     const JobRecord* head = store.KnownHead(JobId{job});
     return head == nullptr ? 0 : head->stored_results;
@@ -90,6 +106,7 @@
   fake::Tables tables;
   PeerTable peers;
   std::set<std::string> owned;
+  std::set<std::string> owned_ever;
   bool known_when_owned = false;
   std::vector<ledger::ProgressPiece> progress;
   Metrics metrics;
@@ -212,6 +229,60 @@
   CHECK_FALSE(f.a.store.KnownHead(JobId{"job"})->open());
 }
 
+// Guards against items that run after their sender was told that the job has ended: the end arrives
+// while the owner loads the job.
+TEST_CASE("a job that ends while the entry that it is assigned to loads it is not owned") {
+  Loop loop;
+  fake::TableData data;
+  Entry small(loop, data, PeerNamed("small", 0.1));
+  Entry large(loop, data, PeerNamed("large", 1));
+  small.peers.RecordMessage(PeerNamed("large", 1), Loop::Now());
+  large.peers.RecordMessage(PeerNamed("small", 0.1), Loop::Now());
+  large.SlowDown();
+  CHECK(small.Accept(Submission()) == "accepted");
+  large.AwaitRead();
+  small.End("job");
+  fake::RunFor(loop, 4 * kSlowAnswer);
+  CHECK(large.owned_ever.empty());
+  CHECK(large.store.owned() == 0);
+}
+
+// The same for the load after a takeover.
+TEST_CASE("a job that ends while the entry that has taken it over loads it is not owned") {
+  Fixture f;
+  Entry b(f.loop, f.data, PeerNamed("b"));
+  {
+    Entry dying(f.loop, f.data, PeerNamed("dying"));
+    CHECK(dying.Accept(Submission()) == "accepted");
+  }
+  b.tables.feed_stalled = true;  // leaves the job to the other entry
+  f.a.SlowDown();
+  f.a.AwaitRead();
+  b.End("job");
+  fake::RunFor(f.loop, 4 * kSlowAnswer);
+  CHECK(f.a.owned_ever.empty());
+  CHECK(f.a.store.owned() == 0);
+}
+
+// The same for a job that this entry accepts: the row shows the end before the write that accepts
+// the job gets its answer.
+TEST_CASE("a job that ends before its entry knows that it was accepted is not owned") {
+  Fixture f;
+  Entry b(f.loop, f.data, PeerNamed("b"));
+  fake::RunUntil(f.loop, [&] { return b.store.loaded(); });
+  f.a.SlowDown();
+  std::string got;
+  const JobSubmission submission = Submission();
+  f.a.store.Accept(HeadOf(submission), submission,
+                   [&got](const Result<Ok>& result) { got = IsOk(result) ? "accepted" : "not"; });
+  fake::RunUntil(f.loop, [&] { return b.store.KnownHead(JobId{"job"}) != nullptr; });
+  b.End("job");
+  fake::RunUntil(f.loop, [&] { return !got.empty(); });
+  CHECK(got == "accepted");
+  CHECK(f.a.owned_ever.empty());
+  CHECK(f.a.store.owned() == 0);
+}
+
 // Guards against a restart that loses the work of all running items.
 TEST_CASE("an entry that shuts down writes results and partial output and releases its jobs") {
   Fixture f;
