A leaving entry begins only what it can finish

Cause: an entry accepted all requests until three seconds before the end of its grace period, whatever time they might take. The balancer hands connections to leaving entries too when fewer than half of a data centre's entries are in rotation.

ShutdownPlan now decides for each request, without I/O: it may begin in the two seconds in which the balancer takes the entry out, and after that only if its deadline or its route's timeout ends before the process does. Others are refused at once as not run, with a time to come back. The same is checked when a request that waited gets a slot; all that wait for a slot or for their team's quota are refused as soon as they can't be sent any more. Requests with short limits are served for longer than before.

--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -130,9 +130,13 @@
 };
 struct TimerFired {};
 struct CallerDisconnected {};
+// The entry refuses a request that it has not sent; no effect on one that it has.
+struct Refuse {
+  Error error;
+};
 
 using Event = std::variant<Start, SourceFound, SourceUnknown, BackendChosen, NoBackend, Head, Bytes,
-                           End, SendFailed, BackendRestarted, TimerFired, CallerDisconnected>;
+                           End, SendFailed, BackendRestarted, TimerFired, CallerDisconnected, Refuse>;
 
 // --- Actions -----------------------------------------------------------------------
 
@@ -288,6 +292,7 @@
   void On(Time now, const relay::BackendRestarted& event);
   void On(Time now, const relay::TimerFired& event);
   void On(Time now, const relay::CallerDisconnected& event);
+  void On(Time now, const relay::Refuse& event);
 
   void ChooseNextBackend(Time now);
   [[nodiscard]] bool ShouldWaitForVersion(Time now, const Error& error);
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -28,21 +28,14 @@
 namespace figmill {
 namespace {
 
-// The load balancer probes readiness once a second and removes a process after two failed
-// probes; until then new connections arrive, and callers keep using open ones.
-constexpr Duration kBalancerDrainDelay{3'000'000};
+// Callers keep using open connections for a while after the load balancer has removed the process.
+constexpr Duration kIdleCheckDelay{3'000'000};
 constexpr Duration kIdleCheckPeriod{50'000};
 constexpr Duration kFeedRelaysCheckPeriod{500'000};
 // The same for a while after the start, when the other entries become known.
 constexpr Duration kFeedRelaysStartPeriod{50'000};
 constexpr Duration kStartPhase{3'000'000};
 constexpr Duration kShedLogPeriod{1'000'000};
-// Requests that arrive less than this before the process is killed are refused, as they could be
-// cut off: a stream lasts about a second, after its wait for a slot.
-constexpr Duration kRequestCutoff{3'000'000};
-// Reserved at the end of the grace period for sending the last bytes.
-constexpr Duration kGraceMargin{700'000};
-
 // The control thread and the objects that it runs.
 class ControlThread {
  public:
@@ -379,16 +372,18 @@
     if (std::exchange(leaving_, true)) return loop_.Stop();
     Log(LogLevel::kInfo, "leaving",
         {{"in_flight", std::to_string(request_dispatcher_.in_flight())}});
-    request_dispatcher_.SetLeaving();
+    const Time now = Loop::Now();
+    const ShutdownPlan plan(now, settings_.shutdown_grace);
+    request_dispatcher_.SetLeaving(plan);
     job_requests_.SetLeaving();
     feed_relay_.SetLeaving();
     peer_messenger_.Leave();
     control_thread_.Leave();
     jobs_.Leave([this] { jobs_released_ = true; });
-    grace_timer_ = loop_.After(settings_.shutdown_grace - kGraceMargin, [this] { loop_.Stop(); });
-    request_cutoff_timer_ = loop_.After(settings_.shutdown_grace - kRequestCutoff,
-                                        [this] { request_dispatcher_.RefuseAll(); });
-    idle_timer_ = loop_.After(kBalancerDrainDelay, [this] { StopWhenIdle(); });
+    grace_timer_ = loop_.After(plan.end() - now, [this] { loop_.Stop(); });
+    request_cutoff_timer_ =
+        loop_.After(plan.open_until() - now, [this] { request_dispatcher_.RefuseTooLate(); });
+    idle_timer_ = loop_.After(kIdleCheckDelay, [this] { StopWhenIdle(); });
   }
 
   void StopWhenIdle() {
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -18,6 +18,10 @@
 // Connecting within the region takes a few ms; a host that is down doesn't answer at all.
 constexpr Duration kConnectTimeout{250'000};
 
+// Retry delay while this entry shuts down. Another entry can serve the request at once; the delay
+// covers opening a connection to it.
+constexpr Duration kOtherEntryRetryDelay{50'000};
+
 // Time that a caller on its last try keeps for its run when it waits for a credit: the run, and as
 // long again until it has a slot.
 constexpr Duration kReservedForRun = 2 * SlotAllocator::kDefaultRunTime;
@@ -38,6 +42,11 @@
 
 }  // namespace
 
+std::optional<Error> ShutdownError(const RelayContext& context, Time deadline) {
+  if (!context.shutdown || context.shutdown->MayBegin(Loop::Now(), deadline)) return std::nullopt;
+  return Error{ErrorKind::kLeaving, "this entry is shutting down", Ran::kNo, kOtherEntryRetryDelay};
+}
+
 Counter& BackendBytesCounter(RelayContext& context, TrafficKind kind, const BackendId& backend) {
   const Reach reach = context.backends.IsLocal(backend) ? Reach::kSameCentre : Reach::kOtherCentre;
   return context.traffic.CounterFor(kind, reach);
@@ -115,7 +124,22 @@
                                  /*always=*/request_.services.size() > 1);
 }
 
+// A request that was passed on before is continued: its caller has a part of the answer, or nobody
+// knows whether it ran.
+std::optional<Error> RelayCall::CheckShutdown() const {
+  if (sent_at_ != Time{}) return std::nullopt;
+  return ShutdownError(context_, state_machine_.plan().deadline);
+}
+
+void RelayCall::RefuseIfTooLate() {
+  const std::optional<Error> why = on_finished_ ? CheckShutdown() : std::nullopt;
+  if (!why) return;
+  if (request_.team) context_.teams.Cancel(*request_.team, quota_ticket_);
+  Step(relay::Refuse{*why});
+}
+
 void RelayCall::Do(const relay::ChooseBackend& action) {
+  if (const std::optional<Error> why = CheckShutdown()) return Step(relay::NoBackend{*why});
   if (const std::optional<Error> why = CheckQuarantine()) return Step(relay::NoBackend{*why});
   const Time now = Loop::Now();
   SlotFinder::Request slot_request;
@@ -136,6 +160,8 @@
 
 void RelayCall::OnBackendFound(Result<BackendAddress> found) {
   if (!IsOk(found)) return Step(relay::NoBackend{ErrorOf(found)});
+  // While this request waited for a slot, this process may have been told to stop.
+  if (const std::optional<Error> why = CheckShutdown()) return Step(relay::NoBackend{*why});
   // While this request waited for a slot, others with its fingerprint may have crashed backend
   // servers.
   if (const std::optional<Error> why = CheckQuarantine()) return Step(relay::NoBackend{*why});
@@ -313,7 +339,7 @@
   std::erase_if(head.headers, [](const Header& header) { return IsHopByHopHeader(header.name); });
   response.headers = std::move(head.headers);
   response.body = std::move(body);
-  response.close = context_.leaving;
+  response.close = context_.shutdown.has_value();
   return response;
 }
 
@@ -342,7 +368,7 @@
 void RelayCall::Do(const relay::SendError& action) {
   if (charged_ && action.error.ran == Ran::kNo) context_.teams.Refund(*request_.team, *charged_);
   HttpResponse response = ErrorResponseFor(action.error);
-  response.close = context_.leaving;
+  response.close = context_.shutdown.has_value();
   status_ = response.status;
   retry_after_ = action.error.retry_after.value_or(Duration{0});
   reply_->Send(std::move(response));
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -12,6 +12,7 @@
 #include "figmill/fleet.h"
 #include "figmill/gateway.h"
 #include "figmill/relay.h"
+#include "figmill/shutdown.h"
 #include "gateway/crash_tracker.h"
 #include "gateway/gateway_metrics.h"
 #include "gateway/open_sends.h"
@@ -35,9 +36,14 @@
   const HeaderNames& names;
   GatewayMetrics& metrics;
   TrafficMetrics& traffic;
-  bool leaving = false;  // responses close their connections
+  // Set while this process shuts down. Responses then close their connections.
+  std::optional<ShutdownPlan> shutdown = std::nullopt;
 };
 
+// The error for a request that can't get its final answer before this process ends; nullopt if it
+// may begin. `deadline`: when it gets that answer at the latest.
+[[nodiscard]] std::optional<Error> ShutdownError(const RelayContext& context, Time deadline);
+
 // The counter for bytes exchanged with the backend server.
 [[nodiscard]] Counter& BackendBytesCounter(RelayContext& context, TrafficKind kind,
                                            const BackendId& backend);
@@ -67,6 +73,8 @@
             std::shared_ptr<HttpReply> reply, std::function<void()> on_finished);
 
   void Start();
+  // Refuses the request if it has not been sent yet and can't end before this process does.
+  void RefuseIfTooLate();
 
  private:
   void Step(const relay::Event& event);
@@ -97,6 +105,7 @@
   // Nothing but the close of its connection shows that the answer is whole.
   void OnEndByClose(SendNumber send);
   void OnWholeAnswer(int status);
+  [[nodiscard]] std::optional<Error> CheckShutdown() const;
   [[nodiscard]] std::optional<Error> CheckQuarantine();
   // What may be to blame if a backend server crashes: the request, then the parts of its prompt.
   [[nodiscard]] const std::vector<Fingerprint>& Suspects();
--- a/src/gateway/request_dispatcher.cc
+++ b/src/gateway/request_dispatcher.cc
@@ -11,9 +11,8 @@
 namespace figmill {
 namespace {
 
-// Retry delay while this entry shuts down. Another entry can serve the request at once; the delay
-// covers opening a connection to it.
-constexpr Duration kOtherEntryRetryDelay{50'000};
+// Time that a call about a batch job may need: as long as the store takes, with retries.
+constexpr Duration kJobCallTime{2'300'000};
 // Retry delay before the first configuration: a process that starts has read it after about this
 // time.
 constexpr Duration kConfigurationRetryDelay{500'000};
@@ -61,16 +60,15 @@
   if (routes_changed) retry_detector_ = {};
 }
 
-void RequestDispatcher::SetLeaving() {
-  context_.leaving = true;
+void RequestDispatcher::RefuseTooLate() {
+  std::vector<std::shared_ptr<RelayCall>> open;
+  for (const auto& [number, weak] : calls_) {
+    if (auto call = weak.lock()) open.push_back(std::move(call));
+  }
+  for (const auto& call : open) call->RefuseIfTooLate();
 }
 
 void RequestDispatcher::OnRequest(HttpRequest request, std::shared_ptr<HttpReply> reply) {
-  if (refusing_) {
-    return Refuse(
-        request, *reply,
-        {ErrorKind::kLeaving, "this entry is shutting down", Ran::kNo, kOtherEntryRetryDelay});
-  }
   if (!ready()) {
     return Refuse(request, *reply,
                   {ErrorKind::kNoBackend, "no configuration is known yet", Ran::kNo,
@@ -84,6 +82,10 @@
   const Result<std::optional<TeamId>> identified = context_.teams.Identify(request, route);
   if (!IsOk(identified)) return Refuse(request, *reply, ErrorOf(identified));
   const auto& team = std::get<std::optional<TeamId>>(identified);
+  if (call || route->kind == RouteKind::kBatch) {
+    const auto why = ShutdownError(context_, Loop::Now() + kJobCallTime);
+    if (why) return Refuse(request, *reply, *why);
+  }
   if (call) {
     if (!IsOk(*call)) return Refuse(request, *reply, ErrorOf(*call));
     return jobs_.Call(ValueOf(*call), team, std::move(reply));
@@ -99,7 +101,7 @@
                                const Error& error) const {
   context_.metrics.RequestEnded("refused", Duration{0}, Duration{0});
   HttpResponse response = ErrorResponseFor(error);
-  response.close = context_.leaving;
+  response.close = context_.shutdown.has_value();
   Log(LogLevel::kInfo, "request",
       {{"request", std::string(request.HeaderOr(context_.names.request_id))},
        {"outcome", "refused"},
@@ -152,6 +154,7 @@
 void RequestDispatcher::Relay(const Route& route, std::optional<TeamId> team, HttpRequest request,
                               std::shared_ptr<HttpReply> reply) {
   RelayPlan plan = MakePlan(route, request);
+  if (const auto why = ShutdownError(context_, plan.deadline)) return Refuse(request, *reply, *why);
   RelayedRequest relayed;
   relayed.method = std::move(request.method);
   relayed.target = request.path;
@@ -173,9 +176,11 @@
   relayed.headers = ForwardedHeaders(team, std::move(request.headers));
   relayed.rank = RankOf(route, team);
   relayed.team = std::move(team);
-  ++in_flight_;
-  const auto call = std::make_shared<RelayCall>(context_, std::move(plan), std::move(relayed),
-                                                std::move(reply), [this] { --in_flight_; });
+  const std::uint64_t number = ++last_call_;
+  const auto call =
+      std::make_shared<RelayCall>(context_, std::move(plan), std::move(relayed), std::move(reply),
+                                  [this, number] { calls_.erase(number); });
+  calls_[number] = call;
   call->Start();
 }
 
--- a/src/gateway/request_dispatcher.h
+++ b/src/gateway/request_dispatcher.h
@@ -3,8 +3,11 @@
 // Receives callers' requests, finds their route and dispatches them to a relay call or to the job
 // API.
 
+#include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
+#include <vector>
 
 #include "figmill/gateway.h"
 #include "figmill/overload.h"
@@ -21,12 +24,13 @@
 
   void Update(std::shared_ptr<const FleetView> view);
   void OnRequest(HttpRequest request, std::shared_ptr<HttpReply> reply);
-  // From now on responses close their connections.
-  void SetLeaving();
-  // Rejects all further requests, which could not finish before the process ends.
-  void RefuseAll() { refusing_ = true; }
+  // From now on responses close their connections, and requests that could not finish before the
+  // process ends are refused.
+  void SetLeaving(const ShutdownPlan& plan) { context_.shutdown = plan; }
+  // Refuses those that wait to be sent and can't finish any more.
+  void RefuseTooLate();
   [[nodiscard]] bool ready() const { return view_ && view_->routes; }
-  [[nodiscard]] std::size_t in_flight() const { return in_flight_; }
+  [[nodiscard]] std::size_t in_flight() const { return calls_.size(); }
   // 0 if no configuration is known yet.
   [[nodiscard]] std::uint64_t config_version() const {
     return ready() ? view_->routes->version() : 0;
@@ -50,8 +54,8 @@
   RandomBits random_;
   std::shared_ptr<const FleetView> view_;
   RetryDetector retry_detector_;
-  std::size_t in_flight_ = 0;
-  bool refusing_ = false;
+  std::map<std::uint64_t, std::weak_ptr<RelayCall>> calls_;  // without a final answer yet
+  std::uint64_t last_call_ = 0;
 };
 
 }  // namespace figmill
--- a/src/relay/relay_state_machine.cc
+++ b/src/relay/relay_state_machine.cc
@@ -247,6 +247,10 @@
   state_ = State::kFinished;
 }
 
+void RelayStateMachine::On(Time /*now*/, const relay::Refuse& event) {
+  if (send_ == 0) FinishWithError(event.error);
+}
+
 void RelayStateMachine::EndSend(relay::SendEnd end, std::string why) {
   actions_.emplace_back(relay::CloseSend{send_, backend_, end, std::move(why)});
 }
--- /dev/null
+++ b/src/shutdown/shutdown_plan.cc
@@ -0,0 +1,15 @@
+#include <algorithm>
+
+#include "figmill/shutdown.h"
+
+namespace figmill {
+
+ShutdownPlan::ShutdownPlan(Time begun, Duration grace)
+    : end_(begun + grace - kGraceMargin),
+      open_until_(std::min(begun + kBalancerDelay, end_ - kMinTimeLeft)) {}
+
+bool ShutdownPlan::MayBegin(Time now, Time deadline) const {
+  return now < open_until_ || deadline <= end_;
+}
+
+}  // namespace figmill
--- a/test/relay-run-test.cc
+++ b/test/relay-run-test.cc
@@ -107,6 +107,21 @@
   }
 }
 
+// Guards against a request that a leaving entry refuses as "not run" though it was sent, and against
+// one that waits there for nothing.
+TEST_CASE("a request is refused while it waits to be sent, and not afterwards") {
+  const relay::Refuse refuse{{ErrorKind::kLeaving, "leaving", Ran::kNo, Duration{50'000}}};
+  RelayStateMachine waiting(Plan());
+  (void)waiting.Step(kStart, relay::Start{});
+  const std::vector<relay::Action> actions = waiting.Step(kStart, refuse);
+  REQUIRE(Last<relay::SendError>(actions) != nullptr);
+  CHECK(Last<relay::SendError>(actions)->error.ran == Ran::kNo);
+  CHECK(waiting.finished());
+  Sent sent(Plan());
+  CHECK(sent.Step(refuse).empty());
+  CHECK_FALSE(sent.run.finished());
+}
+
 TEST_CASE("the error says \"not run\" only when no send can have run") {
   Sent sent(IdempotentPlan());
   sent.Step(relay::SendFailed{1, true, "reset"});
--- /dev/null
+++ b/test/shutdown-test.cc
@@ -0,0 +1,46 @@
+#include "figmill/shutdown.h"
+
+#include <doctest/doctest.h>
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Time kBegun{Duration{10'000'000}};
+constexpr Duration kGrace = seconds(8);
+
+}  // namespace
+
+// Guards against streams that are cut at the end of the process, as they began too late for the
+// time that they may take.
+TEST_CASE("a request that may last longer than the process isn't begun") {
+  const ShutdownPlan plan(kBegun, kGrace);
+  for (Time now = plan.open_until(); now < plan.end(); now += milliseconds(100)) {
+    CHECK_FALSE(plan.MayBegin(now, now + seconds(6)));
+    CHECK_FALSE(plan.MayBegin(now, plan.end() + milliseconds(1)));
+  }
+}
+
+TEST_CASE("a request that gets its answer before the end of the process is served to the last") {
+  const ShutdownPlan plan(kBegun, kGrace);
+  CHECK(plan.MayBegin(kBegun + seconds(6), kBegun + seconds(7)));
+  CHECK(plan.MayBegin(kBegun + seconds(2), kBegun + seconds(7)));
+}
+
+// Guards against callers that are refused although no other entry gets their connections yet.
+TEST_CASE("all requests are served until the load balancer has removed the process") {
+  const ShutdownPlan plan(kBegun, kGrace);
+  CHECK(plan.MayBegin(kBegun, kBegun + seconds(60)));
+  CHECK(plan.MayBegin(kBegun + milliseconds(1'900), kBegun + seconds(60)));
+}
+
+TEST_CASE("a short grace period leaves the last requests time as well") {
+  const ShutdownPlan plan(kBegun, seconds(4));
+  CHECK(plan.MayBegin(kBegun + milliseconds(900), kBegun + seconds(60)));
+  CHECK_FALSE(plan.MayBegin(kBegun + milliseconds(1'100), kBegun + seconds(60)));
+  const ShutdownPlan none(kBegun, milliseconds(500));
+  CHECK_FALSE(none.MayBegin(kBegun, kBegun + milliseconds(1)));
+}
