Batch items are run again however many crashes they have seen

Reported from a system like this one: an item under which several servers had crashed was never placed again, though all was calm and the servers had room.

By the decision alone, an item was never run again after a chain of six and was given up when its job expired.

Cause: the quarantine treated items like requests that callers send again and again. There were no probes after six crashes; a part that all items of a job share was blamed after two and held for 20 s to ten minutes; and a probe that was stopped for online requests blocked the next one for ten seconds.

Items now have a policy of their own: what they wait doubles with each crash and is at most a quarter of the time that their job had left at the crash. So they are tried in time, and an item that does crash servers costs 60 of them in ten hours at most.

--- a/include/figmill/quarantine.h
+++ b/include/figmill/quarantine.h
@@ -99,10 +99,18 @@
   // After a chain of CrashReport::kMaxChain there is no probe.
   static constexpr Policy kOnline{2, Duration{60'000'000}};
   // Batch items run for seconds, and see crashes of several backend servers for unrelated reasons.
-  // Their jobs can wait. No probe after a chain of CrashReport::kMaxChain.
+  // They are owed until their jobs expire, so that the probes don't stop.
   static constexpr Policy kBatch{4, Duration{8'000'000}};
   // Parts are shared by many requests, so that one that is blamed wrongly is released soon.
   static constexpr Policy kPart{2, Duration{20'000'000}};
+  // The same for items, whose jobs can wait but are owed.
+  static constexpr Policy kBatchPart{2, Duration{2'000'000}};
+  // A batch item waits for its next probe for at most this part (1/n) of the time that its job had
+  // left at the last crash: it is run again in time, and the number of probes grows with the
+  // logarithm of that time only.
+  static constexpr int kMaxPartOfTimeLeft = 4;
+  // Shortest time between two probes of a batch item.
+  static constexpr Duration kMinBatchPeriod{2'000'000};
   // A crash says nothing about the parts of a prompt whose answer had more events than this: such
   // a part crashes an engine that begins to write.
   static constexpr std::uint64_t kMaxEventsAtCrash = 8;
@@ -149,11 +157,15 @@
   // Chain length of a crash in a run that started at `started_at`.
   [[nodiscard]] int NextChainLength(const Fingerprint& suspect, Time started_at) const;
 
-  // Whether a request with these fingerprints may run here as work of this class; nullopt: it may.
-  [[nodiscard]] std::optional<Hold> HoldOf(std::span<const Fingerprint> request, WorkClass work,
-                                           Time now) const;
+  // Whether an online request with these fingerprints may run here; nullopt: it may.
+  [[nodiscard]] std::optional<Hold> HoldOf(std::span<const Fingerprint> request, Time now) const;
+  // The same for a batch item that is given up at `expires`.
+  [[nodiscard]] std::optional<Hold> HoldOfItem(std::span<const Fingerprint> item, Time expires,
+                                               Time now) const;
   // A run of a request with these fingerprints starts.
   void RecordStart(std::span<const Fingerprint> request, Time now);
+  // A run of a batch item has ended, with or without a crash: if it was a probe, it is over.
+  void RecordItemEnd(std::span<const Fingerprint> item, Time now);
   // A run has ended with a complete answer. Returns the reports that this withdraws.
   [[nodiscard]] std::vector<Crash> RecordCompletion(std::span<const Fingerprint> request, Time now);
   // Whether a request with this part was completed here a short time ago.
@@ -182,11 +194,18 @@
                                     const Processes& explained) const;
   [[nodiscard]] std::set<Fingerprint> AlternativesTo(const Fingerprint& part,
                                                      const Processes& explained) const;
-  [[nodiscard]] Duration QuarantineLeft(const Culprit& culprit, WorkClass work, Time now) const;
+  [[nodiscard]] static const Policy& PolicyFor(const Culprit& culprit, bool batch);
+  // When a batch item is given up; nullopt for an online request.
+  using Expiry = std::optional<Time>;
+  [[nodiscard]] std::optional<Hold> FindHold(std::span<const Fingerprint> request, Expiry expires,
+                                             Time now) const;
+  [[nodiscard]] Duration QuarantineLeft(const Culprit& culprit, Expiry expires, Time now) const;
   [[nodiscard]] Duration DecidingProbeLeft(std::span<const Fingerprint> request,
                                            const Culprit& culprit, Time now) const;
-  [[nodiscard]] std::optional<Duration> QuarantinePeriod(const Culprit& culprit,
-                                                         const Policy& policy) const;
+  [[nodiscard]] std::optional<Duration> OnlinePeriod(const Culprit& culprit,
+                                                     const Policy& policy) const;
+  [[nodiscard]] Duration BatchPeriod(const Culprit& culprit, const Policy& policy,
+                                     Time expires) const;
   [[nodiscard]] Time ProbeUntil(const Fingerprint& suspect) const;
   // This entry's share of a span of time, which differs between entries.
   [[nodiscard]] Duration Spread(const Fingerprint& suspect, Duration span) const;
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -101,9 +101,13 @@
   if (job == nullptr) return Duration{0};
   const std::vector<Fingerprint> suspects =
       SuspectsOf(tools_.names, job->record(), job->items()[key.item], service);
-  const std::optional<Error> why =
-      tools_.crash_tracker.QuarantineError(suspects, WorkClass::kBatch);
-  return why ? why->retry_after.value_or(Duration{0}) : Duration{0};
+  return tools_.crash_tracker.ItemQuarantineLeft(suspects, ExpiryOf(job->record()));
+}
+
+Time BatchRunner::ExpiryOf(const JobRecord& head) const {
+  const BacklogTime now = TimeNow();
+  if (!now.store) return Time::max();
+  return now.local + std::max(head.expires - *now.store, Duration{0});
 }
 
 void BatchRunner::Postpone(const JobItemRef& key, Duration delay) {
@@ -385,6 +389,7 @@
   runs_.erase(found);
   run.cancel();
   const Time now = Loop::Now();
+  tools_.crash_tracker.RecordItemEnd(run.suspects);
   tools_.open_sends.Remove(run.number);
   open_items_.OnRunEnded(key, now);
   tools_.backends.ReleaseSlot(run.slot, end, now - run.started_at, now);
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -69,6 +69,8 @@
   // Time until the item may run, when what is known of it is in quarantine.
   [[nodiscard]] Duration QuarantineLeft(const OwnedJob& job, const JobItemRef& key) const;
   [[nodiscard]] Duration QuarantineLeft(const JobItemRef& key, const ServiceName& service) const;
+  // When the items of the job are given up, by the clock of this process.
+  [[nodiscard]] Time ExpiryOf(const JobRecord& head) const;
   // A waiting item may not start before this delay is over.
   void Postpone(const JobItemRef& key, Duration delay);
   [[nodiscard]] bool IsCurrent(const JobItemRef& key, OpenSends::Id number) const;
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -159,9 +159,13 @@
   LogChanges();
 }
 
-std::optional<Error> CrashTracker::QuarantineError(std::span<const Fingerprint> request,
-                                                   WorkClass work) const {
-  const auto hold = quarantine_.HoldOf(request, work, Loop::Now());
+Duration CrashTracker::ItemQuarantineLeft(std::span<const Fingerprint> item, Time expires) const {
+  const auto hold = quarantine_.HoldOfItem(item, expires, Loop::Now());
+  return hold ? hold->left : Duration{0};
+}
+
+std::optional<Error> CrashTracker::QuarantineError(std::span<const Fingerprint> request) const {
+  const auto hold = quarantine_.HoldOf(request, Loop::Now());
   if (!hold) return std::nullopt;
   const std::string why = "in quarantine: fingerprint " + hold->suspect.value + " crashed " +
                           std::to_string(hold->chain) + " backend servers one after the other";
@@ -172,6 +176,10 @@
   quarantine_.RecordStart(request, Loop::Now());
 }
 
+void CrashTracker::RecordItemEnd(std::span<const Fingerprint> item) {
+  quarantine_.RecordItemEnd(item, Loop::Now());
+}
+
 void CrashTracker::RecordCompletion(std::span<const Fingerprint> request) {
   for (const Crash& crash : quarantine_.RecordCompletion(request, Loop::Now())) {
     Write(crash, std::nullopt);
@@ -186,7 +194,7 @@
     if (Names(logged_, each)) continue;
     std::vector<Fingerprint> suspects(each.alternatives.begin(), each.alternatives.end());
     suspects.push_back(each.suspect);
-    const auto hold = quarantine_.HoldOf(suspects, WorkClass::kOnline, Loop::Now());
+    const auto hold = quarantine_.HoldOf(suspects, Loop::Now());
     LogCulprit("request_quarantined", each, hold ? hold->left : Duration{0});
   }
   for (const Quarantine::Culprit& each : logged_) {
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -66,12 +66,15 @@
 
   // Whether anything is in quarantine; if not, fingerprints need not be computed.
   [[nodiscard]] bool has_quarantined() const { return !quarantine_.culprits().empty(); }
-  // The error for a request that is in quarantine, with the remaining time; nullopt if it may run.
-  // `request`: its fingerprint and those of the parts of its prompt.
-  [[nodiscard]] std::optional<Error> QuarantineError(std::span<const Fingerprint> request,
-                                                     WorkClass work) const;
+  // The error for an online request that is in quarantine, with the remaining time; nullopt if it
+  // may run. `request`: its fingerprint and those of the parts of its prompt.
+  [[nodiscard]] std::optional<Error> QuarantineError(std::span<const Fingerprint> request) const;
+  // Time until a batch item that is given up at `expires` may run; not positive if it may now.
+  [[nodiscard]] Duration ItemQuarantineLeft(std::span<const Fingerprint> item, Time expires) const;
   // A run of the request starts.
   void RecordStart(std::span<const Fingerprint> request);
+  // A run of a batch item has ended, with or without a complete response.
+  void RecordItemEnd(std::span<const Fingerprint> item);
   // Whether there are crash reports. If not, RecordCompletion only needs the parts of the prompt.
   [[nodiscard]] bool has_reports() const { return quarantine_.reports() > 0; }
   // A run of the request ended with a complete response: its crash reports are withdrawn.
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -170,7 +170,7 @@
 
 std::optional<Error> RelayCall::CheckQuarantine() {
   if (!context_.crash_tracker.has_quarantined()) return std::nullopt;
-  return context_.crash_tracker.QuarantineError(Suspects(), WorkClass::kOnline);
+  return context_.crash_tracker.QuarantineError(Suspects());
 }
 
 const std::vector<Fingerprint>& RelayCall::Suspects() {
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -66,9 +66,10 @@
   return !Contains(request, culprit.suspect) || !ContainsAny(request, culprit.alternatives);
 }
 
-const Quarantine::Policy& PolicyFor(const Quarantine::Culprit& culprit, WorkClass work) {
-  if (IsPart(culprit.suspect)) return Quarantine::kPart;
-  return work == WorkClass::kBatch ? Quarantine::kBatch : Quarantine::kOnline;
+// Doubles the initial period `times` times, up to a limit that no job outlasts.
+Duration Doubled(Duration initial, std::size_t times) {
+  constexpr std::size_t kMaxDoublings = 12;
+  return initial * (1 << std::min(times, kMaxDoublings));
 }
 
 }  // namespace
@@ -172,23 +173,45 @@
 // Period until the first probe after the last crash; nullopt: no probe. Spreads the ends over the
 // entries: otherwise all of them would probe with the next attempts that arrive, and lose a backend
 // server each.
-std::optional<Duration> Quarantine::QuarantinePeriod(const Culprit& culprit,
-                                                     const Policy& policy) const {
+std::optional<Duration> Quarantine::OnlinePeriod(const Culprit& culprit,
+                                                 const Policy& policy) const {
   const bool ends = IsPart(culprit.suspect) || culprit.chain < CrashReport::kMaxChain;
   if (!ends) return std::nullopt;
-  const Duration period = policy.initial_period * (1 << (culprit.chain - policy.min_chain));
+  const Duration period = Doubled(policy.initial_period,
+                                  static_cast<std::size_t>(culprit.chain - policy.min_chain));
   return period + Spread(culprit.suspect, period);
 }
 
+// Crashes beyond the longest chain count as well: one that goes on crashing backend servers is
+// probed less and less often.
+Duration Quarantine::BatchPeriod(const Culprit& culprit, const Policy& policy,
+                                 Time expires) const {
+  std::size_t doublings = static_cast<std::size_t>(culprit.chain - policy.min_chain);
+  constexpr auto kLongest = static_cast<std::size_t>(CrashReport::kMaxChain);
+  if (culprit.chain == CrashReport::kMaxChain && culprit.crashes > kLongest) {
+    doublings += culprit.crashes - kLongest;
+  }
+  const Duration period = Doubled(policy.initial_period, doublings);
+  const Duration time_left = std::max(expires - culprit.last_crash_at, Duration{0});
+  return std::clamp(time_left / kMaxPartOfTimeLeft, kMinBatchPeriod,
+                    period + Spread(culprit.suspect, period));
+}
+
 Time Quarantine::ProbeUntil(const Fingerprint& suspect) const {
   const auto found = suspects_.find(suspect);
   return found == suspects_.end() ? Time{} : found->second.probe_until;
 }
 
-Duration Quarantine::QuarantineLeft(const Culprit& culprit, WorkClass work, Time now) const {
-  const Policy& policy = PolicyFor(culprit, work);
+const Quarantine::Policy& Quarantine::PolicyFor(const Culprit& culprit, bool batch) {
+  if (IsPart(culprit.suspect)) return batch ? kBatchPart : kPart;
+  return batch ? kBatch : kOnline;
+}
+
+Duration Quarantine::QuarantineLeft(const Culprit& culprit, Expiry expires, Time now) const {
+  const Policy& policy = PolicyFor(culprit, /*batch=*/expires.has_value());
   if (culprit.chain < policy.min_chain) return Duration{0};
-  const std::optional<Duration> period = QuarantinePeriod(culprit, policy);
+  const std::optional<Duration> period =
+      expires ? BatchPeriod(culprit, policy, *expires) : OnlinePeriod(culprit, policy);
   if (!period) return kMaxRetryAfter;
   return std::max(culprit.last_crash_at + *period, ProbeUntil(culprit.suspect)) - now;
 }
@@ -205,12 +228,22 @@
 }
 
 std::optional<Quarantine::Hold> Quarantine::HoldOf(std::span<const Fingerprint> request,
-                                                   WorkClass work, Time now) const {
+                                                   Time now) const {
+  return FindHold(request, std::nullopt, now);
+}
+
+std::optional<Quarantine::Hold> Quarantine::HoldOfItem(std::span<const Fingerprint> item,
+                                                       Time expires, Time now) const {
+  return FindHold(item, expires, now);
+}
+
+std::optional<Quarantine::Hold> Quarantine::FindHold(std::span<const Fingerprint> request,
+                                                     Expiry expires, Time now) const {
   std::optional<Hold> longest;
   for (const Culprit& culprit : culprits_) {
     if (!IsInvolved(request, culprit)) continue;
     const Duration left = IsDeciding(request, culprit) ? DecidingProbeLeft(request, culprit, now)
-                                                       : QuarantineLeft(culprit, work, now);
+                                                       : QuarantineLeft(culprit, expires, now);
     if (left.count() <= 0 || (longest && left <= longest->left)) continue;
     longest = Hold{culprit.suspect, culprit.chain, left};
     const bool settling = now - culprit.last_crash_at < kSettlingTime;
@@ -231,6 +264,17 @@
   }
 }
 
+void Quarantine::RecordItemEnd(std::span<const Fingerprint> item, Time now) {
+  for (const Culprit& culprit : culprits_) {
+    if (!IsInvolved(item, culprit) || IsDeciding(item, culprit)) continue;
+    for (const Fingerprint& each : item) {
+      const auto found = suspects_.find(each);
+      if (found == suspects_.end()) continue;
+      found->second.probe_until = std::min(found->second.probe_until, now);
+    }
+  }
+}
+
 std::vector<Crash> Quarantine::RecordCompletion(std::span<const Fingerprint> request, Time now) {
   std::vector<Crash> withdrawn;
   for (const Fingerprint& each : request) {
