Answers that are bytes without end are left in time and take bounded memory

What callers saw, with a stand-in that does so: streams that could be resumed elsewhere were waited for until their deadline; items with such a run were given up when their job expired; and an entry grew by 80 MB in three seconds beside five callers that didn't read.

Cause: any byte counted as a sign of life, so that no timeout for silence passed; an event was collected at any length, and scanned from its start at each read; and what could not be passed on as fast as it came was kept. Heads had a bound already, the parser's.

Now only whole events count as a sign of life; an event beyond 256 kB, or output of an item beyond 500 kB, ends the send as broken; and the HTTP client stops to read while more than 1 MB of an answer waits for its caller.

--- a/include/figmill/exchange.h
+++ b/include/figmill/exchange.h
@@ -34,8 +34,8 @@
 [[nodiscard]] std::string_view ToString(DialResult result);
 
 // Takes the same HttpCall as HttpClient and uses its fields method, to, target, headers, body,
-// connect_timeout, total_timeout and fresh_connection. Adds the headers Host and Content-Length
-// unless the call has them.
+// connect_timeout, total_timeout, fresh_connection, bytes and hold_reads. Adds the headers Host and
+// Content-Length unless the call has them.
 class NoRetryHttpClient {
  public:
   explicit NoRetryHttpClient(Loop& loop, ConnectionPoolLimits limits = {});
--- a/include/figmill/items.h
+++ b/include/figmill/items.h
@@ -32,15 +32,24 @@
 // previous one was interrupted, at a backend server of the same source.
 class ItemText {
  public:
+  // Limit on the output of an item: a result is written in one transaction, which holds 1 MB.
+  static constexpr std::size_t kMaxBytes = 500'000;
+
   // A run begins at a backend server of this source. Output of another source is dropped, and the
   // item starts over.
   void BeginRun(const OutputSource& source);
   // Bytes of an event stream.
   void Feed(std::string_view bytes);
+  // Drops the output; the next run starts from the beginning.
+  void StartOver();
+  // Why the bytes of the run can't be output of the item; nullopt if they can.
+  [[nodiscard]] std::optional<std::string_view> Defect() const;
   // The run was interrupted: drops an incomplete event, which the next run sends again.
   void DropIncomplete() { pieces_.DropIncomplete(); }
   // Whether the run sends events that earlier runs have already delivered.
   [[nodiscard]] bool has_duplicate() const { return pieces_.has_duplicate(); }
+  // The output is longer than a result may be.
+  [[nodiscard]] bool too_long() const { return text_.size() > kMaxBytes; }
   // Whether the bytes so far end with a complete event.
   [[nodiscard]] bool at_event_end() const { return !pieces_.in_event(); }
   [[nodiscard]] const std::optional<std::string>& last_id() const { return pieces_.last_id(); }
--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -214,13 +214,20 @@
 // duplicates. Ids increase: an event whose id is not after the last one is a duplicate.
 class OrderedEventSplitter {
  public:
+  // A longer event is taken for bytes that are no event stream. Unit: bytes.
+  static constexpr std::size_t kMaxEventBytes = 256U << 10;
+
   // Returns the events that `bytes` completes, unchanged.
   [[nodiscard]] std::string Feed(std::string_view bytes);
   // Drops an incomplete event.
   void DropIncomplete() {
     incomplete_.clear();
+    scanned_ = 0;
     has_duplicate_ = false;
+    too_long_ = false;
   }
+  // An event exceeded the limit. Further data is ignored until DropIncomplete.
+  [[nodiscard]] bool too_long() const { return too_long_; }
   // A duplicate event arrived, so the data is not the continuation of the stream. Further data
   // is ignored until DropIncomplete; forwarded, it would appear twice in the output.
   [[nodiscard]] bool has_duplicate() const { return has_duplicate_; }
@@ -235,9 +242,11 @@
 
  private:
   std::string incomplete_;
+  std::size_t scanned_ = 0;  // bytes of it that contain no end of an event
   std::optional<std::string> last_id_;
   std::uint64_t count_ = 0;
   bool has_duplicate_ = false;
+  bool too_long_ = false;
 };
 
 class RelayStateMachine {
@@ -294,6 +303,7 @@
   void On(Time now, const relay::CallerDisconnected& event);
   void On(Time now, const relay::Refuse& event);
 
+  void OnEventBytes(Time now, std::string_view bytes);
   void ChooseNextBackend(Time now);
   [[nodiscard]] bool ShouldWaitForVersion(Time now, const Error& error);
   void EndSend(relay::SendEnd end, std::string why);
--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -169,6 +169,9 @@
   // Counts the call's bytes, both ways; stays until the call's last event. Only with
   // NoRetryHttpClient.
   Counter* bytes = nullptr;
+  // While it returns true, no more of the answer is read, so that a peer that sends faster than
+  // the answer can be passed on fills no memory here. Only with NoRetryHttpClient.
+  std::function<bool()> hold_reads = nullptr;
 };
 
 struct HttpBytes {
--- a/src/exchange/no_retry_http_client.cc
+++ b/src/exchange/no_retry_http_client.cc
@@ -21,6 +21,8 @@
 using detail::ResponseState;
 
 constexpr std::size_t kReadBytes = 8192;
+// Interval at which HttpCall::hold_reads is asked again.
+constexpr Duration kHoldInterval{5'000};
 constexpr std::string_view kConnectTimedOut = "no connection in time";
 
 bool Has(const std::vector<Header>& headers, std::string_view name) {
@@ -121,6 +123,7 @@
   void Close() {
     total_timer_.Reset();
     connect_timer_.Reset();
+    hold_timer_.Reset();
     asio::error_code ignored;
     socket_.close(ignored);
     if (owner_) {
@@ -236,7 +239,7 @@
     if (!on_event_) return;  // an event handler cancelled the call
     switch (state) {
       case ResponseState::kUnfinished:
-        return Read();
+        return ReadUnlessHeld();
       case ResponseState::kCompleteReusable:
         return Finish(/*reusable=*/true);
       case ResponseState::kCompleteNotReusable:
@@ -246,6 +249,11 @@
     }
   }
 
+  void ReadUnlessHeld() {
+    if (!call_.hold_reads || !call_.hold_reads()) return Read();
+    hold_timer_ = owner_->loop_.After(kHoldInterval, [this] { ReadUnlessHeld(); });
+  }
+
   void Finish(bool reusable) {
     total_timer_.Reset();
     const auto on_event = std::exchange(on_event_, nullptr);
@@ -278,7 +286,7 @@
   std::string head_;
   std::unique_ptr<ResponseParser> parser_;
   std::array<char, kReadBytes> buffer_{};
-  Timer connect_timer_, total_timer_;
+  Timer connect_timer_, total_timer_, hold_timer_;
   std::uint64_t calls_ = 0;
   bool connected_ = false;
   bool written_ = false;
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -263,10 +263,11 @@
   const auto found = runs_.find(key);
   if (!IsCurrent(key, number)) return;
   Run& run = found->second;
-  run.last_activity_at = Loop::Now();
+  const Time now = Loop::Now();
+  if (!std::holds_alternative<HttpBytes>(event)) run.last_activity_at = now;
   if (!std::holds_alternative<HttpFailure>(event)) {
-    tools_.backends.RecordActivity(run.slot, run.last_activity_at);
-    tools_.open_sends.RecordActivity(run.number, run.last_activity_at);
+    tools_.backends.RecordActivity(run.slot, now);
+    tools_.open_sends.RecordActivity(run.number, now);
   }
   std::visit(Overloaded{
                  [&](const HttpHead& head) { OnHead(key, head); },
@@ -365,10 +366,17 @@
   Run& run = runs_[key];
   if (!run.answering) return;
   ItemText& text = open_items_.ProgressOf(key).text;
+  const std::uint64_t events_before = text.events();
   text.Feed(bytes);
-  tools_.backends.RecordEvents(run.slot, run.timer.Update(text.events(), run.last_activity_at));
-  if (text.has_duplicate())
-    Requeue(key, relay::SendEnd::kBroken, "duplicate event in the response", kRetryDelay);
+  const Time now = Loop::Now();
+  // Bytes that complete no event are as good as silence.
+  if (text.events() != events_before) run.last_activity_at = now;
+  tools_.backends.RecordEvents(run.slot, run.timer.Update(text.events(), now));
+  const std::optional<std::string_view> defect = text.Defect();
+  if (!defect) return;
+  const bool too_long = text.too_long();
+  Requeue(key, relay::SendEnd::kBroken, *defect, kRetryDelay);
+  if (too_long) text.StartOver();
 }
 
 void BatchRunner::OnEnd(const JobItemRef& key) {
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -23,10 +23,11 @@
  public:
   // Delay between a failed run and the item's next run.
   static constexpr Duration kRetryDelay{100'000};
-  // A run that receives no byte for this long is stopped, and its item is queued to resume at
-  // any backend server. The first byte waits for a slot; later ones come every few tens of ms.
+  // A run that receives no head, or then no whole event, for this long is stopped, and its item is
+  // queued to resume at any backend server. The head waits for a slot; events come every few tens
+  // of ms.
   static constexpr Duration kFirstByteTimeout{2'500'000};
-  static constexpr Duration kNextByteTimeout{1'000'000};
+  static constexpr Duration kNextEventTimeout{1'000'000};
   static constexpr Duration kSweepPeriod{250'000};
   // Items that are held in quarantine are checked again at this interval, as what is to blame may
   // turn out to be something else.
@@ -60,7 +61,7 @@
     bool answering = false;
     std::uint64_t events_before = 0;  // of the item's text when the run started
     Time started_at{};
-    Time last_activity_at{};
+    Time last_activity_at{};  // of the head and of whole events
     StoreTime due{0};
     std::vector<Fingerprint> suspects;  // reported if the backend server crashes
   };
--- a/src/gateway/batch_sweep.cc
+++ b/src/gateway/batch_sweep.cc
@@ -55,11 +55,11 @@
   const Time now = Loop::Now();
   std::vector<JobItemRef> stalled;
   for (const auto& [key, run] : runs_) {
-    const Duration timeout = run.answering ? kNextByteTimeout : kFirstByteTimeout;
+    const Duration timeout = run.answering ? kNextEventTimeout : kFirstByteTimeout;
     if (now - run.last_activity_at >= timeout) stalled.push_back(key);
   }
   for (const JobItemRef& key : stalled) {
-    Requeue(key, relay::SendEnd::kSilent, "no bytes in time", Duration{0});
+    Requeue(key, relay::SendEnd::kSilent, "no whole event in time", Duration{0});
   }
 }
 
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -22,6 +22,9 @@
 // covers opening a connection to it.
 constexpr Duration kOtherEntryRetryDelay{50'000};
 
+// Limit on the bytes of an answer that wait for the caller to take them.
+constexpr std::size_t kMaxUnsentBytes = 1U << 20;
+
 // Time that a caller on its last try keeps for its run when it waits for a credit: the run, and as
 // long again until it has a slot.
 constexpr Duration kReservedForRun = 2 * SlotAllocator::kDefaultRunTime;
@@ -202,6 +205,7 @@
   if (action.after_event)
     call.headers.push_back({context_.names.last_event_id, *action.after_event});
   call.bytes = &BackendBytesCounter(context_, TrafficKind::kOnline, action.backend.id);
+  call.hold_reads = [reply = reply_] { return reply->unsent() > kMaxUnsentBytes; };
   return call;
 }
 
--- a/src/items/item_text.cc
+++ b/src/items/item_text.cc
@@ -30,16 +30,25 @@
 }  // namespace
 
 void ItemText::BeginRun(const OutputSource& source) {
-  if (events() > 0 && source_ != source) {
-    pieces_ = {};
-    text_.clear();
-    taken_bytes_ = 0;
-    next_piece_ = 0;
-    ++start_;
-  }
+  if (events() > 0 && source_ != source) StartOver();
   source_ = source;
 }
 
+void ItemText::StartOver() {
+  pieces_ = {};
+  text_.clear();
+  taken_bytes_ = 0;
+  next_piece_ = 0;
+  ++start_;
+}
+
+std::optional<std::string_view> ItemText::Defect() const {
+  if (has_duplicate()) return "duplicate event in the response";
+  if (pieces_.too_long()) return "bytes that are no event stream";
+  if (too_long()) return "the output is longer than a result may be";
+  return std::nullopt;
+}
+
 std::optional<OutputSource> ItemText::source() const {
   if (events() == 0) return std::nullopt;
   return source_;
--- a/src/relay/ordered_event_splitter.cc
+++ b/src/relay/ordered_event_splitter.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <charconv>
 
 #include "figmill/relay.h"
@@ -55,10 +56,10 @@
 }  // namespace
 
 std::string OrderedEventSplitter::Feed(std::string_view bytes) {
-  if (has_duplicate_) return {};
+  if (has_duplicate_ || too_long_) return {};
   incomplete_.append(bytes);
   std::size_t whole = 0;
-  for (std::size_t end = EndOfEvent(incomplete_, 0); end != std::string_view::npos;
+  for (std::size_t end = EndOfEvent(incomplete_, scanned_); end != std::string_view::npos;
        end = EndOfEvent(incomplete_, whole)) {
     auto id = IdOf(std::string_view(incomplete_).substr(whole, end - whole));
     if (id && last_id_ && !IsAfter(*id, *last_id_)) {
@@ -71,6 +72,10 @@
   }
   std::string events = incomplete_.substr(0, whole);
   incomplete_.erase(0, whole);
+  too_long_ = incomplete_.size() > kMaxEventBytes;
+  if (too_long_) incomplete_.resize(1);  // still in an event
+  // The end of an event has three bytes at most, of which two may have arrived.
+  scanned_ = incomplete_.size() - std::min<std::size_t>(incomplete_.size(), 2);
   return events;
 }
 
--- a/src/relay/relay_state_machine.cc
+++ b/src/relay/relay_state_machine.cc
@@ -160,14 +160,9 @@
 
 void RelayStateMachine::On(Time now, const relay::Bytes& event) {
   if (!IsCurrent(event.send) || state_ != State::kAnswering) return;
+  if (plan_.stream && IsSuccess(head_.status)) return OnEventBytes(now, event.bytes);
   last_data_at_ = now;  // the timer compares against this when it fires, which is cheaper than a
                         // new timer for each read
-  if (plan_.stream && IsSuccess(head_.status)) {
-    std::string events = splitter_.Feed(event.bytes);
-    if (!events.empty()) actions_.emplace_back(relay::ForwardBytes{std::move(events)});
-    if (!splitter_.has_duplicate()) return;
-    return RetryOrFail(now, relay::SendEnd::kBroken, "received a duplicate event", Ran::kUnknown);
-  }
   if (head_forwarded_) {
     actions_.emplace_back(relay::ForwardBytes{std::string(event.bytes)});
     return;
@@ -179,6 +174,22 @@
   actions_.emplace_back(relay::ForwardBytes{std::exchange(buffer_, {})});
 }
 
+// Bytes that complete no event are as good as silence.
+void RelayStateMachine::OnEventBytes(Time now, std::string_view bytes) {
+  std::string events = splitter_.Feed(bytes);
+  if (!events.empty()) {
+    last_data_at_ = now;
+    actions_.emplace_back(relay::ForwardBytes{std::move(events)});
+  }
+  if (splitter_.has_duplicate()) {
+    return RetryOrFail(now, relay::SendEnd::kBroken, "received a duplicate event", Ran::kUnknown);
+  }
+  if (splitter_.too_long()) {
+    return RetryOrFail(now, relay::SendEnd::kBroken, "received bytes that are no event stream",
+                       Ran::kUnknown);
+  }
+}
+
 void RelayStateMachine::On(Time now, const relay::End& event) {
   if (!IsCurrent(event.send)) return;
   if (state_ != State::kAnswering || splitter_.in_event()) {
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -262,6 +262,35 @@
   CHECK(caller.Call(server.address()) == "failed, sent");
 }
 
+// Guards against memory that fills with an answer which can't be passed on as fast as it comes.
+TEST_CASE("an answer is not read while the call holds its reads") {
+  const std::string body(1U << 20, 'z');
+  ScriptedServer server({{{Answer(body)}}});
+  Caller caller;
+  HttpCall call;
+  call.method = "POST";
+  call.to = server.address();
+  call.body = "x";
+  std::size_t received = 0;
+  bool held = true, ended = false;
+  call.hold_reads = [&held] { return held; };
+  caller.client.Start(std::move(call), [&](HttpEvent event) {
+    if (const auto* bytes = std::get_if<HttpBytes>(&event)) received += bytes->bytes.size();
+    ended = std::holds_alternative<HttpEnd>(event);
+    if (ended) caller.loop.Stop();
+  });
+  std::size_t received_while_held = 0;
+  const Timer release = caller.loop.After(Duration{200'000}, [&] {
+    received_while_held = received;
+    held = false;
+  });
+  const Timer bound = caller.loop.After(kBound, [&] { caller.loop.Stop(); });
+  caller.loop.Run();
+  CHECK(received_while_held < body.size() / 10);
+  CHECK(ended);
+  CHECK(received == body.size());
+}
+
 TEST_CASE("a call to a port without a listener fails as not sent") {
   Address unused_address;
   {
--- a/test/gateways.py
+++ b/test/gateways.py
@@ -107,6 +107,11 @@
             self.process.kill()
         self.process.wait()
 
+    def memory_kb(self):
+        """The largest resident size of the process so far."""
+        status = pathlib.Path(f"/proc/{self.process.pid}/status").read_text()
+        return next(int(line.split()[1]) for line in status.splitlines() if "VmHWM" in line)
+
     def lines(self, event):
         return [line for line in self.log.read_text(errors="replace").splitlines()
                 if f"event={event} " in line]
@@ -125,10 +130,10 @@
         for i in range(gateways):
             self.add(i)
 
-    def add(self, i, store=None):
+    def add(self, i, store=None, options=()):
         seeds = [g.peers for g in self.gateways[:self.most_seeds]]
         gateway = Gateway(self.build, f"g{i}", f"north-{'ab'[i % 2]}", store or self.world.store,
-                          self.folder, self.ports, seeds, self.options)
+                          self.folder, self.ports, seeds, (*self.options, *options))
         self.gateways.append(gateway)
         return gateway
 
@@ -245,13 +250,17 @@
             self.close()
 
     async def chunks(self, answer):
-        while True:
-            size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
-            data = await self.reader.readexactly(size + 2)
-            if size == 0:
-                return
-            answer.first_at = answer.first_at or time.monotonic()
-            answer.body += data[:-2]
+        parts = []
+        try:
+            while True:
+                size = int((await self.reader.readuntil(b"\r\n")).strip(), 16)
+                data = await self.reader.readexactly(size + 2)
+                if size == 0:
+                    return
+                answer.first_at = answer.first_at or time.monotonic()
+                parts.append(data[:-2])
+        finally:
+            answer.body = b"".join(parts)
 
     def close(self):
         if self.writer is not None:
--- a/test/items-test.cc
+++ b/test/items-test.cc
@@ -104,6 +104,28 @@
   CHECK(text.text() == "a\nb\nc");
 }
 
+// Guards against results that no write to the store can hold, and against runs without an end.
+TEST_CASE("output that is no event stream, or too long for a result, is a defect") {
+  ItemText text;
+  text.Feed(kEvents);
+  CHECK_FALSE(text.Defect());
+  text.Feed(std::string(OrderedEventSplitter::kMaxEventBytes + 1, 'z'));
+  CHECK(text.Defect());
+  text.DropIncomplete();
+  CHECK_FALSE(text.Defect());
+  CHECK(text.text() == "a\nb");
+  const std::string data(100'000, 'z');
+  for (int id = 3; !text.too_long(); ++id) {
+    text.Feed("id: " + std::to_string(id) + "\ndata: " + data + "\n\n");
+  }
+  CHECK(text.Defect());
+  CHECK(text.text().size() <= ItemText::kMaxBytes + data.size() + 1);
+  text.StartOver();
+  CHECK_FALSE(text.Defect());
+  text.Feed(kEvents);
+  CHECK(text.text() == "a\nb");
+}
+
 TEST_CASE("the earliest due item runs first, except those that can't complete in time") {
   ItemBacklog backlog;
   const auto all = [](const ItemBacklog::Entry&) { return true; };
--- a/test/relay-run-test.cc
+++ b/test/relay-run-test.cc
@@ -122,6 +122,44 @@
   CHECK_FALSE(sent.run.finished());
 }
 
+// Guards against an entry whose memory fills with bytes that are no event stream.
+TEST_CASE("a stream whose event doesn't end is broken off and resumed elsewhere") {
+  Sent sent(ResumablePlan());
+  sent.Step(relay::Head{1, Answer(200)});
+  sent.Step(relay::Bytes{1, "id: 1\ndata: a\n\n"});
+  const std::string noise(OrderedEventSplitter::kMaxEventBytes / 2, 'z');
+  CHECK(sent.Step(relay::Bytes{1, noise}).empty());
+  CHECK(sent.Step(relay::Bytes{1, noise}).empty());
+  sent.Step(relay::Bytes{1, "z"});
+  REQUIRE(Last<relay::ChooseBackend>(sent.actions) != nullptr);
+  sent.Step(relay::BackendChosen{Backend("b")});
+  CHECK(Last<relay::Send>(sent.actions)->after_event == "1");
+  sent.Step(relay::Head{2, Answer(200)});
+  sent.Step(relay::Bytes{2, "id: 2\ndata: b\n\n"});
+  CHECK(Last<relay::ForwardBytes>(sent.actions)->bytes == "id: 2\ndata: b\n\n");
+}
+
+// Guards against a stream that is waited for until its deadline while bytes that are no events come.
+TEST_CASE("bytes that complete no event count as silence") {
+  RelayPlan plan = ResumablePlan();
+  plan.next_byte_timeout = Duration{1'000'000};
+  Sent sent(plan);
+  sent.Step(relay::Head{1, Answer(200)});
+  for (int i = 1; i <= 9; ++i) sent.Step(relay::Bytes{1, "z"}, kStart + i * Duration{100'000});
+  sent.Step(relay::TimerFired{}, kStart + Duration{1'000'000});
+  CHECK(Last<relay::ChooseBackend>(sent.actions) != nullptr);
+}
+
+TEST_CASE("the end of an event is found wherever its bytes are divided") {
+  const std::string events = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\n";
+  for (std::size_t at = 0; at <= events.size(); ++at) {
+    OrderedEventSplitter splitter;
+    const std::string first = splitter.Feed(events.substr(0, at));
+    CHECK(first + splitter.Feed(events.substr(at)) == events);
+    CHECK(splitter.count() == 2);
+  }
+}
+
 TEST_CASE("the error says \"not run\" only when no send can have run") {
   Sent sent(IdempotentPlan());
   sent.Step(relay::SendFailed{1, true, "reset"});
