The soak learns answers without end, overlapping stops and jobs that end while loaded

Three kinds of fault, drawn after all others so that a seed keeps what it had: an engine whose answers have no end; gateways that are stopped while the one before still leaves; and jobs that are ended just after their 202 while each answer of the store is late. Half of the seeds have a first gateway on a small host, whose jobs others own and load.

The failing cases are in soak-test.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -118,7 +118,8 @@
             await asyncio.sleep(self.dice.uniform(0.3, 1.2))
         await asyncio.gather(*followers)
 
-    async def one_job(self):
+    async def one_job(self, end_after=None):
+        """It is ended so many seconds after it was accepted; None: at random, or not at all."""
         name, count, tokens = f"j{self.number()}", self.dice.randint(2, 8), self.dice.randint(5, 120)
         poison = {self.dice.randrange(count)} if self.dice.random() < 0.3 else set()
         outputs = {}
@@ -135,8 +136,10 @@
             if status == 202:
                 break
             await asyncio.sleep(0.3)
-        if job.accepted and self.dice.random() < 0.2:
-            await asyncio.sleep(self.dice.uniform(0, 1))
+        if end_after is None and self.dice.random() < 0.2:
+            end_after = self.dice.uniform(0, 1)
+        if job.accepted and end_after is not None:
+            await asyncio.sleep(end_after)
             job.end_asked = True
             status, _ = await self.call(self.gateway(), "DELETE", f"/-/lots/{name}")
             if status == 200:
--- a/soak/engine_faults.py
+++ b/soak/engine_faults.py
@@ -13,6 +13,7 @@
 PLAIN = ENGINES  # the first server of the plain service
 # Software versions of the engines, side by side all the while; those that join are of the last one.
 VERSIONS = ("v1", "v1", "v2", "v2")
+NOISE_IN = ("head", "body", "events")  # where bytes come without end
 SLOW_FACTOR = 3  # of the time that a slow engine needs for an event
 DRAINS = "it began to drain"
 
@@ -43,6 +44,11 @@
             await self.do("engine", index=index, unframed=0.5, cut=0.2)
             await asyncio.sleep(fault.for_s)
             await self.do("engine", index=index, unframed=0.0, cut=0.0)
+        elif how == "endless":
+            where = NOISE_IN[fault.pick // 7 % len(NOISE_IN)]
+            await self.do("engine", index=index, endless=0.3, endless_in=where)
+            await asyncio.sleep(fault.for_s)
+            await self.do("engine", index=index, endless=0.0)
         elif how == "slow":
             await self.do("engine", index=index, slowdown=SLOW_FACTOR)
             await asyncio.sleep(fault.for_s)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -34,6 +34,15 @@
 # Parts of prompts that crash what runs them, answers without a length, and connections of which
 # most go to one gateway and then to another.
 FURTHER_KINDS = ("crashing_part", "engine_unframed", "skew")
+# Engines whose answers have no end, processes that are stopped before the last one is back, and jobs
+# that are ended while the store is slow, so that their owners still load them.
+LATE_KINDS = ("engine_endless", "leave_overlapping", "end_loading")
+STOP_GAP = 0.7  # seconds between stops that overlap
+STOPS = 3
+STORE_SLOW = 0.25  # seconds by which the store's answers are late
+ENDED_JOBS, END_AFTER = 5, 0.05
+SMALL_SHARE = 0.5  # of the seeds have a gateway on a small host, which leaves its jobs to others
+SMALL_HOST = ("--cores", "0.1")
 ATTEMPT_PAUSE = 0.25  # seconds between their attempts
 
 
@@ -52,9 +61,15 @@
     faults += some(teams.KINDS, dice.randint(0, 2))
     faults += some(LOAD_KINDS, dice.randint(0, 2))
     faults += some(FURTHER_KINDS, dice.randint(0, 3))
+    faults += some(LATE_KINDS, dice.randint(0, 3))
     return sorted(faults, key=lambda fault: fault.at)
 
 
+def host_options(seed):
+    """Further options of the first gateway."""
+    return SMALL_HOST if random.Random(f"host {seed}").random() < SMALL_SHARE else ()
+
+
 class Proxy:
     """The fault proxy with a link to each address."""
 
@@ -84,6 +99,7 @@
         self.callers = callers
         self.fleet, self.proxy, self.record, self.clock = fleet, proxy, record, clock
         self.names = []  # routes that were added
+        self.followers = []  # of jobs that were ended early
         # A process that is being stopped and started isn't struck again meanwhile.
         self.busy = set()
         self.teams = teams.TeamFaults(fleet, self.do, record, clock)
@@ -100,7 +116,8 @@
                "engine": self.engines.strike, "link": self.link, "configure": self.configure,
                "restart": self.engines.restart, "crashing": self.crashing,
                "foreign": self.engines.write_foreign, "revoke": self.teams.revoke,
-               "hot": self.teams.press, "press": self.teams.press, "skew": self.skew}[what](fault, how)
+               "hot": self.teams.press, "press": self.teams.press, "skew": self.skew,
+               "end": self.end_jobs}[what](fault, how)
 
     async def do(self, order, **more):
         return await asyncio.to_thread(self.fleet.world.do, order, **more)
@@ -132,10 +149,30 @@
         victims = self.take() if how == "all" else self.take(fault)
         await asyncio.gather(*(self.stop_and_start(g, "kill", gateways.KILL) for g in victims))
 
-    async def leave(self, fault, _how):
+    async def leave(self, fault, how):
+        if how == "overlapping":
+            return await self.leave_in_turn()
         for gateway in self.take(fault):
             await self.stop_and_start(gateway, "leave", gateways.TERM)
 
+    async def leave_in_turn(self):
+        """Each is told to stop while the one before still leaves."""
+        async def one(gateway, after):
+            await asyncio.sleep(after)
+            await self.stop_and_start(gateway, "leave", gateways.TERM)
+        taken = self.take()[:STOPS]
+        await asyncio.gather(*(one(gateway, n * STOP_GAP) for n, gateway in enumerate(taken)))
+
+    async def end_jobs(self, fault, _how):
+        """Jobs end just after they were accepted, while the store is slow."""
+        trouble = self.trouble("store")
+        await self.do("store", slow=STORE_SLOW)
+        jobs = [asyncio.ensure_future(self.callers.one_job(END_AFTER)) for _ in range(ENDED_JOBS)]
+        await asyncio.sleep(fault.for_s + 4 * STORE_SLOW)
+        await self.do("store", slow=0.0)
+        trouble.ended = self.clock() + 1
+        self.followers += jobs
+
     async def pause(self, fault, _how):
         for gateway in self.take(fault):
             with self.struck(gateway, "pause"):
@@ -218,6 +255,6 @@
         """Ends what still goes on: processes are woken and started, all else is over by itself."""
         for gateway in self.fleet.gateways:
             gateway.signal(gateways.CONT)
-        await self.do("store", mode="ok", lose=0.0, late=0.0)
+        await self.do("store", mode="ok", lose=0.0, late=0.0, slow=0.0)
         for index in range(ENGINES):
-            await self.do("engine", index=index, cut=0.0, extra=0.0, unframed=0.0)
+            await self.do("engine", index=index, cut=0.0, extra=0.0, unframed=0.0, endless=0.0)
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -18,6 +18,8 @@
 # many on it counts.
 SERVED_IN_SKEW, MANY_IN_SKEW = 0.75, 20
 NOT_RUN = (408, 421, 429, 503)
+DEADLINE = 3.0  # seconds, of an online request; an item's run without progress ends sooner
+MEMORY_KB = 160 << 10  # of the smallest hosts
 MANY = 12  # resumed streams, from which on their share counts
 GATEWAY_TROUBLE = ("kill", "pause", "leave", "link")
 
@@ -141,8 +143,8 @@
             continue
         for run in record.runs:
             late = run["id"] in job.outputs and run["at"] > job.ended_at + CANCEL
-            if late and not record.in_trouble(job.ended_at - SETTLE, run["at"],
-                                              kinds=GATEWAY_TROUBLE):
+            # Trouble that was over before the item was sent is no excuse.
+            if late and not record.in_trouble(run["at"] - SETTLE, run["at"], kinds=GATEWAY_TROUBLE):
                 yield f"{run['id']}: ran {run['at'] - job.ended_at:.1f} s after its job's end"
 
 
@@ -206,6 +208,20 @@
                    "connections went there")
 
 
+def noise_is_bounded(record):
+    """Answers without end are left in time, and fill nobody's memory."""
+    for run in record.runs:
+        if not run.get("endless") or run["ended"] is None:
+            continue
+        took = run["ended"] - run["at"]
+        if took > DEADLINE + LATE and not record.in_trouble(run["at"], run["ended"],
+                                                            kinds=GATEWAY_TROUBLE):
+            yield f"{run['id']}: bytes without end were read for {took:.1f} s"
+    for gateway, size in record.memory_kb.items():
+        if size > MEMORY_KB:
+            yield f"{gateway}: {size} kB in memory"
+
+
 def all_is_well_again(record):
     if not record.all_ready:
         yield "not all gateways were ready again"
@@ -216,7 +232,7 @@
 
 ALL = (whole_and_own, streams_keep_their_version, resumed_streams_go_on, once, not_run_is_true, answered_in_time, shutdown_cuts_nothing,
        items_exactly_once, ended_jobs_stop, closed_engines_rest, configuration_is_in_force,
-       crashing_requests_are_kept_away, callers_are_served_while_connections_are_skewed, all_is_well_again, *teams.PROMISES)
+       crashing_requests_are_kept_away, callers_are_served_while_connections_are_skewed, noise_is_bounded, all_is_well_again, *teams.PROMISES)
 
 
 def broken(record):
--- a/soak/record.py
+++ b/soak/record.py
@@ -106,6 +106,7 @@
     foreign_reads: list = dataclasses.field(default_factory=list)
     final: list = dataclasses.field(default_factory=list)    # statuses after all has healed
     all_ready: bool = True
+    memory_kb: dict = dataclasses.field(default_factory=dict)  # gateway -> its largest size
 
     def in_trouble(self, begun, ended, *, gateway=None, kinds=None):
         """Whether something that may excuse it struck within this time: on this gateway, on
--- a/soak/run.py
+++ b/soak/run.py
@@ -21,7 +21,7 @@
 import teams  # noqa: E402
 from callers import Callers  # noqa: E402
 from engine_faults import VERSIONS  # noqa: E402
-from faults import Faults, Proxy, draw  # noqa: E402
+from faults import Faults, Proxy, draw, host_options  # noqa: E402
 from record import Record  # noqa: E402
 
 ONLINE_CALLERS = 6
@@ -45,7 +45,7 @@
     await asyncio.sleep(max(0, begun + seconds - clock()))
     await asyncio.gather(*struck)
     await faults.heal()
-    await finish(fleet, callers, record, traffic)
+    await finish(fleet, callers, record, traffic + faults.followers)
     return record
 
 
@@ -67,6 +67,7 @@
         request = await callers.ask(gateways.Connection(gateway.callers), gateway, "resumable")
         record.final.append(request.status if request.whole else 0)
     record.runs = await asyncio.to_thread(fleet.world.runs)
+    record.memory_kb = {gateway.name: gateway.memory_kb() for gateway in fleet.gateways}
 
 
 def is_ready(gateway):
@@ -87,7 +88,7 @@
 def run(build, seed, seconds, count=3):
     """The breaks of one seed, the record, and the folder of the logs. The last of `count`
     gateways reaches the store by way of the fault proxy. Raises NotPlayed."""
-    fleet = gateways.Fleet(build, gateways=count - 1, engines=4, services=2, seed=seed,
+    fleet = gateways.Fleet(build, gateways=0, engines=4, services=2, seed=seed,
                            options=("--shutdown-grace-ms", str(GRACE_MS), *teams.OPTIONS))
     proxy = None
     try:
@@ -95,6 +96,8 @@
         proxy = Proxy(fleet.build, [f"127.0.0.1:{port}" for port in engines] + [fleet.world.store])
         for index, link in enumerate(proxy.links[:-1]):
             fleet.world.do("engine", index=index, path=link)
+        for i in range(count - 1):
+            fleet.add(i, options=host_options(seed) if i == 0 else ())
         fleet.add(count - 1, store=proxy.links[-1])
         for index, version in enumerate(VERSIONS):
             fleet.world.do("engine", index=index, version=version)
--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -122,6 +122,17 @@
         self.assertEqual(self.broken_by(jobs=[ended], runs=[ran("j-1", at=23.5)]),
                          {"ended_jobs_stop"})
         self.assertEqual(self.broken_by(jobs=[ended], runs=[ran("j-1", at=22.5)]), set())
+        for over, broken in ((21.0, {"ended_jobs_stop"}), (23.0, set())):
+            store = Trouble("store", "", 19, over)
+            self.assertEqual(self.broken_by(jobs=[ended], runs=[ran("j-1", at=24.5)],
+                                            troubles=[store]), broken)
+
+    def test_bytes_without_end(self):
+        endless = ran("r1") | {"endless": True, "ended": 15.0}
+        self.assertEqual(self.broken_by(requests=[request(status=502, whole=True, got=None, data=[])],
+                                        runs=[endless]), {"noise_is_bounded"})
+        self.assertEqual(self.broken_by(memory_kb={"g0": promises.MEMORY_KB + 1}),
+                         {"noise_is_bounded"})
 
     def test_new_work_at_a_closed_engine(self):
         draining = Closed("e1", "it began to drain", 10.0)
