What an owner writes fits into the store's rows and transactions

What callers saw: a batch job of 24 items ran while the store was silent for 7 s.

Cause: the output since the last write was one piece of progress for each item, of any size, and all that had gathered went into one write: 1.7 MB where the store takes 1 MB. It was refused, and repeated before all others.

A piece now holds as many whole events as a row takes, and a write 500 kB of text, results and progress together. An event larger than a row isn't saved as progress.

Evidence: the new case of owned-job-test gathers 1.4 MB in three items.

--- a/include/figmill/items.h
+++ b/include/figmill/items.h
@@ -4,6 +4,7 @@
 // what a response means for its item, and when an item is abandoned. No I/O; time is passed in.
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -59,16 +60,27 @@
   // The data of all events, one event per line.
   [[nodiscard]] const std::string& text() const { return text_; }
 
-  // The text received since the last piece, as the next piece; nothing if there is none.
+  // The next piece of the text received since the last piece, with as many whole events as a row
+  // holds; nothing if there is none, or if the next event alone is larger than a row.
   [[nodiscard]] std::optional<ledger::ProgressPiece> TakePiece(std::size_t item);
   // Restores a piece that an earlier owner stored. Pieces must be restored in order.
   void Restore(const ledger::ProgressPiece& piece);
 
  private:
+  // The end of an event with an id, after which another run can resume.
+  struct Position {
+    std::size_t bytes = 0;  // of the text
+    std::string last_id;
+    std::uint64_t events = 0;
+  };
+  void Append(std::string_view event);
+
   OrderedEventSplitter pieces_;
   OutputSource source_;  // of the last run
   std::string text_;
-  std::size_t taken_bytes_ = 0;  // bytes of the text already taken as pieces
+  std::uint64_t appended_events_ = 0;
+  std::deque<Position> untaken_;  // the ends of pieces to come, in order
+  std::size_t taken_bytes_ = 0;   // bytes of the text already taken as pieces
   std::uint32_t next_piece_ = 0;
   std::uint32_t start_ = 0;  // how often it started over
 };
--- a/include/figmill/ledger.h
+++ b/include/figmill/ledger.h
@@ -154,6 +154,7 @@
  public:
   // Maximum number of results in one write; a transaction takes 100 rows and 1 MB.
   static constexpr std::size_t kMaxResultsPerWrite = 12;
+  // Limit on the text in one write, results and progress together; a single result may exceed it.
   static constexpr std::size_t kMaxBytesPerWrite = 500'000;
   static constexpr std::size_t kMaxPiecesPerWrite = 40;
 
@@ -202,8 +203,10 @@
     // entries read (with 50 jobs and 36 entries, to about 30 kB/s each).
     bool changes_row = true;
   };
-  void TakeResults(Write& write);
-  void TakeProgress(Write& write);
+  // Returns how many bytes of text the results have.
+  std::size_t TakeResults(Write& write);
+  // `bytes`: of the text that the write has already.
+  void TakeProgress(Write& write, std::size_t bytes);
   [[nodiscard]] TableTransaction TransactionFor(const Write& write) const;
   void ApplyRecord(const JobRecord& record, RowVersion version);
 
--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -210,6 +210,9 @@
 
 }  // namespace relay
 
+// The id of an event, from its last "id" line; nullopt if it has none.
+[[nodiscard]] std::optional<std::string> EventIdOf(std::string_view event);
+
 // Splits an event stream into complete events, records the id of the last one and detects
 // duplicates. Ids increase: an event whose id is not after the last one is a duplicate.
 class OrderedEventSplitter {
--- a/src/items/item_text.cc
+++ b/src/items/item_text.cc
@@ -4,6 +4,8 @@
 namespace {
 
 constexpr std::string_view kDataField = "data:";
+// Limit on the text of a piece; the rest of its row holds ids and numbers.
+constexpr std::size_t kMaxPieceText = ledger::kPieceBytes - 2'000;
 
 // The data lines of one event, joined by line feeds; empty if the event has no data.
 std::optional<std::string> DataOf(std::string_view event) {
@@ -37,6 +39,8 @@
 void ItemText::StartOver() {
   pieces_ = {};
   text_.clear();
+  appended_events_ = 0;
+  untaken_.clear();
   taken_bytes_ = 0;
   next_piece_ = 0;
   ++start_;
@@ -55,11 +59,15 @@
 }
 
 std::optional<ledger::ProgressPiece> ItemText::TakePiece(std::size_t item) {
-  if (text_.size() == taken_bytes_ || !pieces_.last_id()) return std::nullopt;
+  if (untaken_.empty()) return std::nullopt;
+  const Position& end = untaken_.front();
+  const std::size_t size = end.bytes - taken_bytes_;
+  if (size > kMaxPieceText) return std::nullopt;
   ledger::ProgressPiece piece{
-      item,    next_piece_++, text_.substr(taken_bytes_), *pieces_.last_id(), pieces_.count(),
+      item,    next_piece_++, text_.substr(taken_bytes_, size), end.last_id, end.events,
       source_, start_};
-  taken_bytes_ = text_.size();
+  taken_bytes_ = end.bytes;
+  untaken_.pop_front();
   return piece;
 }
 
@@ -70,6 +78,7 @@
   start_ = piece.start;
   text_ += piece.text;
   taken_bytes_ = text_.size();
+  appended_events_ = piece.events;
   pieces_.ResumeAfter(piece.last_id, piece.events);
 }
 
@@ -81,12 +90,25 @@
     const std::size_t crlf = rest.find("\n\r\n");
     std::size_t length = end == std::string_view::npos ? rest.size() : end + 2;
     if (crlf != std::string_view::npos && crlf + 3 < length) length = crlf + 3;
-    if (const auto data = DataOf(rest.substr(0, length))) {
-      if (!text_.empty()) text_ += '\n';
-      text_ += *data;
-    }
+    Append(rest.substr(0, length));
     rest.remove_prefix(length);
   }
 }
 
+void ItemText::Append(std::string_view event) {
+  ++appended_events_;
+  if (const auto data = DataOf(event)) {
+    if (!text_.empty()) text_ += '\n';
+    text_ += *data;
+  }
+  std::optional<std::string> id = EventIdOf(event);
+  if (!id) return;
+  // The last piece grows while it fits into a row.
+  std::size_t begin = taken_bytes_;
+  if (untaken_.size() > 1) begin = untaken_[untaken_.size() - 2].bytes;
+  const bool fits = !untaken_.empty() && text_.size() - begin <= kMaxPieceText;
+  if (fits) untaken_.pop_back();
+  untaken_.push_back({text_.size(), *std::move(id), appended_events_});
+}
+
 }  // namespace figmill
--- a/src/items/open_items.cc
+++ b/src/items/open_items.cc
@@ -100,7 +100,9 @@
   std::vector<ledger::ProgressPiece> pieces;
   for (auto it = progress_.lower_bound({job, 0}); it != progress_.end() && it->first.job == job;
        ++it) {
-    if (auto piece = it->second.text.TakePiece(it->first.item)) pieces.push_back(*std::move(piece));
+    while (auto piece = it->second.text.TakePiece(it->first.item)) {
+      pieces.push_back(*std::move(piece));
+    }
   }
   return pieces;
 }
--- a/src/ledger/owned_job.cc
+++ b/src/ledger/owned_job.cc
@@ -34,29 +34,31 @@
     write_ = Write{record_, {}, {}, version_, true};
     write_->record.token = GenerateToken(random);
     write_->record.ended = record_.ended || end_requested_;
-    TakeResults(*write_);
-    TakeProgress(*write_);
+    const std::size_t bytes = TakeResults(*write_);
+    TakeProgress(*write_, bytes);
     write_->changes_row = !write_->results.empty() || write_->record.ended != record_.ended;
   }
   in_flight_ = true;
   return TransactionFor(*write_);
 }
 
-void OwnedJob::TakeResults(Write& write) {
+std::size_t OwnedJob::TakeResults(Write& write) {
   std::size_t bytes = 0;
-  while (!unwritten_results_.empty() && write.results.size() < kMaxResultsPerWrite &&
-         bytes < kMaxBytesPerWrite) {
-    bytes += unwritten_results_.front().second.output.size();
+  while (!unwritten_results_.empty() && write.results.size() < kMaxResultsPerWrite) {
+    const std::size_t next = unwritten_results_.front().second.output.size();
+    if (!write.results.empty() && bytes + next > kMaxBytesPerWrite) break;
+    bytes += next;
     write.record.done[unwritten_results_.front().first] = 'x';
     ++write.record.stored_results;
     write.results.push_back(std::move(unwritten_results_.front()));
     unwritten_results_.erase(unwritten_results_.begin());
   }
+  return bytes;
 }
 
 // Drops the progress of finished items, from which no owner will resume, and that of outputs that
 // have started over: its rows have the same keys as those of the later output.
-void OwnedJob::TakeProgress(Write& write) {
+void OwnedJob::TakeProgress(Write& write, std::size_t bytes) {
   std::map<std::size_t, std::uint32_t> last_start;
   for (const ledger::ProgressPiece& piece : unwritten_progress_) {
     std::uint32_t& last = last_start[piece.item];
@@ -65,7 +67,10 @@
   std::vector<ledger::ProgressPiece> left;
   for (ledger::ProgressPiece& piece : std::exchange(unwritten_progress_, {})) {
     if (!IsOpen(piece.item) || piece.start < last_start[piece.item]) continue;
-    const bool fits = write.progress.size() < kMaxPiecesPerWrite && write.results.size() < 4;
+    // Once one is left, those after it are left too: an item's pieces are written in order.
+    const bool fits = left.empty() && write.progress.size() < kMaxPiecesPerWrite &&
+                      write.results.size() < 4 && bytes + piece.text.size() <= kMaxBytesPerWrite;
+    if (fits) bytes += piece.text.size();
     (fits ? write.progress : left).push_back(std::move(piece));
   }
   unwritten_progress_ = std::move(left);
--- a/src/relay/ordered_event_splitter.cc
+++ b/src/relay/ordered_event_splitter.cc
@@ -8,24 +8,6 @@
 
 constexpr std::string_view kIdField = "id:";
 
-// The value of the last "id" line of an event, without the leading space.
-std::optional<std::string> IdOf(std::string_view event) {
-  std::optional<std::string> id;
-  while (!event.empty()) {
-    const std::size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    if (line.starts_with(kIdField)) {
-      line.remove_prefix(kIdField.size());
-      if (line.starts_with(' ')) line.remove_prefix(1);
-      id = std::string(line);
-    }
-    if (end == std::string_view::npos) break;
-    event.remove_prefix(end + 1);
-  }
-  return id;
-}
-
 std::optional<std::uint64_t> ParseNumber(std::string_view id) {
   std::uint64_t number = 0;
   const char* const end = id.data() + id.size();
@@ -55,13 +37,30 @@
 
 }  // namespace
 
+std::optional<std::string> EventIdOf(std::string_view event) {
+  std::optional<std::string> id;
+  while (!event.empty()) {
+    const std::size_t end = event.find('\n');
+    std::string_view line = event.substr(0, end);
+    if (line.ends_with('\r')) line.remove_suffix(1);
+    if (line.starts_with(kIdField)) {
+      line.remove_prefix(kIdField.size());
+      if (line.starts_with(' ')) line.remove_prefix(1);
+      id = std::string(line);
+    }
+    if (end == std::string_view::npos) break;
+    event.remove_prefix(end + 1);
+  }
+  return id;
+}
+
 std::string OrderedEventSplitter::Feed(std::string_view bytes) {
   if (has_duplicate_ || too_long_) return {};
   incomplete_.append(bytes);
   std::size_t whole = 0;
   for (std::size_t end = EndOfEvent(incomplete_, scanned_); end != std::string_view::npos;
        end = EndOfEvent(incomplete_, whole)) {
-    auto id = IdOf(std::string_view(incomplete_).substr(whole, end - whole));
+    auto id = EventIdOf(std::string_view(incomplete_).substr(whole, end - whole));
     if (id && last_id_ && !IsAfter(*id, *last_id_)) {
       has_duplicate_ = true;
       break;
--- a/test/items-test.cc
+++ b/test/items-test.cc
@@ -104,6 +104,16 @@
   CHECK(text.text() == "a\nb\nc");
 }
 
+TEST_CASE("an event that is larger than a row of the store is not saved as progress") {
+  ItemText text;
+  text.Feed(kEvents);
+  REQUIRE(text.TakePiece(0));
+  text.Feed("id: 3\ndata: " + std::string(ledger::kPieceBytes, 'z') + "\n\n");
+  CHECK_FALSE(text.TakePiece(0));
+  text.Feed("id: 4\ndata: d\n\n");
+  CHECK_FALSE(text.TakePiece(0));
+}
+
 // Guards against results that no write to the store can hold, and against runs without an end.
 TEST_CASE("output that is no event stream, or too long for a result, is a defect") {
   ItemText text;
--- a/test/owned-job-test.cc
+++ b/test/owned-job-test.cc
@@ -225,3 +225,46 @@
   CHECK(again->conditions.front().version == 8);
   CHECK(again->puts.size() == 1);
 }
+
+// Guards against jobs whose results are never listed: what had gathered while the store was away
+// was one write, larger than the store takes, and was repeated before all others.
+TEST_CASE("what has gathered is written in parts that the store takes") {
+  constexpr std::size_t kMaxRowBytes = 48'000;         // base64 makes 64 KB of it
+  constexpr std::size_t kMaxTransactionBytes = 740'000;  // and 1 MB of this
+  constexpr std::size_t kMaxRows = 100;
+  Fixture f;
+  std::vector<ItemText> texts(3);
+  for (int id = 1; id <= 450; ++id) {
+    for (ItemText& text : texts) {
+      text.Feed("id: " + std::to_string(id) + "\ndata: " + std::string(1'000, 'z') + "\n\n");
+    }
+  }
+  for (std::size_t item = 0; item < texts.size(); ++item) {
+    while (auto piece = texts[item].TakePiece(item)) f.job.AddProgress(*std::move(piece));
+  }
+  f.job.Finish(1, {"i1", ResultState::kComplete, texts[1].text()});
+  f.job.Finish(2, {"i2", ResultState::kComplete, texts[2].text()});
+  RowVersion version = 5;
+  std::vector<TableRow> progress;
+  while (const auto write = f.Next()) {
+    std::size_t bytes = 0;
+    CHECK(write->puts.size() + write->conditions.size() <= kMaxRows);
+    for (const TablePut& put : write->puts) {
+      CHECK(put.value.size() <= kMaxRowBytes);
+      bytes += put.value.size();
+      if (put.at.table == ledger::kProgressTable) progress.push_back({put.at, put.value, 1, false});
+    }
+    CHECK(bytes <= kMaxTransactionBytes);
+    f.job.OnCommitted(++version);
+  }
+  CHECK(f.job.all_written());
+  CHECK(f.job.record().stored_results == 2);
+  ItemText restored;
+  for (const ledger::ProgressPiece& piece :
+       ledger::DecodeProgress(JobId{"job"}, progress, [](const TableRow&, std::string_view) {})) {
+    CHECK(piece.item == 0);
+    restored.Restore(piece);
+  }
+  CHECK(restored.text() == texts[0].text());
+  CHECK(restored.last_id() == "450");
+}
