Items of a removed route are given up though another route begins their paths

Cause: to run an item its route had to be of kind batch; to give it up there had to be no route at all.

Both use ItemRoute now. An item keeps waiting while the route of its job is there by name, as one of another kind may only hide it for a while, and a result is final.

RouteThatWasRemoved of job-life-test failed on the code before ("never: all items are given up") and passes; items-test has the decision.

--- a/include/figmill/items.h
+++ b/include/figmill/items.h
@@ -18,6 +18,7 @@
 #include "figmill/base.h"
 #include "figmill/ledger.h"
 #include "figmill/relay.h"
+#include "figmill/routes.h"
 
 namespace figmill {
 
@@ -143,6 +144,14 @@
 };
 [[nodiscard]] bool MayRunAgain(const FailedRuns& failed);
 
+// The route on which an item of the job runs; nullptr if there is none.
+[[nodiscard]] const Route* ItemRoute(const RouteTable& routes, const JobRecord& head,
+                                     const JobItem& item);
+// Whether the item has a route, or may get it back: another route may begin its path while that of
+// its job is still there. A route of another kind is none.
+[[nodiscard]] bool HasItemRoute(const RouteTable& routes, const JobRecord& head,
+                                const JobItem& item);
+
 // Why the open items of a job will not run any more; empty while they may still run.
 // A missing route is a reason only under a configuration later than the one that
 // accepted the job: an owner with an outdated configuration may not know the route
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -120,9 +120,7 @@
 }
 
 const Route* BatchRunner::RouteOf(const JobRecord& head, const JobItem& item) const {
-  if (!routes_) return nullptr;
-  const Route* route = routes_->Find(head.host, item.target);
-  return route != nullptr && route->kind == RouteKind::kBatch ? route : nullptr;
+  return routes_ ? ItemRoute(*routes_, head, item) : nullptr;
 }
 
 bool BatchRunner::CanRunOn(const JobItemRef& key, const BackendInfo& backend, OtherSources others) {
--- a/src/gateway/batch_sweep.cc
+++ b/src/gateway/batch_sweep.cc
@@ -22,7 +22,7 @@
     if (job == nullptr) continue;
     const JobRecord& head = job->record();
     const bool has_route =
-        !check_routes || routes_->Find(head.host, job->items()[key.item].target) != nullptr;
+        !check_routes || HasItemRoute(*routes_, head, job->items()[key.item]);
     const std::uint64_t version = routes_ ? routes_->version() : 0;
     const auto why = GiveUpReason(head, has_route, version, TimeNow().store);
     if (why) given_up.emplace_back(key, *why);
--- a/src/items/give_up.cc
+++ b/src/items/give_up.cc
@@ -6,6 +6,17 @@
   return !failed.allowed || failed.counted < *failed.allowed;
 }
 
+const Route* ItemRoute(const RouteTable& routes, const JobRecord& head, const JobItem& item) {
+  const Route* route = routes.Find(head.host, item.target);
+  return route != nullptr && route->kind == RouteKind::kBatch ? route : nullptr;
+}
+
+bool HasItemRoute(const RouteTable& routes, const JobRecord& head, const JobItem& item) {
+  if (ItemRoute(routes, head, item) != nullptr) return true;
+  const Route* of_job = routes.FindByName(head.route);
+  return of_job != nullptr && of_job->kind == RouteKind::kBatch;
+}
+
 std::optional<std::string_view> GiveUpReason(const JobRecord& head, bool has_route,
                                              std::uint64_t config_version,
                                              std::optional<StoreTime> now) {
--- a/test/items-test.cc
+++ b/test/items-test.cc
@@ -338,3 +338,33 @@
   CHECK(items.open_items().empty());
   CHECK(items.backlog().size() == 0);
 }
+
+// Guards against items that wait for ever: their route was removed, and one of another kind begins
+// their paths.
+TEST_CASE("a route of another kind is none for an item, unless that of its job is there too") {
+  RoutingConfig config;
+  Route batch;
+  batch.name = "batch";
+  batch.host = "h";
+  batch.prefix = "/reports/";
+  batch.kind = RouteKind::kBatch;
+  Route rest = batch;
+  rest.name = "rest";
+  rest.prefix = "/";
+  rest.kind = RouteKind::kIdempotent;
+  JobRecord head;
+  head.host = "h";
+  head.route = "batch";
+  const JobItem item{"i", "/reports/j/1", {}, "", 0};
+  const auto has_route = [&](std::vector<Route> routes) {
+    RoutingConfig with = config;
+    with.routes = std::move(routes);
+    return HasItemRoute(RouteTable(std::move(with)), head, item);
+  };
+  CHECK(has_route({batch, rest}));
+  CHECK_FALSE(has_route({rest}));
+  CHECK_FALSE(has_route({}));
+  Route above = rest;
+  above.prefix = "/reports/j/";
+  CHECK(has_route({batch, above}));
+}
--- a/test/job-life-test.py
+++ b/test/job-life-test.py
@@ -81,5 +81,23 @@
         self.assert_all_complete()
 
 
+class RouteThatWasRemoved(unittest.TestCase):
+    # Guards against items that neither run nor are given up: a route of another kind begins their
+    # paths once that of their job is gone.
+    def test_items_are_given_up(self):
+        fleet = Fleet(BUILD, gateways=1, engines=2, services=1).__enter__()
+        self.addCleanup(fleet.__exit__, None)
+        fleet.world.do("configure", catch_all=True)
+        for index in range(2):
+            fleet.world.do("engine", index=index, slowdown=50)
+        submitted = call(fleet.gateways[0].callers, "POST", "/reports/j1", job("j1", ITEMS, TOKENS),
+                         {"Request-Id": "j1", "Content-Type": "application/json"})
+        self.assertEqual(submitted[0], 202)
+        fleet.world.do("configure", without=["/reports/"])
+        results = wait_for("all items are given up", lambda: (
+            found := results_of(fleet.gateways[0])) and len(found) == ITEMS and found, 5)
+        self.assertEqual({result["state"] for result in results}, {"dead"})
+
+
 if __name__ == "__main__":
     unittest.main(argv=[sys.argv[0], "-v"])
