Read-through: rejected requests at a leaving entry, and an answer held by the pool

A request that a backend server rejected as not run is refused by a leaving entry like one that was never sent; before, only requests without any send were. One that may have run is continued, as it was. A case of relay-run-test has both.

HttpCall::hold_reads kept the caller's reply alive for as long as the pooled connection kept the call; it holds it weakly now.

The rest is the formatter's.

--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -130,13 +130,14 @@
 };
 struct TimerFired {};
 struct CallerDisconnected {};
-// The entry refuses a request that it has not sent; no effect on one that it has.
+// The entry refuses a request that waits to be sent and has not run; no effect on others.
 struct Refuse {
   Error error;
 };
 
-using Event = std::variant<Start, SourceFound, SourceUnknown, BackendChosen, NoBackend, Head, Bytes,
-                           End, SendFailed, BackendRestarted, TimerFired, CallerDisconnected, Refuse>;
+using Event =
+    std::variant<Start, SourceFound, SourceUnknown, BackendChosen, NoBackend, Head, Bytes, End,
+                 SendFailed, BackendRestarted, TimerFired, CallerDisconnected, Refuse>;
 
 // --- Actions -----------------------------------------------------------------------
 
@@ -278,6 +279,8 @@
   [[nodiscard]] const RelayPlan& plan() const { return plan_; }
   [[nodiscard]] int backends_used() const { return backends_used_; }
   [[nodiscard]] std::uint64_t events_forwarded() const { return splitter_.count(); }
+  // Whether the request ran at a backend server, or may have, as far as the sends that ended show.
+  [[nodiscard]] bool may_have_run() const { return ran_ != Ran::kNo; }
   // Whether the answer has stopped inside an event.
   [[nodiscard]] bool in_event() const { return splitter_.in_event(); }
 
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -127,10 +127,10 @@
                                  /*always=*/request_.services.size() > 1);
 }
 
-// A request that was passed on before is continued: its caller has a part of the answer, or nobody
-// knows whether it ran.
+// A request that may have run is continued: its caller has a part of the answer, or can't be told
+// that it did not run.
 std::optional<Error> RelayCall::CheckShutdown() const {
-  if (sent_at_ != Time{}) return std::nullopt;
+  if (state_machine_.may_have_run()) return std::nullopt;
   return ShutdownError(context_, state_machine_.plan().deadline);
 }
 
@@ -205,7 +205,11 @@
   if (action.after_event)
     call.headers.push_back({context_.names.last_event_id, *action.after_event});
   call.bytes = &BackendBytesCounter(context_, TrafficKind::kOnline, action.backend.id);
-  call.hold_reads = [reply = reply_] { return reply->unsent() > kMaxUnsentBytes; };
+  // The call outlives this one in the pool of connections.
+  call.hold_reads = [weak = std::weak_ptr<HttpReply>(reply_)] {
+    const auto reply = weak.lock();
+    return reply && reply->unsent() > kMaxUnsentBytes;
+  };
   return call;
 }
 
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -73,7 +73,7 @@
             std::shared_ptr<HttpReply> reply, std::function<void()> on_finished);
 
   void Start();
-  // Refuses the request if it has not been sent yet and can't end before this process does.
+  // Refuses the request if it waits to be sent and can't end before this process does.
   void RefuseIfTooLate();
 
  private:
--- a/src/items/item_text.cc
+++ b/src/items/item_text.cc
@@ -63,9 +63,9 @@
   const Position& end = untaken_.front();
   const std::size_t size = end.bytes - taken_bytes_;
   if (size > kMaxPieceText) return std::nullopt;
-  ledger::ProgressPiece piece{
-      item,    next_piece_++, text_.substr(taken_bytes_, size), end.last_id, end.events,
-      source_, start_};
+  ledger::ProgressPiece piece{item,        next_piece_++, text_.substr(taken_bytes_, size),
+                              end.last_id, end.events,    source_,
+                              start_};
   taken_bytes_ = end.bytes;
   untaken_.pop_front();
   return piece;
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -177,15 +177,14 @@
                                                  const Policy& policy) const {
   const bool ends = IsPart(culprit.suspect) || culprit.chain < CrashReport::kMaxChain;
   if (!ends) return std::nullopt;
-  const Duration period = Doubled(policy.initial_period,
-                                  static_cast<std::size_t>(culprit.chain - policy.min_chain));
+  const Duration period =
+      Doubled(policy.initial_period, static_cast<std::size_t>(culprit.chain - policy.min_chain));
   return period + Spread(culprit.suspect, period);
 }
 
 // Crashes beyond the longest chain count as well: one that goes on crashing backend servers is
 // probed less and less often.
-Duration Quarantine::BatchPeriod(const Culprit& culprit, const Policy& policy,
-                                 Time expires) const {
+Duration Quarantine::BatchPeriod(const Culprit& culprit, const Policy& policy, Time expires) const {
   std::size_t doublings = static_cast<std::size_t>(culprit.chain - policy.min_chain);
   constexpr auto kLongest = static_cast<std::size_t>(CrashReport::kMaxChain);
   if (culprit.chain == CrashReport::kMaxChain && culprit.crashes > kLongest) {
--- a/src/relay/relay_state_machine.cc
+++ b/src/relay/relay_state_machine.cc
@@ -259,7 +259,8 @@
 }
 
 void RelayStateMachine::On(Time /*now*/, const relay::Refuse& event) {
-  if (send_ == 0) FinishWithError(event.error);
+  const bool sent = state_ == State::kSent || state_ == State::kAnswering;
+  if (!sent && !may_have_run()) FinishWithError(event.error);
 }
 
 void RelayStateMachine::EndSend(relay::SendEnd end, std::string why) {
--- a/test/owned-job-test.cc
+++ b/test/owned-job-test.cc
@@ -229,7 +229,7 @@
 // Guards against jobs whose results are never listed: what had gathered while the store was away
 // was one write, larger than the store takes, and was repeated before all others.
 TEST_CASE("what has gathered is written in parts that the store takes") {
-  constexpr std::size_t kMaxRowBytes = 48'000;         // base64 makes 64 KB of it
+  constexpr std::size_t kMaxRowBytes = 48'000;           // base64 makes 64 KB of it
   constexpr std::size_t kMaxTransactionBytes = 740'000;  // and 1 MB of this
   constexpr std::size_t kMaxRows = 100;
   Fixture f;
--- a/test/relay-run-test.cc
+++ b/test/relay-run-test.cc
@@ -107,8 +107,8 @@
   }
 }
 
-// Guards against a request that a leaving entry refuses as "not run" though it was sent, and against
-// one that waits there for nothing.
+// Guards against a request that a leaving entry refuses as "not run" though it was sent, and
+// against one that waits there for nothing.
 TEST_CASE("a request is refused while it waits to be sent, and not afterwards") {
   const relay::Refuse refuse{{ErrorKind::kLeaving, "leaving", Ran::kNo, Duration{50'000}}};
   RelayStateMachine waiting(Plan());
@@ -117,9 +117,16 @@
   REQUIRE(Last<relay::SendError>(actions) != nullptr);
   CHECK(Last<relay::SendError>(actions)->error.ran == Ran::kNo);
   CHECK(waiting.finished());
-  Sent sent(Plan());
+  Sent sent(IdempotentPlan());
+  CHECK(sent.Step(refuse).empty());
+  sent.Step(relay::SendFailed{1, true, "reset"});
   CHECK(sent.Step(refuse).empty());
   CHECK_FALSE(sent.run.finished());
+  Sent rejected(Plan());
+  rejected.Step(relay::Head{1, Answer(503), /*not_run=*/true});
+  rejected.Step(refuse);
+  REQUIRE(Last<relay::SendError>(rejected.actions) != nullptr);
+  CHECK(Last<relay::SendError>(rejected.actions)->error.ran == Ran::kNo);
 }
 
 // Guards against an entry whose memory fills with bytes that are no event stream.
@@ -139,7 +146,8 @@
   CHECK(Last<relay::ForwardBytes>(sent.actions)->bytes == "id: 2\ndata: b\n\n");
 }
 
-// Guards against a stream that is waited for until its deadline while bytes that are no events come.
+// Guards against a stream that is waited for until its deadline while bytes that are no events
+// come.
 TEST_CASE("bytes that complete no event count as silence") {
   RelayPlan plan = ResumablePlan();
   plan.next_byte_timeout = Duration{1'000'000};
