Nothing begins at an entry in the last three seconds of its grace period

Cause: ShutdownPlan let requests with short limits begin to the last. Two entries that stopped within a second went on to admit requests of the team while the ownership of its limit moved from one to the next.

--- a/include/figmill/shutdown.h
+++ b/include/figmill/shutdown.h
@@ -18,6 +18,11 @@
   // most requests need far less than their limit.
   static constexpr Duration kMinTimeLeft{2'300'000};
 
+  // Nothing begins in the last part of the grace period. The limits of teams are kept less exactly
+  // while the entries that own them stop one after the other, the more so the longer each of these
+  // goes on to admit requests.
+  static constexpr Duration kRefusalTime{3'000'000};
+
   // `grace`: time from `begun` until the process is killed.
   ShutdownPlan(Time begun, Duration grace);
 
@@ -32,6 +37,7 @@
  private:
   Time end_;
   Time open_until_;
+  Time refuses_from_;
 };
 
 }  // namespace figmill
--- a/src/shutdown/shutdown_plan.cc
+++ b/src/shutdown/shutdown_plan.cc
@@ -6,10 +6,11 @@
 
 ShutdownPlan::ShutdownPlan(Time begun, Duration grace)
     : end_(begun + grace - kGraceMargin),
-      open_until_(std::min(begun + kBalancerDelay, end_ - kMinTimeLeft)) {}
+      open_until_(std::min(begun + kBalancerDelay, end_ - kMinTimeLeft)),
+      refuses_from_(begun + grace - kRefusalTime) {}
 
 bool ShutdownPlan::MayBegin(Time now, Time deadline) const {
-  return now < open_until_ || deadline <= end_;
+  return now < open_until_ || (now < refuses_from_ && deadline <= end_);
 }
 
 }  // namespace figmill
