Requests that wait at a leaving entry may begin while they end in time

Found by reading the diff: from three seconds before the kill on, a request that had been accepted and waited for a slot was refused when it got one, though its deadline left it the time. The rule for arrivals stood in for the rule for what waits.

MayAccept is for arrivals, MayBegin for what was accepted.

--- a/include/figmill/shutdown.h
+++ b/include/figmill/shutdown.h
@@ -18,9 +18,9 @@
   // most requests need far less than their limit.
   static constexpr Duration kMinTimeLeft{2'300'000};
 
-  // Nothing begins in the last part of the grace period. The limits of teams are kept less exactly
-  // while the entries that own them stop one after the other, the more so the longer each of these
-  // goes on to admit requests.
+  // Requests that arrive in the last part of the grace period are refused. The limits of teams are
+  // kept less exactly while the entries that own them stop one after the other, the more so the
+  // longer each of these goes on to admit requests.
   static constexpr Duration kRefusalTime{3'000'000};
 
   // `grace`: time from `begun` until the process is killed.
@@ -33,6 +33,8 @@
   // Whether a request may be passed on now that gets its final answer by `deadline`, in whatever
   // way. One that may not has to be refused at once, as another entry can serve it.
   [[nodiscard]] bool MayBegin(Time now, Time deadline) const;
+  // The same for a request that arrives now.
+  [[nodiscard]] bool MayAccept(Time now, Time deadline) const;
 
  private:
   Time end_;
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -34,6 +34,10 @@
   return known_at == Time{} ? std::string() : Milliseconds(Loop::Now() - known_at);
 }
 
+Error LeavingError() {
+  return {ErrorKind::kLeaving, "this entry is shutting down", Ran::kNo, kOtherEntryRetryDelay};
+}
+
 bool IsHopByHopHeader(std::string_view name) {
   for (const std::string_view each :
        {"Connection", "Keep-Alive", "Transfer-Encoding", "Content-Length", "Trailer", "TE",
@@ -46,8 +50,8 @@
 }  // namespace
 
 std::optional<Error> ShutdownError(const RelayContext& context, Time deadline) {
-  if (!context.shutdown || context.shutdown->MayBegin(Loop::Now(), deadline)) return std::nullopt;
-  return Error{ErrorKind::kLeaving, "this entry is shutting down", Ran::kNo, kOtherEntryRetryDelay};
+  if (!context.shutdown || context.shutdown->MayAccept(Loop::Now(), deadline)) return std::nullopt;
+  return LeavingError();
 }
 
 Counter& BackendBytesCounter(RelayContext& context, TrafficKind kind, const BackendId& backend) {
@@ -130,8 +134,9 @@
 // A request that may have run is continued: its caller has a part of the answer, or can't be told
 // that it did not run.
 std::optional<Error> RelayCall::CheckShutdown() const {
-  if (state_machine_.may_have_run()) return std::nullopt;
-  return ShutdownError(context_, state_machine_.plan().deadline);
+  if (!context_.shutdown || state_machine_.may_have_run()) return std::nullopt;
+  if (context_.shutdown->MayBegin(Loop::Now(), state_machine_.plan().deadline)) return std::nullopt;
+  return LeavingError();
 }
 
 void RelayCall::RefuseIfTooLate() {
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -40,8 +40,8 @@
   std::optional<ShutdownPlan> shutdown = std::nullopt;
 };
 
-// The error for a request that can't get its final answer before this process ends; nullopt if it
-// may begin. `deadline`: when it gets that answer at the latest.
+// The error for a request that arrives too late to get its final answer before this process ends;
+// nullopt if it is accepted. `deadline`: when it gets that answer at the latest.
 [[nodiscard]] std::optional<Error> ShutdownError(const RelayContext& context, Time deadline);
 
 // The counter for bytes exchanged with the backend server.
--- a/src/shutdown/shutdown_plan.cc
+++ b/src/shutdown/shutdown_plan.cc
@@ -10,7 +10,11 @@
       refuses_from_(begun + grace - kRefusalTime) {}
 
 bool ShutdownPlan::MayBegin(Time now, Time deadline) const {
-  return now < open_until_ || (now < refuses_from_ && deadline <= end_);
+  return now < open_until_ || deadline <= end_;
+}
+
+bool ShutdownPlan::MayAccept(Time now, Time deadline) const {
+  return now < refuses_from_ && MayBegin(now, deadline);
 }
 
 }  // namespace figmill
