Review: end what was started when time is up, and remove its folder

A run that the timeout of run.sh ended left its processes behind, and each run its folder. Read in the code, not seen in a run. The checks of the cases are unchanged.

--- a/review/lib-2/small_fleet.py
+++ b/review/lib-2/small_fleet.py
@@ -6,6 +6,8 @@
 import os
 import pathlib
 import re
+import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -140,6 +142,7 @@
             process.wait()
         self.world.stop()
         self.ports.release()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class Record:
@@ -158,7 +161,9 @@
 
 
 def main(folder, case):
-    """Runs `case(fleet_record)`, which returns BROKEN, HELD or NOT_RUN."""
+    """Runs `case(record)`, which returns BROKEN, HELD or NOT_RUN."""
+    # When time is up, what was started is ended on the way out.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
     record = Record(folder)
     try:
         result = case(record)
