An entry without a configuration takes over no jobs

What callers saw: the row of the configuration is refused, the owner of a job is killed and starts again. It takes the job back and runs nothing: 24 of 60 items after 40 s, while another gateway has the configuration before and engines are idle.

Cause: an entry had joined once it had the list of backend servers, whether or not it had a configuration, and the others left a job to its owner's node while any process of that node was live. Class: a duty is taken on by whoever is alive, not by who has what it needs.

An entry joins once it has a configuration as well; only then does it take over jobs. Its being an allocator and an owner of quotas depends on the same.

Relays of feeds, paths to the store and holders of streams' records need no configuration.

The two new cases of job-store-test pass; they had no run on the code before.

--- a/include/figmill/peers.h
+++ b/include/figmill/peers.h
@@ -26,8 +26,9 @@
   DataCentre data_centre;
   double capacity = 1;  // cores of its host
   bool leaving = false;
-  // The entry has not read the list of backend servers yet. It can't run requests or be an
-  // allocator: it would grant no slots, yet its grants would show that it is alive.
+  // The entry has no configuration, or has not read the list of backend servers yet. It can't run
+  // requests or items, and takes on no duty for others: as an allocator it would grant no slots,
+  // yet its grants would show that it is alive.
   bool joining = false;
   bool operator==(const Peer&) const = default;
 };
@@ -88,7 +89,8 @@
   // Marks the peer as not live until the next message from it.
   void Suspect(const NodeId& node);
   void SetLeaving(bool leaving) { self_.leaving = leaving; }
-  // This entry has read the list of backend servers. Returns true if it was joining before.
+  // This entry has a configuration and the list of backend servers. Returns true if it was joining
+  // before.
   bool FinishJoining();
   // Other entries know a process under this entry's name with the incarnation `known`. If that is
   // higher than this process's own, takes a higher one and returns true. Incarnations are made from
@@ -100,6 +102,8 @@
 
   [[nodiscard]] const Peer& self() const { return self_; }
   [[nodiscard]] bool IsLive(const NodeId& node, Time now) const;
+  // Whether the process of the node with this incarnation has ended, as a later one is known.
+  [[nodiscard]] bool IsReplaced(const NodeId& node, Incarnation incarnation) const;
   // Whether more than half of the monitored peers have sent a message within kFailureTimeout; true
   // if there are none to monitor. An entry that is cut off hears from no peer, whatever it believes
   // about their state.
--- a/src/gateway/fleet_view.h
+++ b/src/gateway/fleet_view.h
@@ -25,6 +25,9 @@
   std::shared_ptr<const VersionHistory> versions = std::make_shared<VersionHistory>();
   bool history_followed = false;              // the store answers, so that `versions` is up to date
   std::set<ServiceName> incomplete_services;  // see VersionRecorder::incomplete
+
+  // Whether an entry with this view can serve requests and run items.
+  [[nodiscard]] bool usable() const { return routes != nullptr && backends_loaded; }
 };
 
 // The effect of a row on the list of backend servers.
--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -307,7 +307,7 @@
     for (const auto& [id, info] : view->backends) backends.push_back(info);
     stream_sources_.SetHistory(view->versions, view->history_followed, view->incomplete_services);
     peer_messenger_.SetBackends(std::move(backends));
-    if (view->backends_loaded) peer_messenger_.Join();
+    if (view->usable()) peer_messenger_.Join();
     EndOutdatedSends();
   }
 
--- a/src/gateway/job_ownership.cc
+++ b/src/gateway/job_ownership.cc
@@ -51,7 +51,8 @@
 
 bool JobStore::IsUnowned(const KnownJob& job, Time now) const {
   if (job.head.owner.empty()) return true;
-  if (peers_.IsLive(job.head.owner, now)) return false;
+  const bool replaced = peers_.IsReplaced(job.head.owner, job.head.owner_incarnation);
+  if (!replaced && peers_.IsLive(job.head.owner, now)) return false;
   return now - job.owner_seen_at >= kTakeoverDelay && now - started_at_ >= kTakeoverDelay;
 }
 
@@ -72,19 +73,22 @@
   if (now < job.retry_takeover_at) return false;
   // The condition of the write would fail every time.
   if (IsUnreadable(job.head.id)) return false;
-  // The owner is an earlier process of this node, which can't come back.
+  // The owner is an earlier process of this node, which can't come back. The others leave the job
+  // to this one for a while.
   if (job.head.owner == peers_.self().node) return true;
   if (!IsUnowned(job, now)) {
     job.unowned_since.reset();
     return false;
   }
   if (!job.unowned_since) job.unowned_since = now;
-  const std::optional<Duration> rank_delay = RankDelay(job.head.id, now);
-  return rank_delay && now - *job.unowned_since >= *rank_delay;
+  std::optional<Duration> delay = RankDelay(job.head.id, now);
+  if (delay && peers_.IsLive(job.head.owner, now)) *delay += kTakeoverDelay;
+  return delay && now - *job.unowned_since >= *delay;
 }
 
+// An entry that is joining could not run the items of a job.
 void JobStore::CheckOwners() {
-  if (leaving_) return;
+  if (leaving_ || peers_.self().joining) return;
   const Time now = Loop::Now();
   std::vector<JobId> take;
   std::vector<JobId> load;
--- a/src/peers/peer_table.cc
+++ b/src/peers/peer_table.cc
@@ -75,6 +75,11 @@
   return state.heard_at && now - *state.heard_at < kFailureTimeout;
 }
 
+bool PeerTable::IsReplaced(const NodeId& node, Incarnation incarnation) const {
+  const Peer* known = Find(node);
+  return known != nullptr && known->incarnation > incarnation;
+}
+
 std::uint64_t PeerTable::Generation(Time now) {
   const std::size_t live = Live(now).size();
   if (std::exchange(live_at_generation_, live) != live) ++generation_;
--- a/test/job-store-test.cc
+++ b/test/job-store-test.cc
@@ -366,6 +366,45 @@
   fake::RunUntil(loop, [&] { return other.owned.contains("job"); });
 }
 
+// Guards against a job that makes no progress: an entry without a configuration takes it over, and
+// can run none of its items.
+TEST_CASE("an entry that is joining takes no job over") {
+  Loop loop;
+  fake::TableData data;
+  Peer self = PeerNamed("joining");
+  self.joining = true;
+  Entry joining(loop, data, self);
+  {
+    Entry dying(loop, data, PeerNamed("dying"));
+    CHECK(dying.Accept(Submission()) == "accepted");
+  }
+  fake::RunUntil(loop, [&] { return joining.store.KnownHead(JobId{"job"}) != nullptr; });
+  fake::RunFor(loop, 3 * JobStore::kTakeoverDelay);
+  CHECK(joining.owned.empty());
+  CHECK(joining.store.KnownHead(JobId{"job"})->owner.value == "dying");
+  REQUIRE(joining.peers.FinishJoining());
+  fake::RunUntil(loop, [&] { return joining.owned.contains("job"); });
+}
+
+// Guards against a job that makes no progress: its owner has started again and is live, but takes
+// nothing over, as it has no configuration.
+TEST_CASE("a job whose owner has started again and does not take it is taken by another") {
+  Fixture f;
+  {
+    Entry dying(f.loop, f.data, PeerNamed("b"));
+    CHECK(dying.Accept(Submission()) == "accepted");
+  }
+  Peer later = PeerNamed("b");
+  later.incarnation = 2;
+  later.joining = true;
+  const Timer heard =
+      f.loop.Every(10 * kMillisecond, [&] { f.a.peers.RecordMessage(later, Loop::Now()); });
+  fake::RunUntil(f.loop, [&] { return f.a.store.KnownHead(JobId{"job"}) != nullptr; });
+  fake::RunFor(f.loop, JobStore::kTakeoverDelay / 2);
+  CHECK(f.a.owned.empty());  // the owner itself would be the first
+  fake::RunUntil(f.loop, [&] { return f.a.owned.contains("job"); });
+}
+
 // Guards against calls that grow while the store is away: each new result and each piece of
 // progress began retries of its own, and a store that recovers gets all of them.
 TEST_CASE("an owner that can't write retries seldom, and lists its results soon after") {
