A gateway that can use no backend server yet is not ready

What callers saw: a gateway whose table of versions can't be read says that it is ready, gets callers, and serves none of them: without the versions it uses no backend server.

Cause: ready meant that a configuration was known. It is what an entry has joined with now: the configuration, the list of backend servers and their versions.

Evidence: the new case of unconfigured-gateway-test (the store refuses calls for the table of versions) found the gateway ready on the code before; now it is ready only once the store serves them again.

--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -365,6 +365,8 @@
     if (leaving_) return reply.Send({503, "text/plain", {}, "leaving\n"});
     if (!request_dispatcher_.ready())
       return reply.Send({503, "text/plain", {}, "no configuration yet\n"});
+    if (peers_.self().joining)
+      return reply.Send({503, "text/plain", {}, "backend servers not known yet\n"});
     if (!team_access_.ready()) return reply.Send({503, "text/plain", {}, "keys not confirmed\n"});
     reply.Send({200, "text/plain", {}, "ready\n"});
   }
--- a/test/unconfigured-gateway-test.py
+++ b/test/unconfigured-gateway-test.py
@@ -57,6 +57,17 @@
         status, _, body = call(self.other.callers, "GET", "/-/lots/j1?after=0")
         return len(json.loads(body)["results"]) if status == 200 else 0
 
+    # Guards against a gateway that attracts callers and serves none: it can't read which versions
+    # of the software have served, without which it uses no backend server.
+    def test_it_is_not_ready_while_it_can_use_no_backend_server(self):
+        self.fleet.world.do("store", faults=[{"table": "versions", "how": "refuse"}])
+        self.restart_owner()
+        wait_for("it has a configuration", lambda: len(self.owner.lines("config_in_force")) == 2)
+        with self.assertRaises(AssertionError):
+            wait_for("it is ready", self.owner.ready, 2)
+        self.fleet.world.do("store", faults=[])
+        wait_for("it is ready", self.owner.ready)
+
 
 if __name__ == "__main__":
     unittest.main(argv=[sys.argv[0], "-v"])
