An id without data is no position to resume a stream at

What callers saw: an engine sends "id: 5" and an empty line again and again. Its run is left, and the stream goes on elsewhere after event 5 and ends as a whole answer without events 1 to 5; output of items likewise.

Cause: the position of a stream was the last id that had come, also that of an event without data, which delivers nothing. The answer passed such ids on as well, so that a caller would resume there by itself. Class: a promise rests on a number that the other side says, and not on what was passed on.

Only an event with data moves the position, and ids without data are left out of the answer. The same question for the other events: after one with data and no usable id the stream isn't resumed until one with an id follows; an id before one that had been left out breaks the stream off; numbers are compared with the last number, also after other ids. Items start over in the first two cases.

--- a/include/figmill/items.h
+++ b/include/figmill/items.h
@@ -37,8 +37,8 @@
   // Limit on the output of an item: a result is written in one transaction, which holds 1 MB.
   static constexpr std::size_t kMaxBytes = 500'000;
 
-  // A run begins at a backend server of this source. Output of another source is dropped, and the
-  // item starts over.
+  // A run begins at a backend server of this source. Output of another source is dropped, and so is
+  // output that can't be continued; the item starts over.
   void BeginRun(const OutputSource& source);
   // Bytes of an event stream.
   void Feed(std::string_view bytes);
@@ -78,7 +78,6 @@
     std::uint64_t events = 0;
   };
   void Append(std::string_view event);
-  // An event may have an id and no data.
   [[nodiscard]] bool has_output() const { return events() > 0 || last_id(); }
 
   OrderedEventSplitter pieces_;
--- a/include/figmill/relay.h
+++ b/include/figmill/relay.h
@@ -211,20 +211,29 @@
 
 }  // namespace relay
 
-// The id of an event, from its last "id" line; nullopt if it has none.
+// A line of an event. A line without a colon is a name without a value.
+struct EventField {
+  std::string_view name;
+  std::string_view value;
+};
+// Removes the first line from `event`, which must not be empty, and returns it.
+[[nodiscard]] EventField TakeEventField(std::string_view& event);
+// The id of an event, from its last "id" line; nullopt if it has none that can be sent in a header.
 [[nodiscard]] std::optional<std::string> EventIdOf(std::string_view event);
 // Position after the blank line that ends the first event, or npos; the search begins at `from`.
 [[nodiscard]] std::size_t EndOfEvent(std::string_view bytes, std::size_t from = 0);
 
-// Splits an event stream into complete events, records the id of the last one and detects
-// duplicates. Ids increase: an event whose id is not after the last one is a duplicate.
+// Splits an event stream into complete events, records the id of the last one with data and detects
+// duplicates. Ids increase: an event whose id is not after the last one is a duplicate. An event
+// without data delivers nothing, so its id is no position to resume at.
 class OrderedEventSplitter {
  public:
   // A longer event, or this much without data, is taken for bytes that are no event stream. Unit:
   // bytes.
   static constexpr std::size_t kMaxEventBytes = 256U << 10;
 
-  // Returns the events that `bytes` completes, unchanged.
+  // Returns the events that `bytes` completes, unchanged. Those with an id and no data are left
+  // out: a caller would resume the stream after them.
   [[nodiscard]] std::string Feed(std::string_view bytes);
   // Drops an incomplete event.
   void DropIncomplete() {
@@ -241,21 +250,29 @@
   // is ignored until DropIncomplete; forwarded, it would appear twice in the output.
   [[nodiscard]] bool has_duplicate() const { return has_duplicate_; }
   [[nodiscard]] bool in_event() const { return !incomplete_.empty(); }
+  // The id of the last event that has data and an id.
   [[nodiscard]] const std::optional<std::string>& last_id() const { return last_id_; }
+  // Whether a stream that continues after last_id() repeats and leaves out nothing: no event
+  // without an id came after it, and none before it that had been skipped.
+  [[nodiscard]] bool can_resume() const { return !after_last_id_ && !out_of_order_; }
   // Events with data; others are forwarded like comments, and mean nothing.
   [[nodiscard]] std::uint64_t count() const { return count_; }
   // Sets the position of a stream whose earlier events were received elsewhere.
-  void ResumeAfter(std::string last_id, std::uint64_t count) {
-    last_id_ = std::move(last_id);
-    count_ = count;
-  }
+  void ResumeAfter(std::string last_id, std::uint64_t count);
 
  private:
+  // Moves the position behind an event with data. Returns false if the event is a duplicate.
+  [[nodiscard]] bool AdvanceTo(std::optional<std::string> id);
+
   std::string incomplete_;
   std::size_t scanned_ = 0;       // bytes of it that contain no end of an event
   std::size_t without_data_ = 0;  // bytes of whole events since the last one with data
   std::optional<std::string> last_id_;
+  std::optional<std::uint64_t> last_number_;  // of the ids that are numbers
   std::uint64_t count_ = 0;
+  bool after_last_id_ = false;  // an event with data and without an id came after last_id_
+  bool has_skipped_ = false;    // ids that are numbers have left out some
+  bool out_of_order_ = false;
   bool has_duplicate_ = false;
   bool too_long_ = false;
 };
--- a/src/items/item_text.cc
+++ b/src/items/item_text.cc
@@ -5,7 +5,6 @@
 namespace figmill {
 namespace {
 
-constexpr std::string_view kDataField = "data:";
 // Limit on the text of a piece; the rest of its row holds ids and numbers.
 constexpr std::size_t kMaxPieceText = ledger::kPieceBytes - 2'000;
 
@@ -13,20 +12,13 @@
 std::optional<std::string> DataOf(std::string_view event) {
   std::optional<std::string> data;
   while (!event.empty()) {
-    const std::size_t end = event.find('\n');
-    std::string_view line = event.substr(0, end);
-    if (line.ends_with('\r')) line.remove_suffix(1);
-    if (line.starts_with(kDataField)) {
-      line.remove_prefix(kDataField.size());
-      if (line.starts_with(' ')) line.remove_prefix(1);
-      if (data) {
-        data->append("\n").append(line);
-      } else {
-        data = std::string(line);
-      }
+    const EventField field = TakeEventField(event);
+    if (field.name != "data") continue;
+    if (data) {
+      data->append("\n").append(field.value);
+    } else {
+      data = std::string(field.value);
     }
-    if (end == std::string_view::npos) break;
-    event.remove_prefix(end + 1);
   }
   return data;
 }
@@ -35,6 +27,7 @@
 
 void ItemText::BeginRun(const OutputSource& source) {
   if (has_output() && source_ != source) StartOver();
+  if (!pieces_.can_resume()) StartOver();
   source_ = source;
 }
 
--- a/src/relay/relay_state_machine.cc
+++ b/src/relay/relay_state_machine.cc
@@ -271,7 +271,7 @@
 bool RelayStateMachine::MayResend(Ran ran) const {
   if (ran == Ran::kNo) return rejections_ < kMaxRejections;
   if (!plan_.idempotent) return false;
-  if (head_forwarded_ && !(plan_.stream && plan_.resumable)) return false;
+  if (head_forwarded_ && !(plan_.stream && plan_.resumable && splitter_.can_resume())) return false;
   return backends_used_ + 1 < plan_.max_backends;
 }
 
--- a/test/endless-answers-test.py
+++ b/test/endless-answers-test.py
@@ -100,6 +100,14 @@
     def test_lines_without_end(self):
         self.check_requests("lines")
 
+    # Guards against streams that go on after an id that came without data, and lack the events
+    # before it.
+    def test_ids_without_data(self):
+        self.check_requests("ids")
+
+    def test_rising_ids_without_data(self):
+        self.check_requests("rising")
+
     # Guards against an entry whose memory fills with what a caller doesn't take.
     def test_a_caller_that_does_not_read(self):
         self.begin("body", 1.0)
@@ -139,6 +147,13 @@
     def test_items_that_get_lines_without_end(self):
         self.check_items("lines")
 
+    # Guards against an item's output that lacks the events before an id that came without data.
+    def test_items_that_get_ids_without_data(self):
+        self.check_items("ids")
+
+    def test_items_that_get_rising_ids_without_data(self):
+        self.check_items("rising")
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/test/items-test.cc
+++ b/test/items-test.cc
@@ -104,6 +104,39 @@
   CHECK(text.text() == "a\nb\nc");
 }
 
+// Guards against output that lacks events: an item goes on after an id that came without data.
+TEST_CASE("an item continues after its last event with data") {
+  const OutputSource source{ServiceName{"llm"}, SoftwareVersion{"v1"}};
+  ItemText text;
+  text.BeginRun(source);
+  text.Feed("id: 1\ndata: a\n\nid: 7\n\nid: 8\n\n");
+  CHECK(text.events() == 1);
+  text.DropIncomplete();
+  text.BeginRun(source);
+  CHECK(text.last_id() == "1");
+  const auto piece = text.TakePiece(0);
+  REQUIRE(piece);
+  CHECK(piece->last_id == "1");
+}
+
+// Guards against output that has events twice, or lacks some: nothing says where a run may go on.
+TEST_CASE("an item starts over after an event without an id, and after ids out of order") {
+  const OutputSource source{ServiceName{"llm"}, SoftwareVersion{"v1"}};
+  for (const std::string& last : {std::string("data: c\n\n"), std::string("id:\ndata: c\n\n"),
+                                  std::string("id: 9\ndata: c\n\nid: 4\ndata: d\n\n")}) {
+    CAPTURE(last);
+    ItemText text;
+    text.BeginRun(source);
+    text.Feed(kEvents + last);
+    text.DropIncomplete();
+    text.BeginRun(source);
+    CHECK(text.text().empty());
+    CHECK_FALSE(text.last_id());
+    text.Feed(kEvents);
+    CHECK(text.text() == "a\nb");
+  }
+}
+
 TEST_CASE("an event that is larger than a row of the store is not saved as progress") {
   ItemText text;
   text.Feed(kEvents);
--- a/test/relay-run-test.cc
+++ b/test/relay-run-test.cc
@@ -317,6 +317,63 @@
   }
 }
 
+// Guards against a stream that lacks events: a backend server sends ids without data, and the
+// stream is resumed after them, by this entry or by its caller.
+TEST_CASE("an id without data is no position to resume at, and is not forwarded") {
+  for (const std::string& id :
+       {std::string("id: 5"), std::string("id"), std::string("event: a\nid: 5")}) {
+    CAPTURE(id);
+    Sent sent(ResumablePlan());
+    sent.Step(relay::Head{1, Answer(200)});
+    sent.Step(relay::Bytes{1, "id: 1\ndata: x\n\n" + id + "\n\n: ping\n\n" + id + "\n\n"});
+    CHECK(Last<relay::ForwardBytes>(sent.actions)->bytes == "id: 1\ndata: x\n\n: ping\n\n");
+    sent.Step(relay::SendFailed{1, true, "reset"});
+    sent.Step(relay::BackendChosen{Backend("b")});
+    REQUIRE(Last<relay::Send>(sent.actions) != nullptr);
+    CHECK(Last<relay::Send>(sent.actions)->after_event == "1");
+  }
+}
+
+// Guards against events that come twice: the stream is resumed before an event without an id.
+TEST_CASE("a stream is not resumed after an event without an id, until one with an id follows") {
+  // Ids that can't be sent in a header are none.
+  for (const std::string& id : {std::string(), std::string("id: \n"), std::string("id: a\rb\n"),
+                                "id: " + std::string(1'000, '7') + "\n"}) {
+    CAPTURE(id);
+    Sent sent(ResumablePlan());
+    sent.Step(relay::Head{1, Answer(200)});
+    sent.Step(relay::Bytes{1, "id: 1\ndata: x\n\n" + id + "data: y\n\n"});
+    CHECK(sent.run.events_forwarded() == 2);
+    Sent later = sent;
+    sent.Step(relay::SendFailed{1, true, "reset"});
+    CHECK(Last<relay::AbortAnswer>(sent.actions) != nullptr);
+    later.Step(relay::Bytes{1, "id: 3\ndata: z\n\n"});
+    later.Step(relay::SendFailed{1, true, "reset"});
+    later.Step(relay::BackendChosen{Backend("b")});
+    REQUIRE(Last<relay::Send>(later.actions) != nullptr);
+    CHECK(Last<relay::Send>(later.actions)->after_event == "3");
+  }
+}
+
+// Guards against a stream that lacks events: those that an id out of order has left out.
+TEST_CASE("a stream whose ids went back to one that was left out is not resumed") {
+  Sent sent(ResumablePlan());
+  sent.Step(relay::Head{1, Answer(200)});
+  sent.Step(relay::Bytes{1, "id: 1\ndata: x\n\nid: 4\ndata: y\n\nid: 2\ndata: z\n\n"});
+  CHECK(Last<relay::ForwardBytes>(sent.actions)->bytes == "id: 1\ndata: x\n\nid: 4\ndata: y\n\n");
+  CHECK(Last<relay::AbortAnswer>(sent.actions) != nullptr);
+}
+
+// Guards against a stream that starts from its beginning: an id that is no number has hidden the
+// numbers before it.
+TEST_CASE("a number is compared with the last number, also after other ids") {
+  Sent sent(ResumablePlan());
+  sent.Step(relay::Head{1, Answer(200)});
+  sent.Step(relay::Bytes{1, "id: 1\ndata: x\n\nid: b\ndata: y\n\nid: 1\ndata: x\n\n"});
+  CHECK(Last<relay::ForwardBytes>(sent.actions)->bytes == "id: 1\ndata: x\n\nid: b\ndata: y\n\n");
+  CHECK(Last<relay::CloseSend>(sent.actions)->end == relay::SendEnd::kBroken);
+}
+
 // Guards against a caller that gets the events of a stream twice: a stream is interrupted and
 // resumed, and the backend server starts it from the beginning, or a late duplicate answer with
 // the same request id arrives in place of the resumed one. The event ids after the head must be
