Items of a route that was moved wait for the new service, shown by a test

No change: they may not run at the service before, as a configuration is in force within seconds; and an item is dead only when its job has expired or lost its route. So they wait. The new case of job-life-test shows both, and that a backend server of the new service that comes later completes all of them with that service's output.

--- a/test/job-life-test.py
+++ b/test/job-life-test.py
@@ -98,6 +98,29 @@
         self.assertEqual({run["service"] for run in fleet.world.runs()}, {"llm"})
 
 
+class RouteThatWasMoved(unittest.TestCase):
+    # Guards against items that are listed as dead, or run where no configuration sends them: their
+    # route is moved to a service that has no backend server yet.
+    def test_items_wait_for_a_backend_server_of_the_new_service(self):
+        fleet = Fleet(BUILD, gateways=1, engines=2, services=1).__enter__()
+        self.addCleanup(fleet.__exit__, None)
+        for index in range(2):
+            fleet.world.do("engine", index=index, slowdown=10)
+        submitted = call(fleet.gateways[0].callers, "POST", "/reports/j1", job("j1", 2 * ITEMS, TOKENS),
+                         {"Request-Id": "j1", "Content-Type": "application/json"})
+        self.assertEqual(submitted[0], 202)
+        wait_for("items run", fleet.world.runs)
+        fleet.world.do("configure", moved={"/reports/": "llm-2"})
+        time.sleep(4)  # what ran has ended, and five sweeps
+        runs = len(fleet.world.runs())
+        self.assertNotIn("dead", {result["state"] for result in results_of(fleet.gateways[0])})
+        fleet.world.do("add", service="llm-2")
+        results = gateways.await_results(fleet.gateways[0], "j1", 2 * ITEMS)
+        self.assertEqual({(result["state"], result["output"]) for result in results},
+                         {("complete", output_of(f"j1-{n}", TOKENS)) for n in range(2 * ITEMS)})
+        self.assertEqual({run["service"] for run in fleet.world.runs()[runs:]}, {"llm-2"})
+
+
 class RouteThatWasRemoved(unittest.TestCase):
     # Guards against items that neither run nor are given up: a route of another kind begins their
     # paths once that of their job is gone.
