Documents of other processes may nest 256 levels deep

But a caller's body of 4 MB of "[" takes a gateway to 335 MB, where hosts have 160 to 280; an entry of figmill's own platform ends on a backend server's answer of 65,500 levels to a batch item, and on a table of members of 200,000.

Cause: the JSON parser keeps its stack on the heap, so depth was held to be safe. What is done with a value afterwards (copy, comparison, serialization) is recursive, as is the CBOR parser, which only the rows of jobs were checked for; and the parser's heap grows with the depth. Class: a limit that belongs to a format stood at one of its readers.

ParseJson, ParseJsonOrThrow and ParseCborOrThrow check the depth before they parse, and are the only ways to parse what another process sent.

Evidence: odd-documents-test on the code before: 335,824 kB for a bound of 163,840; the other four cases held. A scratch program over the untouched libraries ended with SIGSEGV in the answer and the table. documents-test passes; odd-documents-test has not run on this yet.

--- a/include/figmill/json_fields.h
+++ b/include/figmill/json_fields.h
@@ -14,6 +14,7 @@
 #include <utility>
 
 #include "figmill/base.h"
+#include "figmill/documents.h"
 
 namespace figmill::fields {
 
@@ -192,12 +193,11 @@
   return Error{ErrorKind::kBadRequest, std::move(detail)};
 }
 
-// Runs `read` over the parsed text. The parser keeps its stack on the heap, so any nesting depth
-// is safe. Errors: kBadRequest with `what` and the position.
+// Runs `read` over the parsed text. Errors: kBadRequest with `what` and the position.
 template <typename T, typename Read>
 [[nodiscard]] Result<T> Parsed(std::string_view text, std::string_view what, Read read) {
   try {
-    return read(Json::parse(text));
+    return read(ParseJsonOrThrow(text));
   } catch (const std::exception& error) {
     return BadRequest(what, error.what());
   }
--- a/src/batch/answers.cc
+++ b/src/batch/answers.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill::detail {
 namespace {
 
@@ -49,12 +51,11 @@
   }
   if (answer.status < 200 || answer.status >= 300) return AnswerClass::kPermanentFailure;
   if (!IsModelCall(item)) return AnswerClass::kSuccess;
-  return IsFinished(item, Json::parse(answer.body, nullptr, false)) ? AnswerClass::kSuccess
-                                                                    : AnswerClass::kRetryable;
+  return IsFinished(item, ParseJson(answer.body)) ? AnswerClass::kSuccess : AnswerClass::kRetryable;
 }
 
 std::string AnswerLine(std::uint32_t index, const BatchItem& item, const ItemAnswer& answer) {
-  Json body = Json::parse(answer.body, nullptr, false);
+  Json body = ParseJson(answer.body);
   if (body.is_discarded()) body = answer.body;
   return FormatLine({{"index", index},
                      {"custom_id", item.custom_id},
--- a/src/batch/commit_queue.cc
+++ b/src/batch/commit_queue.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill::detail {
 namespace {
 
@@ -35,7 +37,7 @@
 }  // namespace
 
 Token TokenOf(std::string_view value) {
-  const auto json = nlohmann::json::parse(value, nullptr, false);
+  const auto json = ParseJson(value);
   if (!json.is_object()) return {};
   const auto token = json.find("token");
   if (token == json.end() || !token->is_string()) return {};
--- a/src/batch/items.cc
+++ b/src/batch/items.cc
@@ -1,6 +1,7 @@
 #include <nlohmann/json.hpp>
 
 #include "figmill/batch.h"
+#include "figmill/documents.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -88,7 +89,7 @@
 }
 
 Result<BatchItem> ParseLine(std::string_view text, std::size_t number) {
-  const Json line = Json::parse(text, nullptr, false);
+  const Json line = ParseJson(text);
   if (line.is_discarded()) return LineError(number, "no JSON");
   BatchItem item;
   if (std::string error = ParseFields(line, item); !error.empty()) return LineError(number, error);
--- a/src/batch/manifest.cc
+++ b/src/batch/manifest.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "figmill/batch.h"
+#include "figmill/documents.h"
 
 namespace figmill {
 namespace {
@@ -60,7 +61,7 @@
 Result<PartIndex> ParsePartIndex(std::string_view bytes) {
   const std::size_t newline = bytes.find('\n');
   if (newline == std::string_view::npos) return ParseError("a part's index");
-  auto chunks = ChunksFromJson(Json::parse(bytes.substr(0, newline), nullptr, false));
+  auto chunks = ChunksFromJson(ParseJson(bytes.substr(0, newline)));
   const std::string_view hash_bytes = bytes.substr(newline + 1);
   if (!chunks || hash_bytes.size() % sizeof(ItemHashes) != 0) return ParseError("a part's index");
   PartIndex index;
@@ -73,7 +74,7 @@
 Result<std::vector<std::string>> ParsePartsManifest(std::string_view body) {
   const Error error{ErrorKind::kBadRequest,
                     R"(the body must be {"parts": [...]} with the digests of 1 to 4096 parts)"};
-  const Json json = Json::parse(body, nullptr, false);
+  const Json json = ParseJson(body);
   if (!json.is_object() || json.size() != 1 || !json.contains("parts")) return error;
   const Json& parts = json["parts"];
   if (!parts.is_array() || parts.empty() || parts.size() > kMaxParts) return error;
@@ -124,7 +125,7 @@
 }
 
 Result<std::vector<ChunkEntry>> ParseManifest(std::string_view bytes) {
-  auto chunks = ChunksFromJson(Json::parse(bytes, nullptr, false));
+  auto chunks = ChunksFromJson(ParseJson(bytes));
   if (!chunks) return ParseError("a job's manifest");
   return std::move(*chunks);
 }
--- a/src/batch/rows.cc
+++ b/src/batch/rows.cc
@@ -3,6 +3,7 @@
 #include <nlohmann/json.hpp>
 
 #include "figmill/batch.h"
+#include "figmill/documents.h"
 
 #define XXH_INLINE_ALL
 #include <xxhash.h>
@@ -27,7 +28,7 @@
 template <typename T, typename Read>
 Result<T> Parse(std::string_view value, const char* what, Read read) {
   const Error error{ErrorKind::kInternal, std::string("a ") + what + " row can't be read"};
-  const Json json = Json::parse(value, nullptr, false);
+  const Json json = ParseJson(value);
   if (!json.is_object()) return error;
   try {
     T row;
--- a/src/control/gossip_codec.cc
+++ b/src/control/gossip_codec.cc
@@ -3,6 +3,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill::detail {
 namespace {
 
@@ -185,11 +187,10 @@
   for (const T& each : list) out.push_back(Write(each));
 }
 
-// Even with exceptions disabled, the library throws if an encoded length exceeds what
-// can be allocated. Uncaught, one malformed datagram would terminate the process.
+// A malformed datagram must not terminate the process.
 Json ParseCbor(std::string_view bytes) {
   try {
-    return Json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    return ParseCborOrThrow(bytes);
   } catch (const Json::exception&) {
     return Json(Json::value_t::discarded);
   }
--- a/src/control/json.h
+++ b/src/control/json.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "figmill/base.h"
+#include "figmill/documents.h"
 
 namespace figmill::detail {
 
@@ -149,7 +150,7 @@
 // Parses `text` and converts the document by `read(json, status)`.
 template <typename T, typename Read>
 [[nodiscard]] Result<T> ParseDocument(std::string_view text, std::string_view what, Read read) {
-  const Json json = Json::parse(text, nullptr, false);
+  const Json json = ParseJson(text);
   if (json.is_discarded()) {
     return Error{ErrorKind::kBadRequest, std::string(what) + " is not JSON"};
   }
--- a/src/ledger/cbor_nesting.cc
+++ b/src/documents/cbor_nesting.cc
@@ -1,11 +1,11 @@
-#include "ledger/cbor_nesting.h"
+#include "documents/cbor_nesting.h"
 
 #include <cstdint>
 #include <limits>
 #include <optional>
 #include <vector>
 
-namespace figmill::ledger {
+namespace figmill::detail {
 namespace {
 
 // Major types of RFC 8949.
@@ -70,4 +70,4 @@
   return bytes.empty();
 }
 
-}  // namespace figmill::ledger
+}  // namespace figmill::detail
--- a/src/figmill/config_file.cc
+++ b/src/figmill/config_file.cc
@@ -6,6 +6,7 @@
 #include <sstream>
 
 #include "figmill/control.h"
+#include "figmill/documents.h"
 #include "figmill/session.h"
 
 namespace figmill {
@@ -38,7 +39,7 @@
 Result<Config> ConfigInForce(ToolClient& client) {
   const Result<std::string> body = client.Send({"GET", "/v1/config", "", Effect::kNone});
   if (!IsOk(body)) return ErrorOf(body);
-  const nlohmann::json document = nlohmann::json::parse(ValueOf(body), nullptr, false);
+  const nlohmann::json document = ParseJson(ValueOf(body));
   if (!document.is_object() || !document.contains("config")) {
     return Error{ErrorKind::kBackendFailed, "the entry's answer holds no configuration"};
   }
--- a/src/figmilld/agent/agent_rpc.cc
+++ b/src/figmilld/agent/agent_rpc.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -29,7 +31,7 @@
 void Bind(RpcServer& server, std::string name, Handler handler) {
   server.Bind(std::move(name), [handler](std::string_view params) -> Result<std::string> {
     try {
-      return handler(Json::parse(params));
+      return handler(ParseJsonOrThrow(params));
     } catch (const Json::exception& failure) {
       return Error{ErrorKind::kBadRequest, failure.what()};
     }
--- a/src/figmilld/agent/dispatched_request.cc
+++ b/src/figmilld/agent/dispatched_request.cc
@@ -4,6 +4,8 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -33,7 +35,7 @@
   max_tokens_ = static_cast<std::uint32_t>(
       std::min<std::uint64_t>(headers_.tokens, std::numeric_limits<std::uint32_t>::max()));
   if (kind == BackendKind::kPlain) return;
-  Json json = Json::parse(body_, nullptr, false);
+  Json json = ParseJson(body_);
   if (json.is_object()) {
     const auto stream = json.find("stream");
     wants_stream_ = stream != json.end() && stream->is_boolean() && stream->get<bool>();
--- a/src/figmilld/agent/engine_client.cc
+++ b/src/figmilld/agent/engine_client.cc
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmilld/traffic/sse.h"
 
 namespace figmill {
@@ -60,7 +61,7 @@
   if (status == kConflict) {
     return Error{ErrorKind::kNotFound, "the stream was cancelled", Ran::kUnknown};
   }
-  const Json problem = Json::parse(body, nullptr, false);
+  const Json problem = ParseJson(body);
   if (problem.is_object() && problem.contains("ran")) return ErrorFromProblem(status, body);
   return Error{ErrorKind::kBackendFailed, "the backend server answered " + std::to_string(status),
                Ran::kUnknown};
@@ -81,7 +82,7 @@
 // The engine's error body with the "ran" field that figmill's own errors have: without it
 // the caller couldn't tell whether its request ran.
 std::string AddNotRun(std::string_view body) {
-  Json error_body = Json::parse(body, nullptr, false);
+  Json error_body = ParseJson(body);
   if (!error_body.is_object()) error_body = {{"error", {{"message", std::string(body)}}}};
   error_body["ran"] = std::string(ToString(Ran::kNo));
   return error_body.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -257,7 +258,7 @@
             [done = std::move(done)](const Result<std::string>& body) {
               if (!IsOk(body)) return done(ErrorOf(body));
               try {
-                const Json json = Json::parse(ValueOf(body));
+                const Json json = ParseJsonOrThrow(ValueOf(body));
                 EngineState state;
                 json.at("models").get_to(state.models);
                 json.at("adapters").get_to(state.adapters);
@@ -275,7 +276,7 @@
             [done = std::move(done)](const Result<std::string>& body) {
               if (!IsOk(body)) return done(ErrorOf(body));
               try {
-                const Json json = Json::parse(ValueOf(body));
+                const Json json = ParseJsonOrThrow(ValueOf(body));
                 EngineLoad load;
                 json.at("running").get_to(load.running);
                 json.at("waiting").get_to(load.waiting);
--- a/src/figmilld/agent/once_agent_client.cc
+++ b/src/figmilld/agent/once_agent_client.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmilld/traffic/dispatch.h"
 
 namespace figmill {
@@ -18,7 +19,7 @@
     return error.kind == ErrorKind::kBackendFailed ? RevokeState::kUnreachable
                                                    : RevokeState::kOtherIncarnation;
   }
-  const auto json = nlohmann::json::parse(ValueOf(answer), nullptr, false);
+  const auto json = ParseJson(ValueOf(answer));
   const std::string state = json.is_object() ? json.value("state", std::string()) : std::string();
   if (state == "never-started") return RevokeState::kNeverStarted;
   if (state == "running") return RevokeState::kRunning;
@@ -74,7 +75,7 @@
   call.total_timeout = kStampTimeout;
   client_.Fetch(std::move(call), [done = std::move(done)](const Result<HttpResponse>& answer) {
     if (!IsOk(answer) || ValueOf(answer).status != 200) return done(std::nullopt);
-    const auto json = nlohmann::json::parse(ValueOf(answer).body, nullptr, false);
+    const auto json = ParseJson(ValueOf(answer).body);
     const bool has_stamp = json.is_object() && json.contains("stamp");
     if (!has_stamp || !json["stamp"].is_number()) return done(std::nullopt);
     done(json["stamp"].get<std::int64_t>());
--- a/src/figmilld/agent/placement_executor.cc
+++ b/src/figmilld/agent/placement_executor.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -18,7 +20,7 @@
 
 // 0 if the row wasn't written by figmill.
 Incarnation IncarnationOf(const Row& row) {
-  const Json json = Json::parse(row.value, nullptr, false);
+  const Json json = ParseJson(row.value);
   if (!json.is_object()) return 0;
   const auto found = json.find("incarnation");
   return found != json.end() && found->is_number_unsigned() ? found->get<Incarnation>() : 0;
--- a/src/figmilld/batch/batch_dispatcher.cc
+++ b/src/figmilld/batch/batch_dispatcher.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -116,7 +118,7 @@
   CallRpc(client_, agent->second, "revoke", params.dump(), kOrderTimeout,
           [done = std::move(done)](const Result<std::string>& answer) {
             if (!IsOk(answer)) return done(false);
-            const Json json = Json::parse(ValueOf(answer), nullptr, false);
+            const Json json = ParseJson(ValueOf(answer));
             done(json.is_object() && json.value("state", "") == "never-started");
           });
 }
--- a/src/figmilld/batch/entry_batch.cc
+++ b/src/figmilld/batch/entry_batch.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <thread>
 
+#include "figmill/documents.h"
 #include "figmilld/batch/batch_dispatcher.h"
 #include "figmilld/batch/batch_jobs.h"
 #include "figmilld/batch/batch_lease.h"
@@ -250,7 +251,7 @@
 
 void EntryBatch::BindOrders(RpcServer& server) {
   server.Bind("job-changed", [worker = worker_.get()](std::string_view params) {
-    const Json json = Json::parse(params, nullptr, false);
+    const Json json = ParseJson(params);
     if (!json.is_object() || !json.contains("job") || !json["job"].is_string()) {
       return Result<std::string>(Error{ErrorKind::kBadRequest, "a job is expected"});
     }
--- a/src/figmilld/batch/item_tables.cc
+++ b/src/figmilld/batch/item_tables.cc
@@ -2,6 +2,7 @@
 #include <nlohmann/json.hpp>
 
 #include "figmill/batch.h"
+#include "figmill/documents.h"
 #include "figmill/once.h"
 #include "figmilld/batch/store_scan.h"
 #include "figmilld/traffic/work_tables.h"
@@ -22,7 +23,7 @@
 
 // One line of a job's results.
 TableRow RowOfResult(const JobId& job, std::string_view line) {
-  const Json json = Json::parse(line, nullptr, false);
+  const Json json = ParseJson(line);
   if (!json.is_object()) {
     return {std::monostate{}, job.value, std::string("unreadable"), std::monostate{}};
   }
--- a/src/figmilld/control/query_refusals.cc
+++ b/src/figmilld/control/query_refusals.cc
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmilld/control/query_operations.h"
 
 namespace figmill {
@@ -91,7 +92,7 @@
 
 void EntryQuery::BindRpc(RpcServer& rpc) {
   rpc.Bind("refusals", [shared = shared_](std::string_view params) -> Result<std::string> {
-    const nlohmann::json json = nlohmann::json::parse(params, nullptr, false);
+    const nlohmann::json json = ParseJson(params);
     if (!json.is_object()) return Error{ErrorKind::kBadRequest, "parameters must be an object"};
     std::optional<WallTime> since;
     const auto found = json.find("since_ms");
--- a/src/figmilld/traffic/dispatch.cc
+++ b/src/figmilld/traffic/dispatch.cc
@@ -4,6 +4,8 @@
 #include <memory>
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -199,7 +201,7 @@
 // The stamp of an agent's status document.
 std::optional<std::uint64_t> StampOf(const Result<HttpResponse>& status) {
   if (!IsOk(status) || ValueOf(status).status != 200) return std::nullopt;
-  const auto body = nlohmann::json::parse(ValueOf(status).body, nullptr, false);
+  const auto body = ParseJson(ValueOf(status).body);
   if (!body.is_object() || !body.contains("stamp")) return std::nullopt;
   return body["stamp"].get<std::uint64_t>();
 }
--- a/src/figmilld/traffic/frames.cc
+++ b/src/figmilld/traffic/frames.cc
@@ -3,6 +3,7 @@
 #include <cassert>
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmill/runtime.h"
 
 namespace figmill {
@@ -63,11 +64,11 @@
   try {
     switch (type) {
       case 'H':
-        return ParseHead(json::parse(payload));
+        return ParseHead(ParseJsonOrThrow(payload));
       case 'D':
         return Frame{FrameData{std::string(payload)}};
       case 'E':
-        return ParseEnd(json::parse(payload));
+        return ParseEnd(ParseJsonOrThrow(payload));
       case 'F':
         return Frame{FrameFailure{ErrorFromProblem(0, payload)}};
       default:
--- a/src/figmilld/traffic/limit_shares.cc
+++ b/src/figmilld/traffic/limit_shares.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -44,7 +46,7 @@
     CallRpc(client_, ask.owner.address, "share", params.dump(), TeamLimits::kReportPeriod,
             [this, team](const Result<std::string>& answer) {
               if (!IsOk(answer)) return;  // the share lapses to an equal one
-              const json body = json::parse(ValueOf(answer), nullptr, false);
+              const json body = ParseJson(ValueOf(answer));
               if (!body.is_object()) return;
               limits_.ApplyShare(team, {body.value("requests", 0.0), body.value("tokens", 0.0)},
                                  Loop::Now());
@@ -54,7 +56,7 @@
 
 Result<std::string> LimitShares::OnShare(std::string_view params) {
   try {
-    const json body = json::parse(params);
+    const json body = ParseJsonOrThrow(params);
     DemandReport report;
     report.team.value = body.at("team").get<std::string>();
     report.wanted = ParseRates(body.at("wanted"));
--- a/src/figmilld/traffic/once_relay.cc
+++ b/src/figmilld/traffic/once_relay.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -50,7 +52,7 @@
 
 Result<OnceWrite> ParseOnceWrite(std::string_view body) {
   try {
-    const Json json = Json::parse(body);
+    const Json json = ParseJsonOrThrow(body);
     OnceWrite write;
     write.condition = {json.at("key").get<std::string>(), json.at("version").get<RowVersion>()};
     write.value = json.at("value").get<std::string>();
@@ -89,7 +91,7 @@
 
 OnceWriteResult ParseOnceFate(std::string_view body) {
   try {
-    return FateFrom(Json::parse(body));
+    return FateFrom(ParseJsonOrThrow(body));
   } catch (const Json::exception& problem) {
     return FateUnknown{problem.what()};
   }
--- a/src/figmilld/traffic/online_call.cc
+++ b/src/figmilld/traffic/online_call.cc
@@ -4,6 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -15,7 +17,7 @@
 
 event::RevokeState RevokeStateIn(const Result<std::string>& answer) {
   if (!IsOk(answer)) return event::RevokeState::kNoAnswer;
-  const json body = json::parse(ValueOf(answer), nullptr, false);
+  const json body = ParseJson(ValueOf(answer));
   const std::string state = body.is_object() && body.contains("state") && body["state"].is_string()
                                 ? body["state"].get<std::string>()
                                 : "";
--- a/src/figmilld/traffic/online_work.cc
+++ b/src/figmilld/traffic/online_work.cc
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -128,7 +130,7 @@
 
 Result<OnlineWork> ParseCompletion(const HttpRequest& request, const RoutingSnapshot& snapshot,
                                    Time now, const RandomBits& random) {
-  const json body = json::parse(request.body, nullptr, false);
+  const json body = ParseJson(request.body);
   if (!body.is_object()) return Bad("the body must be a JSON object");
   const auto model = body.find("model");
   if (model == body.end() || !model->is_string()) {
--- a/src/figmilld/traffic/served_models.cc
+++ b/src/figmilld/traffic/served_models.cc
@@ -3,6 +3,8 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 namespace {
 
@@ -11,7 +13,7 @@
 // Names out of "name@version".
 std::vector<ServiceName> Models(std::string_view state) {
   std::vector<ServiceName> names;
-  const auto body = nlohmann::json::parse(state, nullptr, false);
+  const auto body = ParseJson(state);
   if (!body.is_object()) return names;
   for (const auto& model : body.value("models", nlohmann::json::array())) {
     if (!model.is_string()) continue;
--- a/src/figmilld/traffic/sse.cc
+++ b/src/figmilld/traffic/sse.cc
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmill/runtime.h"
 
 namespace figmill {
@@ -76,14 +77,14 @@
 }
 
 void AnswerAssembler::AddEvent(std::string_view json) {
-  const Json event = Json::parse(json, nullptr, false);
+  const Json event = ParseJson(json);
   if (!event.is_object()) return;
   text_ += TextOf(event);
   last_event_ = json;
 }
 
 std::string AnswerAssembler::Whole() const {
-  const Json last = Json::parse(last_event_, nullptr, false);
+  const Json last = ParseJson(last_event_);
   if (!last.is_object()) return {};
   Json whole = last;
   Json choice = {{"index", 0}};
@@ -105,7 +106,7 @@
 }
 
 TokenUsage UsageOf(std::string_view events) {
-  const Json event = Json::parse(DataOf(LastEvent(events)), nullptr, false);
+  const Json event = ParseJson(DataOf(LastEvent(events)));
   if (!event.is_object() || !event.contains("usage") || !event["usage"].is_object()) return {};
   const Json& usage = event["usage"];
   TokenUsage result;
--- a/src/figmilld/traffic/stored_request.cc
+++ b/src/figmilld/traffic/stored_request.cc
@@ -2,6 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
+
 namespace figmill {
 
 using Json = nlohmann::json;
@@ -24,7 +26,7 @@
 
 Result<HttpRequest> ParseStoredRequest(std::string_view bytes) {
   try {
-    const Json json = Json::from_cbor(bytes);
+    const Json json = ParseCborOrThrow(bytes);
     HttpRequest request;
     request.method = json.at("method").get<std::string>();
     request.path = json.at("path").get<std::string>();
--- a/src/ledger/rows.cc
+++ b/src/ledger/rows.cc
@@ -6,9 +6,9 @@
 #include <algorithm>
 #include <charconv>
 
+#include "figmill/documents.h"
 #include "figmill/json_fields.h"
 #include "figmill/ledger.h"
-#include "ledger/cbor_nesting.h"
 
 namespace figmill::ledger {
 namespace {
@@ -37,12 +37,8 @@
 
 template <typename T, typename Read>
 Result<T> Decoded(std::string_view bytes, std::string_view what, Read read) {
-  // The library's parser is recursive: a row of another writer that consists of nothing but
-  // nested values would overflow the stack and end each process that reads it.
-  if (!IsCborWithinDepth(bytes, kMaxDepth))
-    return fields::BadRequest(what, "not CBOR of a known form");
   try {
-    return read(Json::from_cbor(bytes.begin(), bytes.end()));
+    return read(ParseCborOrThrow(bytes, kMaxDepth));
   } catch (const std::exception& error) {
     return fields::BadRequest(what, error.what());
   }
--- a/src/once/row.cc
+++ b/src/once/row.cc
@@ -3,6 +3,7 @@
 #include <array>
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmill/once.h"
 
 namespace figmill {
@@ -87,7 +88,7 @@
 Result<OpenItemMarker> ParseOpenItemMarker(const Row& row) {
   try {
     OpenItemMarker open;
-    open.owner = InstanceFrom(Json::parse(row.value).at("owner"));
+    open.owner = InstanceFrom(ParseJsonOrThrow(row.value).at("owner"));
     const std::string prefix = OpenItemMarkerKey(open.owner.node, ItemKey{});
     if (!row.key.starts_with(prefix)) return BadRow("an open marker names another owner");
     open.key.value = row.key.substr(prefix.size());
@@ -116,7 +117,7 @@
 
 Result<OnceRow> ParseOnceRow(std::string_view value) {
   try {
-    const Json json = Json::parse(value);
+    const Json json = ParseJsonOrThrow(value);
     const std::optional<OncePhase> phase = PhaseNamed(json.at("phase").get<std::string>());
     if (!phase) return BadRow("unknown phase");
     return RowFrom(json, *phase);
--- a/src/quarantine/crash_rows.cc
+++ b/src/quarantine/crash_rows.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 
+#include "figmill/documents.h"
 #include "figmill/json_fields.h"
 #include "figmill/quarantine.h"
 
@@ -57,7 +58,7 @@
   if (!IsOk(crash)) return ErrorOf(crash);
   try {
     const auto chain = fields::CountOf<std::uint32_t>(
-        fields::Require(Json::parse(row.value), "chain"), "chain", 1, CrashReport::kMaxChain);
+        fields::Require(ParseJsonOrThrow(row.value), "chain"), "chain", 1, CrashReport::kMaxChain);
     return CrashReport{ValueOf(crash), static_cast<int>(chain)};
   } catch (const std::exception& error) {
     return InvalidRow(error.what());
--- a/src/query/json.cc
+++ b/src/query/json.cc
@@ -3,6 +3,7 @@
 #include <cmath>
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmill/query.h"
 
 namespace figmill::query {
@@ -154,6 +155,7 @@
 
 Result<QueryAnswer> ParseAnswer(std::string_view json) {
   try {
+    if (!IsJsonWithinDepth(json)) throw std::invalid_argument("it nests too deeply");
     return AnswerOf(Json::parse(json));
   } catch (const std::exception& failure) {
     return Error{ErrorKind::kBadRequest, std::string("not an answer: ") + failure.what()};
--- a/src/runtime/http_platform.cc
+++ b/src/runtime/http_platform.cc
@@ -4,6 +4,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmill/runtime.h"
 
 namespace figmill {
@@ -31,7 +32,7 @@
 
 // An empty object when the body is no JSON object.
 Json ParsedObject(std::string_view body) {
-  Json json = Json::parse(body, nullptr, false);
+  Json json = ParseJson(body);
   return json.is_object() ? json : Json::object();
 }
 
--- a/src/runtime/problem.cc
+++ b/src/runtime/problem.cc
@@ -1,5 +1,6 @@
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmill/runtime.h"
 
 namespace figmill {
@@ -43,7 +44,7 @@
 }
 
 Error ErrorFromProblem(int status, std::string_view body) {
-  const nlohmann::json problem = nlohmann::json::parse(body, nullptr, false);
+  const nlohmann::json problem = ParseJson(body);
   if (!problem.is_object()) return UnreadableProblem(status);
   const auto kind_text = problem.find("kind");
   if (kind_text == problem.end() || !kind_text->is_string()) return UnreadableProblem(status);
--- a/src/runtime/rpc_client.cc
+++ b/src/runtime/rpc_client.cc
@@ -1,6 +1,7 @@
 #include <cassert>
 #include <nlohmann/json.hpp>
 
+#include "figmill/documents.h"
 #include "figmill/runtime.h"
 #include "runtime/rpc_wire.h"
 
@@ -36,7 +37,7 @@
 }
 
 Error ErrorOfAnswer(const detail::RpcAnswer& answer) {
-  const json data = json::parse(answer.data, nullptr, false);
+  const json data = ParseJson(answer.data);
   if (!data.is_object()) return Error{KindOfCode(answer.code), answer.message, Ran::kUnknown};
   Error error;
   error.kind = FindErrorKind(TextMember(data, "kind")).value_or(KindOfCode(answer.code));
