An answer that ends inside its head fails the call

From another operator's report: an engine stopped in the middle of its answer's head and closed; clients got a 200 with an empty body, framed as whole.

What happens here: gateways are not affected, but agents and all other calls of figmill's own platform are.

Cause: the library's "no error" was taken for the end of the answer. Class: an end is taken for proven because nothing contradicts it.

HttpClient fails a call without a complete head, and says of an end whether only the close showed it; a call for a whole answer fails then, and an agent breaks such an answer off. The scripted server of exchange-test moves to a header of its own; its test is unchanged.

--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -208,8 +208,8 @@
   // Events come on the loop, the last is HttpEnd or HttpFailure; none comes
   // after the returned function was called.
   CancelCall Start(HttpCall call, std::function<void(HttpEvent)> on_event);
-  // The whole answer at once; any status is a value. Errors: kBackendFailed with
-  // `ran` no (never sent) or unknown.
+  // The whole answer at once; any status is a value. An answer that neither a length nor chunks
+  // end is none. Errors: kBackendFailed with `ran` no (never sent) or unknown.
   CancelCall Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done);
 
  private:
--- a/src/figmilld/agent/engine_client.cc
+++ b/src/figmilld/agent/engine_client.cc
@@ -117,13 +117,19 @@
   if (incoming.cutter.done()) Finish(incoming, AnswerEnd{});
 }
 
-void OnEnd(IncomingAnswer& incoming) {
+void OnEnd(IncomingAnswer& incoming, const HttpEnd& end) {
   if (incoming.finished) return;
   if (incoming.events) {
     Finish(incoming, AnswerFailed{Error{ErrorKind::kBrokenAnswer,
                                         "the stream ended without its end marker", Ran::kYes}});
     return;
   }
+  if (end.by_close && IsForwardedStatus(incoming.head.status)) {
+    Finish(incoming, AnswerFailed{Error{ErrorKind::kBrokenAnswer,
+                                        "nothing but the close of its connection ended the answer",
+                                        Ran::kUnknown}});
+    return;
+  }
   if (!incoming.buffered) return Finish(incoming, AnswerEnd{});
   if (!IsForwardedStatus(incoming.head.status)) {
     return Finish(incoming,
@@ -179,7 +185,7 @@
     std::visit(Overloaded{
                    [&](const HttpHead& head) { OnHead(*incoming, head); },
                    [&](const HttpBytes& bytes) { OnBytes(*incoming, bytes.bytes); },
-                   [&](const HttpEnd&) { OnEnd(*incoming); },
+                   [&](const HttpEnd& end) { OnEnd(*incoming, end); },
                    [&](const HttpFailure& failure) { OnFailure(*incoming, failure); },
                },
                event);
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -30,10 +30,19 @@
   (void)kDone;
 }
 
+constexpr int kNoContent = 204;
+constexpr int kNotModified = 304;
+
 bool IsInformational(int status) {
   return status >= 100 && status < 200;
 }
 
+// Whether the answer shows its end by itself: by its length or chunks, or as it has no body.
+bool IsFramed(const HttpHead& head, std::string_view method) {
+  if (method == "HEAD" || head.status == kNoContent || head.status == kNotModified) return true;
+  return !head.HeaderOr("Content-Length").empty() || !head.HeaderOr("Transfer-Encoding").empty();
+}
+
 }  // namespace
 
 class HttpClient::Impl {
@@ -51,6 +60,7 @@
     std::function<void(HttpEvent)> on_event;
     HttpHead head;
     bool head_told = false;
+    bool framed = false;
     bool sent = false;  // on any connection: curl sends again by itself
     bool cancelled = false;
   };
@@ -219,6 +229,7 @@
   static void TellHead(Transfer& transfer) {
     if (transfer.head_told || IsInformational(transfer.head.status)) return;
     transfer.head_told = true;
+    transfer.framed = IsFramed(transfer.head, transfer.call.method);
     Tell(transfer, transfer.head);
   }
 
@@ -308,17 +319,18 @@
     const auto found = transfers_.find(easy);
     if (found == transfers_.end()) return;
     const std::shared_ptr<Transfer> transfer = found->second;
-    const HttpEvent last = LastEvent(code, transfer->sent);
+    const HttpEvent last = LastEvent(code, *transfer);
     Remove(easy);
     if (!std::exchange(transfer->cancelled, true)) transfer->on_event(last);
   }
 
-  static HttpEvent LastEvent(CURLcode code, bool sent) {
-    if (code == CURLE_OK) return HttpEnd{};
+  static HttpEvent LastEvent(CURLcode code, const Transfer& transfer) {
+    if (code == CURLE_OK && transfer.head_told) return HttpEnd{.by_close = !transfer.framed};
     HttpFailure failure;
     failure.timed_out = code == CURLE_OPERATION_TIMEDOUT;
-    failure.why = curl_easy_strerror(code);
-    failure.sent = sent;
+    // To curl a connection that is closed inside the head ends the answer.
+    failure.why = code == CURLE_OK ? "the answer ended inside its head" : curl_easy_strerror(code);
+    failure.sent = transfer.sent;
     return failure;
   }
 
@@ -340,7 +352,13 @@
 }
 
 CancelCall HttpClient::Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done) {
-  return Start(std::move(call), CollectAnswer(std::move(done)));
+  return Start(std::move(call), [collect = CollectAnswer(std::move(done))](HttpEvent event) {
+    const auto* end = std::get_if<HttpEnd>(&event);
+    if (end != nullptr && end->by_close) {
+      event = HttpFailure{.why = "nothing but the close of its connection ended the answer"};
+    }
+    collect(std::move(event));
+  });
 }
 
 }  // namespace figmill
--- /dev/null
+++ b/test/answer-head-test.cc
@@ -0,0 +1,194 @@
+// Answers whose head is cut off, comes in pieces or follows an informational one, and answers that
+// end with their connection, at both clients.
+
+#include <doctest/doctest.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "figmill/exchange.h"
+#include "figmill/runtime.h"
+#include "figmilld/agent/engine_client.h"
+#include "test/scripted-server.h"
+
+using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
+
+namespace {
+
+using fake::ScriptedServer;
+using fake::ScriptStep;
+
+constexpr Duration kBound{5'000'000};  // a test that runs longer fails
+constexpr std::string_view kHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 5\r\n\r\n";
+constexpr std::string_view kContinue = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+constexpr std::string_view kWithoutLength = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
+const std::string kWhole = std::string(kHead) + "hello";
+
+template <typename Client>
+struct Caller {
+  // "200:body", or "failed" and whether the request was sent.
+  std::string Call(const Address& to) {
+    HttpCall call;
+    call.method = "POST";
+    call.to = to;
+    call.target = "/";
+    call.body = "x";
+    std::string got;
+    client.Fetch(std::move(call), [&](const Result<HttpResponse>& result) {
+      if (IsOk(result)) {
+        got = std::to_string(ValueOf(result).status) + ":" + ValueOf(result).body;
+      } else {
+        got = ErrorOf(result).ran == Ran::kNo ? "failed, not sent" : "failed, sent";
+      }
+      loop.Stop();
+    });
+    Run();
+    return got;
+  }
+  void Run() {
+    const Timer bound = loop.After(kBound, [this] { loop.Stop(); });
+    loop.Run();
+    loop.Restart();
+  }
+  Loop loop;
+  Client client{loop};
+};
+
+// The answer of a backend server to one request of an agent, as the agent understands it.
+struct Agent {
+  explicit Agent(std::string answer)
+      : server({{ScriptStep{std::move(answer), /*close=*/true}}}, "\r\n\r\n"),
+        engine(caller.client, server.address(), BackendKind::kPlain) {}
+
+  template <typename Start>
+  Result<Ok> Await(Start start) {
+    std::optional<Result<Ok>> got;
+    start([&](Result<Ok> result) {
+      got = std::move(result);
+      caller.loop.Stop();
+    });
+    caller.Run();
+    REQUIRE(got);
+    return *got;
+  }
+
+  Caller<HttpClient> caller;
+  ScriptedServer server;
+  EngineClient engine;
+};
+
+}  // namespace
+
+// Guards against an answer that passes for whole: its backend server stopped in the middle of the
+// head and closed the connection.
+TEST_CASE_TEMPLATE("an answer whose head is cut off fails the call", Client, HttpClient,
+                   NoRetryHttpClient) {
+  for (const std::string_view before : {std::string_view(), kContinue}) {
+    std::vector<std::vector<ScriptStep>> script;
+    for (std::size_t at = 0; at < kHead.size(); ++at) {
+      script.push_back({{std::string(before) + std::string(kHead.substr(0, at)), /*close=*/true}});
+    }
+    const std::size_t calls = script.size();
+    ScriptedServer server(std::move(script));
+    Caller<Client> caller;
+    for (std::size_t at = 0; at < calls; ++at) {
+      CAPTURE(before);
+      CAPTURE(at);
+      CHECK(caller.Call(server.address()) == "failed, sent");
+    }
+  }
+}
+
+// The same on a connection that was used before.
+TEST_CASE_TEMPLATE("an answer whose head is cut off on a kept connection fails the call", Client,
+                   HttpClient, NoRetryHttpClient) {
+  for (std::size_t at = 1; at < kHead.size(); ++at) {
+    CAPTURE(at);
+    const ScriptStep cut{std::string(kHead.substr(0, at)), /*close=*/true};
+    ScriptedServer server({{{kWhole}, cut}, {cut}});
+    Caller<Client> caller;
+    CHECK(caller.Call(server.address()) == "200:hello");
+    CHECK(caller.Call(server.address()) == "failed, sent");
+    CHECK(server.requests() >= 2);
+  }
+}
+
+TEST_CASE_TEMPLATE("a head in pieces, also after an informational one, is one head", Client,
+                   HttpClient, NoRetryHttpClient) {
+  const std::string whole = std::string(kContinue) + kWhole;
+  for (std::size_t at = 1; at < whole.size(); at += 3) {
+    CAPTURE(at);
+    ScriptedServer server({{{whole.substr(0, at), /*close=*/false, whole.substr(at)}}});
+    CHECK(Caller<Client>().Call(server.address()) == "200:hello");
+  }
+}
+
+// Guards against a short answer that passes for whole: neither a length nor chunks show its end.
+TEST_CASE("the end of an answer tells whether only the close of its connection showed it") {
+  for (const auto& [answer, by_close] :
+       {std::pair(std::string(kWithoutLength) + "hel", true), std::pair(kWhole, false),
+        std::pair(std::string("HTTP/1.1 204 No Content\r\n\r\n"), false),
+        std::pair(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+                  false)}) {
+    CAPTURE(answer);
+    ScriptedServer server({{{answer, /*close=*/true}}});
+    Caller<HttpClient> caller;
+    HttpCall call;
+    call.method = "POST";
+    call.to = server.address();
+    call.target = "/";
+    call.body = "x";
+    std::optional<HttpEnd> end;
+    const CancelCall cancel = caller.client.Start(std::move(call), [&](HttpEvent event) {
+      if (const auto* found = std::get_if<HttpEnd>(&event)) end = *found;
+      if (end || std::holds_alternative<HttpFailure>(event)) caller.loop.Stop();
+    });
+    caller.Run();
+    REQUIRE(end);
+    CHECK(end->by_close == by_close);
+  }
+}
+
+// Guards against an order that counts as executed: its backend server stopped in the head.
+TEST_CASE("an order and a cancellation without a whole head are not confirmed") {
+  for (std::size_t at = 0; at < kHead.size(); ++at) {
+    CAPTURE(at);
+    const std::string cut(kHead.substr(0, at));
+    Agent orders(cut);
+    CHECK_FALSE(IsOk(orders.Await([&](auto done) { orders.engine.Order({}, std::move(done)); })));
+    Agent cancels(cut);
+    CHECK_FALSE(IsOk(
+        cancels.Await([&](auto done) { cancels.engine.Cancel(RequestId{"r"}, std::move(done)); })));
+  }
+}
+
+// Guards against a short answer that a caller of an agent takes for whole.
+TEST_CASE("an agent's plain answer is whole only if its length shows it") {
+  for (const auto& [answer, whole] :
+       {std::pair(kWhole, true), std::pair(std::string(kWithoutLength) + "hel", false),
+        std::pair(std::string(kHead.substr(0, 30)), false),
+        std::pair(std::string(kHead) + "hel", false)}) {
+    CAPTURE(answer);
+    Agent agent(answer);
+    std::vector<AnswerEvent> events;
+    BackendRequest request;
+    request.method = "GET";
+    request.path = "/";
+    request.request = RequestId{"r"};
+    const CancelCall cancel = agent.engine.Call(request, [&](AnswerEvent event) {
+      events.push_back(std::move(event));
+      const AnswerEvent& last = events.back();
+      if (std::holds_alternative<AnswerEnd>(last) || std::holds_alternative<AnswerFailed>(last)) {
+        agent.caller.loop.Stop();
+      }
+    });
+    agent.caller.Run();
+    REQUIRE_FALSE(events.empty());
+    CHECK(std::holds_alternative<AnswerEnd>(events.back()) == whole);
+  }
+}
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -1,92 +1,26 @@
 #include "figmill/exchange.h"
 
 #include <doctest/doctest.h>
-#include <sys/socket.h>
 
 #include <asio/ip/tcp.hpp>
-#include <asio/read_until.hpp>
 #include <asio/write.hpp>
-#include <atomic>
 #include <chrono>
 #include <optional>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include "test/scripted-server.h"
+
 using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
 
 namespace {
 
 using asio::ip::tcp;
+using fake::ScriptedServer;
 
 constexpr Duration kBound{5'000'000};  // a test that runs longer fails
 
-// How a connection handles a request: it sends a response, and optionally closes or sends more
-// bytes after a delay.
-struct Step {
-  std::string answer;
-  bool close = false;
-  std::string late_bytes = {};
-};
-constexpr std::chrono::milliseconds kLateDelay{20};
-
-// A server that answers the requests on each connection from a script.
-class ScriptedServer {
- public:
-  explicit ScriptedServer(std::vector<std::vector<Step>> script)
-      : acceptor_(io_, tcp::endpoint(asio::ip::make_address_v4("127.0.0.1"), 0)),
-        script_(std::move(script)),
-        thread_([this] { Serve(); }) {}
-  ~ScriptedServer() {
-    ::shutdown(acceptor_.native_handle(), SHUT_RDWR);  // interrupts a blocked accept
-    thread_.join();
-  }
-  ScriptedServer(const ScriptedServer&) = delete;
-  ScriptedServer& operator=(const ScriptedServer&) = delete;
-
-  [[nodiscard]] Address address() const { return {"127.0.0.1", acceptor_.local_endpoint().port()}; }
-  [[nodiscard]] int requests() const { return requests_; }
-  // The last request that was read; after a response to it only.
-  [[nodiscard]] const std::string& last_request() const { return last_request_; }
-
- private:
-  void Serve() {
-    std::vector<tcp::socket> open;
-    for (const std::vector<Step>& steps : script_) {
-      tcp::socket socket(io_);
-      asio::error_code failure;
-      acceptor_.accept(socket, failure);
-      if (failure) return;
-      if (ServeOne(socket, steps)) open.push_back(std::move(socket));
-    }
-  }
-
-  // Returns whether the connection stays open.
-  bool ServeOne(tcp::socket& socket, const std::vector<Step>& steps) {
-    for (const Step& step : steps) {
-      asio::error_code failure;
-      std::string request;
-      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\nx", failure);
-      if (failure) return false;
-      last_request_ = request;
-      ++requests_;
-      asio::write(socket, asio::buffer(step.answer), failure);
-      if (step.close) return false;
-      if (step.late_bytes.empty()) continue;
-      std::this_thread::sleep_for(kLateDelay);
-      asio::write(socket, asio::buffer(step.late_bytes), failure);
-    }
-    return true;
-  }
-
-  asio::io_context io_;
-  tcp::acceptor acceptor_;
-  std::vector<std::vector<Step>> script_;
-  std::string last_request_;
-  std::atomic<int> requests_{0};
-  std::thread thread_;
-};
-
 std::string Answer(const std::string& body, const std::string& headers = "") {
   return "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: " + std::to_string(body.size()) +
          "\r\n\r\n" + body;
@@ -186,14 +120,15 @@
   };
   SUBCASE("while the response is read") {
     call([&](const HttpEvent& event) {
-      if (std::holds_alternative<HttpBytes>(event)) std::this_thread::sleep_for(5 * kLateDelay);
+      if (std::holds_alternative<HttpBytes>(event))
+        std::this_thread::sleep_for(5 * ScriptedServer::kLateDelay);
       if (std::holds_alternative<HttpEnd>(event)) call(second);
     });
   }
   SUBCASE("after the response") {
     call([&](const HttpEvent& event) {
       if (!std::holds_alternative<HttpEnd>(event)) return;
-      caller.loop.Later(5 * kLateDelay, [&] { call(second); });
+      caller.loop.Later(5 * ScriptedServer::kLateDelay, [&] { call(second); });
     });
   }
   const Timer bound = caller.loop.After(kBound, [&] { caller.loop.Stop(); });
