--- a/src/items/item_text.cc
+++ b/src/items/item_text.cc
@@ -26,8 +26,8 @@
 }  // namespace
 
 void ItemText::BeginRun(const OutputSource& source) {
-  if (has_output() && source_ != source) StartOver();
-  if (!pieces_.can_resume()) StartOver();
+  const bool other_source = has_output() && source_ != source;
+  if (other_source || !pieces_.can_resume()) StartOver();
   source_ = source;
 }
 
