--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -342,6 +342,7 @@
     const bool others = peers_.Live(Loop::Now()).size() > 1;
     if (!others) return true;
     connections_shed_.Add();
+    if (Loop::Now() - shed_logged_at_ >= kShedLogPeriod) LogShedConnections();
     return false;
   }
 
@@ -354,6 +355,7 @@
   void LogShedConnections() {
     const std::uint64_t shed = connections_shed_.value();
     if (shed == connections_logged_) return;
+    shed_logged_at_ = Loop::Now();
     Log(LogLevel::kWarning, "connections_closed_unread",
         {{"why", "this entry does not keep up with its callers"},
          {"connections", std::to_string(shed - connections_logged_)},
@@ -431,6 +433,7 @@
       "figmill_connections_closed_unread_total",
       "Connections of callers closed before a request was read, for lack of processor time");
   std::uint64_t connections_logged_ = 0;
+  Time shed_logged_at_{};
   bool leaving_ = false;
   bool jobs_released_ = false;
   Timer grace_timer_, idle_timer_, request_cutoff_timer_, store_proxies_timer_, outdated_timer_,
