store-parts-test: a gateway without backend servers is not ready

The case of a gateway that can't read the list of backend servers waited for it to be ready as a sign that it had started. Since it isn't ready until it has the list, as it could serve no request. The case now waits for its configuration, checks that it is not ready two seconds later, and that it is once the list can be read: what it checked of the other gateway is unchanged, and readiness is checked twice.

--- a/test/store-parts-test.py
+++ b/test/store-parts-test.py
@@ -126,14 +126,16 @@
             first = fleet.gateways[0]
             fleet.world.do("store", unlisted=["servers"])
             second = fleet.add(1)
-            wait_for("it is ready", second.ready)
+            wait_for("it has its configuration", lambda: second.lines("config_in_force"))
             time.sleep(2)
+            self.assertFalse(second.ready())
             self.assertEqual(submit(first, "j1", 32, tokens=100), 202)
             wait_for("all engines run items", lambda: len(
                 {run["engine"] for run in fleet.world.runs()}) == 4, seconds=5)
             # With the list it is one of them.
             fleet.world.do("store", unlisted=[])
             wait_for("it keeps engines", lambda: second.lines("joined"))
+            wait_for("it is ready", second.ready)
 
 
 def stream(request_id, tokens=20):
