--- a/src/gateway/gateway.cc
+++ b/src/gateway/gateway.cc
@@ -307,7 +307,7 @@
     for (const auto& [id, info] : view->backends) backends.push_back(info);
     stream_sources_.SetHistory(view->versions, view->history_followed, view->incomplete_services);
     peer_messenger_.SetBackends(std::move(backends));
-    if (view->backends_loaded) peer_messenger_.Join();
+    if (view->usable()) peer_messenger_.Join();
     EndOutdatedSends();
   }
 
@@ -342,18 +342,20 @@
     const bool others = peers_.Live(Loop::Now()).size() > 1;
     if (!others) return true;
     connections_shed_.Add();
+    if (Loop::Now() - shed_logged_at_ >= kShedLogPeriod) LogShedConnections();
     return false;
   }
 
   void MeasureLag() {
     const Time now = Loop::Now();
-    lag_monitor_.Measure(now - lag_measured_at_ - LagMonitor::kInterval, now);
+    lag_monitor_.Measure(now - lag_measured_at_ - LagMonitor::kInterval);
     lag_measured_at_ = now;
   }
 
   void LogShedConnections() {
     const std::uint64_t shed = connections_shed_.value();
     if (shed == connections_logged_) return;
+    shed_logged_at_ = Loop::Now();
     Log(LogLevel::kWarning, "connections_closed_unread",
         {{"why", "this entry does not keep up with its callers"},
          {"connections", std::to_string(shed - connections_logged_)},
@@ -365,6 +367,8 @@
     if (leaving_) return reply.Send({503, "text/plain", {}, "leaving\n"});
     if (!request_dispatcher_.ready())
       return reply.Send({503, "text/plain", {}, "no configuration yet\n"});
+    if (peers_.self().joining)
+      return reply.Send({503, "text/plain", {}, "backend servers not known yet\n"});
     if (!team_access_.ready()) return reply.Send({503, "text/plain", {}, "keys not confirmed\n"});
     reply.Send({200, "text/plain", {}, "ready\n"});
   }
@@ -429,6 +433,7 @@
       "figmill_connections_closed_unread_total",
       "Connections of callers closed before a request was read, for lack of processor time");
   std::uint64_t connections_logged_ = 0;
+  Time shed_logged_at_{};
   bool leaving_ = false;
   bool jobs_released_ = false;
   Timer grace_timer_, idle_timer_, request_cutoff_timer_, store_proxies_timer_, outdated_timer_,
