soak: answers that stop inside the head, ids without data, a spoilt configuration

Three kinds of faults more, drawn after the others so that a seed keeps what it had; the stand-in's engines stop inside the head of a share of their answers. Routes and keys whose change may have been missed for the spoilt row count from the row that mends it.

--- a/soak/engine_faults.py
+++ b/soak/engine_faults.py
@@ -14,6 +14,7 @@
 # Software versions of the engines at first; those that join are of the last one that was released.
 VERSIONS = ("v1", "v1", "v2", "v2")
 NOISE_IN = ("head", "body", "events")  # where bytes come without end
+IDS_IN = ("ids", "rising")  # ids of events without data: the same one, several
 SLOW_FACTOR = 3  # of the time that a slow engine needs for an event
 DRAINS = "it began to drain"
 
@@ -68,6 +69,15 @@
             await self.do("engine", index=index, endless=0.3, endless_in=where)
             await asyncio.sleep(fault.for_s)
             await self.do("engine", index=index, endless=0.0)
+        elif how == "heads":  # answers that stop inside their heads
+            await self.do("engine", index=index, cut_head=0.3)
+            await asyncio.sleep(fault.for_s)
+            await self.do("engine", index=index, cut_head=0.0)
+        elif how == "ids":
+            where = IDS_IN[fault.pick // 7 % len(IDS_IN)]
+            await self.do("engine", index=index, endless=0.3, endless_in=where)
+            await asyncio.sleep(fault.for_s)
+            await self.do("engine", index=index, endless=0.0)
         elif how == "slow":
             await self.do("engine", index=index, slowdown=SLOW_FACTOR)
             await asyncio.sleep(fault.for_s)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -11,7 +11,7 @@
 import releases
 import teams
 from engine_faults import ENGINES, EngineFaults
-from promises import KNOWN, PART, SETTLE
+from promises import CONFIG, KNOWN, PART, SETTLE
 from record import Skew, Trouble
 
 
@@ -38,6 +38,9 @@
 # Engines whose answers have no end, processes that are stopped before the last one is back, and jobs
 # that are ended while the store is slow, so that their owners still load them.
 LATE_KINDS = ("engine_endless", "leave_overlapping", "end_loading")
+# Answers that stop inside their heads, events with an id and no data, and a row of the configuration
+# that another writer has spoilt.
+ODD_KINDS = ("engine_heads", "engine_ids", "spoil_configuration")
 STOP_GAP = 0.7  # seconds between stops that overlap
 STOPS = 3
 STORE_SLOW = 0.25  # seconds by which the store's answers are late
@@ -45,6 +48,7 @@
 SMALL_SHARE = 0.5  # of the seeds have a gateway on a small host, which leaves its jobs to others
 SMALL_HOST = ("--cores", "0.1")
 ATTEMPT_PAUSE = 0.25  # seconds between their attempts
+SPOILT = ("", "[" * 40_000, '{"version": 1e999, "routes": []}')  # rows of the configuration
 FREE_PAUSE = 0.05  # seconds between looks whether all gateways are free
 
 
@@ -65,6 +69,7 @@
     faults += some(FURTHER_KINDS, dice.randint(0, 3))
     faults += some(LATE_KINDS, dice.randint(0, 3))
     faults += some(releases.KINDS, dice.randint(1, 3))
+    faults += some(ODD_KINDS, dice.randint(0, 3))
     return sorted(faults, key=lambda fault: fault.at)
 
 
@@ -121,7 +126,7 @@
                "restart": self.engines.restart, "crashing": self.crashing,
                "foreign": self.engines.write_foreign, "revoke": self.teams.revoke,
                "hot": self.teams.press, "press": self.teams.press, "skew": self.skew,
-               "end": self.end_jobs, "release": self.releases.strike,
+               "end": self.end_jobs, "spoil": self.spoil_configuration, "release": self.releases.strike,
                "outage": self.releases.strike}[what](fault, how)
 
     async def do(self, order, **more):
@@ -228,6 +233,18 @@
         await self.do("configure", extra=self.names)
         self.record.routes[name] = self.clock()
 
+    async def spoil_configuration(self, fault, _how):
+        """Gateways that start meanwhile have no configuration; the others keep theirs."""
+        begun = self.clock()
+        await self.do("write", table="op", key="config", value=SPOILT[fault.pick % len(SPOILT)])
+        await asyncio.sleep(fault.for_s)
+        await self.do("configure", extra=self.names)
+        # A gateway may have missed what was written just before.
+        for accepted in (self.record.routes, self.record.revoked):
+            for name, at in accepted.items():
+                if at > begun - CONFIG:
+                    accepted[name] = self.clock()
+
     async def crashing(self, fault, how):
         """One caller, whose request comes again and again, at any gateway; or requests that have
         nothing in common but a part of their prompts."""
