--- a/test/answer-head-test.cc
+++ b/test/answer-head-test.cc
@@ -130,11 +130,12 @@
 
 // Guards against a short answer that passes for whole: neither a length nor chunks show its end.
 TEST_CASE("the end of an answer tells whether only the close of its connection showed it") {
-  for (const auto& [answer, by_close] :
+  for (const auto& [sent, by_close] :
        {std::pair(std::string(kWithoutLength) + "hel", true), std::pair(kWhole, false),
         std::pair(std::string("HTTP/1.1 204 No Content\r\n\r\n"), false),
         std::pair(std::string("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
                   false)}) {
+    const std::string answer = sent;
     CAPTURE(answer);
     ScriptedServer server({{{answer, /*close=*/true}}});
     Caller<HttpClient> caller;
@@ -169,10 +170,11 @@
 
 // Guards against a short answer that a caller of an agent takes for whole.
 TEST_CASE("an agent's plain answer is whole only if its length shows it") {
-  for (const auto& [answer, whole] :
+  for (const auto& [sent, whole] :
        {std::pair(kWhole, true), std::pair(std::string(kWithoutLength) + "hel", false),
         std::pair(std::string(kHead.substr(0, 30)), false),
         std::pair(std::string(kHead) + "hel", false)}) {
+    const std::string answer = sent;
     CAPTURE(answer);
     Agent agent(answer);
     std::vector<AnswerEvent> events;
--- a/test/relay-run-test.cc
+++ b/test/relay-run-test.cc
@@ -325,7 +325,10 @@
     CAPTURE(id);
     Sent sent(ResumablePlan());
     sent.Step(relay::Head{1, Answer(200)});
-    sent.Step(relay::Bytes{1, "id: 1\ndata: x\n\n" + id + "\n\n: ping\n\n" + id + "\n\n"});
+    const std::string event = id + "\n\n";
+    std::string read = "id: 1\ndata: x\n\n";
+    read.append(event).append(": ping\n\n").append(event);
+    sent.Step(relay::Bytes{1, read});
     CHECK(Last<relay::ForwardBytes>(sent.actions)->bytes == "id: 1\ndata: x\n\n: ping\n\n");
     sent.Step(relay::SendFailed{1, true, "reset"});
     sent.Step(relay::BackendChosen{Backend("b")});
