Gateway: a lost connection is not blamed on a later crash of a server that went on

Callers saw a part of prompts refused as if two backend servers had crashed under it, where one had.

Cause: a loss at a backend server that still accepts connections waits up to 5 s for the list of backend servers, and any crash of the process within these explained it, though answers to later requests had shown that the process went on. It was put at its own time, so that later crashes made chains with it.

Now an answer to a request that was sent after the loss drops it, with a log line.

--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -313,10 +313,10 @@
   return found != runs_.end() && found->second.number == number;
 }
 
-CrashTracker::LostSend BatchRunner::MakeLostSend(const JobItemRef& key) {
+LostSend BatchRunner::MakeLostSend(const JobItemRef& key) {
   const Run& run = runs_[key];
   const BackendInfo* listed = tools_.backends.Find(run.backend.id);
-  CrashTracker::LostSend lost;
+  LostSend lost;
   lost.id = ItemId(key);
   lost.suspects = run.suspects;
   lost.backend = run.backend;
@@ -334,6 +334,10 @@
       MatchAnswerId(head.HeaderOr(names.request_id), job->items()[key.item].id);
   const bool not_run = !head.HeaderOr(names.not_run).empty();
   const std::string why = "status " + std::to_string(head.status);
+  const Run& run = runs_[key];
+  if (id == AnswerIdMatch::kSame && head.status != kMisdirected) {
+    tools_.crash_tracker.RecordAnswer(run.backend, run.started_at);
+  }
   std::visit(Overloaded{
                  [&](item_answer::Output) { runs_[key].answering = true; },
                  [&](item_answer::NotRun answer) {
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -77,7 +77,7 @@
   // A waiting item may not start before this delay is over.
   void Postpone(const JobItemRef& key, Duration delay);
   [[nodiscard]] bool IsCurrent(const JobItemRef& key, OpenSends::Id number) const;
-  [[nodiscard]] CrashTracker::LostSend MakeLostSend(const JobItemRef& key);
+  [[nodiscard]] LostSend MakeLostSend(const JobItemRef& key);
   [[nodiscard]] BacklogTime TimeNow() const;
   [[nodiscard]] std::string ItemId(const JobItemRef& key) const;
   [[nodiscard]] const Route* RouteOf(const JobRecord& head, const JobItem& item) const;
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -1,7 +1,6 @@
 #include "gateway/crash_tracker.h"
 
 #include <algorithm>
-#include <iterator>
 #include <limits>
 #include <utility>
 
@@ -22,7 +21,7 @@
   return text;
 }
 
-void LogLostSend(const CrashTracker::LostSend& lost, std::string_view found) {
+void LogLostSend(const LostSend& lost, std::string_view found) {
   const std::span<const Fingerprint> suspects(lost.suspects);
   Log(LogLevel::kInfo, "send_lost",
       {{"request", lost.id},
@@ -42,7 +41,7 @@
   return Milliseconds(*evidence.answered_at - *evidence.closed_after);
 }
 
-void LogEnd(const CrashTracker::LostSend& send, const EndEvidence& evidence, Completeness end) {
+void LogEnd(const LostSend& send, const EndEvidence& evidence, Completeness end) {
   const auto& limit = evidence.max_output_tokens;
   Log(LogLevel::kInfo, "end_by_close",
       {{"request", send.id},
@@ -191,27 +190,21 @@
 }
 
 void CrashTracker::AwaitList(const LostSend& lost, Time detected_at) {
-  if (lost.leaving || undecided_.size() >= kMaxUndecided) return;
-  undecided_.push_back({lost, detected_at});
+  if (lost.leaving) return;
+  if (!undecided_.Add(lost, detected_at)) LogLostSend(lost, "too_many_undecided");
 }
 
 void CrashTracker::OnBackendsListed(const BackendList& backends) {
-  const Time now = Loop::Now();
-  std::vector<Undecided> undecided;
-  for (Undecided& each : std::exchange(undecided_, {})) {
-    if (now - each.detected_at > kListDelay) continue;
-    const BackendAddress& ran_at = each.lost.backend;
-    const auto listed = backends.find(ran_at.id);
-    const bool gone = listed == backends.end();
-    if (gone || IsLater(listed->second.incarnation, ran_at.incarnation)) {
-      LogLostSend(each.lost, gone ? "unlisted" : "restarted");
-      ReportCrash(each.lost, each.detected_at);
-    } else if (listed->second.state == BackendState::kReady) {
-      undecided.push_back(std::move(each));
-    }
+  for (const auto& [loss, cause] : undecided_.RecordList(backends, Loop::Now())) {
+    LogLostSend(loss.lost, ToString(cause));
+    ReportCrash(loss.lost, loss.detected_at);
+  }
+}
+
+void CrashTracker::RecordAnswer(const BackendAddress& process, Time sent_at) {
+  for (const auto& [loss, cause] : undecided_.RecordAnswer(process, sent_at)) {
+    LogLostSend(loss.lost, ToString(cause));
   }
-  // Reports may have added to the list that was taken.
-  std::move(undecided.begin(), undecided.end(), std::back_inserter(undecided_));
 }
 
 void CrashTracker::ReportRestart(const LostSend& lost) {
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -16,8 +16,10 @@
 #include "figmill/gateway.h"
 #include "figmill/quarantine.h"
 #include "gateway/fleet_view.h"
+#include "gateway/lost_send.h"
 #include "gateway/refused_rows.h"
 #include "gateway/table_follower.h"
+#include "gateway/undecided_losses.h"
 
 namespace figmill {
 
@@ -33,25 +35,9 @@
   // Entries that have completed requests with a reported part remove its row at different times
   // within this one: in large fleets all of them would write at once.
   static constexpr Duration kWithdrawalSpread{300'000};
-  // A backend server that crashed leaves the list, or is listed with a later incarnation, within
-  // this time.
-  static constexpr Duration kListDelay{5'000'000};
-  // Limit on the lost sends that wait for the list.
-  static constexpr std::size_t kMaxUndecided = 1000;
   // Limit on the rows written in one transaction.
   static constexpr std::size_t kMaxRowsPerTransaction = 50;
 
-  // A send whose connection was lost before the response was complete.
-  struct LostSend {
-    std::string id;                     // of the request attempt or of the batch item
-    std::vector<Fingerprint> suspects;  // the request, then the parts of its prompt
-    BackendAddress backend;
-    Time started_at{};
-    std::uint64_t events = 0;  // of the answer that arrived in this run
-    // The backend server was listed as leaving, so its end says nothing about what it ran.
-    bool leaving = false;
-  };
-
   CrashTracker(Loop& loop, NoRetryHttpClient& client, SharedTables& tables, Metrics& metrics,
                NodeId self, const PlatformAdapter& adapter);
 
@@ -69,6 +55,8 @@
   // Call it with each list of backend servers. Something else may accept connections in place of
   // one that has crashed; its crash then shows in the list alone.
   void OnBackendsListed(const BackendList& backends);
+  // A response has begun to a request that was sent to this process at `sent_at`.
+  void RecordAnswer(const BackendAddress& process, Time sent_at);
   // Reports a crash of a backend server whose row in the list shows a later incarnation.
   void ReportRestart(const LostSend& lost);
 
@@ -115,11 +103,7 @@
   Gauge& parts_gauge_;
   std::vector<Quarantine::Culprit> logged_;
   TableFollower follower_;
-  struct Undecided {
-    LostSend lost;
-    Time detected_at{};
-  };
-  std::vector<Undecided> undecided_;  // no crash was found when they were lost
+  UndecidedLosses undecided_;
   // Rows to write, by key; nullopt for a row to remove.
   std::map<std::string, std::optional<std::string>> pending_rows_;
   // Rows of other entries that are to be removed.
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -260,6 +260,9 @@
                    const std::string_view id = head.HeaderOr(names.request_id);
                    const AnswerIdMatch answered =
                        MatchAnswerId(id, state_machine_.plan().request.value);
+                   if (answered == AnswerIdMatch::kSame && head.status != kMisdirected) {
+                     context_.crash_tracker.RecordAnswer(sent_to_, sent_at_);
+                   }
                    Step(relay::Head{send, std::move(head), not_run, answered});
                  },
                  [&](const HttpBytes& bytes) {
@@ -309,9 +312,9 @@
       });
 }
 
-CrashTracker::LostSend RelayCall::MakeLostSend() {
+LostSend RelayCall::MakeLostSend() {
   const BackendInfo* listed = context_.backends.Find(sent_to_.id);
-  CrashTracker::LostSend lost;
+  LostSend lost;
   lost.id = state_machine_.plan().request.value;
   lost.suspects = Suspects();
   lost.backend = sent_to_;
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -109,7 +109,7 @@
   // What may be to blame if a backend server crashes: the request, then the parts of its prompt.
   [[nodiscard]] const std::vector<Fingerprint>& Suspects();
   [[nodiscard]] std::vector<Fingerprint> PartSuspects() const;
-  [[nodiscard]] CrashTracker::LostSend MakeLostSend();
+  [[nodiscard]] LostSend MakeLostSend();
   void Complete(std::string_view outcome, const std::string& why);
   [[nodiscard]] HttpCall MakeHttpCall(const relay::Send& action) const;
   [[nodiscard]] HttpResponse MakeResponse(HttpHead head, std::string body) const;
--- /dev/null
+++ b/src/gateway/undecided_losses.h
@@ -0,0 +1,53 @@
+#pragma once
+
+// Lost sends at whose backend servers something still accepts connections, so that only the list of
+// backend servers can show that they crashed.
+// No I/O: the caller passes the time in.
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+#include "gateway/fleet_view.h"
+#include "gateway/lost_send.h"
+
+namespace figmill {
+
+class UndecidedLosses {
+ public:
+  // A backend server that crashed leaves the list, or is listed with a later incarnation, within
+  // this time.
+  static constexpr Duration kListDelay{5'000'000};
+  // Limit on the sends that are kept.
+  static constexpr std::size_t kMaxSends = 1000;
+
+  enum class Cause : std::uint8_t {
+    kUnlisted,   // the backend server crashed: it is not listed any more
+    kRestarted,  // the same: it is listed with a later incarnation
+    kAnswered,   // it answered a request that was sent after the loss
+  };
+  struct Loss {
+    LostSend lost;
+    Time detected_at{};
+  };
+  struct Decision {
+    Loss loss;
+    Cause cause;
+  };
+
+  // Returns false if there are too many.
+  [[nodiscard]] bool Add(LostSend lost, Time detected_at);
+  // A response has begun to a request that was sent to this process at `sent_at`. Sends that were
+  // lost before were not lost by a crash of the process.
+  [[nodiscard]] std::vector<Decision> RecordAnswer(const BackendAddress& process, Time sent_at);
+  // Call it with each list.
+  [[nodiscard]] std::vector<Decision> RecordList(const BackendList& listed, Time now);
+
+ private:
+  std::vector<Loss> losses_;  // by time of detection
+};
+
+[[nodiscard]] std::string_view ToString(UndecidedLosses::Cause cause);
+
+}  // namespace figmill
--- a/test/crashes-behind-proxies-test.py
+++ b/test/crashes-behind-proxies-test.py
@@ -67,6 +67,15 @@
             concurrent.futures.wait(streams)
         self.await_service()
 
+    def crash_with(self, parts):
+        """The engine crashes with a stream with these parts that has begun."""
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            stream = pool.submit(self.attempt, parts, tokens=100)
+            time.sleep(0.3)
+            self.fleet.world.do("engine", index=0, act="crash_a_while")
+            self.assertIsNone(stream.result())
+        self.await_service()
+
     def await_service(self):
         wait_for("requests with other parts are served",
                  lambda: (self.attempt(("77aa0e11",)) or [0])[0] == 200)
@@ -83,6 +92,19 @@
         self.crash_all()
         self.assert_served()
 
+    # Guards against blaming requests whose connection was cut for a crash that came later, while
+    # the backend server went on answering.
+    def test_requests_whose_connection_was_cut_are_not_blamed_for_a_later_crash(self):
+        self.begin(engines=1)
+        rule = self.proxy.rule(link=0, fault="cut", after_bytes=250, times=1)
+        self.assertIsNone(self.attempt(tokens=100))
+        self.proxy.clear(rule)
+        for gateway in self.fleet.gateways:
+            self.assertEqual(self.attempt(OTHER_PARTS)[0], 200)
+        self.crash_with(OTHER_PARTS)
+        self.crash_with(PARTS)
+        self.assert_served()
+
 
 if __name__ == "__main__":
     unittest.main(verbosity=2)
