Quarantine: a request that is sent again may be to blame instead of a part

Callers saw all requests refused that share a part of their prompts with what was lost beside a request that crashes backend servers, for 20 to 40 s, while that request was let through again.

Cause: a part with two crashes in a row explained them, and the online request that was in both of them, sent again by its caller, counted for its other crashes alone.

Now such a request is an alternative to the part and is held meanwhile; requests without it run as probes, one a second at each gateway, and the first that completes clears the part. Batch items are none, as before: reports say whether their request was online, and rows without that are taken for those of items.

--- a/include/figmill/quarantine.h
+++ b/include/figmill/quarantine.h
@@ -76,6 +76,9 @@
   // before was known. Backend servers that crash at the same time form no chain, so that a frequent
   // request isn't blamed for the loss of a rack.
   int chain = 1;
+  // The suspect was lost in an online request, which is short: to be in two crashes in a row it has
+  // to be sent again. Batch items run for seconds, and are in crashes by chance.
+  bool online = false;
 };
 
 // Reports are stored as rows of a shared table. `seen_by` and `attempt` are for people who read the
@@ -120,7 +123,7 @@
   static constexpr std::size_t kMaxClearedParts = 4096;
   // No second probe starts here while one may still be running.
   static constexpr Duration kProbeTimeout{10'000'000};
-  // While another part may be to blame as well, requests that tell them apart are probes. They
+  // While another suspect may be to blame as well, requests that tell them apart are probes. They
   // start here at this interval, and the first ones of all entries are spread over it.
   static constexpr Duration kDecidingProbeInterval{1'000'000};
   // Reports of other entries may still change what is to blame for a crash that was this long ago,
@@ -134,10 +137,13 @@
   // What is to blame for some crashes.
   struct Culprit {
     Fingerprint suspect;
-    // Other parts that may be to blame instead: each of the crashes lost one of them as well.
+    // Other parts and online requests that may be to blame instead of a part: each of the crashes
+    // lost one of them as well.
     std::set<Fingerprint> alternatives;
+    // Those of them that are requests and were lost in all of the crashes.
+    std::set<Fingerprint> requests;
     int chain = 0;
-    std::size_t crashes = 0;
+    std::set<BackendProcess> crashes;
     Time last_crash_at{};
     bool operator==(const Culprit&) const = default;
   };
@@ -181,6 +187,7 @@
   struct SeenCrash {
     int chain = 1;
     Time at{};
+    bool online = false;
   };
   struct Suspect {
     std::map<BackendProcess, SeenCrash> crashes;
@@ -197,8 +204,10 @@
   [[nodiscard]] std::optional<Fingerprint> LeadingPart(const Processes& explained) const;
   [[nodiscard]] Culprit MakeCulprit(const Fingerprint& fingerprint,
                                     const Processes& explained) const;
-  [[nodiscard]] std::set<Fingerprint> AlternativesTo(const Fingerprint& part,
-                                                     const Processes& explained) const;
+  void FindAlternatives(Culprit& culprit, const Processes& explained) const;
+  // The crashes that parts explain to which this request is no alternative; nullopt: it is none to
+  // any part.
+  [[nodiscard]] std::optional<Processes> ExplainedForAlternative(const Fingerprint& request) const;
   [[nodiscard]] static const Policy& PolicyFor(const Culprit& culprit, bool batch);
   // When a batch item is given up; nullopt for an online request.
   using Expiry = std::optional<Time>;
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -95,7 +95,7 @@
       {{"fingerprint", culprit.suspect.value},
        {"alternatives", Join(culprit.alternatives, ',')},
        {"chain", std::to_string(culprit.chain)},
-       {"crashes", std::to_string(culprit.crashes)},
+       {"crashes", std::to_string(culprit.crashes.size())},
        {"for_ms", left.count() > 0 ? Milliseconds(left) : ""}});
 }
 
@@ -220,7 +220,8 @@
                                            quarantine_.IsCleared(suspect, detected_at));
     if (sound) continue;
     const Crash crash{suspect, {lost.backend.id, lost.backend.incarnation}};
-    const CrashReport report{crash, quarantine_.NextChainLength(crash, lost.started_at)};
+    const CrashReport report{crash, quarantine_.NextChainLength(crash, lost.started_at),
+                             lost.online};
     quarantine_.Add(report, detected_at);
     Write(crash, CrashRowValue(report, self_, lost.id));
   }
--- a/src/gateway/lost_send.h
+++ b/src/gateway/lost_send.h
@@ -19,6 +19,7 @@
   std::uint64_t events = 0;  // of the answer that arrived in this run
   // The backend server was listed as leaving, so its end says nothing about what it ran.
   bool leaving = false;
+  bool online = false;  // not a batch item
 };
 
 }  // namespace figmill
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -321,6 +321,7 @@
   lost.started_at = sent_at_;
   lost.events = state_machine_.events_forwarded() - events_before_send_;
   lost.leaving = listed != nullptr && listed->state == BackendState::kDraining;
+  lost.online = true;
   return lost;
 }
 
--- a/src/quarantine/crash_rows.cc
+++ b/src/quarantine/crash_rows.cc
@@ -34,8 +34,11 @@
 
 std::string CrashRowValue(const CrashReport& report, const NodeId& seen_by,
                           std::string_view attempt) {
-  return Json{{"chain", report.chain}, {"seen_by", seen_by.value}, {"attempt", attempt}}.dump(
-      -1, ' ', false, Json::error_handler_t::replace);
+  const Json row{{"chain", report.chain},
+                 {"online", report.online},
+                 {"seen_by", seen_by.value},
+                 {"attempt", attempt}};
+  return row.dump(-1, ' ', false, Json::error_handler_t::replace);
 }
 
 Result<Crash> ParseCrashKey(std::string_view key) {
@@ -57,9 +60,12 @@
   const Result<Crash> crash = ParseCrashKey(row.at.key);
   if (!IsOk(crash)) return ErrorOf(crash);
   try {
-    const auto chain = fields::CountOf<std::uint32_t>(
-        fields::Require(ParseJsonOrThrow(row.value), "chain"), "chain", 1, CrashReport::kMaxChain);
-    return CrashReport{ValueOf(crash), static_cast<int>(chain)};
+    const Json value = ParseJsonOrThrow(row.value);
+    const auto chain = fields::CountOf<std::uint32_t>(fields::Require(value, "chain"), "chain", 1,
+                                                      CrashReport::kMaxChain);
+    // Rows of releases before this field are taken for those of batch items.
+    const bool online = fields::FlagOr(value, "online", false);
+    return CrashReport{ValueOf(crash), static_cast<int>(chain), online};
   } catch (const std::exception& error) {
     return InvalidRow(error.what());
   }
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -1,6 +1,7 @@
 #include "figmill/quarantine.h"
 
 #include <algorithm>
+#include <iterator>
 #include <limits>
 #include <set>
 #include <tuple>
@@ -47,6 +48,16 @@
   return processes;
 }
 
+// Whether a suspect with these crashes may be to blame for those that are counted for a part.
+template <typename Crashes>
+bool MayExplain(const Fingerprint& suspect, const Crashes& crashes,
+                const std::set<BackendProcess>& explained) {
+  if (IsPart(suspect)) return true;
+  const bool online = std::all_of(crashes.begin(), crashes.end(),
+                                  [](const auto& crash) { return crash.second.online; });
+  return online && EvidenceOf(crashes, explained).chain >= kMinChain;
+}
+
 bool Contains(std::span<const Fingerprint> request, const Fingerprint& suspect) {
   return std::find(request.begin(), request.end(), suspect) != request.end();
 }
@@ -63,6 +74,8 @@
 // Whether the end of a run of this request shows which of the suspects is to blame.
 bool IsDeciding(std::span<const Fingerprint> request, const Quarantine::Culprit& culprit) {
   if (culprit.alternatives.empty()) return false;
+  // The crashes would need no part to blame if one of these requests is.
+  if (!culprit.requests.empty() && !ContainsAny(request, culprit.requests)) return true;
   return !Contains(request, culprit.suspect) || !ContainsAny(request, culprit.alternatives);
 }
 
@@ -77,7 +90,7 @@
 void Quarantine::Add(const CrashReport& report, Time seen_at) {
   auto& crashes = suspects_[report.crash.suspect].crashes;
   const auto [found, inserted] =
-      crashes.try_emplace(report.crash.process, SeenCrash{report.chain, seen_at});
+      crashes.try_emplace(report.crash.process, SeenCrash{report.chain, seen_at, report.online});
   if (inserted) {
     ++reports_;
     CrashedProcess& process = processes_[report.crash.process];
@@ -85,7 +98,9 @@
     ++process.reports;
   }
   // A duplicate report keeps the time of the first one, unless its chain is longer.
-  if (!inserted && report.chain > found->second.chain) found->second = {report.chain, seen_at};
+  if (!inserted && report.chain > found->second.chain) {
+    found->second = {report.chain, seen_at, report.online};
+  }
   if (report.chain >= kMinChain || crashes.size() >= kMinChain) FindCulprits();
 }
 
@@ -103,19 +118,37 @@
 
 // The part with the most evidence explains its crashes. Whatever else was lost in these was only
 // beside it, and is blamed for its other crashes alone. Requests don't explain the crashes of
-// others: batch items ride along for seconds, and would hide the cause.
+// others: batch items ride along for seconds, and would hide the cause. Online requests that may be
+// to blame instead of a part are blamed as well.
 void Quarantine::FindCulprits() {
   culprits_.clear();
   Processes explained;
   while (const std::optional<Fingerprint> leader = LeadingPart(explained)) {
     culprits_.push_back(MakeCulprit(*leader, explained));
-    explained.merge(Unexplained(suspects_.at(*leader).crashes, explained));
+    explained.insert(culprits_.back().crashes.begin(), culprits_.back().crashes.end());
   }
+  std::vector<Culprit> requests;
   for (const auto& [fingerprint, suspect] : suspects_) {
     if (IsPart(fingerprint)) continue;
-    if (EvidenceOf(suspect.crashes, explained).chain < kMinChain) continue;
-    culprits_.push_back(MakeCulprit(fingerprint, explained));
+    const std::optional<Processes> by_other_parts = ExplainedForAlternative(fingerprint);
+    const Processes& by_parts = by_other_parts ? *by_other_parts : explained;
+    if (EvidenceOf(suspect.crashes, by_parts).chain < kMinChain) continue;
+    requests.push_back(MakeCulprit(fingerprint, by_parts));
   }
+  std::move(requests.begin(), requests.end(), std::back_inserter(culprits_));
+}
+
+std::optional<Quarantine::Processes> Quarantine::ExplainedForAlternative(
+    const Fingerprint& request) const {
+  const auto blamed_beside = [&](const Culprit& part) {
+    return part.alternatives.contains(request);
+  };
+  if (std::none_of(culprits_.begin(), culprits_.end(), blamed_beside)) return std::nullopt;
+  Processes explained;
+  for (const Culprit& part : culprits_) {
+    if (!blamed_beside(part)) explained.insert(part.crashes.begin(), part.crashes.end());
+  }
+  return explained;
 }
 
 std::optional<Fingerprint> Quarantine::LeadingPart(const Processes& explained) const {
@@ -134,33 +167,36 @@
 Quarantine::Culprit Quarantine::MakeCulprit(const Fingerprint& fingerprint,
                                             const Processes& explained) const {
   const auto& crashes = suspects_.at(fingerprint).crashes;
-  const Evidence evidence = EvidenceOf(crashes, explained);
-  Culprit culprit{fingerprint, {}, evidence.chain, evidence.crashes, {}};
+  Culprit culprit;
+  culprit.suspect = fingerprint;
+  culprit.chain = EvidenceOf(crashes, explained).chain;
+  culprit.crashes = Unexplained(crashes, explained);
   for (const auto& [process, seen] : crashes) {
     culprit.last_crash_at = std::max(culprit.last_crash_at, seen.at);
   }
-  if (IsPart(fingerprint)) culprit.alternatives = AlternativesTo(fingerprint, explained);
+  if (IsPart(fingerprint)) FindAlternatives(culprit, explained);
   return culprit;
 }
 
-// Empty if one of the part's crashes lost no other part that several crashes point to.
-std::set<Fingerprint> Quarantine::AlternativesTo(const Fingerprint& part,
-                                                 const Processes& explained) const {
-  std::set<Fingerprint> alternatives;
-  const Processes processes = Unexplained(suspects_.at(part).crashes, explained);
-  Processes alone = processes;
+// There are none if one of the part's crashes lost nothing else that several crashes point to.
+void Quarantine::FindAlternatives(Culprit& culprit, const Processes& explained) const {
+  Processes alone = culprit.crashes;
   for (const auto& [fingerprint, suspect] : suspects_) {
-    if (!IsPart(fingerprint) || fingerprint == part) continue;
+    if (fingerprint == culprit.suspect || !MayExplain(fingerprint, suspect.crashes, explained)) {
+      continue;
+    }
     Processes shared;
     for (const auto& [process, seen] : suspect.crashes) {
-      if (processes.contains(process)) shared.insert(process);
+      if (culprit.crashes.contains(process)) shared.insert(process);
     }
     if (shared.size() < kMinChain) continue;
-    alternatives.insert(fingerprint);
+    culprit.alternatives.insert(fingerprint);
+    if (!IsPart(fingerprint) && shared == culprit.crashes) culprit.requests.insert(fingerprint);
     for (const BackendProcess& process : shared) alone.erase(process);
   }
-  if (!alone.empty()) alternatives.clear();
-  return alternatives;
+  if (alone.empty()) return;
+  culprit.alternatives.clear();
+  culprit.requests.clear();
 }
 
 int Quarantine::NextChainLength(const Crash& crash, Time started_at) const {
@@ -198,8 +234,8 @@
 Duration Quarantine::BatchPeriod(const Culprit& culprit, const Policy& policy, Time expires) const {
   std::size_t doublings = static_cast<std::size_t>(culprit.chain - policy.min_chain);
   constexpr auto kLongest = static_cast<std::size_t>(CrashReport::kMaxChain);
-  if (culprit.chain == CrashReport::kMaxChain && culprit.crashes > kLongest) {
-    doublings += culprit.crashes - kLongest;
+  if (culprit.chain == CrashReport::kMaxChain && culprit.crashes.size() > kLongest) {
+    doublings += culprit.crashes.size() - kLongest;
   }
   const Duration period = Doubled(policy.initial_period, doublings);
   const Duration time_left = std::max(expires - culprit.last_crash_at, Duration{0});
--- a/test/crashing-parts-test.py
+++ b/test/crashing-parts-test.py
@@ -22,6 +22,7 @@
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 BAD = "bad0001"  # crashes each engine that begins to write an answer on it
 OTHER_BAD = "bad0002"
+CRASHING = "crash: rye, field 12"
 SYSTEM, SUBJECT = "5c1e07a2", "91bd3f06"
 # Once a part has crashed this many backend servers, and after this time, it may reach no more than
 # MAY_REACH of them.
@@ -45,18 +46,28 @@
         self.addCleanup(self.fleet.__exit__, None)
         self.numbers = itertools.count(1)
 
-    def attempt(self, parts=(SYSTEM, BAD, SUBJECT), path="/flags/1", tokens=10):
+    def attempt(self, parts=(SYSTEM, BAD, SUBJECT), path="/flags/1", tokens=10, deadline_ms=2000):
         """One attempt, with a content of its own: its status, headers and body."""
         n = next(self.numbers)
-        entry = self.fleet.gateways[n % len(self.fleet.gateways)]
         prompt = ",".join(f"{part}:100" for part in [*parts, f"e{n:07x}"])
-        headers = {"Request-Id": f"a{n}", "Model": "m", "Tokens": f"10,{tokens}",
-                   "Prompt-Prefix": prompt, "Deadline-Ms": "2000"}
+        return self.send(n, path, f"rye, field {n}", tokens,
+                         {"Prompt-Prefix": prompt, "Deadline-Ms": str(deadline_ms)})
+
+    def send(self, n, path, body, tokens, headers):
+        entry = self.fleet.gateways[n % len(self.fleet.gateways)]
+        headers = {"Request-Id": f"a{n}", "Model": "m", "Tokens": f"10,{tokens}"} | headers
         try:
-            return call(entry.callers, "POST", path, f"rye, field {n}", headers)
+            return call(entry.callers, "POST", path, body, headers)
         except (OSError, gateways.http.client.HTTPException):
             return None  # the answer broke off
 
+    def send_crashing(self):
+        """An attempt of the same request, without a list of parts, which crashes what runs it."""
+        return self.send(next(self.numbers), "/flags/1", CRASHING, 10, {"Deadline-Ms": "2000"})
+
+    def crashing_runs(self):
+        return [run for run in self.fleet.world.runs() if not run["parts"] and run["crashed"]]
+
     def reached(self, *parts):
         """How many runs with one of the parts have reached a backend server."""
         return sum(bool(set(run["parts"]) & set(parts)) for run in self.fleet.world.runs())
@@ -150,6 +161,27 @@
                 time.sleep(0.5)
         self.assert_served()
 
+    # Guards against refusing what all requests share for a request that is sent again and crashes
+    # what runs it: the part was blamed, and the request was served in its place.
+    def test_a_part_that_was_lost_beside_a_crashing_request_is_served(self):
+        self.begin(engines=1, places=8)
+        self.fleet.world.do("engine", index=0, slowdown=25)
+        with concurrent.futures.ThreadPoolExecutor(4) as pool:
+            for _ in range(2):
+                beside = [pool.submit(self.attempt, (SYSTEM, SUBJECT), tokens=100)
+                          for _ in range(4)]
+                time.sleep(0.2)
+                self.send_crashing()
+                concurrent.futures.wait(beside)
+                time.sleep(1)  # the engine is back
+        self.fleet.world.do("engine", index=0, slowdown=1)
+        self.assertEqual(len(self.crashing_runs()), 2)
+        time.sleep(KNOWN_WITHIN)
+        self.assert_served()
+        for _ in range(LATER):
+            self.send_crashing()
+        self.assertLessEqual(len(self.crashing_runs()), 2 + MAY_REACH)
+
     # Guards against taking the end of an answer without a length for its completion.
     def test_a_part_is_refused_where_answers_have_neither_a_length_nor_chunks(self):
         self.begin()
--- a/test/prompt-parts-test.cc
+++ b/test/prompt-parts-test.cc
@@ -39,14 +39,15 @@
 class Fleet {
  public:
   // A backend server crashes at `at` with these runs, all of which started at `started_at`.
-  void Crash(Duration started_at, Duration at, const std::vector<Request>& lost) {
+  void Crash(Duration started_at, Duration at, const std::vector<Request>& lost,
+             bool online = false) {
     const BackendProcess process{{"i-" + std::to_string(++backends_)}, {7}};
     std::vector<CrashReport> reports;
     for (const Request& request : lost) {
       for (const Fingerprint& suspect : request) {
         if (quarantine.IsCleared(suspect, At(at))) continue;
         const figmill::Crash crash{suspect, process};
-        reports.push_back({crash, quarantine.NextChainLength(crash, At(started_at))});
+        reports.push_back({crash, quarantine.NextChainLength(crash, At(started_at)), online});
       }
     }
     for (const CrashReport& report : reports) quarantine.Add(report, At(at));
@@ -99,12 +100,24 @@
 }
 
 TEST_CASE("a part's report is decoded from its row as it was encoded") {
-  const CrashReport report{{kBad, {{"i-3"}, {7}}}, 2};
+  const CrashReport report{{kBad, {{"i-3"}, {7}}}, 2, true};
   const Result<CrashReport> read = ParseCrashRow({{"crash_reports", "", CrashRowKey(report.crash)},
                                                   CrashRowValue(report, NodeId{"a"}, "a1"),
                                                   1});
   REQUIRE(IsOk(read));
   CHECK(ValueOf(read).crash == report.crash);
+  CHECK(ValueOf(read).online);
+}
+
+// Guards against rows that are refused, or change their meaning, while a release replaces another.
+TEST_CASE("a row that doesn't say whether its request was online is that of an item") {
+  const Crash crash{kBad, {{"i-3"}, {7}}};
+  const Result<CrashReport> read =
+      ParseCrashRow({{"crash_reports", "", CrashRowKey(crash)}, R"({"chain": 2})", 1});
+  REQUIRE(IsOk(read));
+  CHECK_FALSE(ValueOf(read).online);
+  CHECK_FALSE(IsOk(ParseCrashRow(
+      {{"crash_reports", "", CrashRowKey(crash)}, R"({"chain": 2, "online": 1})", 1})));
 }
 
 // Guards against a part that crashes one backend server after the other, in requests of which no
@@ -229,6 +242,44 @@
   }
 }
 
+// Guards against refusing what all requests share because an online request was sent again that
+// crashes backend servers, and against serving that one in its place.
+TEST_CASE("parts are not blamed while an online request that was sent again may be the cause") {
+  Fleet fleet;
+  Request repeated = RequestWith({});
+  SUBCASE("it has none of the parts") {}
+  SUBCASE("it has the same parts") {
+    repeated = RequestWith({kSystem, kBeside});
+  }
+  for (int i = 0; i < 2; ++i) {
+    fleet.Crash(i * 1s, i * 1s + 100ms, {repeated, RequestWith({kSystem, kBeside})}, true);
+  }
+  CHECK_FALSE(fleet.MayRun(3s, repeated));
+  const Request without = RequestWith({kSystem, kBeside});
+  REQUIRE(fleet.MayRun(3s, without));
+  fleet.Start(3s, without);
+  CHECK_FALSE(fleet.MayRun(3100ms, RequestWith({kSystem})));
+  SUBCASE("requests with the parts are completed without it") {
+    fleet.Complete(3500ms, without);
+    CHECK(fleet.MayRun(3600ms, RequestWith({kSystem, kBeside})));
+    CHECK_FALSE(fleet.MayRun(3600ms, repeated));
+  }
+  SUBCASE("they crash backend servers without it") {
+    fleet.Crash(3s, 3100ms, {without}, true);
+    CHECK_FALSE(fleet.MayRun(5s, RequestWith({kSystem, kBeside})));
+  }
+}
+
+// Guards against a part that hides behind a batch item, which is in crashes by chance.
+TEST_CASE("parts are blamed although a batch item was in the same crashes") {
+  Fleet fleet;
+  const Request item = RequestWith({});
+  for (int i = 0; i < 2; ++i) {
+    fleet.Crash(i * 1s, i * 1s + 100ms, {RequestWith({kBad}), item});
+  }
+  CHECK_FALSE(fleet.MayRun(3s, RequestWith({kBad})));
+}
+
 // Guards against a first part that crashes backend servers with any other part.
 TEST_CASE("a part that was lost without the others is blamed alone") {
   Fleet fleet;
