Quarantine: an answer that goes on clears the parts of its prompt

Cause: a part crashes a backend server that begins to write an answer on it, so that a lost run with more than eight events reports none of its parts. But of the runs that went on only completed ones cleared their parts, and after a start of all gateways none was complete between the two crashes.

Evidence: the logs of a failed run, in the postmortem; five streams with the part were being written when it was blamed, two of them with over 90 events.

Now an answer with more than eight events clears the parts of its prompt as its completion does, for streams and batch items. crashing-parts-test, the new case: failed on the code before in three of three runs, passes in three of three.

--- a/include/figmill/quarantine.h
+++ b/include/figmill/quarantine.h
@@ -8,7 +8,8 @@
 // whole request, and each part of its prompt if its answer had only begun. A suspect that is
 // reported again after a run that started later is the most likely cause, unless another suspect
 // explains these crashes, and requests with it aren't run for a while. A suspect of a completed
-// request is not the cause, and its reports are withdrawn.
+// request is not the cause, nor is a part of a request whose answer goes on: its reports are
+// withdrawn.
 // No I/O: the caller passes the time in.
 
 #include <compare>
@@ -117,9 +118,13 @@
   // A crash says nothing about the parts of a prompt whose answer had more events than this: such
   // a part crashes an engine that begins to write.
   static constexpr std::uint64_t kMaxEventsAtCrash = 8;
-  // A part of a request that was completed here takes no reports for this long.
+  // Whether an answer with so many events shows that the parts of its prompt crash nothing.
+  [[nodiscard]] static constexpr bool ShowsSoundParts(std::uint64_t events) {
+    return events > kMaxEventsAtCrash;
+  }
+  // A part that a request has shown to be sound here takes no reports for this long.
   static constexpr Duration kClearedFor{10'000'000};
-  // Most completed parts that are remembered.
+  // Most sound parts that are remembered.
   static constexpr std::size_t kMaxClearedParts = 4096;
   // No second probe starts here while one may still be running.
   static constexpr Duration kProbeTimeout{10'000'000};
@@ -173,9 +178,10 @@
   void RecordStart(std::span<const Fingerprint> request, Time now);
   // A run of a batch item has ended, with or without a crash: if it was a probe, it is over.
   void RecordItemEnd(std::span<const Fingerprint> item, Time now);
-  // A run has ended with a complete answer. Returns the reports that this withdraws.
-  [[nodiscard]] std::vector<Crash> RecordCompletion(std::span<const Fingerprint> request, Time now);
-  // Whether a request with this part was completed here a short time ago.
+  // A run has shown that these suspects are sound: it has ended with a complete answer, or, for
+  // parts alone, its answer ShowsSoundParts. Returns the reports that this withdraws.
+  [[nodiscard]] std::vector<Crash> RecordSound(std::span<const Fingerprint> suspects, Time now);
+  // Whether a request has shown here a short time ago that this part is sound.
   [[nodiscard]] bool IsCleared(const Fingerprint& part, Time now) const;
   // The reports beyond kMaxReports: those of the shortest chains, and of these the oldest.
   [[nodiscard]] std::vector<Crash> ExcessReports() const;
@@ -228,7 +234,7 @@
   std::map<Fingerprint, Suspect> suspects_;
   std::map<BackendProcess, CrashedProcess> processes_;  // those of the reports
   std::vector<Culprit> culprits_;
-  std::map<Fingerprint, Time> cleared_;  // when requests with these parts were last completed here
+  std::map<Fingerprint, Time> cleared_;  // when these parts were last shown to be sound here
   std::size_t reports_ = 0;
 };
 
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -1,6 +1,7 @@
 #include "gateway/batch_runner.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "gateway/item_call.h"
@@ -382,6 +383,10 @@
   // Bytes that complete no event are as good as silence.
   if (text.events() != events_before) run.last_activity_at = now;
   tools_.backends.RecordEvents(run.slot, run.timer.Update(text.events(), now));
+  if (!run.parts_are_sound && Quarantine::ShowsSoundParts(text.events() - run.events_before)) {
+    run.parts_are_sound = true;
+    tools_.crash_tracker.RecordSound(std::span(run.suspects).subspan(1));
+  }
   const std::optional<std::string_view> defect = text.Defect();
   if (!defect) return;
   const bool too_long = text.too_long();
@@ -394,7 +399,7 @@
   if (!run.answering || !open_items_.ProgressOf(key).text.at_event_end()) {
     return Requeue(key, relay::SendEnd::kBroken, "response ended early", kRetryDelay);
   }
-  tools_.crash_tracker.RecordCompletion(run.suspects);
+  tools_.crash_tracker.RecordSound(run.suspects);
   EndRun(key, relay::SendEnd::kAnswered);
   open_items_.OnCompleted(key, TimeNow());
   Finish(key, ResultState::kComplete, "");
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -60,12 +60,14 @@
     CancelCall cancel;
     bool answering = false;
     std::uint64_t events_before = 0;  // of the item's text when the run started
+    bool parts_are_sound = false;     // the run has shown it
     std::optional<std::uint64_t> max_output_tokens;
     Time started_at{};
     Duration suspended_before{0};  // Loop::Suspended at started_at
     Time last_activity_at{};       // of the head and of whole events
     StoreTime due{0};
-    std::vector<Fingerprint> suspects;  // reported if the backend server crashes
+    // Reported if the backend server crashes: the item, then the parts of its prompt.
+    std::vector<Fingerprint> suspects;
   };
 
   void Enqueue(const JobItemRef& key, Duration delay);
--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -216,7 +216,7 @@
   if (lost.leaving) return;
   reports_counter_.Add();
   for (const Fingerprint& suspect : lost.suspects) {
-    const bool sound = IsPart(suspect) && (lost.events > Quarantine::kMaxEventsAtCrash ||
+    const bool sound = IsPart(suspect) && (Quarantine::ShowsSoundParts(lost.events) ||
                                            quarantine_.IsCleared(suspect, detected_at));
     if (sound) continue;
     const Crash crash{suspect, {lost.backend.id, lost.backend.incarnation}};
@@ -253,8 +253,8 @@
   quarantine_.RecordItemEnd(item, Loop::Now());
 }
 
-void CrashTracker::RecordCompletion(std::span<const Fingerprint> request) {
-  for (const Crash& crash : quarantine_.RecordCompletion(request, Loop::Now())) {
+void CrashTracker::RecordSound(std::span<const Fingerprint> suspects) {
+  for (const Crash& crash : quarantine_.RecordSound(suspects, Loop::Now())) {
     Write(crash, std::nullopt);
   }
   LogChanges();
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -71,10 +71,11 @@
   void RecordStart(std::span<const Fingerprint> request);
   // A run of a batch item has ended, with or without a complete response.
   void RecordItemEnd(std::span<const Fingerprint> item);
-  // Whether there are crash reports. If not, RecordCompletion only needs the parts of the prompt.
+  // Whether there are crash reports. If not, RecordSound only needs the parts of the prompt.
   [[nodiscard]] bool has_reports() const { return quarantine_.reports() > 0; }
-  // A run of the request ended with a complete response: its crash reports are withdrawn.
-  void RecordCompletion(std::span<const Fingerprint> request);
+  // A run has shown that these suspects crash nothing (Quarantine::RecordSound): their crash
+  // reports are withdrawn.
+  void RecordSound(std::span<const Fingerprint> suspects);
 
  private:
   void OnDialed(const LostSend& lost, DialResult found, Time detected_at);
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -233,6 +233,7 @@
   if (context_.crash_tracker.has_quarantined()) context_.crash_tracker.RecordStart(Suspects());
   slot_ = context_.backends.AcquireSlot(action.backend.id, WorkClass::kOnline, sent_at_);
   events_before_send_ = state_machine_.events_forwarded();
+  parts_are_sound_ = false;
   run_timer_ = RunTimer(events_before_send_);
   open_send_id_ = context_.open_sends.Add(
       action.backend, sent_at_, [weak = weak_from_this(), send = action.send] {
@@ -283,8 +284,11 @@
 }
 
 void RelayCall::RecordEvents() {
-  context_.backends.RecordEvents(slot_,
-                                 run_timer_.Update(state_machine_.events_forwarded(), Loop::Now()));
+  const std::uint64_t events = state_machine_.events_forwarded();
+  context_.backends.RecordEvents(slot_, run_timer_.Update(events, Loop::Now()));
+  if (parts_are_sound_ || !Quarantine::ShowsSoundParts(events - events_before_send_)) return;
+  parts_are_sound_ = true;
+  context_.crash_tracker.RecordSound(PartSuspects());
 }
 
 void RelayCall::OnConnectionLost(SendNumber send, std::string why) {
@@ -328,8 +332,8 @@
 void RelayCall::OnWholeAnswer(int status) {
   const bool success = status >= kFirstSuccess && status <= kLastSuccess;
   if (!success) return;
-  context_.crash_tracker.RecordCompletion(context_.crash_tracker.has_reports() ? Suspects()
-                                                                               : PartSuspects());
+  context_.crash_tracker.RecordSound(context_.crash_tracker.has_reports() ? Suspects()
+                                                                          : PartSuspects());
 }
 
 void RelayCall::Do(const relay::CloseSend& action) {
--- a/src/gateway/relay_call.h
+++ b/src/gateway/relay_call.h
@@ -134,6 +134,7 @@
   Time sent_at_{};
   Duration suspended_before_send_{0};     // Loop::Suspended at sent_at_
   std::uint64_t events_before_send_ = 0;  // forwarded when the last send began
+  bool parts_are_sound_ = false;          // the last send has shown it
   Time first_byte_at_{};
   int status_ = 0;
   Duration retry_after_{0};                 // sent in an error response
--- a/src/quarantine/quarantine.cc
+++ b/src/quarantine/quarantine.cc
@@ -321,9 +321,9 @@
   }
 }
 
-std::vector<Crash> Quarantine::RecordCompletion(std::span<const Fingerprint> request, Time now) {
+std::vector<Crash> Quarantine::RecordSound(std::span<const Fingerprint> suspects, Time now) {
   std::vector<Crash> withdrawn;
-  for (const Fingerprint& each : request) {
+  for (const Fingerprint& each : suspects) {
     if (IsPart(each)) {
       if (cleared_.size() >= kMaxClearedParts) {
         std::erase_if(cleared_,
--- a/test/crashing-parts-test.py
+++ b/test/crashing-parts-test.py
@@ -182,6 +182,21 @@
             self.send_crashing()
         self.assertLessEqual(len(self.crashing_runs()), 2 + MAY_REACH)
 
+    # Guards against refusing what all requests share after two crashes with two causes, while
+    # answers to other requests with it go on.
+    def test_a_part_whose_answers_go_on_is_served(self):
+        self.begin(engines=4)
+        with concurrent.futures.ThreadPoolExecutor(3) as pool:
+            streams = [pool.submit(self.attempt, (SYSTEM, SUBJECT), tokens=900, deadline_ms=9000)
+                       for _ in self.fleet.gateways]
+            time.sleep(0.5)
+            for cause in (BAD, OTHER_BAD):
+                self.attempt((SYSTEM, cause))
+                time.sleep(0.5)
+            self.assertEqual(self.reached(BAD, OTHER_BAD), 2)
+            self.assertFalse(all(stream.done() for stream in streams))
+            self.assert_served(count=len(self.fleet.gateways))
+
     # Guards against taking the end of an answer without a length for its completion.
     def test_a_part_is_refused_where_answers_have_neither_a_length_nor_chunks(self):
         self.begin()
--- a/test/prompt-parts-test.cc
+++ b/test/prompt-parts-test.cc
@@ -53,7 +53,7 @@
     for (const CrashReport& report : reports) quarantine.Add(report, At(at));
   }
   void Complete(Duration at, const Request& request) {
-    (void)quarantine.RecordCompletion(request, At(at));
+    (void)quarantine.RecordSound(request, At(at));
   }
   [[nodiscard]] bool MayRun(Duration at, const Request& request) const {
     return !quarantine.HoldOf(request, At(at));
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -125,7 +125,7 @@
   Entry entry;
   entry.AddCrash(1, 0s, 100ms, kOther);
   entry.AddCrash(2, 0s, 100ms);
-  CHECK(entry.quarantine.RecordCompletion(std::vector{kOther}, At(200ms)).size() == 1);
+  CHECK(entry.quarantine.RecordSound(std::vector{kOther}, At(200ms)).size() == 1);
   entry.AddCrash(1, 300ms, 400ms);
   CHECK_FALSE(entry.MayRun(500ms));
 }
@@ -161,11 +161,11 @@
   Entry entry;
   entry.AddCrash(1, 0s, 100ms);
   entry.AddCrash(2, 200ms, 300ms);
-  CHECK(entry.quarantine.RecordCompletion(std::vector{kRequest}, At(350ms)).size() == 2);
+  CHECK(entry.quarantine.RecordSound(std::vector{kRequest}, At(350ms)).size() == 2);
   CHECK(entry.MayRun(400ms));
   CHECK(entry.quarantine.reports() == 0);
   CHECK(entry.quarantine.culprits().empty());
-  CHECK(entry.quarantine.RecordCompletion(std::vector{kRequest}, At(350ms)).empty());
+  CHECK(entry.quarantine.RecordSound(std::vector{kRequest}, At(350ms)).empty());
 }
 
 TEST_CASE("removed reports no longer count") {
