Soak: a key may be taken for valid while feeds tell no changes

The check allows REVOKE after the end of such a time when it touches the time since the key was taken away, and nothing else: a test has both sides of it.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -201,7 +201,10 @@
         if how == "compact":
             await self.do("compact")
         elif how == "deaf":
+            deaf = Trouble("store", "", self.clock())
+            self.record.deaf.append(deaf)
             await self.do("deaf", seconds=fault.for_s)
+            deaf.ended = self.clock() + fault.for_s
             await asyncio.sleep(fault.for_s)
         elif how in ("lose", "late"):
             await self.do("store", **{how: 0.3})
--- a/soak/record.py
+++ b/soak/record.py
@@ -94,6 +94,7 @@
     jobs: list = dataclasses.field(default_factory=list)
     probes: list = dataclasses.field(default_factory=list)
     troubles: list = dataclasses.field(default_factory=list)
+    deaf: list = dataclasses.field(default_factory=list)  # troubles: the store's feeds tell no changes
     runs: list = dataclasses.field(default_factory=list)
     closed: list = dataclasses.field(default_factory=list)
     # Attempts that crash engines: id -> (which request or part of prompts, the gateway that took it).
--- a/soak/teams.py
+++ b/soak/teams.py
@@ -104,7 +104,12 @@
     ran = {run["id"] for run in record.runs}
     for request in record.team_requests:
         revoked = record.revoked.get(request.key)
-        if revoked is not None and request.sent_at > revoked + REVOKE and request.id in ran:
+        if revoked is None or request.id not in ran:
+            continue
+        # While feeds tell no changes they confirm a configuration that is no longer in force.
+        told = max([revoked, *(deaf.ended for deaf in record.deaf
+                               if deaf.touches(revoked, request.sent_at))])
+        if request.sent_at > told + REVOKE:
             yield (f"{request.id}: ran at {request.gateway} {request.sent_at - revoked:.1f} s after "
                    "its key was taken away")
 
--- a/test/soak-test.py
+++ b/test/soak-test.py
@@ -272,6 +272,21 @@
                          {"keys_taken_away_work_nowhere"})
         self.assertEqual(self.broken_by(team_requests=[early], revoked=revoked, runs=runs), set())
 
+    def test_a_key_that_works_while_feeds_tell_no_changes(self):
+        """Guards against a check that excuses more than such a feed confirms."""
+        late = TeamRequest("spare1-1", "spare1", "g0", 10 + teams.REVOKE + 1)
+        revoked, runs = {"spare1": 10.0}, [ran("spare1-1", at=13)]
+
+        def broken_with(begun, ended):
+            return self.broken_by(team_requests=[late], revoked=revoked, runs=runs,
+                                  deaf=[Trouble("store", "", begun, ended)])
+        self.assertEqual(broken_with(9, 11), set())
+        self.assertEqual(broken_with(11, 14), set())
+        broken = {"keys_taken_away_work_nowhere"}
+        self.assertEqual(broken_with(9, 10.9), broken)
+        self.assertEqual(broken_with(8, 9.9), broken)
+        self.assertEqual(broken_with(13.1, 14), broken)
+
     def test_a_limit_that_does_not_hold(self):
         most = int((teams.RATE * teams.WINDOW + teams.BURST) * (1 + teams.EXCESS) + teams.SLACK)
         runs = [ran(f"hot-{n}", at=10 + n * 0.01) | {"team": "hot"} for n in range(most + 1)]
