--- a/include/figmill/quarantine.h
+++ b/include/figmill/quarantine.h
@@ -8,7 +8,8 @@
 // whole request, and each part of its prompt if its answer had only begun. A suspect that is
 // reported again after a run that started later is the most likely cause, unless another suspect
 // explains these crashes, and requests with it aren't run for a while. A suspect of a completed
-// request is not the cause, and its reports are withdrawn.
+// request is not the cause, nor is a part of a request whose answer goes on: its reports are
+// withdrawn.
 // No I/O: the caller passes the time in.
 
 #include <compare>
@@ -76,6 +77,9 @@
   // before was known. Backend servers that crash at the same time form no chain, so that a frequent
   // request isn't blamed for the loss of a rack.
   int chain = 1;
+  // The suspect was lost in an online request, which is short: to be in two crashes in a row it has
+  // to be sent again. Batch items run for seconds, and are in crashes by chance.
+  bool online = false;
 };
 
 // Reports are stored as rows of a shared table. `seen_by` and `attempt` are for people who read the
@@ -114,13 +118,17 @@
   // A crash says nothing about the parts of a prompt whose answer had more events than this: such
   // a part crashes an engine that begins to write.
   static constexpr std::uint64_t kMaxEventsAtCrash = 8;
-  // A part of a request that was completed here takes no reports for this long.
+  // Whether an answer with so many events shows that the parts of its prompt crash nothing.
+  [[nodiscard]] static constexpr bool ShowsSoundParts(std::uint64_t events) {
+    return events > kMaxEventsAtCrash;
+  }
+  // A part that a request has shown to be sound here takes no reports for this long.
   static constexpr Duration kClearedFor{10'000'000};
-  // Most completed parts that are remembered.
+  // Most sound parts that are remembered.
   static constexpr std::size_t kMaxClearedParts = 4096;
   // No second probe starts here while one may still be running.
   static constexpr Duration kProbeTimeout{10'000'000};
-  // While another part may be to blame as well, requests that tell them apart are probes. They
+  // While another suspect may be to blame as well, requests that tell them apart are probes. They
   // start here at this interval, and the first ones of all entries are spread over it.
   static constexpr Duration kDecidingProbeInterval{1'000'000};
   // Reports of other entries may still change what is to blame for a crash that was this long ago,
@@ -134,10 +142,13 @@
   // What is to blame for some crashes.
   struct Culprit {
     Fingerprint suspect;
-    // Other parts that may be to blame instead: each of the crashes lost one of them as well.
+    // Other parts and online requests that may be to blame instead of a part: each of the crashes
+    // lost one of them as well.
     std::set<Fingerprint> alternatives;
+    // Those of them that are requests and were lost in all of the crashes.
+    std::set<Fingerprint> requests;
     int chain = 0;
-    std::size_t crashes = 0;
+    std::set<BackendProcess> crashes;
     Time last_crash_at{};
     bool operator==(const Culprit&) const = default;
   };
@@ -154,8 +165,9 @@
   // when the report arrived.
   void Add(const CrashReport& report, Time seen_at);
   void Remove(const Crash& crash);
-  // Chain length of a crash in a run that started at `started_at`.
-  [[nodiscard]] int NextChainLength(const Fingerprint& suspect, Time started_at) const;
+  // Chain length of a crash in a run that started at `started_at`. A run that started after a crash
+  // of its own process was known never ran, and follows no other crash.
+  [[nodiscard]] int NextChainLength(const Crash& crash, Time started_at) const;
 
   // Whether an online request with these fingerprints may run here; nullopt: it may.
   [[nodiscard]] std::optional<Hold> HoldOf(std::span<const Fingerprint> request, Time now) const;
@@ -166,9 +178,10 @@
   void RecordStart(std::span<const Fingerprint> request, Time now);
   // A run of a batch item has ended, with or without a crash: if it was a probe, it is over.
   void RecordItemEnd(std::span<const Fingerprint> item, Time now);
-  // A run has ended with a complete answer. Returns the reports that this withdraws.
-  [[nodiscard]] std::vector<Crash> RecordCompletion(std::span<const Fingerprint> request, Time now);
-  // Whether a request with this part was completed here a short time ago.
+  // A run has shown that these suspects are sound: it has ended with a complete answer, or, for
+  // parts alone, its answer ShowsSoundParts. Returns the reports that this withdraws.
+  [[nodiscard]] std::vector<Crash> RecordSound(std::span<const Fingerprint> suspects, Time now);
+  // Whether a request has shown here a short time ago that this part is sound.
   [[nodiscard]] bool IsCleared(const Fingerprint& part, Time now) const;
   // The reports beyond kMaxReports: those of the shortest chains, and of these the oldest.
   [[nodiscard]] std::vector<Crash> ExcessReports() const;
@@ -180,11 +193,16 @@
   struct SeenCrash {
     int chain = 1;
     Time at{};
+    bool online = false;
   };
   struct Suspect {
     std::map<BackendProcess, SeenCrash> crashes;
     Time probe_until{};
   };
+  struct CrashedProcess {
+    std::size_t reports = 0;
+    Time known_at{};
+  };
   using Processes = std::set<BackendProcess>;
 
   void FindCulprits();
@@ -192,8 +210,10 @@
   [[nodiscard]] std::optional<Fingerprint> LeadingPart(const Processes& explained) const;
   [[nodiscard]] Culprit MakeCulprit(const Fingerprint& fingerprint,
                                     const Processes& explained) const;
-  [[nodiscard]] std::set<Fingerprint> AlternativesTo(const Fingerprint& part,
-                                                     const Processes& explained) const;
+  void FindAlternatives(Culprit& culprit, const Processes& explained) const;
+  // The crashes that parts explain to which this request is no alternative; nullopt: it is none to
+  // any part.
+  [[nodiscard]] std::optional<Processes> ExplainedForAlternative(const Fingerprint& request) const;
   [[nodiscard]] static const Policy& PolicyFor(const Culprit& culprit, bool batch);
   // When a batch item is given up; nullopt for an online request.
   using Expiry = std::optional<Time>;
@@ -212,8 +232,9 @@
 
   NodeId self_;
   std::map<Fingerprint, Suspect> suspects_;
+  std::map<BackendProcess, CrashedProcess> processes_;  // those of the reports
   std::vector<Culprit> culprits_;
-  std::map<Fingerprint, Time> cleared_;  // when requests with these parts were last completed here
+  std::map<Fingerprint, Time> cleared_;  // when these parts were last shown to be sound here
   std::size_t reports_ = 0;
 };
 
--- a/src/gateway/batch_runner.cc
+++ b/src/gateway/batch_runner.cc
@@ -1,6 +1,7 @@
 #include "gateway/batch_runner.h"
 
 #include <algorithm>
+#include <span>
 #include <utility>
 
 #include "gateway/item_call.h"
@@ -313,10 +314,10 @@
   return found != runs_.end() && found->second.number == number;
 }
 
-CrashTracker::LostSend BatchRunner::MakeLostSend(const JobItemRef& key) {
+LostSend BatchRunner::MakeLostSend(const JobItemRef& key) {
   const Run& run = runs_[key];
   const BackendInfo* listed = tools_.backends.Find(run.backend.id);
-  CrashTracker::LostSend lost;
+  LostSend lost;
   lost.id = ItemId(key);
   lost.suspects = run.suspects;
   lost.backend = run.backend;
@@ -334,6 +335,10 @@
       MatchAnswerId(head.HeaderOr(names.request_id), job->items()[key.item].id);
   const bool not_run = !head.HeaderOr(names.not_run).empty();
   const std::string why = "status " + std::to_string(head.status);
+  const Run& run = runs_[key];
+  if (id == AnswerIdMatch::kSame && head.status != kMisdirected) {
+    tools_.crash_tracker.RecordAnswer(run.backend, run.started_at);
+  }
   std::visit(Overloaded{
                  [&](item_answer::Output) { runs_[key].answering = true; },
                  [&](item_answer::NotRun answer) {
@@ -378,6 +383,10 @@
   // Bytes that complete no event are as good as silence.
   if (text.events() != events_before) run.last_activity_at = now;
   tools_.backends.RecordEvents(run.slot, run.timer.Update(text.events(), now));
+  if (!run.parts_are_sound && Quarantine::ShowsSoundParts(text.events() - run.events_before)) {
+    run.parts_are_sound = true;
+    tools_.crash_tracker.RecordSound(std::span(run.suspects).subspan(1));
+  }
   const std::optional<std::string_view> defect = text.Defect();
   if (!defect) return;
   const bool too_long = text.too_long();
@@ -390,7 +399,7 @@
   if (!run.answering || !open_items_.ProgressOf(key).text.at_event_end()) {
     return Requeue(key, relay::SendEnd::kBroken, "response ended early", kRetryDelay);
   }
-  tools_.crash_tracker.RecordCompletion(run.suspects);
+  tools_.crash_tracker.RecordSound(run.suspects);
   EndRun(key, relay::SendEnd::kAnswered);
   open_items_.OnCompleted(key, TimeNow());
   Finish(key, ResultState::kComplete, "");
--- a/src/gateway/batch_runner.h
+++ b/src/gateway/batch_runner.h
@@ -60,12 +60,14 @@
     CancelCall cancel;
     bool answering = false;
     std::uint64_t events_before = 0;  // of the item's text when the run started
+    bool parts_are_sound = false;     // the run has shown it
     std::optional<std::uint64_t> max_output_tokens;
     Time started_at{};
     Duration suspended_before{0};  // Loop::Suspended at started_at
     Time last_activity_at{};       // of the head and of whole events
     StoreTime due{0};
-    std::vector<Fingerprint> suspects;  // reported if the backend server crashes
+    // Reported if the backend server crashes: the item, then the parts of its prompt.
+    std::vector<Fingerprint> suspects;
   };
 
   void Enqueue(const JobItemRef& key, Duration delay);
@@ -77,7 +79,7 @@
   // A waiting item may not start before this delay is over.
   void Postpone(const JobItemRef& key, Duration delay);
   [[nodiscard]] bool IsCurrent(const JobItemRef& key, OpenSends::Id number) const;
-  [[nodiscard]] CrashTracker::LostSend MakeLostSend(const JobItemRef& key);
+  [[nodiscard]] LostSend MakeLostSend(const JobItemRef& key);
   [[nodiscard]] BacklogTime TimeNow() const;
   [[nodiscard]] std::string ItemId(const JobItemRef& key) const;
   [[nodiscard]] const Route* RouteOf(const JobRecord& head, const JobItem& item) const;
--- a/src/gateway/relay_call.cc
+++ b/src/gateway/relay_call.cc
@@ -233,6 +233,7 @@
   if (context_.crash_tracker.has_quarantined()) context_.crash_tracker.RecordStart(Suspects());
   slot_ = context_.backends.AcquireSlot(action.backend.id, WorkClass::kOnline, sent_at_);
   events_before_send_ = state_machine_.events_forwarded();
+  parts_are_sound_ = false;
   run_timer_ = RunTimer(events_before_send_);
   open_send_id_ = context_.open_sends.Add(
       action.backend, sent_at_, [weak = weak_from_this(), send = action.send] {
@@ -260,6 +261,9 @@
                    const std::string_view id = head.HeaderOr(names.request_id);
                    const AnswerIdMatch answered =
                        MatchAnswerId(id, state_machine_.plan().request.value);
+                   if (answered == AnswerIdMatch::kSame && head.status != kMisdirected) {
+                     context_.crash_tracker.RecordAnswer(sent_to_, sent_at_);
+                   }
                    Step(relay::Head{send, std::move(head), not_run, answered});
                  },
                  [&](const HttpBytes& bytes) {
@@ -280,8 +284,11 @@
 }
 
 void RelayCall::RecordEvents() {
-  context_.backends.RecordEvents(slot_,
-                                 run_timer_.Update(state_machine_.events_forwarded(), Loop::Now()));
+  const std::uint64_t events = state_machine_.events_forwarded();
+  context_.backends.RecordEvents(slot_, run_timer_.Update(events, Loop::Now()));
+  if (parts_are_sound_ || !Quarantine::ShowsSoundParts(events - events_before_send_)) return;
+  parts_are_sound_ = true;
+  context_.crash_tracker.RecordSound(PartSuspects());
 }
 
 void RelayCall::OnConnectionLost(SendNumber send, std::string why) {
@@ -309,23 +316,24 @@
       });
 }
 
-CrashTracker::LostSend RelayCall::MakeLostSend() {
+LostSend RelayCall::MakeLostSend() {
   const BackendInfo* listed = context_.backends.Find(sent_to_.id);
-  CrashTracker::LostSend lost;
+  LostSend lost;
   lost.id = state_machine_.plan().request.value;
   lost.suspects = Suspects();
   lost.backend = sent_to_;
   lost.started_at = sent_at_;
   lost.events = state_machine_.events_forwarded() - events_before_send_;
   lost.leaving = listed != nullptr && listed->state == BackendState::kDraining;
+  lost.online = true;
   return lost;
 }
 
 void RelayCall::OnWholeAnswer(int status) {
   const bool success = status >= kFirstSuccess && status <= kLastSuccess;
   if (!success) return;
-  context_.crash_tracker.RecordCompletion(context_.crash_tracker.has_reports() ? Suspects()
-                                                                               : PartSuspects());
+  context_.crash_tracker.RecordSound(context_.crash_tracker.has_reports() ? Suspects()
+                                                                          : PartSuspects());
 }
 
 void RelayCall::Do(const relay::CloseSend& action) {
