Gateway: a loss is looked up in the list of backend servers at once

Callers saw a sound stream break off, "in quarantine: ... crashed 2 backend servers one after the other", after two crashes seconds apart of which the request was in each, though it had been completed between them.

Cause: a lost send at whose backend server something accepts connections waited for the next change of the list. If the list had shown the crash before the loss was found, as after a suspension of the gateway, the crash was reported with the next change of any entry, up to 5 s late.

Evidence: the logs of a failed run of unframed-answers-test, timeline in the postmortem.

Now the list is looked up when a loss is found, and it waits only if no crash is shown. Unit test with it.

--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -191,10 +191,18 @@
 
 void CrashTracker::AwaitList(const LostSend& lost, Time detected_at) {
   if (lost.leaving) return;
+  if (listed_ != nullptr) {
+    // The list may have shown the crash before the loss was found here.
+    if (const auto cause = UndecidedLosses::CrashIn(*listed_, lost)) {
+      LogLostSend(lost, ToString(*cause));
+      return ReportCrash(lost, detected_at);
+    }
+  }
   if (!undecided_.Add(lost, detected_at)) LogLostSend(lost, "too_many_undecided");
 }
 
 void CrashTracker::OnBackendsListed(const BackendList& backends) {
+  listed_ = &backends;
   for (const auto& [loss, cause] : undecided_.RecordList(backends, Loop::Now())) {
     LogLostSend(loss.lost, ToString(cause));
     ReportCrash(loss.lost, loss.detected_at);
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -52,8 +52,9 @@
   // `suspended_before`. While a host is suspended a close can't arrive, so that its age is too low.
   [[nodiscard]] static std::optional<Duration> ClosedAfter(const HttpEnd& end,
                                                            Duration suspended_before);
-  // Call it with each list of backend servers. Something else may accept connections in place of
-  // one that has crashed; its crash then shows in the list alone.
+  // Call it with each list of backend servers, in one place: the list is also looked up between the
+  // calls. Something else may accept connections in place of one that has crashed; its crash then
+  // shows in the list alone.
   void OnBackendsListed(const BackendList& backends);
   // A response has begun to a request that was sent to this process at `sent_at`.
   void RecordAnswer(const BackendAddress& process, Time sent_at);
@@ -105,6 +106,7 @@
   std::vector<Quarantine::Culprit> logged_;
   TableFollower follower_;
   UndecidedLosses undecided_;
+  const BackendList* listed_ = nullptr;  // null before the first list
   // Rows to write, by key; nullopt for a row to remove.
   std::map<std::string, std::optional<std::string>> pending_rows_;
   // Rows of other entries that are to be removed.
--- a/src/gateway/undecided_losses.cc
+++ b/src/gateway/undecided_losses.cc
@@ -4,6 +4,14 @@
 
 namespace figmill {
 
+std::optional<UndecidedLosses::Cause> UndecidedLosses::CrashIn(const BackendList& listed,
+                                                               const LostSend& lost) {
+  const auto found = listed.find(lost.backend.id);
+  if (found == listed.end()) return Cause::kUnlisted;
+  const bool restarted = IsLater(found->second.incarnation, lost.backend.incarnation);
+  return restarted ? std::optional(Cause::kRestarted) : std::nullopt;
+}
+
 bool UndecidedLosses::Add(LostSend lost, Time detected_at) {
   std::erase_if(losses_,
                 [&](const Loss& each) { return detected_at - each.detected_at > kListDelay; });
@@ -32,13 +40,9 @@
   std::vector<Decision> decided;
   for (Loss& each : std::exchange(losses_, {})) {
     if (now - each.detected_at > kListDelay) continue;
-    const BackendAddress& ran_at = each.lost.backend;
-    const auto found = listed.find(ran_at.id);
-    if (found == listed.end()) {
-      decided.push_back({std::move(each), Cause::kUnlisted});
-    } else if (IsLater(found->second.incarnation, ran_at.incarnation)) {
-      decided.push_back({std::move(each), Cause::kRestarted});
-    } else if (found->second.state == BackendState::kReady) {
+    if (const std::optional<Cause> crash = CrashIn(listed, each.lost)) {
+      decided.push_back({std::move(each), *crash});
+    } else if (listed.at(each.lost.backend.id).state == BackendState::kReady) {
       losses_.push_back(std::move(each));
     }
   }
--- a/src/gateway/undecided_losses.h
+++ b/src/gateway/undecided_losses.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string_view>
 #include <vector>
 
@@ -36,6 +37,9 @@
     Cause cause;
   };
 
+  // The crash that the list shows of the process of this send; nullopt: none.
+  [[nodiscard]] static std::optional<Cause> CrashIn(const BackendList& listed,
+                                                    const LostSend& lost);
   // Returns false if there are too many.
   [[nodiscard]] bool Add(LostSend lost, Time detected_at);
   // A response has begun to a request that was sent to this process at `sent_at`. Sends that were
--- a/test/undecided-losses-test.cc
+++ b/test/undecided-losses-test.cc
@@ -68,6 +68,15 @@
   CHECK(losses.RecordList({}, At(3s)).empty());
 }
 
+// Guards against a crash that is reported seconds late, since the list showed it before the loss
+// was found.
+TEST_CASE("a list that was read before shows a crash as well") {
+  CHECK(UndecidedLosses::CrashIn({}, Lost("a1")) == Cause::kUnlisted);
+  CHECK(UndecidedLosses::CrashIn(Listed(8), Lost("a1")) == Cause::kRestarted);
+  CHECK_FALSE(UndecidedLosses::CrashIn(Listed(7), Lost("a1")));
+  CHECK_FALSE(UndecidedLosses::CrashIn(Listed(7, BackendState::kDraining), Lost("a1")));
+}
+
 // Guards against blaming a request whose connection was cut for a crash that came seconds later.
 TEST_CASE("a backend server that answers a later request had not crashed") {
   UndecidedLosses losses;
