Gateway: a completed request drops its losses that are still undecided

Second cause of the sound stream that broke off in unframed-answers-test: a request that is completed withdraws its crash reports, but a loss of it that still waited for the list was reported later all the same, and made a chain with the next crash.

Now the completion drops it, with a log line. Unit test with it.

--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -35,6 +35,10 @@
        {"ran_ms", Milliseconds(Loop::Now() - lost.started_at)}});
 }
 
+void LogDropped(const std::vector<UndecidedLosses::Decision>& dropped) {
+  for (const auto& [loss, cause] : dropped) LogLostSend(loss.lost, ToString(cause));
+}
+
 // Longest time from the close of the answer's connection until the call was answered.
 std::string AgeMs(const EndEvidence& evidence) {
   if (!evidence.answered_at || !evidence.closed_after) return "";
@@ -210,9 +214,7 @@
 }
 
 void CrashTracker::RecordAnswer(const BackendAddress& process, Time sent_at) {
-  for (const auto& [loss, cause] : undecided_.RecordAnswer(process, sent_at)) {
-    LogLostSend(loss.lost, ToString(cause));
-  }
+  LogDropped(undecided_.RecordAnswer(process, sent_at));
 }
 
 void CrashTracker::ReportRestart(const LostSend& lost) {
@@ -265,6 +267,10 @@
   for (const Crash& crash : quarantine_.RecordSound(suspects, Loop::Now())) {
     Write(crash, std::nullopt);
   }
+  for (const Fingerprint& each : suspects) {
+    if (IsPart(each)) continue;
+    LogDropped(undecided_.RecordCompletion(each));
+  }
   LogChanges();
 }
 
--- a/src/gateway/crash_tracker.h
+++ b/src/gateway/crash_tracker.h
@@ -72,8 +72,11 @@
   void RecordStart(std::span<const Fingerprint> request);
   // A run of a batch item has ended, with or without a complete response.
   void RecordItemEnd(std::span<const Fingerprint> item);
-  // Whether there are crash reports. If not, RecordSound only needs the parts of the prompt.
-  [[nodiscard]] bool has_reports() const { return quarantine_.reports() > 0; }
+  // Whether there are crash reports, or losses that may still be reported. If not, RecordSound only
+  // needs the parts of the prompt.
+  [[nodiscard]] bool has_reports() const {
+    return quarantine_.reports() > 0 || !undecided_.empty();
+  }
   // A run has shown that these suspects crash nothing (Quarantine::RecordSound): their crash
   // reports are withdrawn.
   void RecordSound(std::span<const Fingerprint> suspects);
--- a/src/gateway/undecided_losses.cc
+++ b/src/gateway/undecided_losses.cc
@@ -22,17 +22,30 @@
 
 std::vector<UndecidedLosses::Decision> UndecidedLosses::RecordAnswer(const BackendAddress& process,
                                                                      Time sent_at) {
-  std::vector<Decision> decided;
-  for (Loss& each : std::exchange(losses_, {})) {
+  return Drop(Cause::kAnswered, [&](const Loss& each) {
     const BackendAddress& ran_at = each.lost.backend;
     const bool same = ran_at.id == process.id && ran_at.incarnation == process.incarnation;
-    if (same && sent_at >= each.detected_at) {
-      decided.push_back({std::move(each), Cause::kAnswered});
+    return same && sent_at >= each.detected_at;
+  });
+}
+
+std::vector<UndecidedLosses::Decision> UndecidedLosses::RecordCompletion(
+    const Fingerprint& request) {
+  return Drop(Cause::kCompleted,
+              [&](const Loss& each) { return each.lost.suspects.front() == request; });
+}
+
+template <typename Matches>
+std::vector<UndecidedLosses::Decision> UndecidedLosses::Drop(Cause cause, Matches matches) {
+  std::vector<Decision> dropped;
+  for (Loss& each : std::exchange(losses_, {})) {
+    if (matches(each)) {
+      dropped.push_back({std::move(each), cause});
     } else {
       losses_.push_back(std::move(each));
     }
   }
-  return decided;
+  return dropped;
 }
 
 std::vector<UndecidedLosses::Decision> UndecidedLosses::RecordList(const BackendList& listed,
@@ -57,6 +70,8 @@
       return "restarted";
     case UndecidedLosses::Cause::kAnswered:
       return "answered";
+    case UndecidedLosses::Cause::kCompleted:
+      return "completed";
   }
   return "";
 }
--- a/src/gateway/undecided_losses.h
+++ b/src/gateway/undecided_losses.h
@@ -27,6 +27,7 @@
     kUnlisted,   // the backend server crashed: it is not listed any more
     kRestarted,  // the same: it is listed with a later incarnation
     kAnswered,   // it answered a request that was sent after the loss
+    kCompleted,  // the request has been completed since
   };
   struct Loss {
     LostSend lost;
@@ -45,10 +46,18 @@
   // A response has begun to a request that was sent to this process at `sent_at`. Sends that were
   // lost before were not lost by a crash of the process.
   [[nodiscard]] std::vector<Decision> RecordAnswer(const BackendAddress& process, Time sent_at);
+  // A request has been completed, so that its earlier losses say nothing against it.
+  [[nodiscard]] std::vector<Decision> RecordCompletion(const Fingerprint& request);
   // Call it with each list.
   [[nodiscard]] std::vector<Decision> RecordList(const BackendList& listed, Time now);
 
+  [[nodiscard]] bool empty() const { return losses_.empty(); }
+
  private:
+  // Takes out the losses for which `matches` is true.
+  template <typename Matches>
+  std::vector<Decision> Drop(Cause cause, Matches matches);
+
   std::vector<Loss> losses_;  // by time of detection
 };
 
--- a/test/undecided-losses-test.cc
+++ b/test/undecided-losses-test.cc
@@ -22,6 +22,7 @@
 
 LostSend Lost(std::string id, const BackendAddress& process = Process()) {
   LostSend lost;
+  lost.suspects = {Fingerprint{"request of " + id}, Fingerprint{"part-5c-0123456789abcdef"}};
   lost.id = std::move(id);
   lost.backend = process;
   return lost;
@@ -94,6 +95,19 @@
   }
 }
 
+// Guards against blaming a request for a crash that is found after it was completed elsewhere.
+TEST_CASE("a request that has been completed since was not the cause") {
+  UndecidedLosses losses;
+  CHECK(losses.empty());
+  REQUIRE(losses.Add(Lost("completed"), At(0s)));
+  REQUIRE(losses.Add(Lost("other"), At(0s)));
+  CHECK_FALSE(losses.empty());
+  const auto dropped = losses.RecordCompletion(Fingerprint{"request of completed"});
+  CHECK(IdsOf(dropped, Cause::kCompleted) == Ids{"completed"});
+  CHECK(IdsOf(losses.RecordList({}, At(1s)), Cause::kUnlisted) == Ids{"other"});
+  CHECK(losses.empty());
+}
+
 // Guards against losses that fill the table while no list arrives, so that none is decided again.
 TEST_CASE("the number of losses is limited, and those that are too old make room") {
   UndecidedLosses losses;
