--- a/src/gateway/crash_tracker.cc
+++ b/src/gateway/crash_tracker.cc
@@ -35,6 +35,10 @@
        {"ran_ms", Milliseconds(Loop::Now() - lost.started_at)}});
 }
 
+void LogDropped(const std::vector<UndecidedLosses::Decision>& dropped) {
+  for (const auto& [loss, cause] : dropped) LogLostSend(loss.lost, ToString(cause));
+}
+
 // Longest time from the close of the answer's connection until the call was answered.
 std::string AgeMs(const EndEvidence& evidence) {
   if (!evidence.answered_at || !evidence.closed_after) return "";
@@ -191,10 +195,18 @@
 
 void CrashTracker::AwaitList(const LostSend& lost, Time detected_at) {
   if (lost.leaving) return;
+  if (listed_ != nullptr) {
+    // The list may have shown the crash before the loss was found here.
+    if (const auto cause = UndecidedLosses::CrashIn(*listed_, lost)) {
+      LogLostSend(lost, ToString(*cause));
+      return ReportCrash(lost, detected_at);
+    }
+  }
   if (!undecided_.Add(lost, detected_at)) LogLostSend(lost, "too_many_undecided");
 }
 
 void CrashTracker::OnBackendsListed(const BackendList& backends) {
+  listed_ = &backends;
   for (const auto& [loss, cause] : undecided_.RecordList(backends, Loop::Now())) {
     LogLostSend(loss.lost, ToString(cause));
     ReportCrash(loss.lost, loss.detected_at);
@@ -202,9 +214,7 @@
 }
 
 void CrashTracker::RecordAnswer(const BackendAddress& process, Time sent_at) {
-  for (const auto& [loss, cause] : undecided_.RecordAnswer(process, sent_at)) {
-    LogLostSend(loss.lost, ToString(cause));
-  }
+  LogDropped(undecided_.RecordAnswer(process, sent_at));
 }
 
 void CrashTracker::ReportRestart(const LostSend& lost) {
@@ -257,6 +267,10 @@
   for (const Crash& crash : quarantine_.RecordSound(suspects, Loop::Now())) {
     Write(crash, std::nullopt);
   }
+  for (const Fingerprint& each : suspects) {
+    if (IsPart(each)) continue;
+    LogDropped(undecided_.RecordCompletion(each));
+  }
   LogChanges();
 }
 
--- a/src/gateway/undecided_losses.cc
+++ b/src/gateway/undecided_losses.cc
@@ -4,6 +4,14 @@
 
 namespace figmill {
 
+std::optional<UndecidedLosses::Cause> UndecidedLosses::CrashIn(const BackendList& listed,
+                                                               const LostSend& lost) {
+  const auto found = listed.find(lost.backend.id);
+  if (found == listed.end()) return Cause::kUnlisted;
+  const bool restarted = IsLater(found->second.incarnation, lost.backend.incarnation);
+  return restarted ? std::optional(Cause::kRestarted) : std::nullopt;
+}
+
 bool UndecidedLosses::Add(LostSend lost, Time detected_at) {
   std::erase_if(losses_,
                 [&](const Loss& each) { return detected_at - each.detected_at > kListDelay; });
@@ -14,17 +22,30 @@
 
 std::vector<UndecidedLosses::Decision> UndecidedLosses::RecordAnswer(const BackendAddress& process,
                                                                      Time sent_at) {
-  std::vector<Decision> decided;
-  for (Loss& each : std::exchange(losses_, {})) {
+  return Drop(Cause::kAnswered, [&](const Loss& each) {
     const BackendAddress& ran_at = each.lost.backend;
     const bool same = ran_at.id == process.id && ran_at.incarnation == process.incarnation;
-    if (same && sent_at >= each.detected_at) {
-      decided.push_back({std::move(each), Cause::kAnswered});
+    return same && sent_at >= each.detected_at;
+  });
+}
+
+std::vector<UndecidedLosses::Decision> UndecidedLosses::RecordCompletion(
+    const Fingerprint& request) {
+  return Drop(Cause::kCompleted,
+              [&](const Loss& each) { return each.lost.suspects.front() == request; });
+}
+
+template <typename Matches>
+std::vector<UndecidedLosses::Decision> UndecidedLosses::Drop(Cause cause, Matches matches) {
+  std::vector<Decision> dropped;
+  for (Loss& each : std::exchange(losses_, {})) {
+    if (matches(each)) {
+      dropped.push_back({std::move(each), cause});
     } else {
       losses_.push_back(std::move(each));
     }
   }
-  return decided;
+  return dropped;
 }
 
 std::vector<UndecidedLosses::Decision> UndecidedLosses::RecordList(const BackendList& listed,
@@ -32,13 +53,9 @@
   std::vector<Decision> decided;
   for (Loss& each : std::exchange(losses_, {})) {
     if (now - each.detected_at > kListDelay) continue;
-    const BackendAddress& ran_at = each.lost.backend;
-    const auto found = listed.find(ran_at.id);
-    if (found == listed.end()) {
-      decided.push_back({std::move(each), Cause::kUnlisted});
-    } else if (IsLater(found->second.incarnation, ran_at.incarnation)) {
-      decided.push_back({std::move(each), Cause::kRestarted});
-    } else if (found->second.state == BackendState::kReady) {
+    if (const std::optional<Cause> crash = CrashIn(listed, each.lost)) {
+      decided.push_back({std::move(each), *crash});
+    } else if (listed.at(each.lost.backend.id).state == BackendState::kReady) {
       losses_.push_back(std::move(each));
     }
   }
@@ -53,6 +70,8 @@
       return "restarted";
     case UndecidedLosses::Cause::kAnswered:
       return "answered";
+    case UndecidedLosses::Cause::kCompleted:
+      return "completed";
   }
   return "";
 }
