Exchange: a response whose head isn't one of HTTP/1 is malformed

What callers saw: an answer with the status 000, 20 or 999, with a line whose name holds a blank passed on, or with a body that its backend server did not write (`Content-Length : 5` is no length to the parser, so that the connection's end became the answer's).

Cause: http_parser is built lenient and curl hands on each line as it came; what either accepted passed for an answer. http_parser reads any number of digits and takes blanks for a part of a name.

Change: ResponseHeadReader says what a head is (RFC 9112, RFC 9110: a status line of HTTP/1 with three digits from 100 to 599, tokens for names, no control bytes), and both clients take the head from it. http_parser keeps to the frame; fields of trailers are checked by the same functions. A malformed response is one that broke off: whether the request ran is not known.

Values of continued lines are joined with a blank now, as RFC 9112 has it.

--- a/src/exchange/response_parser.cc
+++ b/src/exchange/response_parser.cc
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr int kContinue = 0;
+constexpr int kStop = -1;   // makes http_parser fail
 constexpr int kNoBody = 1;  // tells http_parser not to expect a body
 
 bool IsInformational(unsigned status) {
@@ -34,13 +35,13 @@
 http_parser_settings ResponseParser::MakeSettings() {
   http_parser_settings settings;
   http_parser_settings_init(&settings);
-  settings.on_header_field = [](http_parser* p, const char* at, std::size_t n) {
-    Of(p).OnField({at, n});
-    return kContinue;
+  // For the fields of a trailer, which ResponseHeadReader doesn't see. They come in parts, which
+  // may be empty.
+  settings.on_header_field = [](http_parser*, const char* at, std::size_t n) {
+    return n == 0 || IsHeaderName({at, n}) ? kContinue : kStop;
   };
-  settings.on_header_value = [](http_parser* p, const char* at, std::size_t n) {
-    Of(p).OnValue({at, n});
-    return kContinue;
+  settings.on_header_value = [](http_parser*, const char* at, std::size_t n) {
+    return IsHeaderValue({at, n}) ? kContinue : kStop;
   };
   settings.on_headers_complete = [](http_parser* p) { return Of(p).OnHead(); };
   settings.on_body = [](http_parser* p, const char* at, std::size_t n) {
@@ -54,6 +55,9 @@
 ResponseState ResponseParser::Feed(std::string_view bytes) {
   static const http_parser_settings kSettings = MakeSettings();
   if (complete_) return ResponseState::kMalformed;
+  if (head_reader_.Feed(bytes) == ResponseHeadReader::State::kMalformed) {
+    return ResponseState::kMalformed;
+  }
   const std::size_t used = http_parser_execute(&parser_, &kSettings, bytes.data(), bytes.size());
   const auto failure = HTTP_PARSER_ERRNO(&parser_);
   if (failure != HPE_OK && failure != HPE_PAUSED) return ResponseState::kMalformed;
@@ -77,30 +81,13 @@
   return reusable_ ? ResponseState::kCompleteReusable : ResponseState::kCompleteNotReusable;
 }
 
-void ResponseParser::OnField(std::string_view part) {
-  if (in_value_ || head_.headers.empty()) head_.headers.emplace_back();
-  in_value_ = false;
-  head_.headers.back().name.append(part);
-}
-
-void ResponseParser::OnValue(std::string_view part) {
-  in_value_ = true;
-  if (!head_.headers.empty()) head_.headers.back().value.append(part);
-}
-
 int ResponseParser::OnHead() {
-  if (IsInformational(parser_.status_code)) {
-    head_ = {};
-    in_value_ = false;
-    return kContinue;
-  }
-  head_.status = static_cast<int>(parser_.status_code);
-  for (const Header& header : head_.headers) {
-    if (SameHeaderName(header.name, "Keep-Alive"))
-      keep_alive_seconds_ = KeepAliveTimeout(header.value);
-  }
-  on_event_(std::move(head_));
-  head_ = {};
+  if (IsInformational(parser_.status_code)) return kContinue;
+  // http_parser takes some lines for the end of a head that are none.
+  if (head_reader_.state() != ResponseHeadReader::State::kComplete) return kStop;
+  HttpHead head = head_reader_.TakeHead();
+  keep_alive_seconds_ = KeepAliveTimeout(head.HeaderOr("Keep-Alive"));
+  on_event_(std::move(head));
   return head_request_ ? kNoBody : kContinue;
 }
 
--- a/src/exchange/response_parser.h
+++ b/src/exchange/response_parser.h
@@ -1,6 +1,7 @@
 #pragma once
 
-// Incremental parser of one HTTP response, based on http_parser.
+// Incremental parser of one HTTP response. http_parser finds its frame, ResponseHeadReader reads
+// its head.
 
 #include <http_parser.h>
 
@@ -9,6 +10,7 @@
 #include <string_view>
 
 #include "figmill/runtime.h"
+#include "runtime/response_head.h"
 
 namespace figmill::detail {
 
@@ -45,17 +47,14 @@
     return *static_cast<ResponseParser*>(parser->data);
   }
   ResponseState CurrentState();
-  void OnField(std::string_view part);
-  void OnValue(std::string_view part);
   int OnHead();
   void OnBody(std::string_view part);
   int OnComplete();
 
   http_parser parser_{};
   std::function<void(HttpEvent)> on_event_;
-  HttpHead head_;
+  ResponseHeadReader head_reader_;
   bool head_request_;
-  bool in_value_ = false;
   bool complete_ = false;
   bool reusable_ = false;
   bool ends_by_close_ = false;
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -2,15 +2,17 @@
 
 #include <asio/posix/stream_descriptor.hpp>
 #include <cassert>
-#include <charconv>
 #include <unordered_map>
 
 #include "figmill/runtime.h"
 #include "runtime/loop_core.h"
+#include "runtime/response_head.h"
 
 namespace figmill {
 namespace {
 
+using detail::ResponseHeadReader;
+
 constexpr long kMaxIdleConnections = 256;
 
 // A socket that curl asked us to watch. Asio only watches it; curl owns it.
@@ -33,10 +35,6 @@
 constexpr int kNoContent = 204;
 constexpr int kNotModified = 304;
 
-bool IsInformational(int status) {
-  return status >= 100 && status < 200;
-}
-
 // Whether the answer shows its end by itself: by its length or chunks, or as it has no body.
 bool IsFramed(const HttpHead& head, std::string_view method) {
   if (method == "HEAD" || head.status == kNoContent || head.status == kNotModified) return true;
@@ -58,8 +56,9 @@
     std::string url;
     std::unique_ptr<curl_slist, SlistDeleter> headers;
     std::function<void(HttpEvent)> on_event;
-    HttpHead head;
+    ResponseHeadReader head_reader;
     bool head_told = false;
+    bool malformed = false;
     bool framed = false;
     bool sent = false;  // on any connection: curl sends again by itself
     bool cancelled = false;
@@ -206,31 +205,30 @@
     return CURL_PREREQFUNC_OK;
   }
 
+  // curl calls it for each line of a head or a trailer, and stops if it returns another size.
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* user) {
     auto& transfer = *static_cast<Transfer*>(user);
-    std::string_view line(data, size * count);
-    while (!line.empty() && (line.back() == '\n' || line.back() == '\r')) line.remove_suffix(1);
-    if (line.starts_with("HTTP/")) {
-      transfer.head = {};
-      const std::size_t space = line.find(' ');
-      if (space != std::string_view::npos) {
-        std::from_chars(line.data() + space + 1, line.data() + line.size(), transfer.head.status);
-      }
-    } else if (line.empty()) {
-      TellHead(transfer);
-    } else if (const std::size_t colon = line.find(':'); colon != std::string_view::npos) {
-      std::string_view value = line.substr(colon + 1);
-      while (!value.empty() && value.front() == ' ') value.remove_prefix(1);
-      transfer.head.headers.push_back({std::string(line.substr(0, colon)), std::string(value)});
-    }
-    return size * count;
+    const std::string_view line(data, size * count);
+    transfer.malformed = transfer.head_told ? !IsTrailerLine(line) : !ReadHead(transfer, line);
+    return transfer.malformed ? 0 : line.size();
+  }
+
+  static bool IsTrailerLine(std::string_view line) {
+    while (line.ends_with('\n') || line.ends_with('\r')) line.remove_suffix(1);
+    return line.empty() || detail::ParseFieldLine(line);
+  }
+
+  static bool ReadHead(Transfer& transfer, std::string_view line) {
+    const ResponseHeadReader::State state = transfer.head_reader.Feed(line);
+    if (state == ResponseHeadReader::State::kComplete) TellHead(transfer);
+    return state != ResponseHeadReader::State::kMalformed;
   }
 
   static void TellHead(Transfer& transfer) {
-    if (transfer.head_told || IsInformational(transfer.head.status)) return;
     transfer.head_told = true;
-    transfer.framed = IsFramed(transfer.head, transfer.call.method);
-    Tell(transfer, transfer.head);
+    HttpHead head = transfer.head_reader.TakeHead();
+    transfer.framed = IsFramed(head, transfer.call.method);
+    Tell(transfer, std::move(head));
   }
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* user) {
@@ -328,8 +326,10 @@
     if (code == CURLE_OK && transfer.head_told) return HttpEnd{.by_close = !transfer.framed};
     HttpFailure failure;
     failure.timed_out = code == CURLE_OPERATION_TIMEDOUT;
+    failure.why = curl_easy_strerror(code);
     // To curl a connection that is closed inside the head ends the answer.
-    failure.why = code == CURLE_OK ? "the answer ended inside its head" : curl_easy_strerror(code);
+    if (code == CURLE_OK) failure.why = "the answer ended inside its head";
+    if (transfer.malformed) failure.why = "malformed response";
     failure.sent = transfer.sent;
     return failure;
   }
--- a/test/answer-head-test.cc
+++ b/test/answer-head-test.cc
@@ -1,5 +1,5 @@
-// Answers whose head is cut off, comes in pieces or follows an informational one, and answers that
-// end with their connection, at both clients.
+// Answers whose head is broken, cut off, comes in pieces or follows an informational one, and
+// answers that end with their connection, at both clients.
 
 #include <doctest/doctest.h>
 
@@ -13,6 +13,7 @@
 #include "figmill/exchange.h"
 #include "figmill/runtime.h"
 #include "figmilld/agent/engine_client.h"
+#include "runtime/response_head.h"
 #include "test/scripted-server.h"
 
 using namespace figmill;  // NOLINT(google-build-using-namespace): tests read better
@@ -128,6 +129,130 @@
   }
 }
 
+// Guards against bytes that are no answer of HTTP/1 and pass for one, with the status or the body
+// that a lenient parser finds in them.
+TEST_CASE_TEMPLATE("an answer without a status line of HTTP/1 fails the call", Client, HttpClient,
+                   NoRetryHttpClient) {
+  const std::string rest = "\r\nContent-Length: 5\r\n\r\nhello";
+  for (const std::string line : {"HTTP/1.1 000 OK",
+                                 "HTTP/1.1 001 OK",
+                                 "HTTP/1.1 099 OK",
+                                 "HTTP/1.1 2 OK",
+                                 "HTTP/1.1 20 OK",
+                                 "HTTP/1.1 0200 OK",
+                                 "HTTP/1.1 2000 OK",
+                                 "HTTP/1.1 2 00 OK",
+                                 "HTTP/1.1 600 OK",
+                                 "HTTP/1.1 999 OK",
+                                 "HTTP/1.1 -20 OK",
+                                 "HTTP/1.1  200 OK",
+                                 "HTTP/1.1 200OK",
+                                 "HTTP/1.1 200\tOK",
+                                 "HTTP/1.1",
+                                 "HTTP/1.1 ",
+                                 "HTTQ/1.1 200 OK",
+                                 "HTTP/0.9 200 OK",
+                                 "HTTP/2.0 200 OK",
+                                 "HTTP/11 200 OK",
+                                 "HTTP/1.x 200 OK",
+                                 "HTTP/1.1 200 O\x01K",
+                                 "HTTP/1.1 200 O\rK",
+                                 "HTTP/1.1 200 O\x7FK",
+                                 "HTTP/1.1 101 Switching Protocols"}) {
+    for (const std::string& before : {std::string(), std::string(kContinue)}) {
+      CAPTURE(line);
+      CAPTURE(before);
+      ScriptedServer server({{{before + line + rest, /*close=*/true}}});
+      CHECK(Caller<Client>().Call(server.address()) == "failed, sent");
+    }
+  }
+}
+
+// Guards against a field that is passed on, or hides the answer's length, though its name is none.
+TEST_CASE_TEMPLATE("an answer with a field that is none fails the call", Client, HttpClient,
+                   NoRetryHttpClient) {
+  for (const std::string field :
+       {"Content-Length : 5", "Bad Name: x", "Name : x", "Name\t: x", "Na\tme: x", "Na\x01me: x",
+        "N\xC3\xA4me: x", ": x", "Name", "Name: x\x01", "Name: x\ry", "(Name): x"}) {
+    const std::string fields = "Content-Type: text/plain\r\n" + field + "\r\n";
+    CAPTURE(field);
+    const std::string length = "Content-Length: 5\r\n";
+    const std::string hint = "HTTP/1.1 103 Early Hints\r\n" + fields + "\r\n";
+    const std::string chunks =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n";
+    for (const std::string& answer : {"HTTP/1.1 200 OK\r\n" + fields + length + "\r\nhello",
+                                      hint + kWhole, chunks + field + "\r\n\r\n"}) {
+      CAPTURE(answer);
+      ScriptedServer server({{{answer, /*close=*/true}}});
+      CHECK(Caller<Client>().Call(server.address()) == "failed, sent");
+    }
+  }
+}
+
+// The same for a field that begins with a blank where it continues none, and for a head that ends
+// with a stray carriage return, after which the answer's first byte was lost.
+TEST_CASE_TEMPLATE("an answer whose lines are out of place fails the call", Client, HttpClient,
+                   NoRetryHttpClient) {
+  for (const std::string& answer :
+       {std::string("HTTP/1.1 200 OK\r\n Name: x\r\nContent-Length: 5\r\n\r\nhello"),
+        std::string("HTTP/1.1 200 OK\r\n\tx\r\nContent-Length: 5\r\n\r\nhello"),
+        std::string("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\rhello")}) {
+    CAPTURE(answer);
+    ScriptedServer server({{{answer, /*close=*/true}}});
+    CHECK(Caller<Client>().Call(server.address()) == "failed, sent");
+  }
+}
+
+// Guards against sound answers that fail for the form of their head.
+TEST_CASE_TEMPLATE("a head in any form that HTTP/1 allows is read", Client, HttpClient,
+                   NoRetryHttpClient) {
+  const std::string body = "Content-Length: 5\r\n\r\nhello";
+  for (const std::string head :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 200 \r\n", "HTTP/1.1 200\r\n",
+        "HTTP/1.1 200 Not \tquite \xE9\r\n", "HTTP/1.1 200 OK\n", "HTTP/1.1 200 OK\r\nName:\r\n",
+        "HTTP/1.1 200 OK\r\nName: \t x y\t\r\n", "HTTP/1.1 200 OK\r\nName: x\r\n  y\r\n",
+        "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: \xC3\xA4\r\n"}) {
+    CAPTURE(head);
+    ScriptedServer server({{{head + body, /*close=*/true}}});
+    CHECK(Caller<Client>().Call(server.address()) == "200:hello");
+  }
+}
+
+// Guards against heads without end, which fill the memory of who reads them.
+TEST_CASE_TEMPLATE("heads longer than an answer may have fail the call", Client, HttpClient,
+                   NoRetryHttpClient) {
+  std::string fields;
+  std::string hints;
+  while (fields.size() <= detail::ResponseHeadReader::kMaxBytes) fields += "Name: value\r\n";
+  while (hints.size() <= detail::ResponseHeadReader::kMaxBytes) hints += kContinue;
+  for (const std::string& answer : {"HTTP/1.1 200 OK\r\n" + fields + "\r\n", hints + kWhole}) {
+    ScriptedServer server({{{answer, /*close=*/true}}});
+    CHECK(Caller<Client>().Call(server.address()) == "failed, sent");
+  }
+}
+
+TEST_CASE_TEMPLATE("the values of a head's fields are without the blanks around them", Client,
+                   HttpClient, NoRetryHttpClient) {
+  ScriptedServer server(
+      {{{"HTTP/1.1 200 OK\r\nOne: \t a b \t\r\nTwo: a\r\n \tb\r\nThree:\r\n"
+         "Content-Length: 5\r\n\r\nhello"}}});
+  Caller<Client> caller;
+  HttpCall call;
+  call.method = "POST";
+  call.to = server.address();
+  call.body = "x";
+  std::vector<Header> headers;
+  caller.client.Fetch(std::move(call), [&](const Result<HttpResponse>& result) {
+    if (IsOk(result)) headers = ValueOf(result).headers;
+    caller.loop.Stop();
+  });
+  caller.Run();
+  REQUIRE(headers.size() == 4);
+  CHECK(headers[0].value == "a b");
+  CHECK(headers[1].value == "a b");
+  CHECK(headers[2].value.empty());
+}
+
 // Guards against a short answer that passes for whole: neither a length nor chunks show its end.
 TEST_CASE("the end of an answer tells whether only the close of its connection showed it") {
   for (const auto& [sent, by_close] :
--- /dev/null
+++ b/test/broken-heads-test.py
@@ -0,0 +1,135 @@
+#!/usr/bin/env python3
+"""Answers of backend servers whose head isn't one of HTTP/1, before real gateways.
+
+usage: broken-heads-test.py BUILD_FOLDER
+"""
+
+import base64
+import concurrent.futures
+import itertools
+import pathlib
+import sys
+import unittest
+
+from gateways import Fleet, await_results, output_of, request_once, submit
+
+BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
+ENGINES, SERVICES = 4, 3
+EVENTS = 20
+ATTEMPTS, AT_ONCE = 12, 4  # while one backend server of each service answers so
+ITEMS = 12
+BAD_GATEWAY = 502
+SOUND_LINE = "HTTP/1.1 200 OK"
+
+STATUS_LINES = [f"HTTP/1.1 {status} OK"
+                for status in ("000", "001", "099", "2", "20", "0200", "2000", "2 00", "600", "999")]
+# Of another protocol or version, or with a control byte in the reason.
+OTHER_LINES = ["HTTQ/1.1 200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/1.1 200 O\x01K",
+               "HTTP/1.1 200 O\rK"]
+# Names with a blank or a control byte; one takes the answer's length away, and one begins with a
+# blank where it continues no field.
+FIELDS = ["Content-Length : LENGTH", "Bad Name: x", "Name : x", " Name: x", "Na\tme: x",
+          "Na\x01me: x", ": x"]
+
+
+class BrokenHeads(unittest.TestCase):
+    def setUp(self):
+        self.fleet = Fleet(BUILD, gateways=2, engines=ENGINES, services=SERVICES)
+        self.fleet.__enter__()
+        self.addCleanup(self.fleet.__exit__, None)
+        self.numbers = itertools.count(1)
+
+    def engines(self, indices, line=SOUND_LINE, field="", share=1.0):
+        for index in indices:
+            self.fleet.world.do("engine", index=index, broken_head=share, broken_line=line,
+                                broken_field=field)
+
+    def attempt(self, path):
+        """Its id and its answer."""
+        n = next(self.numbers)
+        headers = {"Request-Id": f"a{n}", "Model": "m", "Tokens": f"10,{EVENTS}",
+                   "Deadline-Ms": "3000"}
+        return f"a{n}", request_once(self.fleet.gateways[n % 2].callers, path, headers, b"rye")
+
+    def runs_of(self, request):
+        return [run for run in self.fleet.world.runs() if run["id"] == request]
+
+    def assert_served(self, request, answer):
+        self.assertEqual((answer.status, answer.whole), (200, True), answer.body)
+        if self.runs_of(request)[0]["service"] == "app":
+            self.assertEqual(answer.body.decode(), f"answer to {request}")
+        else:
+            self.assertEqual("\n".join(answer.data()), output_of(request, EVENTS))
+
+    def check_forms(self, forms):
+        """Where only broken answers come, each route tells its callers so."""
+        for form in forms:
+            self.engines(range(ENGINES + SERVICES), **form)
+            for path, most_runs in (("/photos/1", 3), ("/flags/1", 1), ("/notes/1", 2)):
+                with self.subTest(path=path, **form):
+                    request, answer = self.attempt(path)
+                    runs = self.runs_of(request)
+                    self.assertTrue(1 <= len(runs) <= most_runs, runs)
+                    self.assertTrue(all(run["broken"] for run in runs))
+                    self.assertEqual(answer.status, BAD_GATEWAY)
+
+    # Guards against a status that is none and goes out as an answer's.
+    def test_status_codes(self):
+        self.check_forms([{"line": line} for line in STATUS_LINES])
+
+    # Guards against bytes of another protocol that go out as an answer.
+    def test_status_lines_of_other_protocols(self):
+        self.check_forms([{"line": line} for line in OTHER_LINES])
+
+    # Guards against a field that is passed on, or hides the answer's length, though its name is none.
+    def test_names_of_fields(self):
+        self.check_forms([{"field": field} for field in FIELDS])
+
+    def beside_sound_backends(self, path, **form):
+        """Attempts while one backend server of each service answers so."""
+        self.engines((0, ENGINES), **form)
+        with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as callers:
+            attempts = [callers.submit(self.attempt, path) for _ in range(ATTEMPTS)]
+            answers = dict(attempt.result() for attempt in attempts)
+        hit = {run["id"] for run in self.fleet.world.runs() if run["broken"]}
+        self.assertTrue(hit)
+        return answers, hit
+
+    # Guards against sound requests that fail beside one backend server that answers so.
+    def test_requests_that_may_run_again_are_served_elsewhere(self):
+        for path, form in (("/photos/1", {"line": STATUS_LINES[0]}),
+                           ("/notes/1", {"field": FIELDS[0]})):
+            answers, _ = self.beside_sound_backends(path, **form)
+            for request, answer in answers.items():
+                self.assert_served(request, answer)
+
+    # Guards against a second run of a request that may have run.
+    def test_requests_that_may_run_once_run_once(self):
+        answers, hit = self.beside_sound_backends("/flags/1", line=STATUS_LINES[0])
+        for request, answer in answers.items():
+            self.assertEqual(len(self.runs_of(request)), 1)
+            if request in hit:
+                self.assertEqual(answer.status, BAD_GATEWAY)
+            else:
+                self.assert_served(request, answer)
+
+    # Guards against an item's output that is taken from such an answer.
+    def test_items_run_again(self):
+        for n, form in enumerate(({"line": STATUS_LINES[0]}, {"field": FIELDS[0]})):
+            self.engines(range(ENGINES), share=0.4, **form)
+            job = f"j{n}"
+            items = [{"id": f"{job}-{i}", "path": f"/reports/{job}/{i}", "tokens": EVENTS,
+                      "headers": {"Model": "m", "Tokens": f"10,{EVENTS}"},
+                      "body": base64.b64encode(b"rye").decode()} for i in range(ITEMS)]
+            self.assertEqual(submit(self.fleet.gateways[0], job, items), 202)
+            for result in await_results(self.fleet.gateways[1], job, ITEMS):
+                self.assertEqual((result["state"], result["output"]),
+                                 ("complete", output_of(result["id"], EVENTS)))
+                ended_by = max(self.runs_of(result["id"]), key=lambda run: run["at"])
+                self.assertFalse(ended_by["broken"], form)
+            self.assertTrue(any(run["broken"] for run in self.fleet.world.runs()
+                                if run["id"].startswith(job)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/test/gateways.py
+++ b/test/gateways.py
@@ -268,5 +268,16 @@
         self.reader = self.writer = None
 
 
+def request_once(address, path, headers, body=b""):
+    """The answer to a POST on a connection of its own, also one that broke off."""
+    async def exchange():
+        connection = Connection(address)
+        try:
+            return await connection.request("POST", path, headers, body)
+        finally:
+            connection.close()
+    return asyncio.run(exchange())
+
+
 TERM, KILL, STOP, CONT, HUP = (signal.SIGTERM, signal.SIGKILL, signal.SIGSTOP, signal.SIGCONT,
                                signal.SIGHUP)
