Exchange: an answer that a reset ended is not whole

What callers saw: the first half of an answer as a whole one. Their upload was long; the backend server had answered it at once, without a length, and reset the connection (or closed it, which resets one with unread bytes) while the upload was still being written.

Cause: the error of a reset is reported once. OnWritten dropped it and left it to the read, but the write had consumed it, so that the read found an orderly end, which ends an answer without a length. The question to the backend server afterwards does not help, as it goes on.

Change: JudgeClose decides what the end of the peer's side shows. A failed write and a socket that the reset has closed (TCP_INFO) are a reset. Where the request is not yet written and acknowledged, it waits: a peer that closed both sides resets the connection when more arrives, one that only finished its answer reads on, and its answer is whole.

What held before keeps its test: curl reports the failed write itself, no part with a length or in chunks went out, and whole answers to unread uploads do.

--- a/src/exchange/no_retry_http_client.cc
+++ b/src/exchange/no_retry_http_client.cc
@@ -1,4 +1,5 @@
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -10,6 +11,7 @@
 #include <map>
 #include <unordered_set>
 
+#include "exchange/close_verdict.h"
 #include "exchange/response_parser.h"
 #include "figmill/exchange.h"
 #include "figmill/observe.h"
@@ -19,12 +21,16 @@
 namespace {
 
 using asio::ip::tcp;
+using detail::CloseEvidence;
+using detail::CloseVerdict;
 using detail::ResponseParser;
 using detail::ResponseState;
 
 constexpr std::size_t kReadBytes = 8192;
 // Interval at which HttpCall::hold_reads is asked again.
 constexpr Duration kHoldInterval{5'000};
+// Interval at which a connection whose peer has closed its side is looked at again.
+constexpr Duration kCloseCheckInterval{5'000};
 constexpr std::string_view kConnectTimedOut = "no connection in time";
 
 bool Has(const std::vector<Header>& headers, std::string_view name) {
@@ -40,19 +46,25 @@
   return SameHeaderName(name, "Content-Length") || SameHeaderName(name, "Transfer-Encoding");
 }
 
-// Time since the last segment arrived on the connection, whether it was read by then or not;
-// nullopt if the system doesn't tell.
-std::optional<Duration> LastArrivalAge(int socket) {
+// The state of a connection; nullopt if the system doesn't tell.
+std::optional<tcp_info> TcpInfoOf(int socket) {
   tcp_info info{};
   socklen_t size = sizeof(info);
   const int failure = ::getsockopt(socket, IPPROTO_TCP, TCP_INFO, &info, &size);
   const bool has_age =
       size >= offsetof(tcp_info, tcpi_last_ack_recv) + sizeof(info.tcpi_last_ack_recv);
-  if (failure != 0 || !has_age) {
-    Log(LogLevel::kWarning, "connection_age_unknown", {{"errno", std::to_string(errno)}});
-    return std::nullopt;
-  }
-  return std::chrono::milliseconds(info.tcpi_last_ack_recv);
+  if (failure == 0 && has_age) return info;
+  Log(LogLevel::kWarning, "connection_state_unknown", {{"errno", std::to_string(errno)}});
+  return std::nullopt;
+}
+
+// Whether the peer's host has acknowledged all bytes that were written; true if the system doesn't
+// tell.
+bool IsAcknowledged(int socket) {
+  int pending_bytes = 0;
+  if (::ioctl(socket, TIOCOUTQ, &pending_bytes) == 0) return pending_bytes == 0;
+  Log(LogLevel::kWarning, "connection_queue_unknown", {{"errno", std::to_string(errno)}});
+  return true;
 }
 
 std::string HeadText(const HttpCall& call) {
@@ -116,7 +128,7 @@
     parser_ = std::make_unique<ResponseParser>(call_.method == "HEAD", [this](HttpEvent event) {
       if (on_event_) Emit(std::move(event));
     });
-    written_ = false;
+    written_ = write_failed_ = false;
     if (call_.total_timeout.count() > 0) {
       total_timer_ = owner_->loop_.After(call_.total_timeout,
                                          [this] { Fail(connected_, true, "no answer in time"); });
@@ -229,8 +241,14 @@
   }
 
   void OnWritten(const asio::error_code& failure) {
-    if (failure) return;  // Read reports it, after any bytes the peer sent before
-    written_ = true;
+    if (!socket_.is_open()) return;
+    if (!failure) {
+      written_ = true;
+      return;
+    }
+    write_failed_ = true;  // Read ends the call, after any bytes that the peer sent before
+    Log(LogLevel::kInfo, "request_not_written",
+        {{"to", ToString(to_)}, {"why", failure.message()}});
   }
 
   // Waits between calls until the socket is readable, without reading. A pending read would
@@ -267,7 +285,7 @@
       case ResponseState::kCompleteReusable:
         return Finish(/*reusable=*/true);
       case ResponseState::kCompleteNotReusable:
-        return Finish(/*reusable=*/false);
+        return parser_->ends_by_close() ? OnClosedByPeer() : Finish(/*reusable=*/false);
       case ResponseState::kMalformed:
         return Fail(true, false, failure ? "the answer broke off" : "malformed response");
     }
@@ -278,12 +296,44 @@
     hold_timer_ = owner_->loop_.After(kHoldInterval, [this] { ReadUnlessHeld(); });
   }
 
+  // The response is whole only if the connection wasn't reset.
+  void OnClosedByPeer() {
+    closed_read_at_ = Loop::Now();
+    close_age_ = std::nullopt;
+    if (const auto info = TcpInfoOf(socket_.native_handle())) {
+      close_age_ = std::chrono::milliseconds(info->tcpi_last_ack_recv);
+    }
+    DecideClose();
+  }
+
+  void DecideClose() {
+    const auto keep = shared_from_this();
+    switch (JudgeClose(GatherCloseEvidence())) {
+      case CloseVerdict::kOrderly:
+        return Finish(/*reusable=*/false);
+      case CloseVerdict::kReset:
+        return Fail(true, false, "the connection was reset");
+      case CloseVerdict::kUndecided:
+        hold_timer_ = owner_->loop_.After(kCloseCheckInterval, [this] { DecideClose(); });
+    }
+  }
+
+  [[nodiscard]] CloseEvidence GatherCloseEvidence() {
+    CloseEvidence evidence;
+    evidence.write_failed = write_failed_;
+    evidence.written = written_;
+    evidence.acknowledged = IsAcknowledged(socket_.native_handle());
+    const auto info = TcpInfoOf(socket_.native_handle());
+    evidence.reset = info && info->tcpi_state == TCP_CLOSE;
+    return evidence;
+  }
+
   void Finish(bool reusable) {
     total_timer_.Reset();
     const auto on_event = std::exchange(on_event_, nullptr);
     const int peer_seconds = parser_->keep_alive_seconds();
     HttpEnd end{parser_->ends_by_close()};
-    if (end.by_close) end.closed_ago = LastArrivalAge(socket_.native_handle());
+    if (end.by_close && close_age_) end.closed_ago = *close_age_ + (Loop::Now() - closed_read_at_);
     // If the response arrived before the whole body was sent, the connection can't be reused: the
     // peer would take the next request for the rest of this body.
     if (reusable && written_) {
@@ -315,6 +365,9 @@
   std::uint64_t calls_ = 0;
   bool connected_ = false;
   bool written_ = false;
+  bool write_failed_ = false;
+  Time closed_read_at_{};              // when the end of the peer's side was read
+  std::optional<Duration> close_age_;  // how long before it had arrived; nullopt: unknown
   bool reading_ = false;  // set on the first call, then always reading or in WaitReadable
 };
 
