--- a/test/broken-heads-test.py
+++ b/test/broken-heads-test.py
@@ -9,6 +9,7 @@
 import itertools
 import pathlib
 import sys
+import time
 import unittest
 
 from gateways import Fleet, await_results, output_of, request_once, submit
@@ -18,7 +19,10 @@
 EVENTS = 20
 ATTEMPTS, AT_ONCE = 12, 4  # while one backend server of each service answers so
 ITEMS = 12
+JOBS = 4
+SETTLED_S = 4  # until jobs that were written have been found and have begun
 BAD_GATEWAY = 502
+NOT_RUN = (408, 421, 429, 503)  # statuses that promise it
 SOUND_LINE = "HTTP/1.1 200 OK"
 
 STATUS_LINES = [f"HTTP/1.1 {status} OK"
@@ -32,6 +36,12 @@
           "Na\x01me: x", ": x"]
 
 
+def items_of(job):
+    return [{"id": f"{job}-{n}", "path": f"/reports/{job}/{n}", "tokens": EVENTS,
+             "headers": {"Model": "m", "Tokens": f"10,{EVENTS}"},
+             "body": base64.b64encode(b"rye").decode()} for n in range(ITEMS)]
+
+
 class BrokenHeads(unittest.TestCase):
     def setUp(self):
         self.fleet = Fleet(BUILD, gateways=2, engines=ENGINES, services=SERVICES)
@@ -118,10 +128,7 @@
         for n, form in enumerate(({"line": STATUS_LINES[0]}, {"field": FIELDS[0]})):
             self.engines(range(ENGINES), share=0.4, **form)
             job = f"j{n}"
-            items = [{"id": f"{job}-{i}", "path": f"/reports/{job}/{i}", "tokens": EVENTS,
-                      "headers": {"Model": "m", "Tokens": f"10,{EVENTS}"},
-                      "body": base64.b64encode(b"rye").decode()} for i in range(ITEMS)]
-            self.assertEqual(submit(self.fleet.gateways[0], job, items), 202)
+            self.assertEqual(submit(self.fleet.gateways[0], job, items_of(job)), 202)
             for result in await_results(self.fleet.gateways[1], job, ITEMS):
                 self.assertEqual((result["state"], result["output"]),
                                  ("complete", output_of(result["id"], EVENTS)))
@@ -130,6 +137,24 @@
             self.assertTrue(any(run["broken"] for run in self.fleet.world.runs()
                                 if run["id"].startswith(job)))
 
+    # Guards against a job that is refused as not run, and runs: the store has written it and answers
+    # with a status that is none.
+    def test_jobs_whose_write_is_answered_so_are_not_refused(self):
+        self.fleet.world.do("store", faults=[{"call": "tx", "how": "broken"}])
+        jobs = [f"j{n}" for n in range(JOBS)]
+        statuses = {job: submit(self.fleet.gateways[n % 2], job, items_of(job))
+                    for n, job in enumerate(jobs)}
+        self.fleet.world.do("store", faults=[])
+        time.sleep(SETTLED_S)
+        ran = {run["id"].partition("-")[0] for run in self.fleet.world.runs()}
+        refused = {job for job, status in statuses.items() if status in NOT_RUN}
+        self.assertFalse(refused & ran)
+        for n, job in enumerate(jobs):
+            self.assertEqual(submit(self.fleet.gateways[n % 2], job, items_of(job)), 202)
+            results = await_results(self.fleet.gateways[n % 2], job, ITEMS)
+            self.assertEqual({result["id"]: result["output"] for result in results},
+                             {f"{job}-{n}": output_of(f"{job}-{n}", EVENTS) for n in range(ITEMS)})
+
 
 if __name__ == "__main__":
     unittest.main()
