Exchange, HTTP server: the cost of an answer follows its bytes, not its chunks

What callers saw: nothing for seconds at one gateway, whatever their route, while a backend server sent a body without end in chunks of one byte; the gateway's memory grew by hundreds of megabytes.

Cause: the parser emitted an event for each chunk, more than a thousand for a read, and each went out as a piece of its own, for which RESTinio keeps objects of some hundred bytes. The limit on what waits for a caller counts content, so that it was met after 1 MB of single bytes.

Change: the body's bytes of one read are one event. A reply has one piece with RESTinio at a time; what comes meanwhile is gathered into the next.

--- a/src/exchange/response_parser.cc
+++ b/src/exchange/response_parser.cc
@@ -1,6 +1,7 @@
 #include "exchange/response_parser.h"
 
 #include <charconv>
+#include <utility>
 
 namespace figmill::detail {
 namespace {
@@ -59,6 +60,7 @@
     return ResponseState::kMalformed;
   }
   const std::size_t used = http_parser_execute(&parser_, &kSettings, bytes.data(), bytes.size());
+  EmitBody();
   const auto failure = HTTP_PARSER_ERRNO(&parser_);
   if (failure != HPE_OK && failure != HPE_PAUSED) return ResponseState::kMalformed;
   // The response itself is complete, but the bytes after it make the connection unusable.
@@ -92,7 +94,18 @@
 }
 
 void ResponseParser::OnBody(std::string_view part) {
-  on_event_(HttpBytes{part});
+  if (first_part_.empty()) {
+    first_part_ = part;
+    return;
+  }
+  if (joined_parts_.empty()) joined_parts_ = first_part_;
+  joined_parts_.append(part);
+}
+
+void ResponseParser::EmitBody() {
+  const std::string_view first = std::exchange(first_part_, {});
+  const std::string joined = std::exchange(joined_parts_, {});
+  if (!first.empty()) on_event_(HttpBytes{joined.empty() ? first : std::string_view(joined)});
 }
 
 int ResponseParser::OnComplete() {
--- a/src/exchange/response_parser.h
+++ b/src/exchange/response_parser.h
@@ -29,6 +29,7 @@
   ResponseParser(const ResponseParser&) = delete;
   ResponseParser& operator=(const ResponseParser&) = delete;
 
+  // Emits one HttpBytes at most, in however many chunks the body comes.
   // Bytes after a complete response give kMalformed: they belong to no request and could be taken
   // for the response to the next request on this connection.
   [[nodiscard]] ResponseState Feed(std::string_view bytes);
@@ -49,11 +50,14 @@
   ResponseState CurrentState();
   int OnHead();
   void OnBody(std::string_view part);
+  void EmitBody();
   int OnComplete();
 
   http_parser parser_{};
   std::function<void(HttpEvent)> on_event_;
   ResponseHeadReader head_reader_;
+  std::string_view first_part_;  // of the body's bytes that are being parsed
+  std::string joined_parts_;     // all of them, if there are several
   bool head_request_;
   bool complete_ = false;
   bool reusable_ = false;
--- a/src/runtime/http_server.cc
+++ b/src/runtime/http_server.cc
@@ -98,16 +98,20 @@
     }
   }
 
+  // RESTinio keeps an object for each piece, so that what comes while one is being written is
+  // gathered into the next.
   void Write(std::string bytes) override {
     if (finished_ || bytes.empty()) return;
     assert(builder_);
-    Flush(std::move(bytes));
+    if (writing_ == 0) return Flush(std::move(bytes));
+    gathered_.append(bytes);
   }
 
   void End() override {
     if (finished_) return;
     assert(builder_);
     Finish();
+    if (!gathered_.empty()) builder_->append_chunk(std::exchange(gathered_, {}));
     builder_->done(WhenWritten());
   }
 
@@ -120,7 +124,7 @@
     if (const auto connection = connection_.lock()) listener_->Close(*connection);
   }
 
-  [[nodiscard]] std::size_t unsent() const override { return unsent_; }
+  [[nodiscard]] std::size_t unsent() const override { return writing_ + gathered_.size(); }
 
   void ConnectionClosed() {
     if (finished_) return;
@@ -139,14 +143,18 @@
   }
 
   void Flush(std::string bytes) {
-    const std::size_t size = bytes.size();
-    unsent_ += size;
+    writing_ = bytes.size();
     builder_->append_chunk(std::move(bytes));
-    builder_->flush([weak = weak_from_this(), size](const auto& /*failure*/) {
-      if (const auto self = weak.lock()) self->unsent_ -= size;
+    builder_->flush([weak = weak_from_this()](const auto& /*failure*/) {
+      if (const auto self = weak.lock()) self->OnFlushed();
     });
   }
 
+  void OnFlushed() {
+    writing_ = 0;
+    if (!finished_ && !gathered_.empty()) Flush(std::exchange(gathered_, {}));
+  }
+
   static restinio::http_status_line_t StatusLine(int status) {
     return {restinio::http_status_code_t{static_cast<std::uint16_t>(status)}, ReasonOf(status)};
   }
@@ -173,7 +181,8 @@
   std::shared_ptr<ConnectionListener> listener_;
   std::unique_ptr<Builder> builder_;
   std::function<void()> on_closed_;
-  std::size_t unsent_ = 0;
+  std::size_t writing_ = 0;  // bytes of the piece that is being written
+  std::string gathered_;     // of the next one
   bool finished_ = false;
 };
 
--- a/test/endless-answers-test.py
+++ b/test/endless-answers-test.py
@@ -92,6 +92,30 @@
     def test_bodies_without_end(self):
         self.check_requests("body")
 
+    # The same for a body whose bytes come in a chunk each.
+    def test_bodies_in_chunks_of_a_byte(self):
+        self.check_requests("chunks")
+
+    # Guards against an entry that answers nobody while it passes such bodies on.
+    def test_others_are_served_beside_bodies_in_chunks_of_a_byte(self):
+        self.begin("chunks", 1.0)
+        self.fleet.world.do("engine", index=0, endless=0.0)
+        for index in range(ENGINES, ENGINES + SERVICES):
+            self.fleet.world.do("engine", index=index, endless=1.0, endless_in="chunks")
+
+        async def all_at_one_entry():
+            noise = [asyncio.ensure_future(self.attempt("/photos/1", 2 * n))
+                     for n in range(AT_ONCE)]
+            await asyncio.sleep(TIME_LIMIT_S / 3)
+            others = await asyncio.gather(
+                *(self.attempt("/flags/1", 2 * n) for n in range(AT_ONCE)))
+            await asyncio.gather(*noise)
+            return others
+        for request, answer in asyncio.run(all_at_one_entry()):
+            self.assert_served(request, answer)
+        self.assertTrue(any(request.startswith("p") for request in self.hit()))
+        self.assert_memory_is_bounded()
+
     # The same for an event that doesn't end.
     def test_events_without_end(self):
         self.check_requests("events")
@@ -109,8 +133,8 @@
         self.check_requests("rising")
 
     # Guards against an entry whose memory fills with what a caller doesn't take.
-    def test_a_caller_that_does_not_read(self):
-        self.begin("body", 1.0)
+    def check_a_caller_that_does_not_read(self, where):
+        self.begin(where, 1.0)
         gateway = self.fleet.gateways[0]
         host, _, port = gateway.callers.rpartition(":")
         callers = []
@@ -124,6 +148,13 @@
         for caller in callers:
             caller.close()
 
+    def test_a_caller_that_does_not_read(self):
+        self.check_a_caller_that_does_not_read("body")
+
+    # The same where each byte that waits for the caller has a cost of its own.
+    def test_a_caller_that_does_not_read_chunks_of_a_byte(self):
+        self.check_a_caller_that_does_not_read("chunks")
+
     # Guards against items that wait for noise until their job expires.
     def check_items(self, where):
         self.begin(where, 0.7)
--- a/test/exchange-test.cc
+++ b/test/exchange-test.cc
@@ -269,6 +269,37 @@
   CHECK(received == body.size());
 }
 
+// Guards against thousands of events for one read, each with its cost, from a body in small chunks.
+TEST_CASE("the body's bytes of one read are one event, in however many chunks they come") {
+  constexpr int kChunks = 2'000;
+  std::string answer = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::string whole;
+  for (int i = 0; i < kChunks; ++i) {
+    whole += static_cast<char>('a' + i % 26);
+    answer += std::string("1\r\n") + whole.back() + "\r\n";
+  }
+  answer += "0\r\n\r\n";
+  ScriptedServer server({{{answer}}});
+  Caller caller;
+  HttpCall call;
+  call.method = "POST";
+  call.to = server.address();
+  call.body = "x";
+  std::string got;
+  int events = 0;
+  const CancelCall cancel = caller.client.Start(std::move(call), [&](HttpEvent event) {
+    if (const auto* bytes = std::get_if<HttpBytes>(&event)) {
+      got += bytes->bytes;
+      ++events;
+    }
+    if (std::holds_alternative<HttpEnd>(event)) caller.loop.Stop();
+  });
+  const Timer bound = caller.loop.After(kBound, [&] { caller.loop.Stop(); });
+  caller.loop.Run();
+  CHECK(got == whole);
+  CHECK(events < kChunks / 100);
+}
+
 TEST_CASE("a call to a port without a listener fails as not sent") {
   Address unused_address;
   {
