HTTP clients: an answer that is kept as a whole has a limit

What could be seen: Fetch, behind which stand all calls to the store, other entries, agents and an engine's reports to its agent, kept whatever came, so that a body without end filled the memory until the call's time limit, or for good where it has none.

Change: HttpCall has a limit on the body, which Fetch sets to 32 MB where the call names none: four times the largest object. A longer answer fails the call, as sent.

Evidence: on the code before, the two new cases fail at both clients (answer-head-test): 32 MB and a byte are taken for an answer.

--- a/include/figmill/exchange.h
+++ b/include/figmill/exchange.h
@@ -34,8 +34,8 @@
 [[nodiscard]] std::string_view ToString(DialResult result);
 
 // Takes the same HttpCall as HttpClient and uses its fields method, to, target, headers, body,
-// connect_timeout, total_timeout, fresh_connection, bytes and hold_reads. Adds the headers Host and
-// Content-Length unless the call has them.
+// connect_timeout, total_timeout, fresh_connection, bytes, hold_reads and max_body_bytes. Adds the
+// headers Host and Content-Length unless the call has them.
 class NoRetryHttpClient {
  public:
   explicit NoRetryHttpClient(Loop& loop, ConnectionPoolLimits limits = {});
@@ -47,8 +47,8 @@
   // HttpFailure. The returned function cancels the call: no event follows, and the call's
   // connection is closed at once. HttpFailure::sent is false only if no connection was made.
   CancelCall Start(HttpCall call, std::function<void(HttpEvent)> on_event);
-  // Delivers the whole response at once, whatever its status. Errors: kBackendFailed with `ran`
-  // no (never sent) or unknown.
+  // Delivers the whole response at once, whatever its status. One whose body is longer than the
+  // call allows is none. Errors: kBackendFailed with `ran` no (never sent) or unknown.
   CancelCall Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done);
 
   // Opens a connection without a request and keeps it idle for later calls. `done` is called on
--- a/include/figmill/runtime.h
+++ b/include/figmill/runtime.h
@@ -174,6 +174,9 @@
   // While it returns true, no more of the answer is read, so that a peer that sends faster than
   // the answer can be passed on fills no memory here. Only with NoRetryHttpClient.
   std::function<bool()> hold_reads = nullptr;
+  // An answer with a longer body fails. Unit: bytes. 0: no limit with Start, kMaxFetchedBytes with
+  // Fetch.
+  std::size_t max_body_bytes = 0;
 };
 
 struct HttpBytes {
@@ -195,8 +198,12 @@
 };
 using HttpEvent = std::variant<HttpHead, HttpBytes, HttpEnd, HttpFailure>;
 
-// Gathers the events of one call into a whole answer; any status is a value.
-// Errors: kBackendFailed with `ran` no (never sent) or unknown.
+// Limit on the body of an answer that is kept as a whole, well above the largest that the store,
+// a backend server or another process of figmill sends. Unit: bytes.
+inline constexpr std::size_t kMaxFetchedBytes = 4 * kMaxBodyBytes;
+
+// Gathers the events of one call into a whole answer; any status is a value. The call must have a
+// limit on the body. Errors: kBackendFailed with `ran` no (never sent) or unknown.
 [[nodiscard]] std::function<void(HttpEvent)> CollectAnswer(
     std::function<void(Result<HttpResponse>)> done);
 
@@ -209,7 +216,8 @@
   // after the returned function was called.
   CancelCall Start(HttpCall call, std::function<void(HttpEvent)> on_event);
   // The whole answer at once; any status is a value. An answer that neither a length nor chunks
-  // end is none. Errors: kBackendFailed with `ran` no (never sent) or unknown.
+  // end is none, and neither is one whose body is longer than the call allows. Errors:
+  // kBackendFailed with `ran` no (never sent) or unknown.
   CancelCall Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done);
 
  private:
--- a/src/exchange/no_retry_http_client.cc
+++ b/src/exchange/no_retry_http_client.cc
@@ -279,6 +279,9 @@
     const ResponseState state =
         failure ? parser_->FeedEof() : parser_->Feed({buffer_.data(), size});
     if (!on_event_) return;  // an event handler cancelled the call
+    if (call_.max_body_bytes > 0 && parser_->body_bytes() > call_.max_body_bytes) {
+      return Fail(true, false, "the body is longer than the call allows");
+    }
     switch (state) {
       case ResponseState::kUnfinished:
         return ReadUnlessHeld();
@@ -465,6 +468,7 @@
 }
 
 CancelCall NoRetryHttpClient::Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done) {
+  if (call.max_body_bytes == 0) call.max_body_bytes = kMaxFetchedBytes;
   return Start(std::move(call), CollectAnswer(std::move(done)));
 }
 
--- a/src/exchange/response_parser.cc
+++ b/src/exchange/response_parser.cc
@@ -94,6 +94,7 @@
 }
 
 void ResponseParser::OnBody(std::string_view part) {
+  body_bytes_ += part.size();
   if (first_part_.empty()) {
     first_part_ = part;
     return;
--- a/src/exchange/response_parser.h
+++ b/src/exchange/response_parser.h
@@ -39,6 +39,9 @@
   // Whether only the peer's close can end the response: it has neither a length nor chunks.
   [[nodiscard]] bool ends_by_close() const { return ends_by_close_; }
 
+  // Bytes of the body so far.
+  [[nodiscard]] std::size_t body_bytes() const { return body_bytes_; }
+
   // How long the peer keeps the connection, from its Keep-Alive header; 0 if not given.
   [[nodiscard]] int keep_alive_seconds() const { return keep_alive_seconds_; }
 
@@ -58,6 +61,7 @@
   ResponseHeadReader head_reader_;
   std::string_view first_part_;  // of the body's bytes that are being parsed
   std::string joined_parts_;     // all of them, if there are several
+  std::size_t body_bytes_ = 0;
   bool head_request_;
   bool complete_ = false;
   bool reusable_ = false;
--- a/src/runtime/http_client.cc
+++ b/src/runtime/http_client.cc
@@ -58,7 +58,8 @@
     std::function<void(HttpEvent)> on_event;
     ResponseHeadReader head_reader;
     bool head_told = false;
-    bool malformed = false;
+    std::size_t body_bytes = 0;
+    std::string_view refused;  // why the answer is none; empty if it may be one
     bool framed = false;
     bool sent = false;  // on any connection: curl sends again by itself
     bool cancelled = false;
@@ -209,8 +210,9 @@
   static std::size_t OnHeader(char* data, std::size_t size, std::size_t count, void* user) {
     auto& transfer = *static_cast<Transfer*>(user);
     const std::string_view line(data, size * count);
-    transfer.malformed = transfer.head_told ? !IsTrailerLine(line) : !ReadHead(transfer, line);
-    return transfer.malformed ? 0 : line.size();
+    const bool sound = transfer.head_told ? IsTrailerLine(line) : ReadHead(transfer, line);
+    if (!sound) transfer.refused = "malformed response";
+    return sound ? line.size() : 0;
   }
 
   static bool IsTrailerLine(std::string_view line) {
@@ -233,8 +235,15 @@
 
   static std::size_t OnBody(char* data, std::size_t size, std::size_t count, void* user) {
     auto& transfer = *static_cast<Transfer*>(user);
-    Tell(transfer, HttpBytes{{data, size * count}});
-    return size * count;
+    const std::string_view bytes(data, size * count);
+    transfer.body_bytes += bytes.size();
+    const std::size_t limit = transfer.call.max_body_bytes;
+    if (limit > 0 && transfer.body_bytes > limit) {
+      transfer.refused = "the body is longer than the call allows";
+      return 0;
+    }
+    Tell(transfer, HttpBytes{bytes});
+    return bytes.size();
   }
 
   static int OnSocket(CURL*, curl_socket_t fd, int what, void* user, void* socket_data) {
@@ -329,7 +338,7 @@
     failure.why = curl_easy_strerror(code);
     // To curl a connection that is closed inside the head ends the answer.
     if (code == CURLE_OK) failure.why = "the answer ended inside its head";
-    if (transfer.malformed) failure.why = "malformed response";
+    if (!transfer.refused.empty()) failure.why = transfer.refused;
     failure.sent = transfer.sent;
     return failure;
   }
@@ -352,6 +361,7 @@
 }
 
 CancelCall HttpClient::Fetch(HttpCall call, std::function<void(Result<HttpResponse>)> done) {
+  if (call.max_body_bytes == 0) call.max_body_bytes = kMaxFetchedBytes;
   return Start(std::move(call), [collect = CollectAnswer(std::move(done))](HttpEvent event) {
     const auto* end = std::get_if<HttpEnd>(&event);
     if (end != nullptr && end->by_close) {
--- a/test/answer-head-test.cc
+++ b/test/answer-head-test.cc
@@ -39,6 +39,7 @@
     call.to = to;
     call.target = "/";
     call.body = "x";
+    call.max_body_bytes = max_body_bytes;
     std::string got;
     client.Fetch(std::move(call), [&](const Result<HttpResponse>& result) {
       if (IsOk(result)) {
@@ -56,6 +57,7 @@
     loop.Run();
     loop.Restart();
   }
+  std::size_t max_body_bytes = 0;  // 0: kMaxFetchedBytes
   Loop loop;
   Client client{loop};
 };
@@ -280,6 +282,36 @@
   }
 }
 
+// Guards against a body without end that fills the memory of who keeps the whole answer.
+TEST_CASE_TEMPLATE("an answer longer than its call allows fails the call", Client, HttpClient,
+                   NoRetryHttpClient) {
+  const std::string chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string& answer : {kWhole, chunked}) {
+    for (const auto& [limit, expected] :
+         {std::pair(std::size_t{5}, "200:hello"), std::pair(std::size_t{4}, "failed, sent")}) {
+      CAPTURE(answer);
+      CAPTURE(limit);
+      ScriptedServer server({{{answer}}});
+      Caller<Client> caller;
+      caller.max_body_bytes = limit;
+      CHECK(caller.Call(server.address()) == expected);
+    }
+  }
+}
+
+// The same for a call that names no limit.
+TEST_CASE_TEMPLATE("each answer that is kept as a whole has a limit", Client, HttpClient,
+                   NoRetryHttpClient) {
+  const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: ";
+  for (const std::size_t bytes : {kMaxFetchedBytes, kMaxFetchedBytes + 1}) {
+    const std::string answer = head + std::to_string(bytes) + "\r\n\r\n" + std::string(bytes, 'z');
+    ScriptedServer server({{{answer, /*close=*/true}}});
+    const std::string got = Caller<Client>().Call(server.address());
+    CHECK(got.starts_with("200:") == (bytes == kMaxFetchedBytes));
+  }
+}
+
 // Guards against an order that counts as executed: its backend server stopped in the head.
 TEST_CASE("an order and a cancellation without a whole head are not confirmed") {
   for (std::size_t at = 0; at < kHead.size(); ++at) {
