Test: versions at a gateway that is cut off from the other gateways alone

Not played before: datagrams of a gateway, or of all, are lost while engines of a new version join, with the store in reach. 24 streams of a gateway that is killed are resumed at it. Nothing else changed.

--- a/test/gateways.py
+++ b/test/gateways.py
@@ -73,8 +73,8 @@
 
 
 class Gateway:
-    def __init__(self, build, name, zone, store, folder, ports, seeds=(), options=()):
-        self.name, self.log = name, folder / f"{name}.log"
+    def __init__(self, build, name, zone, store, folder, ports, seeds=(), options=(), env=None):
+        self.name, self.log, self.env = name, folder / f"{name}.log", env
         self.callers, self.health, self.peers, self.metrics = (ports.address() for _ in range(4))
         self.arguments = [
             build / "figmilld", "gateway", "--node", name, "--data-centre", zone,
@@ -86,7 +86,7 @@
     def start(self):
         with self.log.open("ab") as log:
             self.process = subprocess.Popen(self.arguments, stdin=subprocess.DEVNULL, stdout=log,
-                                            stderr=log)
+                                            stderr=log, env=self.env)
 
     def signal(self, number):
         if self.process.poll() is None:
@@ -130,10 +130,10 @@
         for i in range(gateways):
             self.add(i)
 
-    def add(self, i, store=None, options=()):
+    def add(self, i, store=None, options=(), env=None):
         seeds = [g.peers for g in self.gateways[:self.most_seeds]]
         gateway = Gateway(self.build, f"g{i}", f"north-{'ab'[i % 2]}", store or self.world.store,
-                          self.folder, self.ports, seeds, (*self.options, *options))
+                          self.folder, self.ports, seeds, (*self.options, *options), env)
         self.gateways.append(gateway)
         return gateway
 
--- a/test/stream-versions-test.py
+++ b/test/stream-versions-test.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import sys
 import time
@@ -17,6 +18,7 @@
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 LONG = 300  # events of a stream that is still open when its engine or gateway goes
 NOT_RUN = 503
+SILENT = {"LD_PRELOAD": str(BUILD / "test/liblossy_datagrams.so"), "FIGMILL_TEST_LOSS": "1"}
 AT_ONCE = 1.0  # seconds until a caller is told that its stream can't be resumed
 
 
@@ -189,6 +191,36 @@
             if answer.status != NOT_RUN:
                 self.assert_goes_on(attempt, answer)
 
+    def check_the_version_is_not_guessed(self, env_of_others):
+        """A gateway reaches the store alone while engines of another version join."""
+        self.begin(gateways=0, versions=("v1", "v1"))
+        for i, env in enumerate((env_of_others, env_of_others, os.environ | SILENT)):
+            self.fleet.add(i, env=env).await_ready()
+        for version in ("v2", "v2"):
+            self.fleet.world.do("add", service="llm", version=version)
+        wait_for("they are used", lambda: all(
+            any("version=v2" in line for line in gateway.lines("version_admitted"))
+            for gateway in self.fleet.gateways))
+
+        async def play():
+            cut = await self.cut_streams([0], 24, self.fleet.gateways[0].stop)
+            return cut, await self.resume(2, cut)
+        cut, answers = asyncio.run(play())
+        self.assertEqual(set().union(*(attempt.answer.versions() for attempt in cut)),
+                         {"v1", "v2"})
+        for attempt, answer in zip(cut, answers):
+            if answer.status != NOT_RUN:
+                self.assert_goes_on(attempt, answer)
+
+    # Guards against a stream that another version continues at a gateway whose datagrams don't
+    # reach the others.
+    def test_a_gateway_that_asks_nobody_does_not_guess_the_version(self):
+        self.check_the_version_is_not_guessed(None)
+
+    # The same where those of the others don't reach it, either.
+    def test_a_gateway_that_hears_nobody_does_not_guess_the_version(self):
+        self.check_the_version_is_not_guessed(os.environ | SILENT)
+
     def test_a_resume_is_refused_at_once_where_its_version_is_not_known(self):
         self.begin()
         attempt = Attempt("never-seen", None)
