Test: streams that wait for a place while their entry stops

Twelve streams wait for four places at an entry that was told to stop, half with a time limit beyond its end. Nothing else changed.

--- a/test/shutdown-process-test.py
+++ b/test/shutdown-process-test.py
@@ -16,15 +16,16 @@
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
 SLOWDOWN = 22  # an event takes some 90 ms
 TIME_LIMIT_MS = 5000
+EARLY_MS = 50  # by which a time limit may be met early, as the clocks of both sides tell
 SENT_LATE = (2.6, 3.2, 3.8, 4.2, 4.6, 5.0, 5.4, 5.8)  # seconds after the signal
 
 
 class Shutdown(unittest.TestCase):
-    def begin(self):
-        self.fleet = Fleet(BUILD, gateways=2, engines=4, places=8, services=1)
+    def begin(self, engines=4, places=8):
+        self.fleet = Fleet(BUILD, gateways=2, engines=engines, places=places, services=1)
         self.fleet.__enter__()
         self.addCleanup(self.fleet.__exit__, None)
-        for index in range(4):
+        for index in range(engines):
             self.fleet.world.do("engine", index=index, slowdown=SLOWDOWN)
         self.gateway = self.fleet.gateways[0]
 
@@ -64,6 +65,22 @@
         for answer in answers:
             self.assertEqual((answer.status, answer.whole), (200, True))
 
+    # Guards against streams that get a place late in the grace period, and are cut by its end.
+    def test_streams_that_wait_for_a_place_are_cut_by_their_time_limit_alone(self):
+        self.begin(engines=2, places=2)
+        running = [(f"run-{n}", 0.1, 20) for n in range(4)]
+        waiting = [(f"wait-{n}", 0.3 + n / 10, 25, "/flags/1", limit)
+                   for n, limit in enumerate((4 * TIME_LIMIT_MS, TIME_LIMIT_MS) * 6)]
+        told_at = time.monotonic()
+        answers = asyncio.run(self.play(*running, *waiting))
+        self.assertTrue(all(answer.whole for answer in answers[:len(running)]))
+        for (name, after, *_), answer in zip(waiting, answers[len(running):]):
+            if not answer.whole:
+                held_ms = 1000 * (answer.ended_at - told_at - after)
+                self.assertGreater(held_ms, TIME_LIMIT_MS - EARLY_MS, name)  # the route's, too
+        statuses = [answer.status for answer in answers[len(running):]]
+        self.assertIn(200, statuses)
+
     def test_a_leaving_entry_is_not_ready_at_once(self):
         self.begin()
         self.gateway.signal(TERM)
