Exchange: the line end after a chunk's data is checked

What a caller could get: a body without bytes that its backend server wrote, as a whole answer. The chunk was longer than its size said.

Cause: http_parser, as it is built, takes any two bytes for the line end after a chunk's data.

Change: the parser knows where a chunk's data ends; the two bytes after it must be a line end, also where a read ends between them.

Found by reading; not reported.

--- a/src/exchange/response_parser.cc
+++ b/src/exchange/response_parser.cc
@@ -1,11 +1,13 @@
 #include "exchange/response_parser.h"
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
 namespace figmill::detail {
 namespace {
 
+constexpr std::string_view kLineEnd = "\r\n";
 constexpr int kContinue = 0;
 constexpr int kStop = -1;   // makes http_parser fail
 constexpr int kNoBody = 1;  // tells http_parser not to expect a body
@@ -46,8 +48,7 @@
   };
   settings.on_headers_complete = [](http_parser* p) { return Of(p).OnHead(); };
   settings.on_body = [](http_parser* p, const char* at, std::size_t n) {
-    Of(p).OnBody({at, n});
-    return kContinue;
+    return Of(p).OnBody({at, n});
   };
   settings.on_message_complete = [](http_parser* p) { return Of(p).OnComplete(); };
   return settings;
@@ -59,6 +60,8 @@
   if (head_reader_.Feed(bytes) == ResponseHeadReader::State::kMalformed) {
     return ResponseState::kMalformed;
   }
+  if (!TakeLineEnd(bytes)) return ResponseState::kMalformed;
+  input_ = bytes;
   const std::size_t used = http_parser_execute(&parser_, &kSettings, bytes.data(), bytes.size());
   EmitBody();
   const auto failure = HTTP_PARSER_ERRNO(&parser_);
@@ -93,14 +96,27 @@
   return head_request_ ? kNoBody : kContinue;
 }
 
-void ResponseParser::OnBody(std::string_view part) {
+int ResponseParser::OnBody(std::string_view part) {
   body_bytes_ += part.size();
   if (first_part_.empty()) {
     first_part_ = part;
-    return;
+  } else {
+    if (joined_parts_.empty()) joined_parts_ = first_part_;
+    joined_parts_.append(part);
   }
-  if (joined_parts_.empty()) joined_parts_ = first_part_;
-  joined_parts_.append(part);
+  const bool ends_chunk = (parser_.flags & F_CHUNKED) != 0 && parser_.content_length == 0;
+  if (!ends_chunk) return kContinue;
+  // http_parser takes any two bytes for this line end.
+  line_end_due_ = kLineEnd;
+  const auto end = static_cast<std::size_t>(part.data() + part.size() - input_.data());
+  return TakeLineEnd(input_.substr(end)) ? kContinue : kStop;
+}
+
+bool ResponseParser::TakeLineEnd(std::string_view bytes) {
+  const std::size_t size = std::min(bytes.size(), line_end_due_.size());
+  if (bytes.substr(0, size) != line_end_due_.substr(0, size)) return false;
+  line_end_due_.remove_prefix(size);
+  return true;
 }
 
 void ResponseParser::EmitBody() {
--- a/src/exchange/response_parser.h
+++ b/src/exchange/response_parser.h
@@ -52,15 +52,19 @@
   }
   ResponseState CurrentState();
   int OnHead();
-  void OnBody(std::string_view part);
+  int OnBody(std::string_view part);
+  // Takes what is due of the line end after a chunk's data. Returns false if other bytes come.
+  [[nodiscard]] bool TakeLineEnd(std::string_view bytes);
   void EmitBody();
   int OnComplete();
 
   http_parser parser_{};
   std::function<void(HttpEvent)> on_event_;
   ResponseHeadReader head_reader_;
-  std::string_view first_part_;  // of the body's bytes that are being parsed
-  std::string joined_parts_;     // all of them, if there are several
+  std::string_view input_;         // the bytes that are being parsed
+  std::string_view line_end_due_;  // after the last chunk's data
+  std::string_view first_part_;    // of the body's bytes that are being parsed
+  std::string joined_parts_;       // all of them, if there are several
   std::size_t body_bytes_ = 0;
   bool head_request_;
   bool complete_ = false;
--- a/test/answer-head-test.cc
+++ b/test/answer-head-test.cc
@@ -303,6 +303,28 @@
   }
 }
 
+// Guards against a part of a body that passes for the whole: a chunk is longer than its size says,
+// and a lenient parser takes the rest for the end of a line.
+TEST_CASE_TEMPLATE("an answer whose chunks don't end where their sizes say fails the call", Client,
+                   HttpClient, NoRetryHttpClient) {
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string sound = head + "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
+  for (const std::string end : {"XX", "\rX", "X\n", "\n\n"}) {
+    const std::string broken = head + "2\r\nhe\r\n3\r\nllo" + end + "0\r\n\r\n";
+    for (std::size_t at = head.size(); at < broken.size(); ++at) {
+      CAPTURE(end);
+      CAPTURE(at);
+      ScriptedServer server({{{broken.substr(0, at), /*close=*/true, broken.substr(at)}}});
+      CHECK(Caller<Client>().Call(server.address()) == "failed, sent");
+    }
+  }
+  for (std::size_t at = 1; at < sound.size(); ++at) {
+    CAPTURE(at);
+    ScriptedServer server({{{sound.substr(0, at), /*close=*/false, sound.substr(at)}}});
+    CHECK(Caller<Client>().Call(server.address()) == "200:hello");
+  }
+}
+
 // Guards against a body without end that fills the memory of who keeps the whole answer.
 TEST_CASE_TEMPLATE("an answer longer than its call allows fails the call", Client, HttpClient,
                    NoRetryHttpClient) {
