--- a/test/answer-head-test.cc
+++ b/test/answer-head-test.cc
@@ -3,10 +3,10 @@
 
 #include <doctest/doctest.h>
 
+#include <initializer_list>
 #include <optional>
 #include <string>
 #include <string_view>
-#include <tuple>
 #include <utility>
 #include <variant>
 #include <vector>
@@ -32,6 +32,12 @@
 constexpr std::string_view kWithoutLength = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n";
 const std::string kWhole = std::string(kHead) + "hello";
 
+std::string Joined(std::initializer_list<std::string_view> parts) {
+  std::string whole;
+  for (const std::string_view part : parts) whole.append(part);
+  return whole;
+}
+
 template <typename Client>
 struct Caller {
   // "200:body", or "failed" and whether the request was sent.
@@ -185,7 +191,7 @@
     for (const std::string& before : {std::string(), std::string(kContinue)}) {
       CAPTURE(line);
       CAPTURE(before);
-      ScriptedServer server({{{before + line + rest, /*close=*/true}}});
+      ScriptedServer server({{{Joined({before, line, rest}), /*close=*/true}}});
       CHECK(Caller<Client>().Call(server.address()) == "failed, sent");
     }
   }
@@ -197,14 +203,14 @@
   for (const std::string field :
        {"Content-Length : 5", "Bad Name: x", "Name : x", "Name\t: x", "Na\tme: x", "Na\x01me: x",
         "N\xC3\xA4me: x", ": x", "Name", "Name: x\x01", "Name: x\ry", "(Name): x"}) {
-    const std::string fields = "Content-Type: text/plain\r\n" + field + "\r\n";
-    CAPTURE(field);
-    const std::string length = "Content-Length: 5\r\n";
-    const std::string hint = "HTTP/1.1 103 Early Hints\r\n" + fields + "\r\n";
+    const std::string fields = Joined({"Content-Type: text/plain\r\n", field, "\r\n"});
+    const std::string hint = Joined({"HTTP/1.1 103 Early Hints\r\n", fields, "\r\n"});
     const std::string chunks =
         "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n";
-    for (const std::string& answer : {"HTTP/1.1 200 OK\r\n" + fields + length + "\r\nhello",
-                                      hint + kWhole, chunks + field + "\r\n\r\n"}) {
+    CAPTURE(field);
+    for (const std::string& answer :
+         {Joined({"HTTP/1.1 200 OK\r\n", fields, "Content-Length: 5\r\n\r\nhello"}),
+          Joined({hint, kWhole}), Joined({chunks, field, "\r\n\r\n"})}) {
       CAPTURE(answer);
       ScriptedServer server({{{answer, /*close=*/true}}});
       CHECK(Caller<Client>().Call(server.address()) == "failed, sent");
@@ -310,7 +316,7 @@
   const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
   const std::string sound = head + "2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n";
   for (const std::string end : {"XX", "\rX", "X\n", "\n\n"}) {
-    const std::string broken = head + "2\r\nhe\r\n3\r\nllo" + end + "0\r\n\r\n";
+    const std::string broken = Joined({head, "2\r\nhe\r\n3\r\nllo", end, "0\r\n\r\n"});
     for (std::size_t at = head.size(); at < broken.size(); ++at) {
       CAPTURE(end);
       CAPTURE(at);
@@ -331,14 +337,13 @@
   const std::string chunked =
       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
   for (const std::string& answer : {kWhole, chunked}) {
-    for (const auto& [limit, expected] :
-         {std::pair(std::size_t{5}, "200:hello"), std::pair(std::size_t{4}, "failed, sent")}) {
+    for (const std::size_t limit : {5U, 4U}) {
       CAPTURE(answer);
       CAPTURE(limit);
       ScriptedServer server({{{answer}}});
       Caller<Client> caller;
       caller.max_body_bytes = limit;
-      CHECK(caller.Call(server.address()) == expected);
+      CHECK(caller.Call(server.address()) == (limit == 5 ? "200:hello" : "failed, sent"));
     }
   }
 }
@@ -383,19 +388,24 @@
 // Guards against bytes without end that fill an agent's memory: a body that is kept until its end,
 // and an event that has none.
 TEST_CASE("an agent's answer of a model has a limit") {
-  const std::string head = "HTTP/1.1 200 OK\r\nContent-Type: ";
-  for (const auto& [type, limit, begin, end] :
-       {std::tuple("application/json", kMaxBodyBytes, "", ""),
-        std::tuple("text/event-stream", SseCutter::kMaxEventBytes,
-                   "data: ", "\n\ndata: [DONE]\n\n")}) {
-    for (const std::size_t bytes : {limit / 2, 2 * limit}) {
-      CAPTURE(type);
+  struct Form {
+    std::string type;
+    std::size_t limit;
+    std::string begin, end;
+  };
+  const std::vector<Form> forms = {
+      {"application/json", kMaxBodyBytes, "", ""},
+      {"text/event-stream", SseCutter::kMaxEventBytes, "data: ", "\n\ndata: [DONE]\n\n"}};
+  for (const Form& form : forms) {
+    for (const std::size_t bytes : {form.limit / 2, 2 * form.limit}) {
+      CAPTURE(form.type);
       CAPTURE(bytes);
-      const std::string body = begin + std::string(bytes, 'z') + end;
-      Agent agent(
-          head + type + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body,
-          BackendKind::kModel);
-      CHECK(std::holds_alternative<AnswerEnd>(agent.Call().back()) == (bytes < limit));
+      const std::string body = Joined({form.begin, std::string(bytes, 'z'), form.end});
+      const std::string length = std::to_string(body.size());
+      Agent agent(Joined({"HTTP/1.1 200 OK\r\nContent-Type: ", form.type,
+                          "\r\nContent-Length: ", length, "\r\n\r\n", body}),
+                  BackendKind::kModel);
+      CHECK(std::holds_alternative<AnswerEnd>(agent.Call().back()) == (bytes < form.limit));
     }
   }
 }
