Test: the progress of an await is not taken for its answer

All 19 changes were in the log, and the logs show no error.

Cause: the fault is the test's. With a datagram in five lost, an `await` can take longer than that: in the failed run 1.6 s.

A new case keeps an agent suspended for 1.5 s of an `await` and asks for the answer in full; the bound and the checks of the others are as they were.

--- a/test/faults-config-test.py
+++ b/test/faults-config-test.py
@@ -8,10 +8,12 @@
 import signal
 import sys
 import threading
+import time
 
 from fleet import BUILD, Callers, Fleet, ask, run_tests, wait_for
 
 LOST_RACE = 4  # the tool's exit code for a conflict or a stale version
+AWAIT_ANSWERED = 1.5  # seconds; an entry answers an `await` after 1 s, in force or not
 LOSS = {"LD_PRELOAD": str(BUILD / "test/liblossy_datagrams.so"), "FIGMILL_TEST_LOSS": "0.2"}
 
 
@@ -158,4 +160,17 @@
         callers.verdict()
 
 
+def test_await_outlasts_a_paused_agent():
+    # Guards against a script that takes the progress of an `await` for its answer.
+    with Fleet(2, 2) as fleet, Watch(fleet), concurrent.futures.ThreadPoolExecutor(1) as pool:
+        fleet.signal("agent-1", signal.SIGSTOP)
+        last = fleet.ordered("set limit team harbour requests 100")["sequence"]
+        awaited = pool.submit(fleet.ordered, f"await {last}")
+        time.sleep(AWAIT_ANSWERED)
+        fleet.signal("agent-1", signal.SIGCONT)
+        spread = awaited.result()
+        assert spread["complete"] and spread["nodes"] == 4, spread
+        assert fleet.metric("agent-1", "figmill_control_sequence") == last
+
+
 run_tests(sys.modules[__name__])
--- a/test/fleet.py
+++ b/test/fleet.py
@@ -11,6 +11,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import subprocess
 import sys
@@ -24,6 +25,8 @@
 BUILD = pathlib.Path(sys.argv[1]).resolve()
 NEVER = 60  # seconds after which a condition counts as never met
 MODEL = "note-llm"
+# Of an `await` that isn't over: the tool writes it to standard error.
+PROGRESS = re.compile(r"^\d+: \d+ of \d+ processes\n", re.MULTILINE)
 
 
 def call(address, method, path, body=None, headers=None, timeout=NEVER):
@@ -282,12 +285,12 @@
     # Operators.
 
     def order(self, statement, entry=None):
-        """The tool's exit code and output."""
+        """The tool's exit code, and its output without lines of progress."""
         entry = entry or self.entries[0]
         done = subprocess.run([BUILD / "figmill", "--json", "--entry", entry["address"], "-c",
                                statement], capture_output=True, text=True, check=False,
                               timeout=NEVER)
-        return done.returncode, done.stdout + done.stderr
+        return done.returncode, done.stdout + PROGRESS.sub("", done.stderr)
 
     def ordered(self, statement, entry=None):
         code, output = self.order(statement, entry)
