Agent: an answer that is kept until it is complete has a limit

Cause: DispatchedRequest kept what came. The limit of the engine's client, 8 MB, is of a model's answers that are no stream.

Change: what is kept of an answer may have 32 MB, as for other answers that are kept as a whole. More than that fails the request with `backend-failed`, as run, and ends the call.

Evidence: two new cases of agent-test, real processes, a backend server that sends 256 MB unless it is stopped. On the code before, the agent took all 256 in both; now less than 64, and its memory grows by less than 96 MB, twice the limit as the storage doubles, and some.

--- a/src/figmilld/agent/dispatch_handler.cc
+++ b/src/figmilld/agent/dispatch_handler.cc
@@ -14,6 +14,8 @@
 // Largest exported KV cache that is kept in memory for a stopped stream. Streams with
 // larger exports are run again, as this process has little memory.
 constexpr std::size_t kMaxExportBytes = 64 << 10;
+// Limit on an answer that is kept until it is complete.
+constexpr std::size_t kMaxKeptAnswerBytes = kMaxFetchedBytes;
 // Upper bound of the time that a revoke is in transit, as its sender waits no longer. The
 // dispatch may have been sent by as much earlier than the age in the revoke says.
 constexpr Duration kMaxRevokeTransit{10'000'000};
@@ -138,13 +140,13 @@
   dispatched.answer_head = std::move(head);
   AnswerWriter* answer = FindAnswer(dispatched);
   if (answer == nullptr || answer->Begin(MakeFrameHead(dispatched))) return;
-  if (dispatched.cancel_call) std::exchange(dispatched.cancel_call, nullptr)();
-  PostFailure(dispatched.headers().request,
-              Error{ErrorKind::kBackendFailed,
-                    "the backend server answered a rerun with another status", Ran::kYes});
+  AbortCall(dispatched, "the backend server answered a rerun with another status");
 }
 
 void DispatchHandler::OnAnswerBytes(DispatchedRequest& dispatched, const AnswerBytes& bytes) {
+  if (dispatched.kept_bytes() + bytes.bytes.size() > kMaxKeptAnswerBytes) {
+    return AbortCall(dispatched, "the backend server's answer is longer than one may be");
+  }
   std::uint32_t tokens = 0;
   const std::string ready = dispatched.AddAnswerBytes(bytes, tokens);
   if (AnswerWriter* answer = FindAnswer(dispatched)) answer->WriteData(ready);
@@ -153,6 +155,13 @@
   HandleEvent(StreamTokens{dispatched.headers().request, tokens});
 }
 
+// Fails the request with an answer that can't be used.
+void DispatchHandler::AbortCall(DispatchedRequest& dispatched, std::string why) {
+  if (dispatched.cancel_call) std::exchange(dispatched.cancel_call, nullptr)();
+  PostFailure(dispatched.headers().request,
+              Error{ErrorKind::kBackendFailed, std::move(why), Ran::kYes});
+}
+
 FrameHead DispatchHandler::MakeFrameHead(const DispatchedRequest& dispatched) const {
   const SchedulerStats counts = scheduler_.counts();
   FrameHead head;
--- a/src/figmilld/agent/dispatch_handler.h
+++ b/src/figmilld/agent/dispatch_handler.h
@@ -67,6 +67,7 @@
   void OnAnswerEvent(const RequestId& request, AnswerEvent event);
   void OnAnswerHead(DispatchedRequest& dispatched, AnswerHead head);
   void OnAnswerBytes(DispatchedRequest& dispatched, const AnswerBytes& bytes);
+  void AbortCall(DispatchedRequest& dispatched, std::string why);
   [[nodiscard]] std::function<void(AnswerEvent)> MakeAnswerCallback(const RequestId& request);
   void ResumeExported(DispatchedRequest& dispatched);
   void PostFailure(const RequestId& request, Error error);
--- a/src/figmilld/agent/dispatched_request.h
+++ b/src/figmilld/agent/dispatched_request.h
@@ -29,6 +29,8 @@
   // Adds a part of the answer and sets `tokens` to the number of its tokens. Returns the
   // bytes that may be sent to the sender now.
   [[nodiscard]] std::string AddAnswerBytes(const AnswerBytes& bytes, std::uint32_t& tokens);
+  // Bytes of the answer that are kept until it is complete.
+  [[nodiscard]] std::size_t kept_bytes() const { return buffered_.size() + assembler_.size(); }
   // Returns the bytes still to be sent once the answer is complete.
   [[nodiscard]] std::string TakeRemaining();
 
--- a/src/figmilld/traffic/sse.h
+++ b/src/figmilld/traffic/sse.h
@@ -51,6 +51,8 @@
   // The answer as it would have come without streaming; empty when no event
   // could be read.
   [[nodiscard]] std::string Whole() const;
+  // Bytes of text so far.
+  [[nodiscard]] std::size_t size() const { return text_.size(); }
 
  private:
   void AddEvent(std::string_view json);
--- a/test/agent-test.py
+++ b/test/agent-test.py
@@ -1,6 +1,7 @@
 """An agent beside a stand-in engine, as real processes: what entries see of it."""
 
 import concurrent.futures
+import contextlib
 import http.client
 import json
 import os
@@ -10,6 +11,7 @@
 import struct
 import subprocess
 import sys
+import threading
 import time
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -83,12 +85,9 @@
 class Fleet:
     """One engine with its agent; only processes started here are ended."""
 
-    def __init__(self, kind="engine", *options):
+    def __init__(self, kind="engine", *options, backend=None):
         self.processes = []
-        binary = [os.path.join(BUILD, "figmill-standin"), kind, "--http", "127.0.0.1:0"]
-        name = ["--model", "note-llm"] if kind == "engine" else ["--name", "field-app"]
-        engine = self.start([*binary, *name, *options], stdout=subprocess.PIPE)
-        self.engine = int(engine.stdout.readline().decode().rsplit(":", 1)[1])
+        self.engine = backend or self.start_engine(kind, options)
         self.ports = Ports()
         self.agent = self.ports.port()
         self.agent_process = self.start(
@@ -100,6 +99,12 @@
         self.status = wait_for("the agent listens", self.try_status)
         self.count = 0
 
+    def start_engine(self, kind, options):
+        binary = [os.path.join(BUILD, "figmill-standin"), kind, "--http", "127.0.0.1:0"]
+        name = ["--model", "note-llm"] if kind == "engine" else ["--name", "field-app"]
+        engine = self.start([*binary, *name, *options], stdout=subprocess.PIPE)
+        return int(engine.stdout.readline().decode().rsplit(":", 1)[1])
+
     def start(self, arguments, **options):
         self.processes.append(subprocess.Popen(arguments, stderr=subprocess.DEVNULL, **options))
         return self.processes[-1]
@@ -156,6 +161,12 @@
     def fault(self, **faults):
         assert call(self.engine, "POST", "/standin/faults", json.dumps(faults))[0] == 200
 
+    def agent_memory_mb(self):
+        """The most that the agent's process ever had resident."""
+        status = pathlib.Path(f"/proc/{self.agent_process.pid}/status").read_text()
+        peak = next(line for line in status.splitlines() if line.startswith("VmHWM:"))
+        return int(peak.split()[1]) / 1024
+
     def metric(self, name):
         for line in call(self.agent, "GET", "/metrics")[1].decode().splitlines():
             if line.startswith(name + " "):
@@ -274,6 +285,73 @@
         assert len(fleet.executions("q")) == 1
 
 
+class EndlessBackend:
+    """Answers one request with a body that repeats `piece`, until MOST_MB were taken of it."""
+
+    MOST_MB = 256
+
+    def __init__(self, content_type, piece):
+        self.head = f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        data = piece * ((1 << 20) // len(piece))
+        self.chunk = b"%x\r\n%b\r\n" % (len(data), data)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(WAIT)
+        self.port = self.listener.getsockname()[1]
+        self.sent_mb = 0
+        self.thread = threading.Thread(target=self.serve)
+        self.thread.start()
+
+    def serve(self):
+        with contextlib.suppress(OSError):
+            while self.sent_mb == 0:
+                with self.listener.accept()[0] as connection:
+                    self.answer(connection)
+
+    def answer(self, connection):
+        if b" /engine/" in connection.recv(65536):  # an agent asks for its engine's state
+            connection.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
+            return
+        connection.sendall(self.head.encode())
+        while self.sent_mb < self.MOST_MB:
+            connection.sendall(self.chunk)
+            self.sent_mb += 1
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.thread.join()
+        self.listener.close()
+
+
+def refuse_endless_answer(fleet, backend):
+    most_kept_mb = 32
+    before = fleet.agent_memory_mb()
+    answer = fleet.run("endless", "rye on parcel 4")
+    backend.thread.join(WAIT)
+    assert backend.sent_mb < 2 * most_kept_mb, backend.sent_mb
+    grown_mb = fleet.agent_memory_mb() - before
+    # The storage of a string is copied to one of twice the size when it grows.
+    assert grown_mb < 3 * most_kept_mb, grown_mb
+    assert answer.problem["kind"] == "backend-failed", answer.problem
+    assert answer.problem["ran"] == "yes", answer.problem
+
+
+def test_a_plain_answer_without_end_does_not_fill_the_agents_memory():
+    # Guards against an agent that keeps each byte of an answer until it is complete.
+    with EndlessBackend("image/png", bytes(1024)) as backend:
+        with Fleet("service", backend=backend.port) as fleet:
+            refuse_endless_answer(fleet, backend)
+
+
+def test_a_stream_without_end_does_not_fill_the_agents_memory():
+    # The same for events that are assembled into one answer.
+    event = json.dumps({"choices": [{"index": 0, "text": "z" * 32768}]})
+    with EndlessBackend("text/event-stream", f"data: {event}\n\n".encode()) as backend:
+        with Fleet("engine", backend=backend.port) as fleet:
+            refuse_endless_answer(fleet, backend)
+
+
 for name, test in list(globals().items()):
     if name.startswith("test_"):
         print(name, flush=True)
