--- a/test/close-verdict-test.cc
+++ b/test/close-verdict-test.cc
@@ -12,7 +12,7 @@
 
 // Guards against a part of an answer that passes for the whole: the write of the request consumed
 // the error of the reset.
-TEST_CASE("a reset is no orderly close, whoever was told of it") {
+TEST_CASE("a failed write or a reset socket is no orderly close") {
   for (const bool written : {false, true}) {
     for (const bool acknowledged : {false, true}) {
       CloseEvidence evidence{.written = written, .acknowledged = acknowledged};
