Test: broken heads at an agent and at the operators' tool, as processes

Both read answers by the client that takes a head by ResponseHeadReader, which was tested for the client alone. Nothing was changed for it.

Now the agent answers `broken-answer`, not known whether it ran, and the tool says the same of the order and does not give it again.

--- a/test/agent-test.py
+++ b/test/agent-test.py
@@ -21,6 +21,7 @@
 
 BUILD = sys.argv[1]
 WAIT = 20  # seconds until a condition counts as never met
+MB = 1 << 20
 
 
 def wait_for(what, condition):
@@ -285,25 +286,21 @@
         assert len(fleet.executions("q")) == 1
 
 
-class EndlessBackend:
-    """Answers one request with a body that repeats `piece`, until MOST_MB were taken of it."""
+class ScriptedBackend:
+    """Answers one request with these parts, one after the other, as far as they are taken."""
 
-    MOST_MB = 256
-
-    def __init__(self, content_type, piece):
-        self.head = f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nTransfer-Encoding: chunked\r\n\r\n"
-        data = piece * ((1 << 20) // len(piece))
-        self.chunk = b"%x\r\n%b\r\n" % (len(data), data)
+    def __init__(self, *parts):
+        self.parts = parts
+        self.sent = 0  # bytes
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.listener.settimeout(WAIT)
         self.port = self.listener.getsockname()[1]
-        self.sent_mb = 0
         self.thread = threading.Thread(target=self.serve)
         self.thread.start()
 
     def serve(self):
         with contextlib.suppress(OSError):
-            while self.sent_mb == 0:
+            while self.sent == 0:
                 with self.listener.accept()[0] as connection:
                     self.answer(connection)
 
@@ -311,10 +308,9 @@
         if b" /engine/" in connection.recv(65536):  # an agent asks for its engine's state
             connection.sendall(b"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n")
             return
-        connection.sendall(self.head.encode())
-        while self.sent_mb < self.MOST_MB:
-            connection.sendall(self.chunk)
-            self.sent_mb += 1
+        for part in self.parts:
+            connection.sendall(part)
+            self.sent += len(part)
 
     def __enter__(self):
         return self
@@ -324,12 +320,19 @@
         self.listener.close()
 
 
+def endless_backend(content_type, piece):
+    """A body without end, of which 256 MB are sent at most."""
+    head = f"HTTP/1.1 200 OK\r\nContent-Type: {content_type}\r\nTransfer-Encoding: chunked\r\n\r\n"
+    data = piece * (MB // len(piece))
+    return ScriptedBackend(head.encode(), *[b"%x\r\n%b\r\n" % (len(data), data)] * 256)
+
+
 def refuse_endless_answer(fleet, backend):
     most_kept_mb = 32
     before = fleet.agent_memory_mb()
     answer = fleet.run("endless", "rye on parcel 4")
     backend.thread.join(WAIT)
-    assert backend.sent_mb < 2 * most_kept_mb, backend.sent_mb
+    assert backend.sent < 2 * most_kept_mb * MB, backend.sent
     grown_mb = fleet.agent_memory_mb() - before
     # The storage of a string is copied to one of twice the size when it grows.
     assert grown_mb < 3 * most_kept_mb, grown_mb
@@ -339,7 +342,7 @@
 
 def test_a_plain_answer_without_end_does_not_fill_the_agents_memory():
     # Guards against an agent that keeps each byte of an answer until it is complete.
-    with EndlessBackend("image/png", bytes(1024)) as backend:
+    with endless_backend("image/png", bytes(1024)) as backend:
         with Fleet("service", backend=backend.port) as fleet:
             refuse_endless_answer(fleet, backend)
 
@@ -347,11 +350,20 @@
 def test_a_stream_without_end_does_not_fill_the_agents_memory():
     # The same for events that are assembled into one answer.
     event = json.dumps({"choices": [{"index": 0, "text": "z" * 32768}]})
-    with EndlessBackend("text/event-stream", f"data: {event}\n\n".encode()) as backend:
+    with endless_backend("text/event-stream", f"data: {event}\n\n".encode()) as backend:
         with Fleet("engine", backend=backend.port) as fleet:
             refuse_endless_answer(fleet, backend)
 
 
+def test_bytes_that_are_no_answer_are_not_passed_on():
+    # Guards against a status or a field that HTTP/1 doesn't know, as an answer.
+    for head in (b"HTTP/1.1 000 OK\r\n", b"HTTP/1.1 200 OK\r\nBad Name: x\r\n"):
+        with ScriptedBackend(head + b"Content-Length: 2\r\n\r\nhi") as backend:
+            with Fleet("service", backend=backend.port) as fleet:
+                problem = fleet.run("malformed", "rye on parcel 4").problem
+                assert (problem["kind"], problem["ran"]) == ("broken-answer", "unknown"), problem
+
+
 for name, test in list(globals().items()):
     if name.startswith("test_"):
         print(name, flush=True)
--- a/test/query-tool-test.py
+++ b/test/query-tool-test.py
@@ -13,11 +13,14 @@
 import time
 
 FIGMILL = os.path.join(sys.argv[1], "figmill")
+NO_ANSWER = b""
+BODY = b"Content-Length: 14\r\n\r\n{\"sequence\":9}"
+BROKEN_HEADS = [b"HTTP/1.1 000 OK\r\n" + BODY, b"HTTP/1.1 200 OK\r\nBad Name: x\r\n" + BODY]
 
 
 class Entry:
-    """Answers each request with the next of `answers`; None: reads the request
-    and closes the connection without an answer."""
+    """Answers each request with the next of `answers`; bytes: sends these and closes
+    the connection."""
 
     def __init__(self, *answers):
         self.answers = list(answers)
@@ -29,7 +32,8 @@
                 length = int(self.headers.get("Content-Length", 0))
                 outer.requests.append((self.command, self.path, self.rfile.read(length).decode(), dict(self.headers)))
                 answer = outer.answers.pop(0) if outer.answers else (500, {})
-                if answer is None:
+                if isinstance(answer, bytes):
+                    self.wfile.write(answer)
                     self.close_connection = True
                     return
                 status, document = answer
@@ -96,11 +100,8 @@
     assert code == 2 and "column 6" in err and "jobs" in err and "\n       ^\n" in err, err
 
 
-# Symptom: a drain that was lifted comes back. Events: the entry takes the order,
-# its answer is lost, and another operator undrains meanwhile. Cause: the tool
-# gives the order again to the next entry.
-def test_an_order_whose_answer_was_lost_is_not_given_again():
-    first, second = Entry(None), Entry((200, {"sequence": 9}))
+def check_order_outcome_unknown(answer):
+    first, second = Entry(answer), Entry((200, {"sequence": 9}))
     code, out, err = run("--entry", f"{first.at},{second.at}", "-c", "drain a-1")
     assert code == 8 and out == "" and "show log" in err and "ran: unknown" in err, (code, out, err)
     assert len(first.requests) == 1 and second.requests == []
@@ -108,11 +109,24 @@
     second.close()
 
 
+# Symptom: a drain that was lifted comes back. Events: the entry takes the order,
+# its answer is lost, and another operator undrains meanwhile. Cause: the tool
+# gives the order again to the next entry.
+def test_an_order_whose_answer_was_lost_is_not_given_again():
+    check_order_outcome_unknown(NO_ANSWER)
+
+
+def test_an_order_whose_answer_is_malformed_is_not_given_again():
+    # Guards against an order that counts as accepted by bytes that are no answer.
+    for answer in BROKEN_HEADS:
+        check_order_outcome_unknown(answer)
+
+
 def test_the_next_entry_is_tried_when_nothing_can_have_happened():
     second = Entry((200, {"sequence": 9}), (200, TABLE))
     code, out, _ = run("--entry", f"127.0.0.1:1,{second.at}", "-c", "drain a-1")
     assert code == 0 and out == "accepted as 9\n", out
-    first = Entry(None)  # a question may be asked again
+    first = Entry(NO_ANSWER)  # a question may be asked again
     code, _, _ = run("--entry", f"{first.at},{second.at}", "-c", "show hosts")
     assert code == 0 and len(first.requests) == 1
     first.close()
