Test: what tests of faulty backend servers share stands once

broken-heads-test and early-answers-test had the same set-up, requests and check of a whole answer. They are in backend_faults.py; checks, bounds and times are as they were.

--- a/test/broken-heads-test.py
+++ b/test/broken-heads-test.py
@@ -6,17 +6,15 @@
 
 import base64
 import concurrent.futures
-import itertools
 import pathlib
 import sys
 import time
 import unittest
 
-from gateways import Fleet, await_results, output_of, request_once, submit
+from backend_faults import BACKENDS, ENGINES, EVENTS, ONE_OF_EACH, BackendFaultsTest
+from gateways import await_results, output_of, submit
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
-ENGINES, SERVICES = 4, 3
-EVENTS = 20
 ATTEMPTS, AT_ONCE = 12, 4  # while one backend server of each service answers so
 ITEMS = 12
 JOBS = 4
@@ -42,42 +40,22 @@
              "body": base64.b64encode(b"rye").decode()} for n in range(ITEMS)]
 
 
-class BrokenHeads(unittest.TestCase):
-    def setUp(self):
-        self.fleet = Fleet(BUILD, gateways=2, engines=ENGINES, services=SERVICES)
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.__exit__, None)
-        self.numbers = itertools.count(1)
+class BrokenHeads(BackendFaultsTest):
+    build = BUILD
 
-    def engines(self, indices, line=SOUND_LINE, field="", share=1.0):
-        for index in indices:
-            self.fleet.world.do("engine", index=index, broken_head=share, broken_line=line,
-                                broken_field=field)
+    def send_broken_heads(self, backends, line=SOUND_LINE, field="", share=1.0):
+        self.set_faults(backends, broken_head=share, broken_line=line, broken_field=field)
 
-    def attempt(self, path):
-        """Its id and its answer."""
-        n = next(self.numbers)
-        headers = {"Request-Id": f"a{n}", "Model": "m", "Tokens": f"10,{EVENTS}",
-                   "Deadline-Ms": "3000"}
-        return f"a{n}", request_once(self.fleet.gateways[n % 2].callers, path, headers, b"rye")
-
-    def runs_of(self, request):
-        return [run for run in self.fleet.world.runs() if run["id"] == request]
-
-    def assert_served(self, request, answer):
-        self.assertEqual((answer.status, answer.whole), (200, True), answer.body)
-        if self.runs_of(request)[0]["service"] == "app":
-            self.assertEqual(answer.body.decode(), f"answer to {request}")
-        else:
-            self.assertEqual("\n".join(answer.data()), output_of(request, EVENTS))
+    def attempt_short(self, path):
+        return self.attempt(path, b"rye", deadline_ms=3000)
 
     def check_forms(self, forms):
         """Where only broken answers come, each route tells its callers so."""
         for form in forms:
-            self.engines(range(ENGINES + SERVICES), **form)
+            self.send_broken_heads(BACKENDS, **form)
             for path, most_runs in (("/photos/1", 3), ("/flags/1", 1), ("/notes/1", 2)):
                 with self.subTest(path=path, **form):
-                    request, answer = self.attempt(path)
+                    request, answer = self.attempt_short(path)
                     runs = self.runs_of(request)
                     self.assertTrue(1 <= len(runs) <= most_runs, runs)
                     self.assertTrue(all(run["broken"] for run in runs))
@@ -97,9 +75,9 @@
 
     def beside_sound_backends(self, path, **form):
         """Attempts while one backend server of each service answers so."""
-        self.engines((0, ENGINES), **form)
+        self.send_broken_heads(ONE_OF_EACH, **form)
         with concurrent.futures.ThreadPoolExecutor(AT_ONCE) as callers:
-            attempts = [callers.submit(self.attempt, path) for _ in range(ATTEMPTS)]
+            attempts = [callers.submit(self.attempt_short, path) for _ in range(ATTEMPTS)]
             answers = dict(attempt.result() for attempt in attempts)
         hit = {run["id"] for run in self.fleet.world.runs() if run["broken"]}
         self.assertTrue(hit)
@@ -126,7 +104,7 @@
     # Guards against an item's output that is taken from such an answer.
     def test_items_run_again(self):
         for n, form in enumerate(({"line": STATUS_LINES[0]}, {"field": FIELDS[0]})):
-            self.engines(range(ENGINES), share=0.4, **form)
+            self.send_broken_heads(range(ENGINES), share=0.4, **form)
             job = f"j{n}"
             self.assertEqual(submit(self.fleet.gateways[0], job, items_of(job)), 202)
             for result in await_results(self.fleet.gateways[1], job, ITEMS):
--- a/test/early-answers-test.py
+++ b/test/early-answers-test.py
@@ -10,52 +10,28 @@
 import sys
 import unittest
 
-from gateways import Fleet, output_of, request_once
+from backend_faults import BACKENDS, ONE_OF_EACH, BackendFaultsTest
 
 BUILD = pathlib.Path(sys.argv.pop(1)).resolve()
-ENGINES, SERVICES = 4, 3
-EVENTS = 20
 UPLOAD = b"r" * 4_000_000
 ATTEMPTS = 4  # at once, where there are several
 DELAYS = (0, 0.02, 0.2)  # seconds from the part of the answer to its end
 BAD_GATEWAY = 502
 
 
-class EarlyAnswers(unittest.TestCase):
-    def setUp(self):
-        self.fleet = Fleet(BUILD, gateways=2, engines=ENGINES, services=SERVICES)
-        self.fleet.__enter__()
-        self.addCleanup(self.fleet.__exit__, None)
-        self.numbers = itertools.count(1)
+class EarlyAnswers(BackendFaultsTest):
+    build = BUILD
 
-    def engines(self, indices, **faults):
-        for index in indices:
-            self.fleet.world.do("engine", index=index, **faults)
-
-    def attempt(self, path):
-        """Its id and its answer."""
-        n = next(self.numbers)
-        headers = {"Request-Id": f"a{n}", "Model": "m", "Tokens": f"10,{EVENTS}",
-                   "Deadline-Ms": "4000"}
-        return f"a{n}", request_once(self.fleet.gateways[n % 2].callers, path, headers, UPLOAD)
-
-    def runs_of(self, request):
-        return [run for run in self.fleet.world.runs() if run["id"] == request]
-
-    def assert_served(self, request, answer):
-        self.assertEqual((answer.status, answer.whole), (200, True))
-        if self.runs_of(request)[0]["service"] == "app":
-            self.assertEqual(answer.body.decode(), f"answer to {request}")
-        else:
-            self.assertEqual("\n".join(answer.data()), output_of(request, EVENTS))
+    def upload(self, path):
+        return self.attempt(path, UPLOAD, deadline_ms=4000)
 
     def check_parts(self, framing):
         for end, after in itertools.product(("reset", "close"), DELAYS):
-            self.engines(range(ENGINES + SERVICES), early=1.0, early_framing=framing,
-                         early_end=end, early_after=after)
+            self.set_faults(BACKENDS, early=1.0, early_framing=framing,
+                            early_end=end, early_after=after)
             for path, _ in itertools.product(("/photos/1", "/flags/1"), range(ATTEMPTS)):
                 with self.subTest(end=end, after=after, path=path):
-                    request, answer = self.attempt(path)
+                    request, answer = self.upload(path)
                     self.assertGreaterEqual(len(self.runs_of(request)), 1)
                     self.assertFalse(answer.status == 200 and answer.whole, answer.body)
                     if answer.status != 200:
@@ -75,10 +51,11 @@
 
     # Guards against uploads that fail beside one backend server that answers them so.
     def test_uploads_that_may_run_again_are_served_elsewhere(self):
-        self.engines((0, ENGINES), early=1.0, early_framing="", early_end="reset", early_after=0.02)
+        self.set_faults(ONE_OF_EACH, early=1.0, early_framing="", early_end="reset",
+                        early_after=0.02)
         for path in ("/photos/1", "/notes/1"):
             with concurrent.futures.ThreadPoolExecutor(ATTEMPTS) as callers:
-                attempts = [callers.submit(self.attempt, path) for _ in range(3 * ATTEMPTS)]
+                attempts = [callers.submit(self.upload, path) for _ in range(3 * ATTEMPTS)]
                 answers = dict(attempt.result() for attempt in attempts)
             early = [run for run in self.fleet.world.runs() if run["early"]]
             self.assertTrue({run["id"] for run in early} & answers.keys(), path)
@@ -88,19 +65,19 @@
     # Guards against whole answers that are broken off since their request was still being written.
     def test_whole_answers_to_unread_uploads_are_passed_on(self):
         for framing, after in itertools.product(("", "length", "chunks"), (0, 0.2)):
-            self.engines(range(ENGINES + SERVICES), early=1.0, early_framing=framing,
-                         early_end="whole", early_after=after)
+            self.set_faults(BACKENDS, early=1.0, early_framing=framing,
+                            early_end="whole", early_after=after)
             for path in ("/photos/1", "/flags/1"):
                 with self.subTest(framing=framing, after=after, path=path):
-                    request, answer = self.attempt(path)
+                    request, answer = self.upload(path)
                     self.assert_served(request, answer)
                     self.assertEqual(len(self.runs_of(request)), 1)
 
     # Guards against whole answers without a length that are broken off since their upload was long.
     def test_whole_answers_to_uploads_that_were_read_are_passed_on(self):
-        self.engines(range(ENGINES + SERVICES), unframed=1.0)
+        self.set_faults(BACKENDS, unframed=1.0)
         for path in ("/photos/1", "/flags/1"):
-            request, answer = self.attempt(path)
+            request, answer = self.upload(path)
             self.assert_served(request, answer)
             self.assertEqual(len(self.runs_of(request)), 1)
 
