--- a/test/agent-test.py
+++ b/test/agent-test.py
@@ -327,7 +327,7 @@
     return ScriptedBackend(head.encode(), *[b"%x\r\n%b\r\n" % (len(data), data)] * 256)
 
 
-def refuse_endless_answer(fleet, backend):
+def check_endless_answer_is_refused(fleet, backend):
     most_kept_mb = 32
     before = fleet.agent_memory_mb()
     answer = fleet.run("endless", "rye on parcel 4")
@@ -344,7 +344,7 @@
     # Guards against an agent that keeps each byte of an answer until it is complete.
     with endless_backend("image/png", bytes(1024)) as backend:
         with Fleet("service", backend=backend.port) as fleet:
-            refuse_endless_answer(fleet, backend)
+            check_endless_answer_is_refused(fleet, backend)
 
 
 def test_a_stream_without_end_does_not_fill_the_agents_memory():
@@ -352,7 +352,7 @@
     event = json.dumps({"choices": [{"index": 0, "text": "z" * 32768}]})
     with endless_backend("text/event-stream", f"data: {event}\n\n".encode()) as backend:
         with Fleet("engine", backend=backend.port) as fleet:
-            refuse_endless_answer(fleet, backend)
+            check_endless_answer_is_refused(fleet, backend)
 
 
 def test_bytes_that_are_no_answer_are_not_passed_on():
